--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON := .venv/bin/python
+
+.PHONY: setup generate check-generated format lint types test faults demo
+
+setup: .venv/.locked
+
+.venv/.locked: requirements.lock pyproject.toml
+	test -x $(PYTHON) || python3 -m venv .venv
+	$(PYTHON) -m pip install --quiet --quiet --requirement requirements.lock
+	$(PYTHON) -m pip install --quiet --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+generate: setup
+	$(PYTHON) -m tools.generate
+
+check-generated: setup
+	$(PYTHON) -m tools.generate --check
+
+format: setup
+	.venv/bin/ruff format .
+	.venv/bin/ruff check --fix --quiet .
+
+lint: setup
+	.venv/bin/ruff format --check .
+	.venv/bin/ruff check .
+
+types: setup
+	.venv/bin/mypy
+
+test: setup
+	$(PYTHON) -m pytest
+
+demo: setup
+	$(PYTHON) -m tools.demo
--- /dev/null
+++ b/chivespan/__init__.py
@@ -0,0 +1,1 @@
+"""Serve online and batch inference from one shared fleet."""
--- /dev/null
+++ b/chivespan/records.py
@@ -0,0 +1,225 @@
+"""Data classes generated from schema/records.yaml; do not edit."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime
+from typing import Any, TypeAlias
+
+Records: TypeAlias = Any
+"""
+What chivespan writes to the platform's log. Every record travels in an Envelope.
+"""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordId:
+    """
+    Unique id of a record; folds ignore a second copy.
+    """
+
+    writer: str
+    """
+    VM and incarnation of the process that wrote it.
+    """
+    sequence: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Envelope:
+    """
+    Outer form of every record.
+    """
+
+    writer: str
+    sequence: int
+    written_at: datetime
+    kind: str
+    body: bytes
+    """
+    CBOR of the record named by kind.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VoidRecord:
+    """
+    Makes a record with this id count for nothing, unless it comes first.
+    """
+
+    writer: str
+    sequence: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DocumentChange:
+    """
+    One document's new text, or its removal, made against a version.
+    """
+
+    kind: str
+    name: str
+    base_version: int
+    """
+    0 when the document must not exist.
+    """
+    document: bytes | None = None
+    """
+    CBOR of the document; null removes it.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigChange:
+    """
+    One operator's change; in force only if every base version still matches at its offset.
+    """
+
+    operator: str
+    reason: str
+    changes: list[DocumentChange]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobBegin:
+    """
+    First record of a batch job's submission.
+    """
+
+    job_id: str
+    owner: str
+    job_key: str
+    """
+    The owner's own key; empty for none.
+    """
+    service: str
+    model: str
+    items: int
+    chunks: int
+    digest: str
+    """
+    Hash of the job's content.
+    """
+    idempotent: bool = True
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobItem:
+    item_key: str
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobChunk:
+    """
+    A run of a job's items, in order.
+    """
+
+    job_id: str
+    chunk: int
+    items: list[JobItem]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobClose:
+    """
+    Closes the submission; the job is accepted when this and all chunks have been read back.
+    """
+
+    job_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobCancel:
+    job_id: str
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemStart:
+    """
+    Claims the one run of an item that may not be repeated.
+    """
+
+    job_id: str
+    chunk: int
+    index: int
+    """
+    Position in the chunk.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemResult:
+    index: int
+    """
+    Position in the chunk.
+    """
+    ok: bool
+    attempts: int
+    body: bytes
+    error: str = ''
+    """
+    Code of an error kind when not ok.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemResults:
+    """
+    Results of items of one chunk; for each item the first in log order counts.
+    """
+
+    job_id: str
+    chunk: int
+    results: list[ItemResult]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Claim:
+    """
+    The right to run a keyed request that may not be repeated; the first in log order has it.
+    """
+
+    owner: str
+    key: str
+    digest: str
+    """
+    Hash of the request.
+    """
+    service: str
+    path: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimOutcome:
+    """
+    What became of a claimed request.
+    """
+
+    owner: str
+    key: str
+    known: bool
+    """
+    False when nobody can know whether it ran.
+    """
+    body: bytes
+    ran: bool = True
+    """
+    False gives the claim back; it was not run.
+    """
+    status: int = 0
+    content_type: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Snapshot:
+    """
+    A fold's whole state as of an offset; replay goes on after as_of, not after this record.
+    """
+
+    as_of: int
+    digest: str
+    part: int
+    parts: int
+    state: bytes
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the developers."""
