--- a/chivespan/codec.py
+++ b/chivespan/codec.py
@@ -7,7 +7,7 @@
 import cbor2
 import msgspec
 
-from chivespan import messages, records
+from chivespan import jobmessages, messages, records
 from chivespan.errors import ChivespanError, ErrorKind
 
 T = TypeVar("T")
@@ -39,7 +39,7 @@
     return {name: cls for name, cls in members if cls.__module__ == module.__name__}
 
 
-MESSAGE_CLASSES = _data_classes(messages)
+MESSAGE_CLASSES = _data_classes(messages) | _data_classes(jobmessages)
 RECORD_CLASSES = _data_classes(records)
 
 
