--- /dev/null
+++ b/chivespan/callerapi.py
@@ -0,0 +1,197 @@
+"""Data classes generated from schema/callerapi.yaml; do not edit."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+CallerApi: TypeAlias = Any
+"""
+Bodies that callers and operators exchange with chivespan-entry, in JSON.
+"""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CompletionRequest:
+    """
+    Body of POST /v1/completions.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int = 256
+    stream: bool = False
+    service: str = ''
+    """
+    Needed only where several services serve the model.
+    """
+    deadline_ms: int = 0
+    """
+    The whole answer is due within this; 0 for the service's own.
+    """
+    user: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChatMessage:
+    role: str
+    content: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChatRequest:
+    """
+    Body of POST /v1/chat/completions.
+    """
+
+    model: str
+    messages: list[ChatMessage]
+    max_tokens: int = 256
+    stream: bool = False
+    service: str = ''
+    deadline_ms: int = 0
+    user: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TokenUsage:
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CompletionChoice:
+    index: int
+    text: str
+    finish_reason: str | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CompletionAnswer:
+    """
+    A whole answer, or one event of a stream.
+    """
+
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: list[CompletionChoice]
+    usage: TokenUsage | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChatDelta:
+    role: str
+    content: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChatChunkChoice:
+    index: int
+    delta: ChatDelta
+    finish_reason: str | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChatChunk:
+    """
+    One event of a chat stream.
+    """
+
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: list[ChatChunkChoice]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChatChoice:
+    index: int
+    message: ChatDelta
+    finish_reason: str | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChatAnswer:
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: list[ChatChoice]
+    usage: TokenUsage
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldShare:
+    """
+    Part of the capacity that one owner's work holds.
+    """
+
+    owner: str
+    work_class: str
+    slots: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ErrorBody:
+    code: str
+    """
+    An error kind.
+    """
+    message: str
+    request_id: str
+    was_run: str
+    """
+    "no" or "unknown".
+    """
+    retry_after_ms: int | None
+    shares: list[HeldShare] = field(default_factory=list)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ErrorAnswer:
+    error: ErrorBody
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AddressAnswer:
+    """
+    Answer of GET /v1/addresses.
+    """
+
+    addresses: list[str]
+    """
+    IP number and port, the best first.
+    """
+    lifetime_ms: int
+    """
+    Ask again after this time.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ModelEntry:
+    id: str
+    object: str
+    service: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ModelList:
+    """
+    Answer of GET /v1/models.
+    """
+
+    object: str
+    data: list[ModelEntry]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HealthAnswer:
+    vm: str
+    ready: bool
+    leaving: bool
+    in_progress: int
--- /dev/null
+++ b/chivespan/engineclient.py
@@ -0,0 +1,192 @@
+"""Model engines: token streams with deadlines, resume, cancel and load reports."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TypeVar
+
+import anyio
+import msgspec
+
+from chivespan.engineapi import (
+    EngineCancel,
+    EngineEvent,
+    EngineLoad,
+    EngineOrder,
+    EngineRequest,
+    EngineUsage,
+)
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.targethttp import HttpRequest, OpenAnswer, TargetHttp
+
+CALL_TIMEOUT = timedelta(seconds=1)
+ERROR_TEXT_BYTES = 200
+
+JSON_HEADER = (b"content-type", b"application/json")
+EVENT_PREFIX = b"data: "
+END_MARK = b"[DONE]"
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Token:
+    """One token of a stream.
+
+    :param index: position in the whole answer, counted from 0.
+    """
+
+    index: int
+    text: str
+    finish_reason: str | None = None
+    usage: EngineUsage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StreamLimits:
+    """How long a stream may keep silent before its connection is left."""
+
+    first_token: timedelta
+    token_gap: timedelta
+
+
+class EngineClient:
+    """Speaks to the model engines; one for a process."""
+
+    def __init__(self, http: TargetHttp) -> None:
+        self._http = http
+        self._event_decoder = msgspec.json.Decoder(EngineEvent)
+
+    async def stream(
+        self,
+        address: str,
+        request: EngineRequest,
+        limits: StreamLimits,
+        *,
+        fresh: bool = False,
+    ) -> AsyncIterator[Token]:
+        """Yield the tokens that follow ``request.resume_tokens``.
+
+        The stream has ended well only if a token with a finish reason and the end mark
+        came; every other end raises.
+
+        :raises ChivespanError: ``target_unreachable``, ``target_failed``,
+            ``target_timeout`` or ``stream_broken``.
+        """
+        outgoing = _post(address, "/v1/completions", request, fresh=fresh)
+        try:
+            async with self._http.open(outgoing, limits.first_token) as answer:
+                await _check_status(address, answer)
+                async for token in self._tokens(address, request, limits, answer):
+                    yield token
+        except ChivespanError as error:
+            if error.kind is ErrorKind.TARGET_TIMEOUT:
+                await self._cancel_quietly(address, request.request_id)
+            raise
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Free the slot that a request holds, over a new connection."""
+        cancel = EngineCancel(request_id=request_id)
+        outgoing = _post(address, "/v1/cancel", cancel, fresh=True)
+        await self._http.call(outgoing, CALL_TIMEOUT)
+
+    async def load(self, address: str) -> EngineLoad:
+        """Return the engine's load report, which lags.
+
+        :raises ChivespanError: when the engine doesn't answer or answers garbage.
+        """
+        answer = await self._http.call(
+            HttpRequest(address, "GET", "/load"), CALL_TIMEOUT
+        )
+        return _decode(address, answer.body, EngineLoad)
+
+    async def order(self, address: str, order: EngineOrder) -> bool:
+        """Send an order; return False when the engine refused its fencing number."""
+        outgoing = _post(address, "/orders", order, fresh=True)
+        answer = await self._http.call(outgoing, CALL_TIMEOUT)
+        return answer.status < 400
+
+    async def _tokens(
+        self,
+        address: str,
+        request: EngineRequest,
+        limits: StreamLimits,
+        answer: OpenAnswer,
+    ) -> AsyncIterator[Token]:
+        expected = len(request.resume_tokens)
+        finished = False
+        timeout = limits.first_token
+        lines = _event_lines(answer.chunks)
+        while True:
+            try:
+                with anyio.fail_after(timeout.total_seconds()):
+                    line = await anext(lines, None)
+            except TimeoutError as error:
+                reason = f"target {address} gave no token in time"
+                raise ChivespanError(ErrorKind.TARGET_TIMEOUT, reason) from error
+            if line is None:
+                reason = f"the stream of target {address} ended without its end mark"
+                raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+            if line == END_MARK:
+                break
+            token = self._token(address, request, line)
+            if token.index != expected or finished:
+                raise _garbage(address, f"token {token.index} instead of {expected}")
+            expected += 1
+            finished = token.finish_reason is not None
+            timeout = limits.token_gap
+            yield token
+        if not finished:
+            raise _garbage(address, "an end mark without a finish reason")
+
+    def _token(self, address: str, request: EngineRequest, line: bytes) -> Token:
+        try:
+            event = self._event_decoder.decode(line)
+            choice = event.choices[0]
+        except (msgspec.DecodeError, IndexError) as error:
+            raise _garbage(address, str(error)) from error
+        if event.id != request.request_id:
+            raise _garbage(address, "a token of another request")
+        return Token(event.token_index, choice.text, choice.finish_reason, event.usage)
+
+    async def _cancel_quietly(self, address: str, request_id: str) -> None:
+        try:
+            await self.cancel(address, request_id)
+        except ChivespanError:
+            return
+
+
+async def _event_lines(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yield the data of each server-sent event."""
+    rest = b""
+    async for chunk in chunks:
+        *lines, rest = (rest + chunk).split(b"\n")
+        for line in lines:
+            if line.startswith(EVENT_PREFIX):
+                yield line[len(EVENT_PREFIX) :].strip()
+
+
+async def _check_status(address: str, answer: OpenAnswer) -> None:
+    if answer.status < 400:
+        return
+    body = b"".join([chunk async for chunk in answer.chunks])
+    text = body[:ERROR_TEXT_BYTES].decode(errors="replace")
+    reason = f"target {address} answered {answer.status}: {text}"
+    raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
+
+
+def _post(address: str, path: str, body: object, *, fresh: bool) -> HttpRequest:
+    encoded = msgspec.json.encode(body)
+    return HttpRequest(address, "POST", path, (JSON_HEADER,), encoded, fresh)
+
+
+def _decode(address: str, body: bytes, cls: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=cls)
+    except msgspec.DecodeError as error:
+        raise _garbage(address, str(error)) from error
+
+
+def _garbage(address: str, what: str) -> ChivespanError:
+    reason = f"target {address} sent garbage: {what}"
+    return ChivespanError(ErrorKind.TARGET_FAILED, reason)
--- /dev/null
+++ b/chivespan/targethttp.py
@@ -0,0 +1,181 @@
+"""HTTP towards targets: connections, deadlines, and errors in chivespan's kinds.
+
+A connection that went silent is closed and never used again; a request that may not
+be repeated always gets a connection of its own.
+"""
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+from types import TracebackType
+
+import anyio
+import httpcore
+
+from chivespan.errors import ChivespanError, ErrorKind
+
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+WRITE_TIMEOUT = timedelta(seconds=2)
+KEEPALIVE = timedelta(seconds=5)
+MAX_IDLE_CONNECTIONS = 64
+
+Header = tuple[bytes, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One request to a target.
+
+    :param fresh: use a connection of its own instead of one from the pool.
+    """
+
+    address: str
+    method: str
+    path: str
+    headers: Sequence[Header] = ()
+    body: bytes = b""
+    fresh: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """The whole answer of a target."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OpenAnswer:
+    """An answer whose body is still to come."""
+
+    status: int
+    content_type: str
+    chunks: AsyncIterator[bytes] = field(repr=False)
+
+
+class TargetHttp:
+    """Connections to targets; an async context manager."""
+
+    def __init__(self) -> None:
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=None,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE.total_seconds(),
+        )
+
+    async def __aenter__(self) -> "TargetHttp":
+        await self._pool.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._pool.__aexit__(kind, error, trace)
+
+    @asynccontextmanager
+    async def open(
+        self, request: HttpRequest, first_byte: timedelta
+    ) -> AsyncIterator[OpenAnswer]:
+        """Send a request and yield its answer once the head has come.
+
+        :param first_byte: the head of the answer is due within this.
+        :raises ChivespanError: ``target_unreachable`` when no byte was sent; else
+            ``target_timeout`` or ``target_failed``.
+        """
+        if request.fresh:
+            async with (
+                httpcore.AsyncConnectionPool(max_connections=1) as pool,
+                self._open_on(pool, request, first_byte) as answer,
+            ):
+                yield answer
+        else:
+            async with self._open_on(self._pool, request, first_byte) as answer:
+                yield answer
+
+    async def call(self, request: HttpRequest, timeout: timedelta) -> HttpAnswer:
+        """Send a request and return its whole answer.
+
+        :raises ChivespanError: as :meth:`open`.
+        """
+        try:
+            with anyio.fail_after(timeout.total_seconds()):
+                async with self.open(request, timeout) as answer:
+                    body = b"".join([chunk async for chunk in answer.chunks])
+        except TimeoutError as error:
+            raise _timeout(request, "answer") from error
+        return HttpAnswer(answer.status, answer.content_type, body)
+
+    @asynccontextmanager
+    async def _open_on(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        request: HttpRequest,
+        first_byte: timedelta,
+    ) -> AsyncIterator[OpenAnswer]:
+        headers = [
+            (b"host", request.address.encode()),
+            (b"content-length", str(len(request.body)).encode()),
+            *request.headers,
+        ]
+        outgoing = httpcore.Request(
+            request.method,
+            f"http://{request.address}{request.path}",
+            headers=headers,
+            content=request.body,
+            extensions={
+                "timeout": {
+                    "connect": CONNECT_TIMEOUT.total_seconds(),
+                    "write": WRITE_TIMEOUT.total_seconds(),
+                    "read": first_byte.total_seconds(),
+                }
+            },
+        )
+        try:
+            response = await pool.handle_async_request(outgoing)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            reason = f"target {request.address} can't be reached"
+            raise ChivespanError(ErrorKind.TARGET_UNREACHABLE, reason) from error
+        except httpcore.TimeoutException as error:
+            raise _timeout(request, "answer") from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise _broken(request, ErrorKind.TARGET_FAILED) from error
+        try:
+            chunks = _chunks(request, response)
+            yield OpenAnswer(response.status, _content_type(response), chunks)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await response.aclose()
+
+
+async def _chunks(
+    request: HttpRequest, response: httpcore.Response
+) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in response.aiter_stream():
+            yield chunk
+    except httpcore.TimeoutException as error:
+        raise _timeout(request, "next byte") from error
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        raise _broken(request, ErrorKind.STREAM_BROKEN) from error
+
+
+def _content_type(response: httpcore.Response) -> str:
+    for name, value in response.headers:
+        if name.lower() == b"content-type":
+            return value.decode("latin-1")
+    return ""
+
+
+def _timeout(request: HttpRequest, what: str) -> ChivespanError:
+    reason = f"target {request.address} gave no {what} in time"
+    return ChivespanError(ErrorKind.TARGET_TIMEOUT, reason)
+
+
+def _broken(request: HttpRequest, kind: ErrorKind) -> ChivespanError:
+    return ChivespanError(kind, f"target {request.address} broke the connection")
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -11,7 +11,15 @@
 from datamodel_code_generator.__main__ import main as datamodel_main
 
 ROOT = Path(__file__).resolve().parent.parent
-MODULES = ("messages", "jobmessages", "records", "documents", "settings")
+MODULES = (
+    "messages",
+    "jobmessages",
+    "records",
+    "documents",
+    "settings",
+    "callerapi",
+    "engineapi",
+)
 
 
 def generate(module: str, output: Path) -> None:
