--- a/chivespan/engineclient.py
+++ b/chivespan/engineclient.py
@@ -1,6 +1,6 @@
 """Model engines: token streams with deadlines, resume, cancel and load reports."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TypeVar
@@ -21,6 +21,7 @@
 
 CALL_TIMEOUT = timedelta(seconds=1)
 ERROR_TEXT_BYTES = 200
+PASSING_STATUSES = frozenset({408, 409, 425, 429})
 
 JSON_HEADER = (b"content-type", b"application/json")
 EVENT_PREFIX = b"data: "
@@ -64,7 +65,7 @@
         limits: StreamLimits,
         *,
         fresh: bool = False,
-    ) -> AsyncIterator[Token]:
+    ) -> AsyncGenerator[Token, None]:
         """Yield the tokens that follow ``request.resume_tokens``.
 
         The stream has ended well only if a token with a finish reason and the end mark
@@ -112,7 +113,7 @@
         request: EngineRequest,
         limits: StreamLimits,
         answer: OpenAnswer,
-    ) -> AsyncIterator[Token]:
+    ) -> AsyncGenerator[Token, None]:
         expected = len(request.resume_tokens)
         finished = False
         timeout = limits.first_token
@@ -172,7 +173,9 @@
     body = b"".join([chunk async for chunk in answer.chunks])
     text = body[:ERROR_TEXT_BYTES].decode(errors="replace")
     reason = f"target {address} answered {answer.status}: {text}"
-    raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
+    refused = answer.status < 500 and answer.status not in PASSING_STATUSES
+    kind = ErrorKind.TARGET_REFUSED if refused else ErrorKind.TARGET_FAILED
+    raise ChivespanError(kind, reason)
 
 
 def _post(address: str, path: str, body: object, *, fresh: bool) -> HttpRequest:
--- a/chivespan/errors.py
+++ b/chivespan/errors.py
@@ -38,6 +38,7 @@
     NOT_READY = "not_ready"
     LEAVING = "leaving"
     TARGET_UNREACHABLE = "target_unreachable"
+    TARGET_REFUSED = "target_refused"
     TARGET_FAILED = "target_failed"
     TARGET_TIMEOUT = "target_timeout"
     STREAM_BROKEN = "stream_broken"
@@ -86,6 +87,7 @@
     ErrorKind.NOT_READY: Answer(503, False, SOON),
     ErrorKind.LEAVING: Answer(503, False, SOON),
     ErrorKind.TARGET_UNREACHABLE: Answer(502, False, SOON),
+    ErrorKind.TARGET_REFUSED: Answer(400, True),
     ErrorKind.TARGET_FAILED: Answer(502, True, SOON),
     ErrorKind.TARGET_TIMEOUT: Answer(504, True, SOON),
     ErrorKind.STREAM_BROKEN: Answer(502, True, SOON),
--- /dev/null
+++ b/chivespan/online.py
@@ -0,0 +1,314 @@
+"""Online work: a slot, one target after another, and one whole answer.
+
+A model's stream that breaks goes on at another target from the tokens already received.
+A plain call goes out again only if it may be repeated, or if no byte of it was sent.
+"""
+
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol
+
+import anyio
+
+from chivespan.clock import Clock
+from chivespan.documents import Service
+from chivespan.engineapi import EngineRequest
+from chivespan.engineclient import EngineClient, StreamLimits, Token
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.messages import Grant, GrantRequest, Outcome, WorkClass
+from chivespan.plainclient import PlainClient, PlainRequest
+from chivespan.targethttp import HttpAnswer
+
+MAX_ATTEMPTS = 4
+PREFIX_CHARACTERS = 256
+FIRST_TOKEN_PATIENCE = 4
+TOKEN_GAP_PATIENCE = 40
+
+RETRIED_KINDS = frozenset(
+    {
+        ErrorKind.TARGET_UNREACHABLE,
+        ErrorKind.TARGET_FAILED,
+        ErrorKind.TARGET_TIMEOUT,
+        ErrorKind.STREAM_BROKEN,
+    }
+)
+OUTCOMES = {
+    ErrorKind.TARGET_UNREACHABLE: Outcome.not_sent,
+    ErrorKind.TARGET_TIMEOUT: Outcome.timed_out,
+}
+
+
+class Slot(Protocol):
+    """A slot on one target, held until released."""
+
+    @property
+    def grant(self) -> Grant:
+        """Which target it is on."""
+        ...
+
+    def release(
+        self,
+        outcome: Outcome,
+        first_token: timedelta | None = None,
+        token_gap: timedelta | None = None,
+        tokens: int = 0,
+    ) -> None:
+        """Give the slot back and say what was measured."""
+        ...
+
+
+class SlotSource(Protocol):
+    """Where slots come from."""
+
+    async def acquire(self, request: GrantRequest) -> Slot:
+        """Wait for a slot; raise a refusal as soon as there can be none."""
+        ...
+
+
+class RetryPermits(Protocol):
+    """Bounds retries to a share of successes."""
+
+    def record_success(self) -> None:
+        """Count a request that went well."""
+        ...
+
+    def try_spend(self) -> bool:
+        """Take one retry, or return False when the budget is spent."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class OnlineRequest:
+    """An online request whose owner and service are known.
+
+    :param deadline: monotonic time by which the whole answer is due.
+    """
+
+    request_id: str
+    owner: str
+    service: Service
+    deadline: timedelta
+    model: str = ""
+    prompt: str = ""
+    max_tokens: int = 0
+    prefix_hash: int = 0
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What came of a request so far, over all its attempts."""
+
+    tokens: list[str] = field(default_factory=list)
+    failed_targets: list[str] = field(default_factory=list)
+    may_have_run: ChivespanError | None = None
+
+    @property
+    def attempt(self) -> int:
+        return len(self.failed_targets) + 1
+
+    def record(self, target: str, error: ChivespanError) -> None:
+        self.failed_targets.append(target)
+        if error.answer.may_have_run:
+            self.may_have_run = error
+
+    def final(self, error: ChivespanError) -> ChivespanError:
+        """Return the error to answer with.
+
+        A refusal of a retry says "not run", which an earlier attempt may belie.
+        """
+        if self.may_have_run is None or error.answer.may_have_run:
+            return error
+        earlier = self.may_have_run
+        return ChivespanError(
+            earlier.kind,
+            f"{earlier.message}; no retry: {error.message}",
+            retry_after=error.retry_after,
+            shares=error.shares,
+        )
+
+
+class _Stopwatch:
+    """Measures one attempt: time to its first token, and the mean gap after it."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._start = clock.monotonic()
+        self._first: timedelta | None = None
+        self._last = self._start
+        self._count = 0
+
+    @property
+    def first_token(self) -> timedelta | None:
+        return self._first - self._start if self._first is not None else None
+
+    @property
+    def token_gap(self) -> timedelta | None:
+        if self._first is None or self._count < 2:
+            return None
+        return (self._last - self._first) / (self._count - 1)
+
+    @property
+    def count(self) -> int:
+        return self._count
+
+    def token(self) -> None:
+        self._last = self._clock.monotonic()
+        self._count += 1
+        if self._first is None:
+            self._first = self._last
+
+
+class OnlineService:
+    """Runs online requests; one for a process."""
+
+    def __init__(
+        self,
+        slots: SlotSource,
+        engines: EngineClient,
+        plain: PlainClient,
+        retries: RetryPermits,
+        clock: Clock,
+    ) -> None:
+        self._slots = slots
+        self._engines = engines
+        self._plain = plain
+        self._retries = retries
+        self._clock = clock
+
+    async def stream(self, request: OnlineRequest) -> AsyncGenerator[Token, None]:
+        """Yield the tokens of the whole answer, each once and in order.
+
+        :raises ChivespanError: when the answer can't be had or completed; at once.
+        """
+        progress = _Progress()
+        while True:
+            try:
+                async with aclosing(self._attempt(request, progress)) as tokens:
+                    async for token in tokens:
+                        progress.tokens.append(token.text)
+                        yield token
+            except ChivespanError as error:
+                if not self._may_retry(error, request, progress):
+                    raise progress.final(error) from error
+            else:
+                self._retries.record_success()
+                return
+
+    async def call(self, request: OnlineRequest, plain: PlainRequest) -> HttpAnswer:
+        """Return a plain service's answer to a call.
+
+        :raises ChivespanError: with a kind that says whether the call may have run.
+        """
+        progress = _Progress()
+        while True:
+            try:
+                answer = await self._call_once(request, plain, progress)
+            except ChivespanError as error:
+                repeatable = plain.idempotent or not error.answer.may_have_run
+                if not repeatable or not self._may_retry(error, request, progress):
+                    raise progress.final(error) from error
+            else:
+                self._retries.record_success()
+                return answer
+
+    async def _attempt(
+        self, request: OnlineRequest, progress: _Progress
+    ) -> AsyncGenerator[Token, None]:
+        slot = await self._acquire(request, progress)
+        watch = _Stopwatch(self._clock)
+        outcome = Outcome.cancelled
+        engine_request = EngineRequest(
+            model=request.model,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            stream=True,
+            request_id=f"{request.request_id}.{progress.attempt}",
+            resume_tokens=list(progress.tokens),
+        )
+        stream = self._engines.stream(
+            slot.grant.address,
+            engine_request,
+            self._limits(request),
+            fresh=progress.attempt > 1,
+        )
+        try:
+            async with aclosing(stream):
+                async for token in stream:
+                    watch.token()
+                    yield token
+                    self._check_deadline(request)
+            outcome = Outcome.done
+        except ChivespanError as error:
+            outcome = OUTCOMES.get(error.kind, Outcome.failed)
+            progress.record(slot.grant.target, error)
+            raise
+        finally:
+            slot.release(outcome, watch.first_token, watch.token_gap, watch.count)
+
+    async def _call_once(
+        self, request: OnlineRequest, plain: PlainRequest, progress: _Progress
+    ) -> HttpAnswer:
+        slot = await self._acquire(request, progress)
+        outcome = Outcome.cancelled
+        try:
+            answer = await self._plain.call(
+                slot.grant.address, plain, self._remaining(request)
+            )
+            outcome = Outcome.failed if answer.status >= 500 else Outcome.done
+        except ChivespanError as error:
+            outcome = OUTCOMES.get(error.kind, Outcome.failed)
+            progress.record(slot.grant.target, error)
+            raise
+        finally:
+            slot.release(outcome)
+        return answer
+
+    async def _acquire(self, request: OnlineRequest, progress: _Progress) -> Slot:
+        remaining = self._remaining(request)
+        grant_request = GrantRequest(
+            request_id=f"{request.request_id}.{progress.attempt}",
+            slice_id="",
+            service=request.service.name,
+            model=request.model,
+            owner=request.owner,
+            work_class=WorkClass.online,
+            deadline_ms=round(remaining / timedelta(milliseconds=1)),
+            tokens=request.max_tokens - len(progress.tokens),
+            prefix_hash=request.prefix_hash,
+            excluded=list(progress.failed_targets),
+            attempt=progress.attempt,
+        )
+        try:
+            with anyio.fail_after(remaining.total_seconds()):
+                return await self._slots.acquire(grant_request)
+        except TimeoutError as error:
+            reason = "no slot came free before the request's deadline"
+            raise ChivespanError(ErrorKind.DEADLINE_PASSED, reason) from error
+
+    def _limits(self, request: OnlineRequest) -> StreamLimits:
+        service = request.service
+        remaining = self._remaining(request)
+        first = timedelta(milliseconds=service.first_token_ms * FIRST_TOKEN_PATIENCE)
+        gap = timedelta(milliseconds=service.token_gap_ms * TOKEN_GAP_PATIENCE)
+        return StreamLimits(min(first, remaining), min(gap, remaining))
+
+    def _remaining(self, request: OnlineRequest) -> timedelta:
+        remaining = request.deadline - self._clock.monotonic()
+        return max(remaining, timedelta(0))
+
+    def _check_deadline(self, request: OnlineRequest) -> None:
+        if self._clock.monotonic() > request.deadline:
+            reason = "the request's deadline passed in the middle of the answer"
+            raise ChivespanError(ErrorKind.TARGET_TIMEOUT, reason)
+
+    def _may_retry(
+        self, error: ChivespanError, request: OnlineRequest, progress: _Progress
+    ) -> bool:
+        return (
+            error.kind in RETRIED_KINDS
+            and progress.attempt <= MAX_ATTEMPTS
+            and self._clock.monotonic() < request.deadline
+            and self._retries.try_spend()
+        )
