--- /dev/null
+++ b/chivespan/entrycontext.py
@@ -0,0 +1,104 @@
+"""What the HTTP handlers of one entry process share."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from starlette.requests import Request
+
+from chivespan.addresses import AddressBook
+from chivespan.auth import Authenticator
+from chivespan.clock import Clock
+from chivespan.configuration import Configuration
+from chivespan.documents import Operator, Owner
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.messages import VmState, VmView
+from chivespan.metrics import Metrics
+from chivespan.online import OnlineService
+from chivespan.settings import NodeSettings
+
+
+class View(Protocol):
+    """What the entry knows of configuration and membership."""
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force on this VM."""
+        ...
+
+    @property
+    def vms(self) -> Sequence[VmView]:
+        """All VMs with their states."""
+        ...
+
+
+@dataclass(slots=True)
+class EntryContext:
+    """Shared by all handlers of one entry process.
+
+    :param leaving: set once the process was told to leave.
+    :param in_progress: requests being served now.
+    """
+
+    settings: NodeSettings
+    view: View
+    online: OnlineService
+    addresses: AddressBook
+    metrics: Metrics
+    clock: Clock
+    authenticator: Authenticator = field(default_factory=Authenticator)
+    leaving: bool = False
+    in_progress: int = 0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this VM was told to leave, or is listed as leaving."""
+        return self.leaving or any(
+            vm.vm == self.settings.vm and vm.state is VmState.leaving
+            for vm in self.view.vms
+        )
+
+    def authenticate(self, request: Request) -> Owner:
+        """Return the owner who sent a request.
+
+        :raises ChivespanError: ``unauthenticated``, ``forbidden`` or ``not_ready``.
+        """
+        self._require_configuration()
+        header = request.headers.get("authorization")
+        try:
+            return self.authenticator.owner(self.view.configuration, header)
+        except ChivespanError:
+            self.metrics.incr("auth.refused")
+            raise
+
+    def authenticate_operator(self, request: Request) -> Operator:
+        """Return the operator who sent a request.
+
+        :raises ChivespanError: ``unauthenticated``, ``forbidden`` or ``not_ready``.
+        """
+        self._require_configuration()
+        header = request.headers.get("authorization")
+        try:
+            return self.authenticator.operator(self.view.configuration, header)
+        except ChivespanError:
+            self.metrics.incr("auth.refused")
+            raise
+
+    async def read_body(self, request: Request) -> bytes:
+        """Return the request's body.
+
+        :raises ChivespanError: ``body_too_large`` as soon as the limit is passed.
+        """
+        limit = self.settings.body_limit_bytes
+        body = bytearray()
+        async for chunk in request.stream():
+            body += chunk
+            if len(body) > limit:
+                reason = f"the body is over the limit of {limit} bytes"
+                raise ChivespanError(ErrorKind.BODY_TOO_LARGE, reason)
+        return bytes(body)
+
+    def _require_configuration(self) -> None:
+        if self.view.configuration.offset < 0:
+            reason = "this VM has no configuration yet"
+            raise ChivespanError(ErrorKind.NOT_READY, reason)
