--- /dev/null
+++ b/tests/test_options.py
@@ -0,0 +1,78 @@
+from collections.abc import Sequence
+
+import pytest
+
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.options import load_settings
+from chivespan.settings import NodeSettings
+
+RIGHT = (
+    "--vm=127.0.0.1",
+    "--data_centre=hr-east-osijek",
+    "--region=hr-east",
+    "--log-url=http://127.0.0.9:9000",
+    "--vm_list_url=http://127.0.0.9:9001",
+)
+
+
+def _fault_of(arguments: Sequence[str], **environment: str) -> str:
+    with pytest.raises(ChivespanError) as caught:
+        load_settings(NodeSettings, arguments, environment)
+    assert caught.value.kind is ErrorKind.INVALID_SETTING
+    return caught.value.message
+
+
+def test_flags_go_before_environment_and_environment_before_defaults() -> None:
+    environment = {
+        "CHIVESPAN_PEER_KEY": "0123",
+        "CHIVESPAN_ENTRY_PORT": "80",
+        "CHIVESPAN_VM": "127.0.0.2",
+        "HOME": "/",
+    }
+    loaded = load_settings(NodeSettings, RIGHT, environment)
+    assert loaded.vm == "127.0.0.1"
+    assert loaded.entry_port == 80
+    assert loaded.peer_key == "0123"
+    assert loaded.heartbeat_ms == 500
+
+
+def test_every_wrong_setting_is_named_in_one_message() -> None:
+    message = _fault_of(
+        [
+            "--vm=localhost",
+            "--log_url=http://log:9000",
+            "--heartbeat_ms=fast",
+            "--partitions=0",
+            "--batch_port=8080",
+            "--colour=red",
+            "word",
+        ],
+        CHIVESPAN_VMM="127.0.0.1",
+        CHIVESPAN_STATSD_ADDRESS="127.0.0.1",
+    )
+    lines = message.splitlines()
+    expected = {
+        "--colour": "no such setting",
+        "'word'": "--name=value",
+        "CHIVESPAN_VMM": "no setting",
+        "--vm (CHIVESPAN_VM)": '"localhost" is wrong; give an IP number',
+        "--log_url (CHIVESPAN_LOG_URL)": "give a URL with an IP number",
+        "--region (CHIVESPAN_REGION)": "missing",
+        "--data_centre (CHIVESPAN_DATA_CENTRE)": "missing",
+        "--vm_list_url (CHIVESPAN_VM_LIST_URL)": "missing",
+        "--peer_key (CHIVESPAN_PEER_KEY)": "missing",
+        "--heartbeat_ms (CHIVESPAN_HEARTBEAT_MS)": '"fast" is wrong; give a whole',
+        "--partitions (CHIVESPAN_PARTITIONS)": "from 1 to 1024",
+        "--statsd_address (CHIVESPAN_STATSD_ADDRESS)": "a port such as",
+        "--entry_port (CHIVESPAN_ENTRY_PORT),": "two are the same",
+    }
+    assert lines[0] == f"{len(expected)} settings are wrong"
+    assert len(lines) == 1 + len(expected)
+    for place, problem in expected.items():
+        start = f"  invalid_setting {place}"
+        assert any(line.startswith(start) and problem in line for line in lines)
+
+
+def test_a_wrong_key_is_not_shown() -> None:
+    assert "one setting is wrong" in _fault_of([*RIGHT, "--peer_key= "])
+    assert '" "' not in _fault_of([*RIGHT, "--peer_key= "])
