--- a/chivespan/addresses.py
+++ b/chivespan/addresses.py
@@ -1,47 +1,76 @@
-"""Which entry addresses a caller should use, and for how long."""
+"""IP numbers with ports, and URLs with them, as settings and inventories give them."""
 
-import random
-from collections.abc import Iterable, Sequence
-from datetime import timedelta
+from dataclasses import dataclass
+from ipaddress import ip_address
+from urllib.parse import urlsplit
 
-from chivespan.callerapi import AddressAnswer
-from chivespan.messages import VmState, VmView
+MAX_PORT = 65535
 
-MAX_ADDRESSES = 4
 
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a port."""
 
-class AddressBook:
-    """Names live entry VMs, the nearest first, spread evenly over callers.
+    host: str
+    port: int
 
-    :param entry_port: port of chivespan-entry on every VM.
-    :param lifetime: how long callers may keep an answer; a leaving VM serves on for
-        this long.
+
+def is_ip_number(text: str) -> bool:
+    """Return whether ``text`` is an IPv4 or IPv6 number.
+
+    >>> is_ip_number("10.0.0.1"), is_ip_number("localhost")
+    (True, False)
+    """
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that ``text`` gives as IP number, colon and port.
+
+    :raises ValueError: when it is none.
+
+    >>> parse_address("[::1]:8125")
+    Address(host='::1', port=8125)
     """
+    host, _, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        raise ValueError(f"{text!r}: put an IPv6 number into brackets")
+    if not is_ip_number(host):
+        raise ValueError(f"{text!r} does not start with an IP number")
+    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= MAX_PORT):
+        raise ValueError(f"{text!r} does not end with a port from 1 to {MAX_PORT}")
+    return Address(host, int(port))
 
-    def __init__(
-        self, entry_port: int, lifetime: timedelta, generator: random.Random
-    ) -> None:
-        self._entry_port = entry_port
-        self._lifetime = lifetime
-        self._generator = generator
-
-    def answer(
-        self, vms: Sequence[VmView], data_centre: str, region: str
-    ) -> AddressAnswer:
-        """Return the addresses for a caller near a data centre."""
-        live = [vm for vm in vms if vm.state is VmState.live]
-        near = self._shuffled(vm for vm in live if vm.data_centre == data_centre)
-        same_region = self._shuffled(
-            vm for vm in live if vm.data_centre != data_centre and vm.region == region
-        )
-        far = self._shuffled(vm for vm in live if vm.region != region)
-        chosen = [*near, *same_region, *far][:MAX_ADDRESSES]
-        return AddressAnswer(
-            addresses=[f"{vm.vm}:{self._entry_port}" for vm in chosen],
-            lifetime_ms=round(self._lifetime / timedelta(milliseconds=1)),
-        )
-
-    def _shuffled(self, vms: Iterable[VmView]) -> list[VmView]:
-        chosen = list(vms)
-        self._generator.shuffle(chosen)
-        return chosen
+
+def is_address(text: str) -> bool:
+    """Return whether ``text`` is an IP number with a port.
+
+    >>> is_address("10.0.0.1:80"), is_address("10.0.0.1")
+    (True, False)
+    """
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def is_ip_url(text: str) -> bool:
+    """Return whether ``text`` is an http or https URL whose host is an IP number.
+
+    >>> is_ip_url("http://10.0.0.1:9000"), is_ip_url("http://log.example:9000")
+    (True, False)
+    """
+    try:
+        parts = urlsplit(text)
+        port = parts.port
+    except ValueError:
+        return False
+    known_scheme = parts.scheme in ("http", "https")
+    return known_scheme and is_ip_number(parts.hostname or "") and port != 0
--- a/chivespan/completions.py
+++ b/chivespan/completions.py
@@ -111,9 +111,7 @@
             created=head.created,
             model=head.model,
             choices=[
-                ChatChunkChoice(
-                    index=0, delta=delta, finish_reason=token.finish_reason
-                )
+                ChatChunkChoice(index=0, delta=delta, finish_reason=token.finish_reason)
             ],
         )
     choice = CompletionChoice(
--- a/chivespan/entrycontext.py
+++ b/chivespan/entrycontext.py
@@ -6,7 +6,7 @@
 
 from starlette.requests import Request
 
-from chivespan.addresses import AddressBook
+from chivespan.addressbook import AddressBook
 from chivespan.auth import Authenticator
 from chivespan.clock import Clock
 from chivespan.configuration import Configuration
