--- /dev/null
+++ b/chivespan/grantbook.py
@@ -0,0 +1,129 @@
+"""The grants that are out, and what their owners consumed."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chivespan.messages import OwnerShare, UsageCount, WorkClass
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+@dataclass(slots=True)
+class LiveGrant:
+    """A grant that holds a slot.
+
+    :param lapses_at: monotonic time at which the slot is taken back; None while the
+        holder is connected.
+    """
+
+    grant_id: str
+    target: str
+    holder: str
+    owner: str
+    work_class: WorkClass
+    granted_at: timedelta
+    lapses_at: timedelta | None = None
+    revoked: bool = False
+
+
+class GrantBook:
+    """All grants of a slice by id."""
+
+    def __init__(self) -> None:
+        self._grants: dict[str, LiveGrant] = {}
+
+    def __iter__(self) -> Iterator[LiveGrant]:
+        return iter(self._grants.values())
+
+    def __len__(self) -> int:
+        return len(self._grants)
+
+    def __contains__(self, grant_id: str) -> bool:
+        return grant_id in self._grants
+
+    def add(self, grant: LiveGrant) -> None:
+        """Enter a grant."""
+        self._grants[grant.grant_id] = grant
+
+    def pop(self, grant_id: str) -> LiveGrant | None:
+        """Strike a grant out; None when it isn't here (any more)."""
+        return self._grants.pop(grant_id, None)
+
+    def of_holder(self, holder: str) -> list[LiveGrant]:
+        """Return the grants of one holder."""
+        return [grant for grant in self if grant.holder == holder]
+
+    def lapsed(self, now: timedelta) -> list[LiveGrant]:
+        """Return the grants whose time is over."""
+        return [
+            grant
+            for grant in self
+            if grant.lapses_at is not None and grant.lapses_at <= now
+        ]
+
+    def in_progress(self, owner: str, work_class: WorkClass) -> int:
+        """Return how many grants an owner's work of one class holds."""
+        return sum(
+            grant.owner == owner and grant.work_class == work_class for grant in self
+        )
+
+    def shares(self) -> list[OwnerShare]:
+        """Return whose work holds the slots, the largest share first."""
+        slots = Counter(_ShareKey(grant.owner, grant.work_class) for grant in self)
+        return [
+            OwnerShare(owner=key.owner, work_class=key.work_class, slots=count)
+            for key, count in slots.most_common()
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class _ShareKey:
+    owner: str
+    work_class: WorkClass
+
+
+@dataclass(slots=True)
+class _Consumption:
+    requests: int = 0
+    tokens: int = 0
+    slot_ms: float = 0.0
+    refusals: int = 0
+
+
+class UsageBook:
+    """Running totals of what each owner consumed of one service."""
+
+    def __init__(self, service: str) -> None:
+        self._service = service
+        self._totals: dict[_ShareKey, _Consumption] = {}
+
+    def record_use(self, grant: LiveGrant, tokens: int, held: timedelta) -> None:
+        """Count a grant that came back."""
+        total = self._total(grant.owner, grant.work_class)
+        total.requests += 1
+        total.tokens += tokens
+        total.slot_ms += held / MILLISECOND
+
+    def record_refusal(self, owner: str, work_class: WorkClass) -> None:
+        """Count a refusal."""
+        self._total(owner, work_class).refusals += 1
+
+    def counts(self) -> list[UsageCount]:
+        """Return the totals since the start."""
+        return [
+            UsageCount(
+                owner=key.owner,
+                service=self._service,
+                work_class=key.work_class,
+                requests=total.requests,
+                tokens=total.tokens,
+                slot_ms=round(total.slot_ms),
+                refusals=total.refusals,
+            )
+            for key, total in self._totals.items()
+        ]
+
+    def _total(self, owner: str, work_class: WorkClass) -> _Consumption:
+        return self._totals.setdefault(_ShareKey(owner, work_class), _Consumption())
