--- a/chivespan/httpserver.py
+++ b/chivespan/httpserver.py
@@ -3,7 +3,6 @@
 from collections.abc import Generator
 from contextlib import contextmanager
 
-import anyio
 import uvicorn
 from starlette.types import ASGIApp
 
@@ -47,8 +46,3 @@
     def stop(self) -> None:
         """Take no new connections, and end once all requests have been answered."""
         self._server.should_exit = True
-
-    async def wait_started(self) -> None:
-        """Return once the address is being listened on."""
-        while not self._server.started:
-            await anyio.sleep(0.01)
