--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,349 @@
+"""Stand-in for a model engine: batches continuously, knows no priorities."""
+
+import time
+from dataclasses import dataclass, field
+from typing import Literal
+
+import anyio
+import fire
+import httpcore
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
+
+from standins.enginebatch import (
+    BYTES_PER_PROMPT_TOKEN,
+    Batch,
+    CacheEvent,
+    EngineOptions,
+    Running,
+    Token,
+    prefix_hash,
+)
+from standins.enginetext import finish_reason
+from standins.journal import Journal
+from standins.serving import (
+    Silence,
+    body_as,
+    error_answer,
+    json_answer,
+    options_of,
+    serve_until_stopped,
+)
+
+WEIGHT_RETRY_S = 0.2
+
+
+@dataclass(frozen=True)
+class Completion:
+    """Body of ``POST /v1/completions``."""
+
+    model: str
+    prompt: str
+    request_id: str
+    max_tokens: int = 16
+    stream: bool = True
+    resume_tokens: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class RequestName:
+    """Body of the calls about one request."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class Order:
+    """Body of ``POST /orders``."""
+
+    fence: int
+    action: Literal["load"] = "load"
+    model: str = ""
+    version: str = ""
+    adapters: list[str] = field(default_factory=list)
+    role: str = "serve"
+
+
+@dataclass(frozen=True)
+class Load:
+    """Answer of ``GET /load``."""
+
+    slots: int
+    running: int
+    waiting: int
+    kv_used: float
+    model: str
+    version: str
+    adapters: list[str]
+    role: str
+    state: str
+    fence: int
+
+
+@dataclass
+class EngineFaults:
+    """Faults in force, replaced as a whole by ``PUT /faults``.
+
+    :param mode: ``error`` answers ``status`` at once; ``silent`` accepts and never
+        answers; ``garbage`` streams nonsense after some tokens; ``break`` closes the
+        connection after some tokens; ``hang`` sends nothing more after some tokens;
+        ``foreign`` sends a token of another request after some tokens.
+    :param after_tokens: tokens sent before the fault shows.
+    :param times: requests that meet the fault; -1 for all.
+    :param slow_ms: every answer begins this much later.
+    :param load_silent: ``GET /load`` never answers.
+    """
+
+    mode: Literal["", "error", "silent", "garbage", "break", "hang", "foreign"] = ""
+    after_tokens: int = 0
+    times: int = -1
+    status: int = 500
+    slow_ms: float = 0
+    load_silent: bool = False
+
+    def take(self) -> str:
+        """Return the mode for the next request."""
+        if not self.mode or self.times == 0:
+            return ""
+        self.times -= 1
+        return self.mode
+
+
+class EngineStandIn:
+    """One engine."""
+
+    def __init__(self, options: EngineOptions | None = None) -> None:
+        self.options = options or EngineOptions()
+        self.faults = EngineFaults()
+        self.journal = Journal()
+        self.batch = Batch(self.options)
+        self.app = Starlette(
+            routes=[
+                Route("/v1/completions", self._complete, methods=["POST"]),
+                Route("/v1/cancel", self._cancel, methods=["POST"]),
+                Route("/load", self._report_load),
+                Route("/cache_events", self._cache_events),
+                Route("/orders", self._order, methods=["POST"]),
+                Route("/kv/export", self._export, methods=["POST"]),
+                Route("/kv/import", self._import, methods=["POST"]),
+                Route("/journal", self.journal.answer),
+                Route("/faults", self._set_faults, methods=["PUT"]),
+            ]
+        )
+        self._serves = Order(0, "load", self.options.model, self.options.version)
+        self._state = "ready"
+        self._fence = 0
+        self._reported = self._load()
+        self._reported_at = 0.0
+        self._orders = anyio.create_memory_object_stream[Order](100)
+
+    async def run(self) -> None:
+        """Run the batch and carry out orders."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.batch.run)
+            async for order in self._orders[1]:
+                await self._carry_out(order)
+
+    def _load(self) -> Load:
+        batch = self.batch
+        serves = self._serves
+        return Load(
+            self.options.slots,
+            len(batch.running),
+            len(batch.waiting),
+            min(1.0, len(batch.running) / self.options.slots),
+            serves.model,
+            serves.version,
+            serves.adapters,
+            serves.role,
+            self._state,
+            self._fence,
+        )
+
+    async def _complete(self, request: Request) -> Response:
+        wanted = await body_as(request, Completion)
+        mode = self.faults.take()
+        await anyio.sleep(self.faults.slow_ms / 1000)
+        if mode == "error":
+            return error_answer(self.faults.status, "failed", "ordered by a test")
+        if self._state != "ready":
+            return error_answer(503, "loading")
+        if self._serves.model and wanted.model != self._serves.model:
+            return error_answer(404, "unknown_model", wanted.model)
+        if len(self.batch.waiting) >= self.options.waiting:
+            return error_answer(503, "full")
+        self.journal.add("start", wanted.request_id, "/v1/completions", wanted.prompt)
+        if mode == "silent":
+            return Silence()
+        return _TokenStream(self, wanted, mode)
+
+    async def _cancel(self, request: Request) -> Response:
+        wanted = await body_as(request, RequestName)
+        for running in self.batch.find(wanted.request_id):
+            self.batch.remove(running)
+        return json_answer({})
+
+    async def _report_load(self, request: Request) -> Response:
+        if self.faults.load_silent:
+            return Silence()
+        age_ms = (time.monotonic() - self._reported_at) * 1000
+        if age_ms >= self.options.load_lag_ms:
+            self._reported = self._load()
+            self._reported_at = time.monotonic()
+        return json_answer(self._reported)
+
+    async def _cache_events(self, request: Request) -> Response:
+        after = int(request.query_params.get("after", 0))
+        events: list[CacheEvent] = self.batch.cache.events(after)
+        last = events[-1].seq if events else after
+        return json_answer({"last": last, "events": events})
+
+    async def _order(self, request: Request) -> Response:
+        order = await body_as(request, Order)
+        detail = f"fence={order.fence} {order.model}@{order.version} {order.role}"
+        if self.options.checks_fencing and order.fence < self._fence:
+            self.journal.add("order", "", "/orders", f"refused {detail}")
+            return error_answer(409, "old_fence", f"seen {self._fence}")
+        self._fence = max(self._fence, order.fence)
+        self.journal.add("order", "", "/orders", detail)
+        self._orders[0].send_nowait(order)
+        return json_answer({}, 202)
+
+    async def _carry_out(self, order: Order) -> None:
+        same = (order.model, order.version) == (
+            self._serves.model,
+            self._serves.version,
+        )
+        if not same and self.options.weights_url:
+            self._state = "loading"
+            await self._fetch_weights(order)
+        self._serves = order
+        self._state = "ready"
+
+    async def _fetch_weights(self, order: Order) -> None:
+        url = f"{self.options.weights_url}/weights/{order.model}/{order.version}"
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                try:
+                    answer = await pool.request("GET", url)
+                except httpcore.NetworkError:
+                    await anyio.sleep(WEIGHT_RETRY_S)
+                    continue
+                if answer.status == 200:
+                    return
+                await anyio.sleep(WEIGHT_RETRY_S)
+
+    async def _export(self, request: Request) -> Response:
+        wanted = await body_as(request, RequestName)
+        found = self.batch.find(wanted.request_id)
+        if not found:
+            return error_answer(404, "not_found", wanted.request_id)
+        return Response(msgspec.json.encode(found[0].prompt))
+
+    async def _import(self, request: Request) -> Response:
+        prompt = await body_as(request, str)
+        self.batch.cache.store(prefix_hash(prompt))
+        return json_answer({})
+
+    async def _set_faults(self, request: Request) -> Response:
+        self.faults = await body_as(request, EngineFaults)
+        return json_answer(self.faults)
+
+
+class _TokenStream(Response):
+    """The stream of one completion; leaves the batch when its caller does."""
+
+    def __init__(self, engine: EngineStandIn, wanted: Completion, mode: str) -> None:
+        super().__init__()
+        self._engine = engine
+        self._wanted = wanted
+        self._mode = mode
+        self._sent = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Stream until the last token, a fault, a cancel or the caller's leaving."""
+        wanted = self._wanted
+        start = len(wanted.resume_tokens)
+        batch = self._engine.batch
+        running = batch.add(wanted.request_id, wanted.prompt, wanted.max_tokens, start)
+        headers = [(b"content-type", b"text/event-stream")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        finished = False
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_cancel_on_leave, receive, tasks.cancel_scope)
+                finished = await self._stream(running, send)
+                tasks.cancel_scope.cancel()
+        finally:
+            batch.remove(running)
+            event = "end" if finished else "cancel"
+            self._engine.journal.add(
+                event, wanted.request_id, "/v1/completions", f"tokens={self._sent}"
+            )
+
+    async def _stream(self, running: Running, send: Send) -> bool:
+        """Return whether the stream ended as it should."""
+        async for token in running.tokens:
+            if self._mode and self._sent >= self._engine.faults.after_tokens:
+                return await self._go_wrong(token, send)
+            await send(_chunk(self._event(token)))
+            self._sent += 1
+            self._note(token)
+            if token.last:
+                await send(_chunk(b"data: [DONE]\n\n", more=False))
+                return True
+        return False
+
+    async def _go_wrong(self, token: Token, send: Send) -> bool:
+        match self._mode:
+            case "garbage":
+                await send(_chunk(b'data: {"id": "\xff\xfe[[\n\n', more=False))
+            case "hang":
+                await anyio.sleep_forever()
+            case "foreign":
+                await send(_chunk(self._event(token, "another-request"), more=False))
+        return False
+
+    def _note(self, token: Token) -> None:
+        if self._engine.options.journal_tokens:
+            detail = f"{token.index}:{token.text}"
+            self._engine.journal.add("token", self._wanted.request_id, "", detail)
+
+    def _event(self, token: Token, request_id: str = "") -> bytes:
+        wanted = self._wanted
+        name = request_id or wanted.request_id
+        event: dict[str, object] = {"id": name, "token_index": token.index}
+        choice: dict[str, object] = {"index": 0, "text": token.text}
+        choice["finish_reason"] = None
+        event["choices"] = [choice]
+        if token.last:
+            choice["finish_reason"] = finish_reason(wanted.prompt, wanted.max_tokens)
+            event["usage"] = {
+                "prompt_tokens": len(wanted.prompt.encode()) // BYTES_PER_PROMPT_TOKEN,
+                "completion_tokens": token.index + 1,
+            }
+        return b"data: " + msgspec.json.encode(event) + b"\n\n"
+
+
+def _chunk(body: bytes, *, more: bool = True) -> dict[str, object]:
+    return {"type": "http.response.body", "body": body, "more_body": more}
+
+
+async def _cancel_on_leave(receive: Receive, scope: anyio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+def main(address: str, **flags: object) -> None:
+    """Serve an engine at ``address``."""
+    engine = EngineStandIn(options_of(EngineOptions, flags))
+    serve_until_stopped([(address, engine)])
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/enginetext.py
@@ -0,0 +1,36 @@
+"""The text that an engine stand-in generates: a function of the prompt alone."""
+
+import re
+
+import xxhash
+
+_STOP_AFTER = re.compile(r"stop after (\d+)")
+
+
+def token(prompt: str, index: int) -> str:
+    """Return token ``index`` of the answer to ``prompt``.
+
+    >>> token("cattle", 0) == token("cattle", 0) != token("cattle", 1)
+    True
+    """
+    return " " + xxhash.xxh32_hexdigest(f"{prompt}\0{index}".encode())[:6]
+
+
+def length(prompt: str, max_tokens: int) -> int:
+    """Return how many tokens the whole answer has.
+
+    >>> length("two words, stop after 2", 10), length("two words", 10)
+    (2, 10)
+    """
+    found = _STOP_AFTER.search(prompt)
+    return min(int(found[1]), max_tokens) if found else max_tokens
+
+
+def finish_reason(prompt: str, max_tokens: int) -> str:
+    """Return why the answer ends: ``stop`` or ``length``."""
+    return "stop" if length(prompt, max_tokens) < max_tokens else "length"
+
+
+def whole_text(prompt: str, max_tokens: int) -> str:
+    """Return the whole answer to ``prompt``."""
+    return "".join(token(prompt, i) for i in range(length(prompt, max_tokens)))
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,40 @@
+"""Many stand-ins in one process, each on its own address."""
+
+from collections.abc import Iterator, Sequence
+
+import fire
+
+from standins.engine import EngineStandIn
+from standins.enginebatch import EngineOptions
+from standins.plainservice import PlainStandIn
+from standins.serving import StandIn, options_of, serve_until_stopped
+
+
+def _stand_ins(
+    engines: Sequence[str], plains: Sequence[str], options: EngineOptions
+) -> Iterator[tuple[str, StandIn]]:
+    for address in engines:
+        yield address, EngineStandIn(options)
+    for address in plains:
+        yield address, PlainStandIn()
+
+
+def _addresses(flag: str | Sequence[str]) -> list[str]:
+    """Return the addresses of a flag, which fire splits at commas."""
+    parts = flag.split(",") if isinstance(flag, str) else flag
+    return [str(part) for part in parts if part]
+
+
+def main(
+    engines: str | Sequence[str] = "",
+    plains: str | Sequence[str] = "",
+    **flags: object,
+) -> None:
+    """Serve engines, all with the same flags, and plain services."""
+    options = options_of(EngineOptions, flags)
+    places = _stand_ins(_addresses(engines), _addresses(plains), options)
+    serve_until_stopped(list(places))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/plainservice.py
@@ -0,0 +1,119 @@
+"""Stand-in for a plain service with a call that may not be repeated."""
+
+from dataclasses import dataclass
+from typing import Literal
+
+import anyio
+import fire
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from standins.journal import Journal
+from standins.serving import (
+    NoAnswer,
+    Silence,
+    body_as,
+    error_answer,
+    json_answer,
+    options_of,
+    serve_until_stopped,
+)
+
+
+@dataclass(frozen=True)
+class PlainOptions:
+    """Flags of the plain service.
+
+    :param call_ms: time that one call takes.
+    """
+
+    call_ms: float = 5
+
+
+@dataclass
+class PlainFaults:
+    """Faults in force, replaced as a whole by ``PUT /faults``.
+
+    :param mode: ``error`` fails before the effect; ``drop`` loses the answer after it;
+        ``silent`` never answers, after it; ``garbage`` answers nonsense, after it.
+    :param times: calls that meet the fault; -1 for all.
+    :param slow_ms: every call takes this much longer, before the effect.
+    """
+
+    mode: Literal["", "error", "drop", "silent", "garbage"] = ""
+    times: int = -1
+    status: int = 500
+    slow_ms: float = 0
+
+    def take(self) -> str:
+        """Return the mode for the next call."""
+        if not self.mode or self.times == 0:
+            return ""
+        self.times -= 1
+        return self.mode
+
+
+class PlainStandIn:
+    """Bookings and permits."""
+
+    def __init__(self, options: PlainOptions | None = None) -> None:
+        self.options = options or PlainOptions()
+        self.faults = PlainFaults()
+        self.journal = Journal()
+        self.app = Starlette(
+            routes=[
+                Route("/bookings", self._book, methods=["POST"]),
+                Route("/permits/{number}", self._permit),
+                Route("/journal", self.journal.answer),
+                Route("/faults", self._set_faults, methods=["PUT"]),
+            ]
+        )
+        self._bookings = 0
+
+    async def run(self) -> None:
+        """Nothing goes on between requests."""
+
+    async def _book(self, request: Request) -> Response:
+        body = (await request.body()).decode()
+        return await self._call(request, body)
+
+    async def _permit(self, request: Request) -> Response:
+        return await self._call(request, request.path_params["number"])
+
+    async def _call(self, request: Request, detail: str) -> Response:
+        request_id = request.headers.get("x-request-id", "")
+        self.journal.add("start", request_id, request.url.path, detail)
+        mode = self.faults.take()
+        await anyio.sleep((self.options.call_ms + self.faults.slow_ms) / 1000)
+        if mode == "error":
+            return error_answer(self.faults.status, "failed")
+        answer = self._do(request, detail)
+        self.journal.add("end", request_id, request.url.path, detail)
+        wrong: dict[str, Response] = {
+            "drop": NoAnswer(),
+            "silent": Silence(),
+            "garbage": Response(b"\x00{garbage", media_type="application/json"),
+        }
+        return wrong.get(mode, answer)
+
+    def _do(self, request: Request, detail: str) -> Response:
+        if request.method != "POST":
+            return json_answer({"permit": detail, "valid": not detail.endswith("0")})
+        self._bookings += 1
+        return json_answer({"booking": self._bookings, "for": detail}, 201)
+
+    async def _set_faults(self, request: Request) -> Response:
+        self.faults = await body_as(request, PlainFaults)
+        return json_answer(self.faults)
+
+
+def main(address: str, **flags: object) -> None:
+    """Serve the plain service at ``address``."""
+    service = PlainStandIn(options_of(PlainOptions, flags))
+    serve_until_stopped([(address, service)])
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/vmlist.py
@@ -0,0 +1,118 @@
+"""Stand-in for the platform's list of VMs, which lags."""
+
+import time
+from dataclasses import dataclass
+from typing import Literal
+
+import anyio
+import fire
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from standins.serving import (
+    body_as,
+    error_answer,
+    json_answer,
+    options_of,
+    serve_until_stopped,
+)
+
+
+@dataclass(frozen=True)
+class VmEntry:
+    """One VM of the list."""
+
+    vm: str
+    data_centre: str
+    region: str
+    state: Literal["live", "leaving"] = "live"
+
+
+@dataclass(frozen=True)
+class VmListOptions:
+    """Flags of the VM list.
+
+    :param lag_ms: a change shows this much later.
+    :param file: JSON file with the list at the start; empty for none.
+    """
+
+    lag_ms: float = 0
+    file: str = ""
+
+
+@dataclass
+class VmListFaults:
+    """Faults in force, replaced as a whole by ``PUT /faults``.
+
+    :param stale: changes don't show until this is off again.
+    """
+
+    down: bool = False
+    slow_ms: float = 0
+    stale: bool = False
+
+
+class VmListStandIn:
+    """The list, and what it shows of it at this moment."""
+
+    def __init__(
+        self, options: VmListOptions | None = None, vms: tuple[VmEntry, ...] = ()
+    ) -> None:
+        self.options = options or VmListOptions()
+        self.faults = VmListFaults()
+        self.app = Starlette(
+            routes=[
+                Route("/vms", self._get, methods=["GET"]),
+                Route("/vms", self._put, methods=["PUT"]),
+                Route("/faults", self._set_faults, methods=["PUT"]),
+            ]
+        )
+        self._shown = vms or self._from_file()
+        self._pending: list[tuple[float, tuple[VmEntry, ...]]] = []
+
+    async def run(self) -> None:
+        """Nothing goes on between requests."""
+
+    def set(self, vms: tuple[VmEntry, ...]) -> None:
+        """Change the list; it shows after the lag."""
+        due = time.monotonic() + self.options.lag_ms / 1000
+        self._pending.append((due, vms))
+
+    def _from_file(self) -> tuple[VmEntry, ...]:
+        if not self.options.file:
+            return ()
+        with open(self.options.file, "rb") as source:
+            return msgspec.json.decode(source.read(), type=tuple[VmEntry, ...])
+
+    def _show_due(self) -> None:
+        while self._pending and self._pending[0][0] <= time.monotonic():
+            _, self._shown = self._pending.pop(0)
+
+    async def _get(self, request: Request) -> Response:
+        await anyio.sleep(self.faults.slow_ms / 1000)
+        if self.faults.down:
+            return error_answer(503, "down")
+        if not self.faults.stale:
+            self._show_due()
+        return json_answer(self._shown)
+
+    async def _put(self, request: Request) -> Response:
+        self.set(await body_as(request, tuple[VmEntry, ...]))
+        return json_answer({})
+
+    async def _set_faults(self, request: Request) -> Response:
+        self.faults = await body_as(request, VmListFaults)
+        return json_answer(self.faults)
+
+
+def main(address: str, **flags: object) -> None:
+    """Serve the VM list at ``address``."""
+    vm_list = VmListStandIn(options_of(VmListOptions, flags))
+    serve_until_stopped([(address, vm_list)])
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/weightstore.py
@@ -0,0 +1,68 @@
+"""Stand-in for the weight store, which limits its rate."""
+
+import time
+from dataclasses import dataclass
+
+import anyio
+import fire
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from standins.serving import json_answer, options_of, serve_until_stopped
+
+
+@dataclass(frozen=True)
+class WeightOptions:
+    """Flags of the weight store.
+
+    :param loads_per_s: loads a second that are begun; more get 429.
+    :param load_ms: time that one load takes.
+    """
+
+    loads_per_s: float = 1
+    load_ms: float = 200
+
+
+class WeightStandIn:
+    """Gives a model's weights, so many a second."""
+
+    def __init__(self, options: WeightOptions | None = None) -> None:
+        self.options = options or WeightOptions()
+        self.served = 0
+        self.turned_away = 0
+        self.app = Starlette(
+            routes=[
+                Route("/weights/{model}/{version}", self._get),
+                Route("/counts", self._counts),
+            ]
+        )
+        self._free_at = 0.0
+
+    async def run(self) -> None:
+        """Nothing goes on between requests."""
+
+    async def _get(self, request: Request) -> Response:
+        now = time.monotonic()
+        if now < self._free_at:
+            self.turned_away += 1
+            wait = {"Retry-After": f"{self._free_at - now:.3f}"}
+            return Response(b"", 429, wait)
+        self._free_at = now + 1 / self.options.loads_per_s
+        self.served += 1
+        await anyio.sleep(self.options.load_ms / 1000)
+        return Response(b"weights", media_type="application/octet-stream")
+
+    async def _counts(self, request: Request) -> Response:
+        return json_answer({"served": self.served, "turned_away": self.turned_away})
+
+
+def main(address: str, **flags: object) -> None:
+    """Serve the weight store at ``address``."""
+    store = WeightStandIn(options_of(WeightOptions, flags))
+    serve_until_stopped([(address, store)])
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
