--- /dev/null
+++ b/chivespan/configfold.py
@@ -0,0 +1,213 @@
+"""The fold of the configuration stream: which change is in force, and who made it.
+
+A change is in force only if every document still has the version it was made against;
+otherwise nothing of it is. A version is the offset of the record that set it, plus one,
+so versions rise also when a document is removed and added again.
+"""
+
+from collections import deque
+from datetime import datetime
+
+import xxhash
+
+from chivespan.codec import decode, encode
+from chivespan.configuration import (
+    DOCUMENT_CLASSES,
+    Configuration,
+    Document,
+    DocumentId,
+    StoredDocument,
+)
+from chivespan.documents import DocumentKind
+from chivespan.envelope import OpenedRecord, RecordReader
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.platform import LogRecord
+from chivespan.records import (
+    AuditChange,
+    AuditEntry,
+    ConfigChange,
+    ConfigState,
+    DocumentChange,
+    StoredState,
+)
+
+__all__ = ["CONFIG_STREAM", "AuditEntry", "ConfigFold"]
+
+CONFIG_STREAM = "config"
+HISTORY_LENGTH = 512
+
+
+class ConfigFold:
+    """The configuration in force after a prefix of the stream, with its audit trail.
+
+    >>> fold = ConfigFold()
+    >>> fold.offset, fold.configuration.offset, fold.history
+    (-1, -1, ())
+    """
+
+    def __init__(self) -> None:
+        self._configuration = Configuration()
+        self._history: deque[AuditEntry] = deque(maxlen=HISTORY_LENGTH)
+        self._reader = RecordReader()
+
+    @property
+    def configuration(self) -> Configuration:
+        """The documents in force; changed in place by :meth:`apply`."""
+        return self._configuration
+
+    @property
+    def history(self) -> tuple[AuditEntry, ...]:
+        """The newest audit entries, accepted and refused, the oldest first."""
+        return tuple(self._history)
+
+    @property
+    def offset(self) -> int:
+        """Offset of the last record applied, -1 for none."""
+        return self._reader.offset
+
+    @property
+    def digest(self) -> str:
+        """Hash of the whole state; equal for all readers at the same offset."""
+        return xxhash.xxh3_128_hexdigest(self.snapshot())
+
+    def apply(self, record: LogRecord) -> AuditEntry | None:
+        """Apply the next record of the stream.
+
+        A record at or below ``offset``, a second copy and a void give None.
+
+        :return: what became of the change, or None when the record held none.
+        :raises ChivespanError: ``log_expired`` when records before it are missing; the
+            fold is then unchanged and the reader must start anew from a snapshot.
+        """
+        opened = self._reader.take(record)
+        self._configuration.offset = self._reader.offset
+        if opened is None or not isinstance(opened.record, ConfigChange):
+            return None
+        entry = self._decide(opened, opened.record)
+        self._history.append(entry)
+        return entry
+
+    def snapshot(self) -> bytes:
+        """Return the whole state, with the ids seen."""
+        stored = sorted(
+            self._configuration.stored.items(),
+            key=lambda item: (item[0].kind.value, item[0].name),
+        )
+        state = ConfigState(
+            offset=self.offset,
+            documents=[_stored_state(name, one) for name, one in stored],
+            history=list(self._history),
+            seen=self._reader.seen(),
+        )
+        return encode(state)
+
+    @classmethod
+    def from_snapshot(cls, snapshot: bytes) -> "ConfigFold":
+        """Return a fold with the state of a snapshot.
+
+        :raises ChivespanError: ``protocol`` when it can't be read.
+        """
+        state = decode(snapshot, ConfigState)
+        fold = cls()
+        fold._reader = RecordReader(state.offset, state.seen)
+        fold._history.extend(state.history)
+        fold._configuration.offset = state.offset
+        for one in state.documents:
+            document_id = DocumentId(DocumentKind(one.kind), one.name)
+            document = decode(one.document, DOCUMENT_CLASSES[document_id.kind])
+            stored = StoredDocument(document, one.version, one.offset)
+            fold._configuration.put(document_id, stored)
+        return fold
+
+    def _decide(self, opened: OpenedRecord, change: ConfigChange) -> AuditEntry:
+        try:
+            documents = self._checked(change.changes)
+        except ChivespanError as error:
+            return self._entry(opened, change, error)
+        for document_id, document in documents.items():
+            if document is None:
+                self._configuration.remove(document_id)
+            else:
+                stored = StoredDocument(document, opened.offset + 1, opened.offset)
+                self._configuration.put(document_id, stored)
+        return self._entry(opened, change, None)
+
+    def _checked(
+        self, changes: list[DocumentChange]
+    ) -> dict[DocumentId, Document | None]:
+        documents: dict[DocumentId, Document | None] = {}
+        for change in changes:
+            document_id = _document_id(change)
+            if document_id in documents:
+                reason = f"{change.kind} {change.name} stands twice in the change"
+                raise ChivespanError(ErrorKind.INVALID_DOCUMENT, reason)
+            current = self._configuration.version(document_id)
+            if change.base_version != current:
+                reason = (
+                    f"{change.kind} {change.name} is at version {current}, "
+                    f"the change was made against {change.base_version}"
+                )
+                raise ChivespanError(ErrorKind.VERSION_CONFLICT, reason)
+            documents[document_id] = _document(document_id, change.document)
+        return documents
+
+    def _entry(
+        self, opened: OpenedRecord, change: ConfigChange, error: ChivespanError | None
+    ) -> AuditEntry:
+        written_at: datetime = opened.envelope.written_at
+        return AuditEntry(
+            offset=opened.offset,
+            written_at=written_at,
+            operator=change.operator,
+            reason=change.reason,
+            accepted=error is None,
+            writer=opened.envelope.writer,
+            sequence=opened.envelope.sequence,
+            error=error.kind.value if error else "",
+            detail=error.message if error else "",
+            changes=[self._audit_change(one) for one in change.changes],
+        )
+
+    def _audit_change(self, change: DocumentChange) -> AuditChange:
+        version = 0
+        if change.kind in DocumentKind.__members__:
+            version = self._configuration.version(_document_id(change))
+        return AuditChange(
+            kind=change.kind,
+            name=change.name,
+            base_version=change.base_version,
+            version=version,
+            removed=change.document is None,
+        )
+
+
+def _document_id(change: DocumentChange) -> DocumentId:
+    try:
+        return DocumentId(DocumentKind(change.kind), change.name)
+    except ValueError as error:
+        reason = f"there is no kind of document named {change.kind}"
+        raise ChivespanError(ErrorKind.INVALID_DOCUMENT, reason) from error
+
+
+def _document(document_id: DocumentId, body: bytes | None) -> Document | None:
+    if body is None:
+        return None
+    try:
+        document: Document = decode(body, DOCUMENT_CLASSES[document_id.kind])
+    except ChivespanError as error:
+        reason = f"{document_id.kind.value} {document_id.name}: {error.message}"
+        raise ChivespanError(ErrorKind.INVALID_DOCUMENT, reason) from error
+    if document.name != document_id.name:
+        reason = f"{document_id.name} holds a document named {document.name}"
+        raise ChivespanError(ErrorKind.INVALID_DOCUMENT, reason)
+    return document
+
+
+def _stored_state(document_id: DocumentId, stored: StoredDocument) -> StoredState:
+    return StoredState(
+        kind=document_id.kind.value,
+        name=document_id.name,
+        version=stored.version,
+        offset=stored.offset,
+        document=encode(stored.document),
+    )
--- a/chivespan/platform.py
+++ b/chivespan/platform.py
@@ -9,9 +9,17 @@
 from datetime import timedelta
 from typing import Protocol
 
+from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.messages import VmState
 
 
+class LogNotReached(ChivespanError):
+    """The log was not reached at all: an append has surely had no effect."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(ErrorKind.LOG_UNAVAILABLE, message)
+
+
 @dataclass(frozen=True)
 class LogRecord:
     """One record of a stream."""
--- a/chivespan/records.py
+++ b/chivespan/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime
 from typing import Any, TypeAlias
 
@@ -223,3 +223,82 @@
     part: int
     parts: int
     state: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SeenWriter:
+    """
+    The ids that a fold has seen of one writer; all up to floor, and those listed.
+    """
+
+    writer: str
+    floor: int
+    above: list[int] = field(default_factory=list)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AuditChange:
+    """
+    One document in an audit entry.
+    """
+
+    kind: str
+    name: str
+    base_version: int
+    """
+    Version that the change was made against.
+    """
+    version: int
+    """
+    Version after the record; 0 when there is none.
+    """
+    removed: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AuditEntry:
+    """
+    What became of one configuration record.
+    """
+
+    offset: int
+    written_at: datetime
+    operator: str
+    reason: str
+    accepted: bool
+    changes: list[AuditChange]
+    writer: str = ''
+    sequence: int = 0
+    error: str = ''
+    """
+    Code of an error kind when not accepted.
+    """
+    detail: str = ''
+    """
+    Names the first document that stood against it.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoredState:
+    """
+    One document in a snapshot of the configuration.
+    """
+
+    kind: str
+    name: str
+    version: int
+    offset: int
+    document: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigState:
+    """
+    The whole state of the configuration's fold.
+    """
+
+    offset: int
+    documents: list[StoredState]
+    history: list[AuditEntry]
+    seen: list[SeenWriter]
--- /dev/null
+++ b/tests/fakelog.py
@@ -0,0 +1,135 @@
+"""The log service in memory, with the faults that the real one has."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import anyio
+
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.platform import LogNotReached, LogPage, LogRecord
+
+
+@dataclass
+class _Stream:
+    payloads: list[bytes] = field(default_factory=list)
+    oldest: int = 0
+    grown: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def end(self) -> int:
+        return self.oldest + len(self.payloads)
+
+
+@dataclass(frozen=True)
+class _LateAppend:
+    stream: str
+    payloads: tuple[bytes, ...]
+
+
+class FakeLog:
+    """Implements ``platform.LogService``; each fault is switched by a test.
+
+    :ivar outage: no call is answered and no append has effect.
+    :ivar unreachable: connections are refused.
+    :ivar outage_after_append: the next append that has effect starts an outage.
+    :ivar lost_answers: so many next appends take effect but are not answered.
+    :ivar late_effects: so many next appends are not answered, and take effect when
+        :meth:`release_late` is called.
+    :ivar dropped: so many next appends are not answered and never take effect.
+    """
+
+    def __init__(self) -> None:
+        self.outage = False
+        self.unreachable = False
+        self.outage_after_append = False
+        self.lost_answers = 0
+        self.late_effects = 0
+        self.dropped = 0
+        self.appends = 0
+        self._streams: defaultdict[str, _Stream] = defaultdict(_Stream)
+        self._late: list[_LateAppend] = []
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
+        await anyio.lowlevel.checkpoint()
+        self._refuse_in_outage()
+        self.appends += 1
+        if self.late_effects:
+            self.late_effects -= 1
+            self._late.append(_LateAppend(stream, tuple(payloads)))
+            raise _no_answer()
+        if self.dropped:
+            self.dropped -= 1
+            raise _no_answer()
+        offset = self.put(stream, payloads)
+        if self.outage_after_append:
+            self.outage_after_append = False
+            self.outage = True
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise _no_answer()
+        return offset
+
+    async def read(
+        self, stream: str, start: int, limit: int, wait: timedelta
+    ) -> LogPage:
+        await anyio.lowlevel.checkpoint()
+        self._refuse_in_outage()
+        kept = self._streams[stream]
+        if start >= kept.end and wait:
+            with anyio.move_on_after(wait.total_seconds()):
+                await kept.grown.wait()
+            self._refuse_in_outage()
+        if start < kept.oldest:
+            reason = f"the log keeps offsets from {kept.oldest} on"
+            raise ChivespanError(ErrorKind.LOG_EXPIRED, reason)
+        first = start - kept.oldest
+        chosen = kept.payloads[first : first + limit]
+        records = tuple(LogRecord(start + n, one) for n, one in enumerate(chosen))
+        return LogPage(records, kept.oldest, kept.end)
+
+    async def bounds(self, stream: str) -> LogPage:
+        await anyio.lowlevel.checkpoint()
+        self._refuse_in_outage()
+        kept = self._streams[stream]
+        return LogPage((), kept.oldest, kept.end)
+
+    def put(self, stream: str, payloads: Sequence[bytes]) -> int:
+        """Append at once, without any fault."""
+        kept = self._streams[stream]
+        offset = kept.end
+        kept.payloads.extend(payloads)
+        kept.grown.set()
+        kept.grown = anyio.Event()
+        return offset
+
+    def expire(self, stream: str, oldest: int) -> None:
+        """Drop all records of a stream before an offset."""
+        kept = self._streams[stream]
+        count = min(max(0, oldest - kept.oldest), len(kept.payloads))
+        del kept.payloads[:count]
+        kept.oldest += count
+
+    def release_late(self) -> None:
+        """Let all late appends take effect now."""
+        late, self._late = self._late, []
+        for one in late:
+            self.put(one.stream, one.payloads)
+
+    def records(self, stream: str) -> tuple[LogRecord, ...]:
+        """Return all that the stream still keeps."""
+        kept = self._streams[stream]
+        return tuple(
+            LogRecord(kept.oldest + n, one) for n, one in enumerate(kept.payloads)
+        )
+
+    def _refuse_in_outage(self) -> None:
+        if self.unreachable:
+            raise LogNotReached("connection refused")
+        if self.outage:
+            raise _no_answer()
+
+
+def _no_answer() -> ChivespanError:
+    return ChivespanError(ErrorKind.LOG_UNAVAILABLE, "log gave no answer")
--- /dev/null
+++ b/tests/test_appender.py
@@ -0,0 +1,156 @@
+"""Appends that are lost, late, doubled or refused end in a true answer."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import anyio
+import anyio.lowlevel
+import pytest
+
+from chivespan.appender import Appender, AppenderOptions
+from chivespan.clock import SystemClock
+from chivespan.envelope import OpenedRecord, RecordReader
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.records import JobCancel
+from tests.fakelog import FakeLog
+
+pytestmark = pytest.mark.anyio
+
+STREAM = "s"
+MS = timedelta(milliseconds=1)
+PATIENT = AppenderOptions(retry_delay=MS)
+VOID_AT_ONCE = AppenderOptions(retry_for=timedelta(0), retry_delay=MS)
+UNKNOWN_AT_ONCE = AppenderOptions(
+    retry_for=timedelta(0), unknown_after=timedelta(0), retry_delay=MS
+)
+
+
+@asynccontextmanager
+async def running(
+    log: FakeLog, options: AppenderOptions, writer: str = "w1"
+) -> AsyncIterator[Appender]:
+    appender = Appender(log, STREAM, writer, SystemClock(), options)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(appender.run)
+        yield appender
+        tasks.cancel_scope.cancel()
+
+
+def cancel(name: str) -> JobCancel:
+    return JobCancel(job_id=name, reason="")
+
+
+def counted(log: FakeLog) -> list[OpenedRecord]:
+    """Return what a reader of the whole stream takes as true."""
+    reader = RecordReader()
+    opened = [reader.take(record) for record in log.records(STREAM)]
+    return [one for one in opened if one]
+
+
+def names(log: FakeLog) -> list[str]:
+    records = [one.record for one in counted(log)]
+    return [one.job_id for one in records if isinstance(one, JobCancel)]
+
+
+async def test_waiting_records_share_one_append() -> None:
+    log = FakeLog()
+    offsets: dict[int, int] = {}
+    async with running(log, PATIENT) as appender, anyio.create_task_group() as tasks:
+
+        async def append(number: int) -> None:
+            offsets[number] = await appender.append(cancel(str(number)))
+
+        for number in range(20):
+            tasks.start_soon(append, number)
+    assert names(log) == [str(n) for n in range(20)]
+    assert sorted(offsets.values()) == list(range(20))
+    assert log.appends < 5
+
+
+@pytest.mark.parametrize("fault", ["lost_answers", "dropped", "late_effects"])
+async def test_append_without_answer_is_sent_once(fault: str) -> None:
+    log = FakeLog()
+    setattr(log, fault, 3)
+    async with running(log, PATIENT) as appender:
+        offset = await appender.append(cancel("a"))
+    log.release_late()
+    assert [(one.offset, one.record) for one in counted(log)] == [(offset, cancel("a"))]
+
+
+async def test_not_accepted_only_after_the_void_was_read_back() -> None:
+    log = FakeLog()
+    log.late_effects = 1
+    async with running(log, VOID_AT_ONCE) as appender:
+        with pytest.raises(ChivespanError) as refused:
+            await appender.append(cancel("a"))
+        assert refused.value.kind is ErrorKind.LOG_UNAVAILABLE
+        log.release_late()
+        assert names(log) == []
+        await appender.append(cancel("b"))
+    assert names(log) == ["b"]
+
+
+async def test_late_effect_before_the_void_is_accepted() -> None:
+    log = FakeLog()
+    log.late_effects = 2
+    async with running(log, VOID_AT_ONCE) as appender:
+
+        async def release() -> None:
+            while log.appends < 2:
+                await anyio.lowlevel.checkpoint()
+            log.release_late()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(release)
+            assert await appender.append(cancel("a")) == 0
+    assert names(log) == ["a"]
+
+
+async def test_outage_gives_unknown_then_refuses_at_once_then_recovers() -> None:
+    log = FakeLog()
+    async with running(log, UNKNOWN_AT_ONCE) as appender:
+        await appender.append(cancel("a"))
+        log.outage = True
+        with pytest.raises(ChivespanError) as unknown:
+            await appender.append(cancel("b"))
+        assert unknown.value.kind is ErrorKind.ACCEPTANCE_UNKNOWN
+        with pytest.raises(ChivespanError) as refused:
+            await appender.append(cancel("c"))
+        assert refused.value.kind is ErrorKind.LOG_UNAVAILABLE
+        assert refused.value.retry_after
+        log.outage = False
+        await appender.wait_available()
+        await appender.append(cancel("d"))
+    assert names(log) == ["a", "d"]
+
+
+async def test_log_not_reached_is_not_accepted_without_a_void() -> None:
+    log = FakeLog()
+    async with running(log, PATIENT) as appender:
+        await appender.append(cancel("a"))
+        log.unreachable = True
+        with pytest.raises(ChivespanError) as refused:
+            await appender.append(cancel("b"))
+        assert refused.value.kind is ErrorKind.LOG_UNAVAILABLE
+    assert len(log.records(STREAM)) == 1
+
+
+async def test_records_dropped_by_retention_stay_unknown() -> None:
+    log = FakeLog()
+    async with running(log, VOID_AT_ONCE) as appender:
+        await appender.append(cancel("a"))
+        log.lost_answers = 1
+        log.outage_after_append = True
+
+        async def forget() -> None:
+            while log.appends < 2:
+                await anyio.lowlevel.checkpoint()
+            log.expire(STREAM, 2)
+            log.outage = False
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(forget)
+            with pytest.raises(ChivespanError) as unknown:
+                await appender.append(cancel("b"))
+    assert unknown.value.kind is ErrorKind.ACCEPTANCE_UNKNOWN
