--- /dev/null
+++ b/chivespan/claimfold.py
@@ -0,0 +1,179 @@
+"""The fold of a partition of claims: who may run a keyed request that runs once.
+
+The first claim of a key in log order has it. Its outcome stays readable by offset; an
+outcome "unknown" may still be replaced by a known one, never the other way round.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from datetime import datetime
+from typing import Any
+
+import xxhash
+
+from chivespan.codec import decode, encode
+from chivespan.envelope import OpenedRecord, RecordReader
+from chivespan.platform import LogRecord
+from chivespan.records import (
+    CarriedOutcome,
+    Claim,
+    ClaimEntry,
+    ClaimOutcome,
+    ClaimsExpire,
+    ClaimsState,
+)
+
+CLAIM_PARTITIONS = 4
+
+
+def claims_stream(partition: int) -> str:
+    """Return the name of a partition's stream of claims."""
+    return f"claims.{partition}"
+
+
+def claim_id(owner: str, key: str) -> bytes:
+    """Return the hash that stands for an owner's key."""
+    return xxhash.xxh3_128_digest(f"{owner}\0{key}".encode())
+
+
+def claim_partition(owner: str, key: str) -> int:
+    """Return the partition of an owner's key."""
+    return int.from_bytes(claim_id(owner, key)[:4], "big") % CLAIM_PARTITIONS
+
+
+@dataclass(slots=True)
+class HeldClaim:
+    """A claim that counts, and where its outcome is (-1 for none yet)."""
+
+    offset: int
+    written_at: datetime
+    digest: str
+    claimant: str
+    outcome_offset: int = -1
+    known: bool = False
+
+
+_Handler = Callable[["ClaimFold", OpenedRecord, Any], None]
+_HANDLERS: dict[type[Any], _Handler] = {}
+
+
+def _handles(cls: type[Any]) -> Callable[[_Handler], _Handler]:
+    def register(handler: _Handler) -> _Handler:
+        _HANDLERS[cls] = handler
+        return handler
+
+    return register
+
+
+class ClaimFold:
+    """All claims of one partition after a prefix of its stream."""
+
+    def __init__(self) -> None:
+        self._claims: dict[bytes, HeldClaim] = {}
+        self._reader = RecordReader()
+
+    @property
+    def offset(self) -> int:
+        """Offset of the last record applied, -1 for none."""
+        return self._reader.offset
+
+    @property
+    def digest(self) -> str:
+        """Hash of the whole state; equal for all readers at the same offset."""
+        return xxhash.xxh3_128_hexdigest(self.snapshot())
+
+    def claim(self, owner: str, key: str) -> HeldClaim | None:
+        """Return the claim that holds a key, or None."""
+        return self._claims.get(claim_id(owner, key))
+
+    def claims(self) -> Iterator[HeldClaim]:
+        """Yield all claims, the oldest first."""
+        return iter(self._claims.values())
+
+    def apply(self, record: LogRecord) -> None:
+        """Apply the next record.
+
+        :raises ChivespanError: ``log_expired`` when records before it are missing.
+        """
+        opened = self._reader.take(record)
+        handler = _HANDLERS.get(type(opened.record)) if opened else None
+        if opened and handler:
+            handler(self, opened, opened.record)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state, with the ids seen."""
+        claims = [_entry(name, held) for name, held in self._claims.items()]
+        seen = self._reader.seen()
+        return encode(ClaimsState(offset=self.offset, claims=claims, seen=seen))
+
+    @classmethod
+    def from_snapshot(cls, snapshot: bytes) -> "ClaimFold":
+        """Return a fold with the state of a snapshot.
+
+        :raises ChivespanError: ``protocol`` when it can't be read.
+        """
+        state = decode(snapshot, ClaimsState)
+        fold = cls()
+        fold._reader = RecordReader(state.offset, state.seen)
+        for one in state.claims:
+            fold._claims[one.claim_id] = _held(one)
+        return fold
+
+    @_handles(Claim)
+    def _claim(self, opened: OpenedRecord, record: Claim) -> None:
+        held = HeldClaim(
+            opened.offset, opened.envelope.written_at, record.digest, record.claimant
+        )
+        self._claims.setdefault(claim_id(record.owner, record.key), held)
+
+    @_handles(ClaimOutcome)
+    def _outcome(self, opened: OpenedRecord, record: ClaimOutcome) -> None:
+        name = claim_id(record.owner, record.key)
+        held = self._claims.get(name)
+        if held is None or held.offset != record.claim_offset or held.known:
+            return
+        if record.known and not record.ran:
+            del self._claims[name]
+        elif record.known or held.outcome_offset < 0:
+            held.outcome_offset = opened.offset
+            held.known = record.known
+
+    @_handles(CarriedOutcome)
+    def _carried(self, opened: OpenedRecord, record: CarriedOutcome) -> None:
+        outcome = record.outcome
+        held = self._claims.get(claim_id(outcome.owner, outcome.key))
+        if held is None or record.from_offset < 0:
+            return
+        if held.outcome_offset == record.from_offset:
+            held.outcome_offset = opened.offset
+
+    @_handles(ClaimsExpire)
+    def _expire(self, opened: OpenedRecord, record: ClaimsExpire) -> None:
+        self._claims = {
+            name: held
+            for name, held in self._claims.items()
+            if held.written_at >= record.before
+        }
+
+
+def _entry(name: bytes, held: HeldClaim) -> ClaimEntry:
+    return ClaimEntry(
+        claim_id=name,
+        offset=held.offset,
+        written_at=held.written_at,
+        digest=held.digest,
+        claimant=held.claimant,
+        outcome_offset=held.outcome_offset,
+        known=held.known,
+    )
+
+
+def _held(entry: ClaimEntry) -> HeldClaim:
+    return HeldClaim(
+        offset=entry.offset,
+        written_at=entry.written_at,
+        digest=entry.digest,
+        claimant=entry.claimant,
+        outcome_offset=entry.outcome_offset,
+        known=entry.known,
+    )
--- a/chivespan/records.py
+++ b/chivespan/records.py
@@ -118,6 +118,10 @@
     job_id: str
     chunk: int
     items: list[JobItem]
+    digest: str = ''
+    """
+    Digest of the submission that it belongs to.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -127,6 +131,10 @@
     """
 
     job_id: str
+    digest: str = ''
+    """
+    Digest of the submission that it closes.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -162,6 +170,7 @@
     """
     Code of an error kind when not ok.
     """
+    item_key: str = ''
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -189,6 +198,10 @@
     """
     service: str
     path: str
+    claimant: str = ''
+    """
+    Unique to one try of one process; a claim asked for again by the same claimant is the same claim.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -208,6 +221,10 @@
     """
     False gives the claim back; it was not run.
     """
+    claim_offset: int = -1
+    """
+    Offset of the claim that this is the outcome of.
+    """
     status: int = 0
     content_type: str = ''
 
@@ -302,3 +319,149 @@
     documents: list[StoredState]
     history: list[AuditEntry]
     seen: list[SeenWriter]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CarriedChunk:
+    """
+    A chunk with open items, appended anew before the log drops it.
+    """
+
+    job_id: str
+    chunk: int
+    from_offset: int
+    """
+    Counts only while the chunk is still kept at this offset.
+    """
+    items: list[JobItem]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CarriedResults:
+    """
+    All results of a chunk so far, appended anew before the log drops them.
+    """
+
+    job_id: str
+    chunk: int
+    from_offsets: list[int]
+    """
+    Counts only while these are still the chunk's results.
+    """
+    results: list[ItemResult]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobExpire:
+    """
+    The keeping time of a job that has ended, or was never closed, is over.
+    """
+
+    job_id: str
+    begin_offset: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CarriedOutcome:
+    """
+    An outcome appended anew before the log drops it.
+    """
+
+    from_offset: int
+    """
+    Counts only while the outcome is still kept at this offset.
+    """
+    outcome: ClaimOutcome
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimsExpire:
+    """
+    The keeping time of all claims written before a time is over.
+    """
+
+    before: datetime
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartState:
+    """
+    An item that was started and has no result yet.
+    """
+
+    index: int
+    offset: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChunkEntry:
+    """
+    One chunk in a snapshot of jobs.
+    """
+
+    offset: int
+    count: int
+    done: bytes
+    """
+    A bit for each item, the first lowest.
+    """
+    failed: int
+    results: list[int]
+    starts: list[StartState] = field(default_factory=list)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobEntry:
+    """
+    One job in a snapshot of jobs.
+    """
+
+    begin: JobBegin
+    begin_offset: int
+    begun_at: datetime
+    phase: str
+    chunks: list[ChunkEntry]
+    ended_at: datetime | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobsState:
+    """
+    The whole state of the fold of a partition of jobs.
+    """
+
+    offset: int
+    jobs: list[JobEntry]
+    seen: list[SeenWriter]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimEntry:
+    """
+    One claim in a snapshot of claims.
+    """
+
+    claim_id: bytes
+    """
+    Hash of owner and key.
+    """
+    offset: int
+    written_at: datetime
+    digest: str
+    claimant: str
+    outcome_offset: int
+    """
+    -1 for none.
+    """
+    known: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimsState:
+    """
+    The whole state of the fold of a partition of claims.
+    """
+
+    offset: int
+    claims: list[ClaimEntry]
+    seen: list[SeenWriter]
--- a/tests/test_folds.py
+++ b/tests/test_folds.py
@@ -3,17 +3,44 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime
 
+import anyio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chivespan.codec import encode
+from chivespan.claimfold import ClaimFold
+from chivespan.codec import decode, encode
 from chivespan.configfold import ConfigFold
 from chivespan.configuration import DocumentId
 from chivespan.documents import DocumentKind, Region
-from chivespan.envelope import encode_record
+from chivespan.envelope import RecordReader, encode_record
 from chivespan.errors import ErrorKind
+from chivespan.jobfold import ENDED, Job, JobFold
+from chivespan.jobmessages import JobPhase
 from chivespan.platform import LogRecord
-from chivespan.records import ConfigChange, DocumentChange, RecordId, VoidRecord
+from chivespan.records import (
+    CarriedChunk,
+    CarriedOutcome,
+    CarriedResults,
+    Claim,
+    ClaimOutcome,
+    ClaimsExpire,
+    ConfigChange,
+    DocumentChange,
+    ItemResult,
+    ItemResults,
+    ItemStart,
+    JobBegin,
+    JobCancel,
+    JobChunk,
+    JobClose,
+    JobExpire,
+    JobItem,
+    JobsState,
+    RecordId,
+    VoidRecord,
+)
+from chivespan.snapshots import Fold, SnapshotStore, replay
+from tests.fakelog import FakeLog
 
 WRITTEN_AT = datetime(2026, 1, 1, tzinfo=UTC)
 NAMES = ("a", "b", "c")
@@ -135,3 +162,284 @@
     assert fold.history[2].error == ErrorKind.VERSION_CONFLICT.value
     assert "at version 2" in fold.history[2].detail
     assert fold.configuration.version(DocumentId(DocumentKind.region, "a")) == 5
+
+
+JOBS = st.sampled_from(("j1", "j2"))
+DIGESTS = st.sampled_from(("d1", "d1", "d2"))
+CHUNKS = st.integers(0, 1)
+INDEXES = st.integers(0, 2)
+OFFSETS = st.integers(0, 12)
+ITEM = JobItem(item_key="k", body=b"")
+ITEMS = st.just([ITEM, ITEM])
+RESULTS = st.lists(
+    st.builds(
+        ItemResult,
+        index=INDEXES,
+        ok=st.booleans(),
+        attempts=st.just(1),
+        body=st.sampled_from((b"x", b"y")),
+    ),
+    min_size=1,
+    max_size=3,
+)
+JOB_RECORDS: st.SearchStrategy[object] = st.one_of(
+    st.builds(
+        JobBegin,
+        job_id=JOBS,
+        owner=st.just("o"),
+        job_key=st.just("k"),
+        service=st.just("s"),
+        model=st.just("m"),
+        items=st.sampled_from((2, 4)),
+        chunks=st.sampled_from((1, 2)),
+        digest=DIGESTS,
+    ),
+    st.builds(JobChunk, job_id=JOBS, chunk=CHUNKS, items=ITEMS, digest=DIGESTS),
+    st.builds(JobChunk, job_id=JOBS, chunk=CHUNKS, items=ITEMS, digest=DIGESTS),
+    st.builds(JobClose, job_id=JOBS, digest=DIGESTS),
+    st.builds(ItemResults, job_id=JOBS, chunk=CHUNKS, results=RESULTS),
+    st.builds(ItemResults, job_id=JOBS, chunk=CHUNKS, results=RESULTS),
+    st.builds(ItemStart, job_id=JOBS, chunk=CHUNKS, index=INDEXES),
+    st.builds(JobCancel, job_id=JOBS, reason=st.just("")),
+    st.builds(
+        CarriedChunk, job_id=JOBS, chunk=CHUNKS, from_offset=OFFSETS, items=ITEMS
+    ),
+    st.builds(
+        CarriedResults,
+        job_id=JOBS,
+        chunk=CHUNKS,
+        from_offsets=st.lists(OFFSETS, max_size=2),
+        results=RESULTS,
+    ),
+    st.builds(JobExpire, job_id=JOBS, begin_offset=OFFSETS),
+)
+
+
+def accepted_job(job_id: str = "j1") -> list[Step]:
+    begin = JobBegin(
+        job_id=job_id,
+        owner="o",
+        job_key="k",
+        service="s",
+        model="m",
+        items=4,
+        chunks=2,
+        digest="d1",
+    )
+    chunks = [
+        JobChunk(job_id=job_id, chunk=n, items=[ITEM, ITEM], digest="d1")
+        for n in range(2)
+    ]
+    close = JobClose(job_id=job_id, digest="d1")
+    return [Step("w1", one) for one in (begin, *chunks, close)]
+
+
+# Histories start with an accepted job, so that most of them get far.
+JOB_STEPS = steps_of(JOB_RECORDS).map(lambda steps: accepted_job() + steps)
+
+
+def apply_all(fold: Fold, records: list[LogRecord]) -> None:
+    for record in records:
+        fold.apply(record)
+
+
+@given(JOB_STEPS, st.data())
+def test_jobs_from_any_snapshot_are_the_plain_history(
+    steps: list[Step], data: st.DataObject
+) -> None:
+    records = log_of(steps)
+    plain, early = JobFold(), JobFold()
+    apply_all(plain, records)
+    cut = data.draw(st.integers(0, len(records)))
+    apply_all(early, records[:cut])
+    restored = JobFold.from_snapshot(early.snapshot())
+    apply_all(restored, records[data.draw(st.integers(0, cut)) :])
+    assert restored.digest == plain.digest
+    assert [job.state() for job in restored.jobs()] == [
+        job.state() for job in plain.jobs()
+    ]
+
+
+def results_read(job: Job, chunk: int, records: list[LogRecord]) -> dict[int, bytes]:
+    """Return what a reader of the result index finds, first of each item."""
+    found: dict[int, bytes] = {}
+    for offset in job.chunks[chunk].results:
+        opened = RecordReader(offset - 1).take(records[offset])
+        assert opened is not None
+        assert isinstance(opened.record, ItemResults | CarriedResults)
+        for result in opened.record.results:
+            found.setdefault(result.index, result.body)
+    return found
+
+
+@given(steps_of(JOB_RECORDS.filter(lambda one: not isinstance(one, CarriedResults))))
+def test_no_accepted_fact_about_a_job_is_turned_back(steps: list[Step]) -> None:
+    records = log_of(accepted_job() + steps)
+    fold = JobFold()
+    phases: dict[int, JobPhase] = {}
+    results: dict[tuple[int, int, int], bytes] = {}
+    for record in records:
+        fold.apply(record)
+        for job in fold.jobs():
+            before = phases.get(job.begin_offset, JobPhase.submitting)
+            assert before not in ENDED or job.phase is before
+            assert before is JobPhase.submitting or job.phase is not before.submitting
+            phases[job.begin_offset] = job.phase
+            for number, chunk in enumerate(job.chunks):
+                read = results_read(job, number, records)
+                for index in range(chunk.count):
+                    assert chunk.is_done(index) == (index in read)
+                for index, body in read.items():
+                    known = (job.begin_offset, number, index)
+                    assert results.setdefault(known, body) == body
+
+
+def test_a_second_submission_under_the_same_key_mixes_in_nothing() -> None:
+    other = JobBegin(
+        job_id="j1",
+        owner="o",
+        job_key="k",
+        service="s",
+        model="m",
+        items=1,
+        chunks=1,
+        digest="d2",
+    )
+    steps = accepted_job()
+    steps[1:1] = [
+        Step("w2", other),
+        Step("w2", JobChunk(job_id="j1", chunk=0, items=[ITEM], digest="d2")),
+        Step("w2", JobClose(job_id="j1", digest="d2")),
+    ]
+    fold = JobFold()
+    apply_all(fold, log_of(steps))
+    job = fold.job("j1")
+    assert job is not None
+    assert (job.begin.digest, job.phase) == ("d1", JobPhase.accepted)
+    assert [chunk.offset for chunk in job.chunks] == [4, 5]
+
+
+def test_results_behind_a_cancel_and_second_results_do_not_count() -> None:
+    def result(index: int, body: bytes) -> ItemResult:
+        return ItemResult(index=index, ok=True, attempts=1, body=body)
+
+    def results(*found: ItemResult) -> ItemResults:
+        return ItemResults(job_id="j1", chunk=0, results=list(found))
+
+    records = log_of(
+        [
+            *accepted_job(),
+            Step("w1", results(result(0, b"first"))),
+            Step("w2", results(result(0, b"second"), result(1, b"other"))),
+            Step("w1", JobCancel(job_id="j1", reason="")),
+            Step("w2", results(result(0, b"late"))),
+        ]
+    )
+    fold = JobFold()
+    apply_all(fold, records)
+    job = fold.job("j1")
+    assert job is not None
+    assert results_read(job, 0, records) == {0: b"first", 1: b"other"}
+    assert (job.phase, job.done) == (JobPhase.cancelled, 2)
+
+
+OWNERS = st.just("o")
+KEYS = st.sampled_from(("k1", "k2"))
+OUTCOMES = st.builds(
+    ClaimOutcome,
+    owner=OWNERS,
+    key=KEYS,
+    known=st.booleans(),
+    ran=st.sampled_from((True, True, False)),
+    claim_offset=OFFSETS,
+    body=st.just(b"a"),
+)
+CLAIM_RECORDS: st.SearchStrategy[object] = st.one_of(
+    st.builds(
+        Claim,
+        owner=OWNERS,
+        key=KEYS,
+        digest=DIGESTS,
+        service=st.just("s"),
+        path=st.just("/"),
+        claimant=st.sampled_from(("c1", "c2")),
+    ),
+    OUTCOMES,
+    st.builds(CarriedOutcome, from_offset=OFFSETS, outcome=OUTCOMES),
+    st.just(ClaimsExpire(before=datetime(2025, 1, 1, tzinfo=UTC))),
+)
+
+
+@given(steps_of(CLAIM_RECORDS), st.data())
+def test_claims_keep_their_first_holder_and_outcome(
+    steps: list[Step], data: st.DataObject
+) -> None:
+    records = log_of(steps)
+    fold = ClaimFold()
+    cut = data.draw(st.integers(0, len(records)))
+    restored = ClaimFold()
+    for record in records:
+        if record.offset == cut:
+            restored = ClaimFold.from_snapshot(fold.snapshot())
+        held = {key: fold.claim("o", key) for key in ("k1", "k2")}
+        known = {key: one.known for key, one in held.items() if one}
+        fold.apply(record)
+        for key, one in held.items():
+            after = fold.claim("o", key)
+            if one is None:
+                continue
+            assert after is one or (after is None and not known[key])
+            assert one.known or not known[key]
+    apply_all(restored, records[min(cut, restored.offset + 1) :])
+    assert restored.digest == fold.digest
+
+
+@given(
+    JOB_STEPS,
+    st.lists(st.tuples(st.integers(0, 40), st.integers(0, 40)), max_size=6),
+    st.integers(0, 40),
+)
+def test_newcomer_after_retention_has_the_state_of_a_reader_from_the_start(
+    steps: list[Step], snapshots: list[tuple[int, int]], oldest: int
+) -> None:
+    """Snapshots as of any offset come in any order, as from paused writers."""
+
+    async def run() -> None:
+        log, stream = FakeLog(), "jobs.0"
+        records = log_of(steps)
+        log.put(stream, [record.payload for record in records])
+        as_ofs = []
+        for number, (as_of, _) in enumerate(sorted(snapshots, key=lambda one: one[1])):
+            fold = JobFold()
+            apply_all(fold, records[:as_of])
+            writer = SnapshotStore(log, stream, f"w{number}")
+            as_ofs.append(await writer.write(fold, WRITTEN_AT))
+        newest = max(as_ofs, default=-1)
+        log.expire(stream, min(oldest, newest + 1))
+        reader = SnapshotStore(log, stream, "reader")
+        newcomer = await reader.load(JobFold, JobFold.from_snapshot)
+        await replay(log, stream, newcomer, len(records))
+        plain = JobFold()
+        apply_all(plain, records)
+        assert newcomer.digest == plain.digest
+
+    anyio.run(run)
+
+
+@given(steps_of(CONFIG_CHANGES), JOB_STEPS, st.lists(st.integers(0, 60), max_size=8))
+def test_late_copies_change_nothing(
+    changes: list[Step], jobs: list[Step], copies: list[int]
+) -> None:
+    config_records, job_records = log_of(changes), log_of(jobs)
+    config, fold = ConfigFold(), JobFold()
+    apply_all(config, config_records)
+    apply_all(fold, job_records)
+    stored, history = dict(config.configuration.stored), config.history
+    snapshot = decode(fold.snapshot(), JobsState)
+    for number in copies:
+        for target, records in ((config, config_records), (fold, job_records)):
+            if records:
+                payload = records[number % len(records)].payload
+                target.apply(LogRecord(target.offset + 1, payload))
+    assert (config.configuration.stored, config.history) == (stored, history)
+    assert decode(fold.snapshot(), JobsState).jobs == snapshot.jobs
