--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,153 @@
+"""One TCP relay between two ends of a path, steered from the test."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from enum import StrEnum
+
+import anyio
+from anyio.abc import ByteStream, SocketAttribute, SocketStream
+
+CHUNK_BYTES = 65536
+
+
+class Treatment(StrEnum):
+    """What the relay does with a connection."""
+
+    PASS = "pass"
+    CUT = "cut"
+    HOLD = "hold"
+    DROP_ANSWER = "drop_answer"
+
+
+class _Link:
+    """One connection through the relay."""
+
+    def __init__(self, near: ByteStream, far: ByteStream, treatment: Treatment) -> None:
+        self.near = near
+        self.far = far
+        self.treatment = treatment
+        self.changed = anyio.Event()
+
+    async def close(self) -> None:
+        await anyio.aclose_forcefully(self.near)
+        await anyio.aclose_forcefully(self.far)
+
+
+class Relay:
+    """Passes bytes to ``target``, until the test says otherwise.
+
+    :param new: treatment of connections to come.
+    :param delay_s: time by which every chunk is late.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.new = Treatment.PASS
+        self.delay_s = 0.0
+        self.connections = 0
+        self.dropped = 0
+        self._target = target
+        self._links: set[_Link] = set()
+
+    def hold_open_ones(self) -> None:
+        """Make the open connections silent for good; new ones work."""
+        for link in self._links:
+            link.treatment = Treatment.HOLD
+
+    async def cut_open_ones(self) -> None:
+        """Close the open connections; new ones work."""
+        for link in tuple(self._links):
+            await link.close()
+
+    def drop_next_answers(self) -> None:
+        """Let requests pass on the open connections and lose their answers."""
+        for link in self._links:
+            link.treatment = Treatment.DROP_ANSWER
+
+    async def serve(self, near: SocketStream) -> None:
+        """Relay one connection until either end closes it."""
+        self.connections += 1
+        if self.new is Treatment.CUT:
+            await anyio.aclose_forcefully(near)
+            return
+        host, _, port = self._target.rpartition(":")
+        try:
+            far = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            await anyio.aclose_forcefully(near)
+            return
+        link = _Link(near, far, self.new)
+        self._links.add(link)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._forward, link, near, far, tasks.cancel_scope)
+                tasks.start_soon(self._answer, link, far, near, tasks.cancel_scope)
+        finally:
+            self._links.discard(link)
+            with anyio.CancelScope(shield=True):
+                await link.close()
+
+    async def _forward(
+        self,
+        link: _Link,
+        source: ByteStream,
+        sink: ByteStream,
+        scope: anyio.CancelScope,
+    ) -> None:
+        async for chunk in _chunks(source):
+            await anyio.sleep(self.delay_s)
+            if link.treatment is not Treatment.HOLD:
+                await _send(sink, chunk)
+        scope.cancel()
+
+    async def _answer(
+        self,
+        link: _Link,
+        source: ByteStream,
+        sink: ByteStream,
+        scope: anyio.CancelScope,
+    ) -> None:
+        async for chunk in _chunks(source):
+            await anyio.sleep(self.delay_s)
+            if link.treatment is Treatment.DROP_ANSWER:
+                self.dropped += 1
+                break
+            if link.treatment is not Treatment.HOLD:
+                await _send(sink, chunk)
+        if link.treatment is Treatment.HOLD:
+            await anyio.sleep_forever()
+        scope.cancel()
+
+
+async def _chunks(source: ByteStream) -> AsyncIterator[bytes]:
+    while True:
+        try:
+            yield await source.receive(CHUNK_BYTES)
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            return
+
+
+async def _send(sink: ByteStream, chunk: bytes) -> None:
+    try:
+        await sink.send(chunk)
+    except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        return
+
+
+@asynccontextmanager
+async def relaying(
+    target: str, host: str = "127.0.0.1"
+) -> AsyncIterator[tuple[Relay, str]]:
+    """Run a relay to ``target``; give it and its address."""
+    relay = Relay(target)
+    listener = await anyio.create_tcp_listener(local_host=host)
+    port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, relay.serve)
+        try:
+            yield relay, f"{host}:{port}"
+        finally:
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tools/cluster.py
@@ -0,0 +1,353 @@
+"""Starts a small site on loopback: VMs' programs and stand-ins, each a process.
+
+Used by the demo, the process tests and the benches. It ends only what it started.
+"""
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+from types import TracebackType
+
+import httpcore
+import msgspec
+
+from standins.journal import Entry
+from standins.vmlist import VmEntry
+
+ENTRY_PORT = 8080
+DISPATCH_PORT = 8081
+BATCH_PORT = 8082
+ENGINE_PORT = 9000
+LOG_PORT = 9001
+VM_LIST_PORT = 9002
+WEIGHTS_PORT = 9003
+
+START_TIMEOUT = timedelta(seconds=20)
+STOP_TIMEOUT = timedelta(seconds=10)
+POLL = timedelta(milliseconds=20)
+LOG_TAIL_BYTES = 4000
+
+PROGRAM_PORTS = {"dispatch": DISPATCH_PORT, "batch": BATCH_PORT, "entry": ENTRY_PORT}
+
+
+def free_block() -> str:
+    """Return the first three numbers of loopback addresses that nobody else uses."""
+    chosen = random.SystemRandom()
+    return f"127.{chosen.randrange(16, 250)}.{chosen.randrange(1, 250)}"
+
+
+@dataclass(frozen=True)
+class VmPlace:
+    """One VM to start."""
+
+    vm: str
+    data_centre: str
+    region: str
+
+
+@dataclass(frozen=True)
+class Site:
+    """What to start.
+
+    :param block: first three numbers of the addresses of everything started.
+    :param data_centres: data centre of each VM, in order.
+    :param engines: how many engine stand-ins.
+    :param plains: how many plain stand-ins.
+    :param settings: further settings of all programs, by name.
+    :param engine_flags: flags of the engine stand-ins.
+    """
+
+    data_centres: Sequence[str]
+    region: str
+    block: str = "127.0.0"
+    engines: int = 2
+    plains: int = 0
+    peer_key: str = "peer-key"
+    settings: Mapping[str, str] = field(default_factory=dict)
+    engine_flags: Mapping[str, str] = field(default_factory=dict)
+    log_flags: Mapping[str, str] = field(default_factory=dict)
+    programs: Sequence[str] = tuple(PROGRAM_PORTS)
+
+    @property
+    def vms(self) -> tuple[VmPlace, ...]:
+        """The VMs, from address 1 on."""
+        return tuple(
+            VmPlace(f"{self.block}.{number}", data_centre, self.region)
+            for number, data_centre in enumerate(self.data_centres, 1)
+        )
+
+    @property
+    def engine_addresses(self) -> tuple[str, ...]:
+        """Addresses of the engines."""
+        return tuple(
+            f"{self.block}.{101 + n}:{ENGINE_PORT}" for n in range(self.engines)
+        )
+
+    @property
+    def plain_addresses(self) -> tuple[str, ...]:
+        """Addresses of the plain services."""
+        return tuple(
+            f"{self.block}.{201 + n}:{ENGINE_PORT}" for n in range(self.plains)
+        )
+
+    @property
+    def log_url(self) -> str:
+        """Base URL of the log service."""
+        return f"http://{self.block}.250:{LOG_PORT}"
+
+    @property
+    def vm_list_url(self) -> str:
+        """Base URL of the VM list."""
+        return f"http://{self.block}.250:{VM_LIST_PORT}"
+
+    @property
+    def weights_url(self) -> str:
+        """Base URL of the weight store."""
+        return f"http://{self.block}.250:{WEIGHTS_PORT}"
+
+
+class Process:
+    """One process started here, with its output in a file."""
+
+    def __init__(self, name: str, arguments: Sequence[str], output: Path) -> None:
+        self.name = name
+        self.output = output
+        with output.open("ab") as sink:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=sink,
+                stderr=sink,
+                env=dict(os.environ),
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self._popen.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether it has not ended."""
+        return self._popen.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code, None while it runs."""
+        return self._popen.poll()
+
+    def kill(self) -> None:
+        """End it without notice."""
+        self._popen.kill()
+        self._popen.wait()
+
+    def freeze(self) -> None:
+        """Stop it where it is."""
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self._popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to shut down gracefully."""
+        self._popen.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout: timedelta = STOP_TIMEOUT) -> int:
+        """Return its exit code once it has ended."""
+        return self._popen.wait(timeout.total_seconds())
+
+    def tail(self) -> str:
+        """Return the end of its output."""
+        return self.output.read_bytes()[-LOG_TAIL_BYTES:].decode(errors="replace")
+
+
+def _flags(options: Mapping[str, str]) -> list[str]:
+    return [f"--{name}={value}" for name, value in options.items()]
+
+
+def _accepts(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+class Cluster:
+    """A site's processes; a context manager that starts and ends them."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self._directory = tempfile.TemporaryDirectory(prefix="chivespan-")
+        self._processes: dict[str, Process] = {}
+
+    def __enter__(self) -> "Cluster":
+        try:
+            self.start_stand_ins()
+            for place in self.site.vms:
+                self.start_vm(place)
+            self.wait_ready()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if error is not None:
+            print(self.logs(), file=sys.stderr)
+        self.stop()
+
+    def start_stand_ins(self) -> None:
+        """Start the platform's and the targets' stand-ins and wait for them."""
+        site = self.site
+        self.run("log", "standins.logservice", site.log_url, site.log_flags)
+        self.run("vmlist", "standins.vmlist", site.vm_list_url, {})
+        self.run("weights", "standins.weightstore", site.weights_url, {})
+        targets = {
+            "engines": ",".join(site.engine_addresses),
+            "plains": ",".join(site.plain_addresses),
+        }
+        self._start(
+            "targets", ["standins.fleet", *_flags(targets | dict(site.engine_flags))]
+        )
+        urls = (site.log_url, site.vm_list_url, site.weights_url)
+        waited = [url.removeprefix("http://") for url in urls]
+        waited += [*site.engine_addresses, *site.plain_addresses]
+        self._wait_for(waited)
+        self.list_vms([VmEntry(p.vm, p.data_centre, p.region) for p in site.vms])
+
+    def run(
+        self, name: str, module: str, url: str, flags: Mapping[str, str]
+    ) -> Process:
+        """Start one stand-in at the address of a URL."""
+        address = {"address": url.removeprefix("http://")}
+        return self._start(name, [module, *_flags(address | dict(flags))])
+
+    def start_vm(self, place: VmPlace) -> None:
+        """Start a VM's programs."""
+        for program in self.site.programs:
+            self.start_program(place, program)
+
+    def start_program(self, place: VmPlace, program: str) -> Process:
+        """Start one program of a VM; its settings are flags only."""
+        site = self.site
+        settings = {
+            "vm": place.vm,
+            "data_centre": place.data_centre,
+            "region": place.region,
+            "log_url": site.log_url,
+            "vm_list_url": site.vm_list_url,
+            "peer_key": site.peer_key,
+        }
+        flags = _flags(settings | dict(site.settings))
+        module = f"chivespan.{program}_main"
+        return self._start(f"{place.vm}/{program}", [module, *flags])
+
+    def wait_ready(self) -> None:
+        """Wait until every program started accepts connections."""
+        self._wait_for(
+            f"{place.vm}:{PROGRAM_PORTS[program]}"
+            for place in self.site.vms
+            for program in self.site.programs
+            if f"{place.vm}/{program}" in self._processes
+        )
+
+    def process(self, name: str) -> Process:
+        """Return a process by name: a stand-in, or as in ``127.0.0.1/entry``."""
+        return self._processes[name]
+
+    def vm_processes(self, vm: str) -> list[Process]:
+        """Return the processes of a VM."""
+        found = self._processes.items()
+        return [process for name, process in found if name.startswith(f"{vm}/")]
+
+    def list_vms(self, vms: Sequence[VmEntry]) -> None:
+        """Change the VM list."""
+        put(f"{self.site.vm_list_url}/vms", vms)
+
+    def journal(self, address: str) -> list[Entry]:
+        """Return what a target really did."""
+        answer = httpcore.request("GET", f"http://{address}/journal")
+        lines = answer.content.splitlines()
+        return [msgspec.json.decode(line, type=Entry) for line in lines]
+
+    def set_faults(self, url: str, faults: object) -> None:
+        """Set the faults of a stand-in, replacing those in force."""
+        put(f"{url}/faults", faults)
+
+    def logs(self) -> str:
+        """Return the end of every process's output."""
+        return "\n".join(
+            f"--- {name} (exit code {process.exit_code})\n{process.tail()}"
+            for name, process in self._processes.items()
+        )
+
+    def stop(self) -> None:
+        """End everything that was started here."""
+        running = [each for each in self._processes.values() if each.running]
+        for process in running:
+            process.kill()
+        self._directory.cleanup()
+
+    def _start(self, name: str, arguments: Sequence[str]) -> Process:
+        output = Path(self._directory.name) / name.replace("/", "-")
+        self._processes[name] = Process(name, arguments, output)
+        return self._processes[name]
+
+    def _wait_for(self, addresses: Iterator[str] | Sequence[str]) -> None:
+        deadline = time.monotonic() + START_TIMEOUT.total_seconds()
+        for address in addresses:
+            while not _accepts(address):
+                ended = [p.name for p in self._processes.values() if p.exit_code]
+                if time.monotonic() > deadline or ended:
+                    reason = f"{address} isn't ready; ended: {ended}\n{self.logs()}"
+                    raise TimeoutError(reason)
+                time.sleep(POLL.total_seconds())
+
+
+def put(url: str, value: object) -> None:
+    """PUT a value as JSON."""
+    answer = httpcore.request("PUT", url, content=msgspec.json.encode(value))
+    if answer.status != 200:
+        raise RuntimeError(f"{url}: {answer.status}")
+
+
+def wait_until(what: str, timeout: timedelta = START_TIMEOUT) -> Iterator[timedelta]:
+    """Yield until the caller breaks off, at most for ``timeout``.
+
+    :raises TimeoutError: naming ``what`` was waited for.
+    """
+    started = time.monotonic()
+    while (passed := timedelta(seconds=time.monotonic() - started)) < timeout:
+        yield passed
+        time.sleep(POLL.total_seconds())
+    raise TimeoutError(f"waited {timeout.total_seconds():.0f} s for {what}")
+
+
+@contextmanager
+def frozen(processes: Sequence[Process]) -> Iterator[None]:
+    """Freeze processes for the time of the block."""
+    for process in processes:
+        process.freeze()
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.thaw()
