--- /dev/null
+++ b/tests/test_oracle.py
@@ -0,0 +1,84 @@
+"""Every check of the oracle can fail, on the smallest witness that breaks its promise.
+
+The variants of the product with a mechanism switched off are in test_broken_variants.
+"""
+
+from collections.abc import Sequence
+
+import pytest
+
+from standins.enginetext import whole_text
+from standins.journal import Entry
+from tests.oracle import (
+    CHECKS,
+    Called,
+    Generated,
+    ItemRead,
+    JobSeen,
+    Left,
+    Waited,
+    Witness,
+    violations,
+)
+
+ENGINE = "127.0.1.1:9000"
+
+
+def _ran(*details: str) -> dict[str, Sequence[Entry]]:
+    return {ENGINE: [Entry(10.0, "start", "r", "/v1/completions", d) for d in details]}
+
+
+def _job(*reads: list[ItemRead], stopped_at: float | None = None) -> JobSeen:
+    prompts = {"1": "cattle", "2": "sheep"}
+    return JobSeen("j", prompts, 2, reads, stopped_at=stopped_at)
+
+
+CATTLE = ItemRead("1", True, whole_text("cattle", 2))
+SHEEP = ItemRead("2", True, whole_text("sheep", 2))
+FAILED = ItemRead("2", False, "")
+
+BROKEN = {
+    "whole_and_own": Witness(
+        generated=[Generated("pigs", 2, whole_text("pigs", 1), "done")],
+        journals=_ran("pigs"),
+    ),
+    "refused_was_not_run": Witness(
+        called=[Called("b", "/bookings", 503, "no_capacity", "no")], journals=_ran("b")
+    ),
+    "at_most_once": Witness(once=["b"], journals=_ran("b", "b")),
+    "answered_was_run": Witness(
+        called=[Called("b", "/bookings", 201, answer=b'{"for": "b"}')]
+    ),
+    "one_result_per_item": Witness(jobs=[_job([CATTLE])]),
+    "results_stay": Witness(jobs=[_job([CATTLE, SHEEP], [CATTLE, FAILED])]),
+    "cancelled_job_stops": Witness(
+        jobs=[_job([CATTLE, SHEEP], stopped_at=9.0)], journals=_ran("sheep")
+    ),
+    "nothing_to_a_leaving_target": Witness(
+        left=[Left(ENGINE, 9.0)], journals=_ran("x")
+    ),
+    "shutdown_cuts_nothing": Witness(
+        generated=[Generated("pigs", 2, "", "error", across_shutdown=True)]
+    ),
+    "versions_only_rise": Witness(versions={"127.0.0.1": [3, 4, 3]}),
+    "online_before_batch": Witness(waited=[Waited("pigs", 0.7, 0.63)]),
+}
+
+
+@pytest.mark.parametrize("name", CHECKS)
+def test_check_finds_what_it_is_for(name: str) -> None:
+    found = violations(BROKEN[name])
+    assert [fault.split(":")[0] for fault in found] == [name]
+
+
+def test_good_session_has_no_violation() -> None:
+    text = whole_text("pigs", 3)
+    witness = Witness(
+        generated=[Generated("pigs", 3, text, "done")],
+        called=[Called("b", "/bookings", 201, answer=b'{"for": "b"}')],
+        jobs=[_job([CATTLE], stopped_at=None), _job([CATTLE, SHEEP])],
+        once=["b"],
+        journals=_ran("pigs", "b"),
+    )
+    witness.jobs[0] = JobSeen("j", {"1": "cattle"}, 2, [[CATTLE], [CATTLE]])
+    assert violations(witness) == []
