--- /dev/null
+++ b/chivespan/assetregister.py
@@ -0,0 +1,173 @@
+"""The asset register's CSV, turned into an inventory in TOML.
+
+Columns are found by name, in any order and case; others of the register are left
+aside. Rows without a service are no targets and are left aside too.
+"""
+
+import csv
+import io
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from chivespan.configuration import Document, DocumentId
+from chivespan.documents import (
+    DataCentre,
+    DocumentKind,
+    Model,
+    PlainCall,
+    Region,
+    Runner,
+    Service,
+    ServiceKind,
+)
+from chivespan.inventory import Fault, Place, write_text
+
+REQUIRED = ("asset_tag", "region", "data_centre", "service", "ip", "port", "slots")
+OPTIONAL = ("model", "model_version", "adapters", "checks_fencing", "calls")
+REPEATABLE = "(repeatable)"
+_YES = frozenset({"yes", "true", "1", "y"})
+_NO = frozenset({"no", "false", "0", "n", ""})
+
+
+@dataclass(slots=True)
+class Register:
+    """What an asset register says.
+
+    :param skipped: number of rows that name no service.
+    :param unused: columns that say nothing to chivespan.
+    """
+
+    documents: dict[DocumentId, Document] = field(default_factory=dict)
+    faults: list[Fault] = field(default_factory=list)
+    skipped: int = 0
+    unused: tuple[str, ...] = ()
+
+    def to_toml(self) -> str:
+        """Return the inventory as TOML."""
+        return write_text(self.documents.values())
+
+
+def read_register(text: str, file: str) -> Register:
+    """Return what an asset register says; faults are noted, never raised.
+
+    :param file: name of the file, for places.
+    """
+    register = Register()
+    reader = csv.DictReader(io.StringIO(text.removeprefix("\ufeff")))
+    columns = [_column(name) for name in reader.fieldnames or ()]
+    reader.fieldnames = columns
+    register.unused = tuple(name for name in columns if name not in REQUIRED + OPTIONAL)
+    for name in REQUIRED:
+        if name not in columns:
+            place = Place(file, "columns")
+            register.faults.append(Fault(place, f"column {name!r} is missing"))
+    if register.faults:
+        return register
+    for row in reader:
+        cells = {name: (row[name] or "").strip() for name in columns if row.get(name)}
+        place = Place(file, "line", reader.line_num, cells.get("asset_tag", ""))
+        if None in row:
+            register.faults.append(Fault(place, "more cells than columns"))
+        elif not cells.get("service"):
+            register.skipped += 1
+        else:
+            _read_row(cells, place, register)
+    return register
+
+
+def _column(name: str) -> str:
+    return name.strip().lower().replace(" ", "_")
+
+
+def _read_row(cells: Mapping[str, str], place: Place, register: Register) -> None:
+    missing = [name for name in REQUIRED if not cells.get(name)]
+    for name in missing:
+        register.faults.append(Fault(place.at(name), "empty"))
+    for name in ("port", "slots"):
+        if cells.get(name) and not cells[name].isdecimal():
+            problem = f"{cells[name]!r} is no whole number"
+            register.faults.append(Fault(place.at(name), problem))
+            missing.append(name)
+    fencing = cells.get("checks_fencing", "").lower()
+    if fencing not in _YES | _NO:
+        register.faults.append(Fault(place.at("checks_fencing"), "write yes or no"))
+        return
+    if not missing:
+        _add_row(cells, place, register, checks_fencing=fencing in _YES)
+
+
+def _add_row(
+    cells: Mapping[str, str], place: Place, register: Register, *, checks_fencing: bool
+) -> None:
+    region, data_centre = cells["region"], cells["data_centre"]
+    model, version = cells.get("model", ""), cells.get("model_version", "")
+    host = cells["ip"]
+    shown_host = f"[{host}]" if ":" in host else host
+    runner = Runner(
+        name=cells["asset_tag"],
+        service=cells["service"],
+        address=f"{shown_host}:{cells['port']}",
+        data_centre=data_centre,
+        slots=int(cells["slots"]),
+        model=model,
+        version=version,
+        adapters=cells.get("adapters", "").split(),
+        checks_fencing=checks_fencing,
+    )
+    _put(register, DocumentKind.region, Region(name=region), place, "region")
+    centre = DataCentre(name=data_centre, region=region)
+    _put(register, DocumentKind.data_centre, centre, place, "data_centre")
+    if model:
+        loaded = Model(name=model, version=version)
+        model_id = DocumentId(DocumentKind.model, model)
+        register.documents.setdefault(model_id, loaded)
+    _add_service(cells, place, register)
+    _put(register, DocumentKind.runner, runner, place, "asset_tag", once=True)
+
+
+def _add_service(cells: Mapping[str, str], place: Place, register: Register) -> None:
+    name, model = cells["service"], cells.get("model", "")
+    document_id = DocumentId(DocumentKind.service, name)
+    known = register.documents.get(document_id)
+    models = list(known.models) if isinstance(known, Service) else []
+    calls = list(known.calls) if isinstance(known, Service) else []
+    if model and model not in models:
+        models.append(model)
+    for call in _calls(cells.get("calls", ""), place, register):
+        if call not in calls:
+            calls.append(call)
+    kind = ServiceKind.model if models else ServiceKind.plain
+    register.documents[document_id] = Service(
+        name=name, kind=kind, models=models, calls=calls
+    )
+
+
+def _calls(text: str, place: Place, register: Register) -> Iterator[PlainCall]:
+    """Yield the calls of a cell: ``POST /bookings; GET /permits/* (repeatable)``."""
+    for part in filter(None, (part.strip() for part in text.split(";"))):
+        words = part.removesuffix(REPEATABLE).split()
+        if len(words) != 2:
+            problem = f"{part!r}: write METHOD /path, and {REPEATABLE} if it may be"
+            register.faults.append(Fault(place.at("calls"), problem))
+            continue
+        yield PlainCall(
+            method=words[0].upper(),
+            path=words[1],
+            idempotent=part.endswith(REPEATABLE),
+        )
+
+
+def _put(
+    register: Register,
+    kind: DocumentKind,
+    document: Document,
+    place: Place,
+    column: str,
+    *,
+    once: bool = False,
+) -> None:
+    document_id = DocumentId(kind, document.name)
+    known = register.documents.setdefault(document_id, document)
+    if known != document or (once and known is not document):
+        problem = f"{document.name!r} stands on an earlier line, or differs there"
+        register.faults.append(Fault(place.at(column), problem))
