--- a/chivespan/inventory.py
+++ b/chivespan/inventory.py
@@ -9,7 +9,7 @@
 import tomllib
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import MISSING, dataclass, field, fields, is_dataclass
-from enum import EnumMeta
+from enum import Enum, EnumMeta
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, get_args, get_origin, get_type_hints
@@ -247,7 +247,8 @@
 def _read_choice(
     choices: EnumMeta, value: object, place: Place, faults: list[Fault]
 ) -> Any:
-    known = {choice.value: choice for choice in choices.__members__.values()}
+    members: Iterable[Enum] = choices.__members__.values()
+    known = {choice.value: choice for choice in members}
     if isinstance(value, str) and value in known:
         return known[value]
     faults.append(Fault(place, f"{value!r} is unknown; give one of {', '.join(known)}"))
