--- a/tests/test_online.py
+++ b/tests/test_online.py
@@ -4,6 +4,7 @@
 from contextlib import aclosing
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import cache
 from typing import Any
 
 import anyio
@@ -119,6 +120,7 @@
     return anyio.run(main)
 
 
+@cache
 def good_answer() -> list[str]:
     async def work(online: OnlineService, slots: Slots) -> list[str]:
         return await collect(online, request())
