Split the scheduler's decisions into modules with registries

Target choice, queue order, batch level, refusal, retry budget and spill order are registered by name, so that they can be compared on the same load. Batch is steered for each model of a slice: a headroom that follows the peak of online demand and falls after a cooldown, and a level for each target that is halved when online requests miss their bounds. Targets that fail are left out and return with one request at a time. Owners' limits are kept by each slice for its part of the service's slots.

--- /dev/null
+++ b/chivespan/batchcontrol.py
@@ -0,0 +1,159 @@
+"""Keeps a slice's batch within the level in force, for each model by itself."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from chivespan.batchlevel import (
+    BATCH_LEVELS,
+    BatchLevel,
+    OnlineSample,
+    SliceCounts,
+    TargetCounts,
+)
+from chivespan.grantbook import LiveGrant
+from chivespan.messages import WorkClass
+from chivespan.policies import Policies
+from chivespan.targetstate import TargetState
+
+
+@dataclass(slots=True)
+class ModelGroup:
+    """The targets of one model, which share a level.
+
+    :param limit: batch grants that the group may have now.
+    """
+
+    level: BatchLevel
+    targets: list[TargetState] = field(default_factory=list)
+    limit: int = 0
+
+    @property
+    def batch(self) -> int:
+        """Slots that batch holds, those taken back and not yet free included."""
+        return sum(target.counts[WorkClass.batch] for target in self.targets)
+
+    @property
+    def standing_batch(self) -> int:
+        """Batch grants that were not taken back."""
+        return sum(target.standing_batch for target in self.targets)
+
+    def update(self, queued_online: int, now: timedelta) -> None:
+        """Work out the limit for the present counts."""
+        counts = SliceCounts(
+            total=sum(target.open_slots for target in self.targets),
+            online=sum(target.counts[WorkClass.online] for target in self.targets),
+            queued_online=queued_online,
+        )
+        self.limit = max(0, self.level.slice_limit(counts, now))
+
+
+class BatchControl:
+    """The levels of one slice."""
+
+    def __init__(self, policies: Policies) -> None:
+        self._policies = policies
+        self._groups: dict[str, ModelGroup] = {}
+
+    @property
+    def yields(self) -> bool:
+        """Whether running batch is taken back for online."""
+        return any(group.level.yields for group in self._groups.values())
+
+    def regroup(self, targets: Iterable[TargetState]) -> None:
+        """Take over changed targets."""
+        for group in self._groups.values():
+            group.targets = []
+        for target in targets:
+            self._group(target.runner.model).targets.append(target)
+        self._groups = {
+            model: group for model, group in self._groups.items() if group.targets
+        }
+
+    def update(self, queued_models: Sequence[str], now: timedelta) -> None:
+        """Work out all limits, given the models that online requests wait for."""
+        for model, group in self._groups.items():
+            group.update(queued_models.count(model), now)
+
+    def room(self, target: TargetState, now: timedelta) -> int:
+        """Return how many more batch grants a target may have."""
+        group = self._groups[target.runner.model]
+        queue = group.level.queued_in_targets
+        batch = target.counts[WorkClass.batch]
+        return min(
+            group.limit - group.batch,
+            self._target_limit(group, target, now) - batch,
+            target.free + queue,
+        )
+
+    def online_room(self, target: TargetState) -> int:
+        """Return how many more online grants a target may have."""
+        queue = self._groups[target.runner.model].level.queued_in_targets
+        if queue == 0:
+            return target.free
+        return target.open_slots + queue - target.counts[WorkClass.online]
+
+    def excess(
+        self, standing: Sequence[LiveGrant], now: timedelta
+    ) -> Iterator[LiveGrant]:
+        """Yield the batch grants that are over a limit.
+
+        :param standing: batch grants that were not taken back, the youngest first; the
+            youngest lose least, since resuming reads the prompt and all tokens again.
+        """
+        for group in self._groups.values():
+            if group.level.yields:
+                yield from _excess_of(group, standing, self._cuts(group, now))
+
+    def record(self, target: TargetState, sample: OnlineSample, now: timedelta) -> None:
+        """Take in a measure of an online request."""
+        level = self._groups[target.runner.model].level
+        level.record(sample, target.counts[WorkClass.batch], now)
+
+    def _group(self, model: str) -> ModelGroup:
+        if model not in self._groups:
+            level = BATCH_LEVELS[self._policies.batch_level](self._policies)
+            self._groups[model] = ModelGroup(level)
+        return self._groups[model]
+
+    def _cuts(self, group: ModelGroup, now: timedelta) -> dict[str, int]:
+        """Return how many batch grants each target must lose for its own limit."""
+        over = {
+            target.name: target.standing_batch - self._target_limit(group, target, now)
+            for target in group.targets
+        }
+        return {name: cut for name, cut in over.items() if cut > 0}
+
+    def _target_limit(
+        self, group: ModelGroup, target: TargetState, now: timedelta
+    ) -> int:
+        counts = TargetCounts(
+            target.name, target.open_slots, target.counts[WorkClass.batch]
+        )
+        return group.level.target_limit(counts, now)
+
+
+def _excess_of(
+    group: ModelGroup, standing: Sequence[LiveGrant], cuts: dict[str, int]
+) -> Iterator[LiveGrant]:
+    over = group.standing_batch - group.limit
+    if over <= 0 and not cuts:
+        return
+    names = {target.name: target for target in group.targets}
+    for grant in standing:
+        if cuts.get(grant.target, 0) > 0:
+            cuts[grant.target] -= 1
+            over -= 1
+            yield grant
+    busiest_last = [grant for grant in standing if not grant.revoked]
+    busiest_last.sort(
+        key=lambda grant: (
+            names[grant.target].share(WorkClass.online) if grant.target in names else 0
+        )
+    )
+    for grant in busiest_last:
+        if over <= 0:
+            return
+        if grant.target in names:
+            over -= 1
+            yield grant
--- /dev/null
+++ b/chivespan/batchlevel.py
@@ -0,0 +1,254 @@
+"""How much batch a slice and each of its targets may carry now.
+
+A level that yields also takes running batch back when it falls.
+"""
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol
+
+from chivespan.policies import Policies
+from chivespan.registry import Registry
+
+CUT_FACTOR = 0.5
+RAISE_INTERVAL = timedelta(milliseconds=250)
+HARM_SMOOTHING = 0.05
+HARM_ALLOWED = 0.05
+GROSS_HARM = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class SliceCounts:
+    """Slots of a slice now.
+
+    :param total: slots that may be used.
+    :param online: slots that online work holds.
+    :param queued_online: online requests that wait.
+    """
+
+    total: int
+    online: int
+    queued_online: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCounts:
+    """Slots of one target now."""
+
+    name: str
+    slots: int
+    batch: int
+
+
+@dataclass(frozen=True, slots=True)
+class OnlineSample:
+    """What one online request measured at a target.
+
+    :param granted_at: monotonic time of its grant.
+    :param harm: the worst of its measures as a share of its bound; above 1 is too slow.
+    """
+
+    target: str
+    granted_at: timedelta
+    harm: float
+
+
+class BatchLevel(Protocol):
+    """Decides how much batch may run; one for a slice."""
+
+    @property
+    def yields(self) -> bool:
+        """Whether running batch is taken back when it is over its limits."""
+        ...
+
+    @property
+    def queued_in_targets(self) -> int:
+        """Batch grants beyond the slots of each target, left to the engine's queue."""
+        ...
+
+    def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
+        """Return how many batch grants the whole slice may have."""
+        ...
+
+    def target_limit(self, counts: TargetCounts, now: timedelta) -> int:
+        """Return how many batch grants one target may have."""
+        ...
+
+    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
+        """Take in a measure of an online request, with the target's batch grants."""
+        ...
+
+
+BATCH_LEVELS: Registry[Callable[[Policies], BatchLevel]] = Registry("batch level")
+
+
+@BATCH_LEVELS.register("none")
+class NoBatch:
+    """No batch at all."""
+
+    yields = True
+    queued_in_targets = 0
+
+    def __init__(self, policies: Policies) -> None:
+        pass
+
+    def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
+        """Allow nothing."""
+        return 0
+
+    def target_limit(self, counts: TargetCounts, now: timedelta) -> int:
+        """Allow nothing."""
+        return 0
+
+    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
+        """Measures change nothing."""
+
+
+@BATCH_LEVELS.register("unlimited")
+class UnlimitedBatch:
+    """Batch like online: it fills every slot and as much of the engines' queues."""
+
+    yields = False
+    queued_in_targets = 8
+
+    def __init__(self, policies: Policies) -> None:
+        pass
+
+    def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
+        """Allow more than there are slots."""
+        return 2 * counts.total
+
+    def target_limit(self, counts: TargetCounts, now: timedelta) -> int:
+        """Allow all slots and a queue in the engine."""
+        return counts.slots + self.queued_in_targets
+
+    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
+        """Measures change nothing."""
+
+
+@BATCH_LEVELS.register("fixed")
+class FixedSplit:
+    """A fixed number of slots of each target, never taken back."""
+
+    yields = False
+    queued_in_targets = 0
+
+    def __init__(self, policies: Policies) -> None:
+        self._slots = policies.fixed_batch_slots
+
+    def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
+        """Leave it to the targets' limits."""
+        return counts.total
+
+    def target_limit(self, counts: TargetCounts, now: timedelta) -> int:
+        """Allow the fixed number."""
+        return min(self._slots, counts.slots)
+
+    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
+        """Measures change nothing."""
+
+
+@BATCH_LEVELS.register("idle")
+class IdleSlots:
+    """Every slot that online leaves idle, taken back as soon as online waits."""
+
+    yields = True
+    queued_in_targets = 0
+
+    def __init__(self, policies: Policies) -> None:
+        pass
+
+    def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
+        """Allow what online doesn't use."""
+        return counts.total - counts.online - counts.queued_online
+
+    def target_limit(self, counts: TargetCounts, now: timedelta) -> int:
+        """Allow all slots."""
+        return counts.slots
+
+    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
+        """Measures change nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    at: timedelta
+    slots: int
+
+
+class HeadroomPeak:
+    """The most slots that online wanted lately: rises at once, falls after a cooldown.
+
+    Slots given to batch between two requests of a burst would be taken back before the
+    batch item had read its prompt again.
+    """
+
+    def __init__(self, cooldown: timedelta) -> None:
+        self._cooldown = cooldown
+        self._peaks: deque[_Demand] = deque()
+
+    def update(self, slots: int, now: timedelta) -> int:
+        """Take in the present demand, and return the most within the cooldown."""
+        while self._peaks and self._peaks[-1].slots <= slots:
+            self._peaks.pop()
+        self._peaks.append(_Demand(now, slots))
+        while self._peaks[0].at < now - self._cooldown:
+            self._peaks.popleft()
+        return self._peaks[0].slots
+
+
+@dataclass(slots=True)
+class _TargetLevel:
+    level: float = math.inf
+    harm: float = 0.0
+    cut_at: timedelta = timedelta(0)
+    raised_at: timedelta = timedelta(0)
+
+
+@BATCH_LEVELS.register("steered")
+@dataclass(slots=True)
+class SteeredBatch:
+    """Idle slots less the headroom for a burst, and less where online is slowed down.
+
+    A target's level falls to a share at once when its online requests miss their
+    bounds, and rises by one slot at a time while they keep them.
+    """
+
+    policies: Policies
+    yields: bool = True
+    queued_in_targets: int = 0
+    _headroom: HeadroomPeak = field(init=False)
+    _levels: dict[str, _TargetLevel] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._headroom = HeadroomPeak(self.policies.headroom_cooldown)
+
+    def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
+        """Allow what online has not wanted within the cooldown."""
+        wanted = counts.online + counts.queued_online
+        return counts.total - self._headroom.update(wanted, now)
+
+    def target_limit(self, counts: TargetCounts, now: timedelta) -> int:
+        """Allow the target's level, and raise that when it is time."""
+        state = self._levels.setdefault(counts.name, _TargetLevel())
+        due = now - max(state.cut_at, state.raised_at) >= RAISE_INTERVAL
+        if due and counts.batch >= int(min(state.level, counts.slots)):
+            state.level = min(counts.slots, state.level + 1)
+            state.raised_at = now
+        return int(min(state.level, counts.slots))
+
+    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
+        """Cut the level when too many of the latest requests missed their bound."""
+        state = self._levels.setdefault(sample.target, _TargetLevel())
+        if sample.granted_at < state.cut_at:
+            return
+        missed = float(sample.harm > 1.0)
+        state.harm += (missed - state.harm) * HARM_SMOOTHING
+        gross = sample.harm > GROSS_HARM
+        if batch > 0 and (gross or state.harm > HARM_ALLOWED):
+            state.level = batch * CUT_FACTOR
+            state.harm = 0.0
+            state.cut_at = now
--- a/chivespan/grantbook.py
+++ b/chivespan/grantbook.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from chivespan.messages import OwnerShare, UsageCount, WorkClass
+from chivespan.ownerlimits import OwnerClass
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -14,6 +15,7 @@
 class LiveGrant:
     """A grant that holds a slot.
 
+    :param tokens: most tokens it may generate.
     :param lapses_at: monotonic time at which the slot is taken back; None while the
         holder is connected.
     """
@@ -24,15 +26,22 @@
     owner: str
     work_class: WorkClass
     granted_at: timedelta
+    tokens: int = 0
     lapses_at: timedelta | None = None
     revoked: bool = False
 
+    @property
+    def owner_class(self) -> OwnerClass:
+        """Whose work of which class it is for."""
+        return OwnerClass(self.owner, self.work_class)
+
 
 class GrantBook:
-    """All grants of a slice by id."""
+    """All grants of a slice by id, in the order they were given."""
 
     def __init__(self) -> None:
         self._grants: dict[str, LiveGrant] = {}
+        self._held: Counter[OwnerClass] = Counter()
 
     def __iter__(self) -> Iterator[LiveGrant]:
         return iter(self._grants.values())
@@ -46,10 +55,18 @@
     def add(self, grant: LiveGrant) -> None:
         """Enter a grant."""
         self._grants[grant.grant_id] = grant
+        self._held[grant.owner_class] += 1
 
     def pop(self, grant_id: str) -> LiveGrant | None:
         """Strike a grant out; None when it isn't here (any more)."""
-        return self._grants.pop(grant_id, None)
+        grant = self._grants.pop(grant_id, None)
+        if grant is not None:
+            self._held[grant.owner_class] -= 1
+        return grant
+
+    def held(self, key: OwnerClass) -> int:
+        """Return how many grants an owner's work of one class holds."""
+        return self._held[key]
 
     def of_holder(self, holder: str) -> list[LiveGrant]:
         """Return the grants of one holder."""
@@ -63,27 +80,23 @@
             if grant.lapses_at is not None and grant.lapses_at <= now
         ]
 
-    def in_progress(self, owner: str, work_class: WorkClass) -> int:
-        """Return how many grants an owner's work of one class holds."""
-        return sum(
-            grant.owner == owner and grant.work_class == work_class for grant in self
-        )
+    def standing_batch(self) -> list[LiveGrant]:
+        """Return the batch grants that were not taken back, the youngest first."""
+        return [
+            grant
+            for grant in reversed(self._grants.values())
+            if grant.work_class is WorkClass.batch and not grant.revoked
+        ]
 
     def shares(self) -> list[OwnerShare]:
         """Return whose work holds the slots, the largest share first."""
-        slots = Counter(_ShareKey(grant.owner, grant.work_class) for grant in self)
         return [
-            OwnerShare(owner=key.owner, work_class=key.work_class, slots=count)
-            for key, count in slots.most_common()
+            OwnerShare(owner=key.owner, work_class=key.work_class, slots=slots)
+            for key, slots in self._held.most_common()
+            if slots > 0
         ]
 
 
-@dataclass(frozen=True, slots=True)
-class _ShareKey:
-    owner: str
-    work_class: WorkClass
-
-
 @dataclass(slots=True)
 class _Consumption:
     requests: int = 0
@@ -97,18 +110,18 @@
 
     def __init__(self, service: str) -> None:
         self._service = service
-        self._totals: dict[_ShareKey, _Consumption] = {}
+        self._totals: dict[OwnerClass, _Consumption] = {}
 
     def record_use(self, grant: LiveGrant, tokens: int, held: timedelta) -> None:
         """Count a grant that came back."""
-        total = self._total(grant.owner, grant.work_class)
+        total = self._total(grant.owner_class)
         total.requests += 1
         total.tokens += tokens
         total.slot_ms += held / MILLISECOND
 
-    def record_refusal(self, owner: str, work_class: WorkClass) -> None:
+    def record_refusal(self, key: OwnerClass) -> None:
         """Count a refusal."""
-        self._total(owner, work_class).refusals += 1
+        self._total(key).refusals += 1
 
     def counts(self) -> list[UsageCount]:
         """Return the totals since the start."""
@@ -125,5 +138,5 @@
             for key, total in self._totals.items()
         ]
 
-    def _total(self, owner: str, work_class: WorkClass) -> _Consumption:
-        return self._totals.setdefault(_ShareKey(owner, work_class), _Consumption())
+    def _total(self, key: OwnerClass) -> _Consumption:
+        return self._totals.setdefault(key, _Consumption())
--- a/chivespan/policies.py
+++ b/chivespan/policies.py
@@ -6,15 +6,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Policies:
-    """Names of the decisions in force, and the times they work with.
+    """Names of the decisions in force, and the times and sizes they work with.
 
-    :param batch_level: how much batch a target may carry.
+    :param target_choice: name in ``TARGET_CHOICES``.
+    :param online_order: name in ``QUEUE_ORDERS`` for online requests.
+    :param batch_order: name in ``QUEUE_ORDERS`` for batch items.
+    :param batch_level: name in ``BATCH_LEVELS``.
+    :param refusal: name in ``REFUSALS``.
+    :param fixed_batch_slots: batch slots of each target under the fixed split.
+    :param headroom_cooldown: slots that online gave back stay free of batch this long.
+    :param grant_on_revoke: give a revoked grant's slot to online at once, before its
+        holder has confirmed.
     :param grant_lifetime: a grant unused for this long lapses, and so do the grants
         of a holder that was lost; a new owner is careful for as long.
     :param revoke_bound: a holder that hasn't given a revoked grant back by then loses
         the slot anyway.
     """
 
-    batch_level: str = "idle"
+    target_choice: str = "counts"
+    online_order: str = "deadline_fair"
+    batch_order: str = "fair"
+    batch_level: str = "steered"
+    refusal: str = "deadline"
+    fixed_batch_slots: int = 4
+    headroom_cooldown: timedelta = timedelta(milliseconds=200)
+    grant_on_revoke: bool = False
     grant_lifetime: timedelta = timedelta(seconds=2)
     revoke_bound: timedelta = timedelta(milliseconds=250)
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -1,24 +1,24 @@
 """Grants the slots of one slice's targets, for the dispatcher that owns the slice.
 
-Online requests go first, by deadline. Batch gets slots that no online request waits
-for, and gives them back as soon as one does. A request that can't be served in time
-is refused at once.
+Online requests go first. Batch gets slots that no online request waits for, within the
+level in force, and gives them back as soon as one does. A request that can't be served
+in time is refused at once.
 """
 
-import secrets
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
-from itertools import count
-from typing import NoReturn
+from typing import Protocol
 
 import anyio
 
+from chivespan.batchcontrol import BatchControl
+from chivespan.batchlevel import OnlineSample
 from chivespan.clock import Clock
 from chivespan.configuration import Configuration
-from chivespan.documents import Rule
+from chivespan.documents import Service, ServiceKind
+from chivespan.engineapi import EngineLoad
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.grantbook import GrantBook, LiveGrant, UsageBook
+from chivespan.grantbook import MILLISECOND, LiveGrant, UsageBook
 from chivespan.messages import (
     Grant,
     GrantRelease,
@@ -30,46 +30,39 @@
     UsageCount,
     WorkClass,
 )
+from chivespan.ownerlimits import OwnerClass, OwnerLimits
 from chivespan.policies import Policies
+from chivespan.queueorder import QUEUE_ORDERS, WaitQueue
+from chivespan.refusal import REFUSALS, DrainRate, Prospect, retry_after
 from chivespan.slices import Slice
+from chivespan.slotpool import SlotPool
+from chivespan.targetchoice import TARGET_CHOICES, ChoiceView, PrefixHints
+from chivespan.targethealth import FAILED_OUTCOMES
 from chivespan.targetstate import TargetState
+from chivespan.waiting import Waiter
 
 TICK = timedelta(milliseconds=20)
-MILLISECOND = timedelta(milliseconds=1)
-MIN_RETRY_AFTER = timedelta(milliseconds=100)
-FIRST_HOLD_GUESS = timedelta(seconds=1)
-HOLD_SMOOTHING = 0.1
-CAREFUL_SHARE = 4
+PROBE_INTERVAL = timedelta(seconds=2)
+MICROSECOND = timedelta(microseconds=1)
 
 
-@dataclass(eq=False, slots=True)
-class Waiter:
-    """A request that waits for a slot.
-
-    :param deadline: monotonic time after which a grant is of no use.
-    """
-
-    request: GrantRequest
-    holder: str
-    deadline: timedelta
-    woken: anyio.Event = field(default_factory=anyio.Event)
-    grant: Grant | None = None
-    error: ChivespanError | None = None
-
-    @property
-    def settled(self) -> bool:
-        """Whether a grant or a refusal was decided."""
-        return self.grant is not None or self.error is not None
+class LoadProbe(Protocol):
+    """Asks a target for its load."""
 
+    async def load(self, address: str) -> EngineLoad:
+        """Return the report.
 
-@dataclass(frozen=True, slots=True)
-class _RuleKey:
-    owner: str
-    work_class: str
+        :raises ChivespanError: when the target doesn't answer.
+        """
+        ...
 
 
 class SliceScheduler:
-    """The one granter of a slice's slots."""
+    """The one granter of a slice's slots.
+
+    :param revoke: tells a holder, by name, to give a grant back.
+    :param probe: asks targets for their load; None for targets that report none.
+    """
 
     def __init__(
         self,
@@ -78,48 +71,37 @@
         clock: Clock,
         policies: Policies,
         revoke: Callable[[str, str], None],
+        probe: LoadProbe | None = None,
     ) -> None:
         self._clock = clock
         self._policies = policies
-        self._revoke = revoke
-        self._grants = GrantBook()
+        self._probe = probe
+        self._pool = SlotPool(clock, policies, revoke)
+        self._limits = OwnerLimits(part, configuration)
         self._usage = UsageBook(part.service)
-        self._targets: dict[str, TargetState] = {}
-        self._online: list[Waiter] = []
-        self._batch: list[Waiter] = []
-        self._mean_hold = FIRST_HOLD_GUESS
-        self._id_prefix = secrets.token_hex(4)
-        self._id_counter = count()
-        self._careful_until = clock.monotonic() + policies.grant_lifetime
-        self._unreported: set[str] | None = None
+        self._online = WaitQueue(QUEUE_ORDERS[policies.online_order])
+        self._batch = WaitQueue(QUEUE_ORDERS[policies.batch_order])
+        self._choose = TARGET_CHOICES[policies.target_choice]
+        self._refuses = REFUSALS[policies.refusal]
+        self._control = BatchControl(policies)
+        self._hints = PrefixHints()
+        self._drain = DrainRate()
         self.reconfigure(part, configuration)
 
-    @property
-    def careful(self) -> bool:
-        """Whether grants of an earlier owner may still be out unseen."""
-        return self._unreported is None or bool(self._unreported)
-
     def reconfigure(self, part: Slice, configuration: Configuration) -> None:
         """Take over a change of the slice's targets or of the rules."""
         self._part = part
-        self._rules = {
-            _RuleKey(rule.owner, rule.work_class.value): rule
-            for rule in configuration.rules.values()
-            if rule.service == part.service
-        }
-        listed = {runner.name: runner for runner in part.runners}
-        for target in self._targets.values():
-            target.in_inventory = target.name in listed
-        for name, runner in listed.items():
-            if name in self._targets:
-                self._targets[name].runner = runner
-            else:
-                self._targets[name] = TargetState(runner)
-        self._grant_waiting()
+        self._service = configuration.services.get(part.service) or Service(
+            name=part.service, kind=ServiceKind.model
+        )
+        self._limits.reconfigure(part, configuration)
+        self._pool.reconfigure(part)
+        self._control.regroup(self._pool.targets.values())
+        self._schedule()
 
     def expect_reports(self, holders: Iterable[str]) -> None:
         """End the careful phase early once all these holders have reported."""
-        self._unreported = set(holders)
+        self._pool.expect_reports(set(holders))
 
     async def acquire(self, request: GrantRequest, holder: str) -> Grant:
         """Wait for a slot.
@@ -130,260 +112,279 @@
         waiter = Waiter(request, holder, deadline)
         self._admit(waiter)
         try:
-            await waiter.woken.wait()
+            return await waiter.result()
         except BaseException:
             self._give_up(waiter)
             raise
-        if waiter.grant is None:
-            raise waiter.error or self._refusal(waiter, ErrorKind.CANCELLED)
-        return waiter.grant
 
     def abandon(self, request_id: str) -> None:
         """Forget a waiting request."""
-        for waiter in [*self._online, *self._batch]:
+        for waiter in self._waiting():
             if waiter.request.request_id == request_id:
-                self._settle(waiter, error=self._refusal(waiter, ErrorKind.CANCELLED))
+                self._refuse(waiter, ErrorKind.CANCELLED)
 
     def release(self, release: GrantRelease) -> None:
-        """Take a slot back; a grant that lapsed before is ignored."""
-        grant = self._grants.pop(release.grant_id)
+        """Take a slot back; of a grant that lapsed before, nothing is counted."""
+        grant = self._pool.give_back(release.grant_id)
         if grant is None:
             return
-        held = self._clock.monotonic() - grant.granted_at
-        self._free(grant)
+        now = self._clock.monotonic()
+        self._limits.refund(grant.owner_class, grant.tokens - release.tokens)
         if release.outcome is not Outcome.not_sent:
-            self._usage.record_use(grant, release.tokens, held)
-        if grant.work_class is WorkClass.online and release.outcome is Outcome.done:
-            self._mean_hold += (held - self._mean_hold) * HOLD_SMOOTHING
-        self._grant_waiting()
+            self._usage.record_use(grant, release.tokens, now - grant.granted_at)
+        self._learn(grant, release, now)
+        self._schedule()
 
     def report(self, holder: str, held: HeldGrants) -> None:
         """Take a holder's word for what it holds."""
-        now = self._clock.monotonic()
-        named = {grant.grant_id for grant in held.grants}
-        for known in self._grants.of_holder(holder):
-            age = now - known.granted_at
-            if known.grant_id in named:
-                known.lapses_at = None
-            elif age > self._policies.grant_lifetime:
-                self._take_back(known)
-        for reported in held.grants:
-            if (
-                reported.grant_id in self._grants
-                or reported.target not in self._targets
-            ):
-                continue
-            self._targets[reported.target].counts[reported.work_class] += 1
-            self._grants.add(
-                LiveGrant(
-                    reported.grant_id,
-                    reported.target,
-                    holder,
-                    reported.owner,
-                    reported.work_class,
-                    now,
-                )
-            )
-        if self._unreported is not None:
-            self._unreported.discard(holder)
-        self._grant_waiting()
+        self._pool.report(holder, held)
+        self._schedule()
+
+    def report_load(self, target: str, load: EngineLoad) -> None:
+        """Take in an engine's own report, which lags."""
+        self._pool.report_load(target, load)
+        self._schedule()
 
     def holder_lost(self, holder: str) -> None:
         """Let a holder's grants lapse unless it comes back and reports them."""
-        lapses_at = self._clock.monotonic() + self._policies.grant_lifetime
-        for grant in self._grants.of_holder(holder):
-            grant.lapses_at = lapses_at
-        for waiter in [*self._online, *self._batch]:
+        self._pool.holder_lost(holder)
+        for waiter in self._waiting():
             if waiter.holder == holder:
-                self._settle(waiter, error=self._refusal(waiter, ErrorKind.CANCELLED))
+                self._refuse(waiter, ErrorKind.CANCELLED)
 
     def load(self) -> SliceLoad:
         """Return the slice's load as counted here."""
-        usable = [target for target in self._targets.values() if target.usable]
-        return SliceLoad(
-            slice_id=self._part.slice_id,
-            free_slots=sum(max(0, target.free) for target in usable),
-            total_slots=sum(target.runner.slots for target in usable),
-            queued_online=len(self._online),
-            batch_running=sum(target.counts[WorkClass.batch] for target in usable),
-        )
+        return self._pool.load(self._part.slice_id, len(self._online))
 
     def statuses(self) -> list[TargetStatus]:
         """Return every target as operators see it."""
         slice_id = self._part.slice_id
-        return [target.status(slice_id) for target in self._targets.values()]
+        return [target.status(slice_id) for target in self._pool.targets.values()]
 
     def usage(self) -> list[UsageCount]:
         """Return what each owner consumed since this owner of the slice started."""
         return self._usage.counts()
 
     async def run(self) -> None:
-        """Keep times: lapsing grants, deadlines, the end of the careful phase."""
-        while True:
-            await anyio.sleep(TICK.total_seconds())
-            self.expire()
+        """Keep times: lapsing grants, deadlines, health, and reports of load."""
+        async with anyio.create_task_group() as tasks:
+            if self._probe is not None:
+                tasks.start_soon(self._probe_targets, self._probe)
+            while True:
+                await anyio.sleep(TICK.total_seconds())
+                self.expire()
 
     def expire(self) -> None:
         """Do all that is due by now."""
         now = self._clock.monotonic()
-        if now >= self._careful_until:
-            self._unreported = set()
-        for grant in self._grants.lapsed(now):
-            self._take_back(grant)
-        for waiter in [*self._online, *self._batch]:
+        self._pool.lapse()
+        for waiter in self._waiting():
             if waiter.deadline <= now:
-                error = self._refusal(waiter, ErrorKind.DEADLINE_PASSED)
-                self._settle(waiter, error=error)
-        self._grant_waiting()
+                self._refuse(waiter, ErrorKind.DEADLINE_PASSED)
+        self._schedule()
+        self._refuse_hopeless()
 
     def _admit(self, waiter: Waiter) -> None:
-        """Queue a request, or refuse it.
-
-        :raises ChivespanError: the refusal.
-        """
+        """Grant, queue or refuse a new request."""
         request = waiter.request
-        rule = self._rules.get(_RuleKey(request.owner, request.work_class.value))
+        rule = self._limits.rule(request)
+        self._queue(request.work_class).push(waiter, rule.weight if rule else 1)
         if rule is None:
             self._refuse(waiter, ErrorKind.NO_RULE)
-        if self._over_limit(request, rule):
-            self._refuse(waiter, ErrorKind.OWNER_LIMIT)
-        if not any(self._suits(target, request) for target in self._targets.values()):
+            return
+        if not any(True for _ in self._suitable(request)):
             self._refuse(waiter, ErrorKind.NO_TARGET)
-        queue = self._queue(request.work_class)
-        queue.append(waiter)
-        queue.sort(key=lambda waiting: waiting.deadline)
-        self._grant_waiting()
-        if not waiter.settled and request.work_class is WorkClass.online:
-            wait = self._expected_wait(queue.index(waiter))
-            if self._clock.monotonic() + wait > waiter.deadline:
-                queue.remove(waiter)
-                self._refuse(waiter, ErrorKind.NO_CAPACITY)
-
-    def _over_limit(self, request: GrantRequest, rule: Rule) -> bool:
-        if rule.max_in_progress == 0:
-            return False
-        running = self._grants.in_progress(request.owner, request.work_class)
-        return running >= rule.max_in_progress
-
-    def _suits(self, target: TargetState, request: GrantRequest) -> bool:
-        return (
-            target.usable
-            and target.serves(request.model)
-            and target.name not in request.excluded
+            return
+        delay = self._limit_delay(request)
+        if delay is not None and request.work_class is WorkClass.online:
+            self._refuse(waiter, ErrorKind.OWNER_LIMIT, delay)
+            return
+        self._schedule()
+        if not waiter.settled:
+            self._refuse_hopeless()
+
+    def _suitable(self, request: GrantRequest) -> Iterator[TargetState]:
+        """Yield the targets that may ever take a request."""
+        for target in self._pool.serving:
+            if target.serves(request.model) and target.name not in request.excluded:
+                yield target
+
+    def _schedule(self) -> None:
+        """Give all slots that may be given, and take back what batch must yield."""
+        now = self._clock.monotonic()
+        self._pool.refresh()
+        self._give_to_online()
+        queued = [waiter.request.model for waiter in self._online]
+        self._control.update(queued, now)
+        if self._control.yields:
+            self._take_back_for_waiting()
+            for grant in self._control.excess(self._pool.grants.standing_batch(), now):
+                self._pool.revoke(grant)
+        if len(self._batch):
+            self._give_to_batch(now)
+
+    def _give_to_online(self) -> None:
+        if not any(self._control.online_room(each) > 0 for each in self._pool.serving):
+            return
+        for waiter in self._in_order(WorkClass.online):
+            targets = [
+                target
+                for target in self._suitable(waiter.request)
+                if self._control.online_room(target) > 0
+            ]
+            if targets:
+                self._give(waiter, targets)
+
+    def _take_back_for_waiting(self) -> None:
+        """See that each waiting online request has a batch grant taken back for it."""
+        unclaimed = {target.name: target.revoking for target in self._pool.serving}
+        for waiter in self._in_order(WorkClass.online):
+            targets = list(self._suitable(waiter.request))
+            promised = [target for target in targets if unclaimed[target.name] > 0]
+            if promised:
+                unclaimed[promised[0].name] -= 1
+                continue
+            yielding = [target for target in targets if target.standing_batch > 0]
+            if not yielding:
+                continue
+            target = self._choose(ChoiceView(waiter.request, yielding, self._hints))
+            self._pool.revoke(self._youngest_batch(target))
+            if self._policies.grant_on_revoke:
+                self._give(waiter, [target])
+
+    def _youngest_batch(self, target: TargetState) -> LiveGrant:
+        standing = self._pool.grants.standing_batch()
+        return next(grant for grant in standing if grant.target == target.name)
+
+    def _give_to_batch(self, now: timedelta) -> None:
+        wanted = [waiter.request for waiter in self._online]
+        open_targets = {
+            target.name
+            for target in self._pool.serving
+            if not target.careful
+            and self._control.room(target, now) > 0
+            and not any(target.serves(request.model) for request in wanted)
+        }
+        if not open_targets:
+            return
+        for waiter in self._in_order(WorkClass.batch):
+            if self._limit_delay(waiter.request) is not None:
+                continue
+            targets = [
+                target
+                for target in self._suitable(waiter.request)
+                if target.name in open_targets
+            ]
+            if targets:
+                chosen = self._give(waiter, targets)
+                if self._control.room(chosen, now) <= 0:
+                    open_targets.discard(chosen.name)
+            if not open_targets:
+                return
+
+    def _in_order(self, work_class: WorkClass) -> Iterator[Waiter]:
+        return self._queue(work_class).in_order(
+            lambda owner: self._pool.grants.held(OwnerClass(owner, work_class)),
+            self._pool.total_slots,
         )
 
-    def _grant_waiting(self) -> None:
-        for waiter in [*self._online, *self._batch]:
-            target = self._choose(waiter.request)
-            if target is not None:
-                self._give(waiter, target)
-        self._revoke_for_online()
-
-    def _choose(self, request: GrantRequest) -> TargetState | None:
-        fitting = [
-            target
-            for target in self._targets.values()
-            if self._suits(target, request) and self._open_slots(target, request) > 0
-        ]
-        return max(fitting, key=lambda target: target.free, default=None)
-
-    def _open_slots(self, target: TargetState, request: GrantRequest) -> int:
-        """Return how many slots of a target a request of this class may take from."""
-        if request.work_class is WorkClass.batch and (self._online or self.careful):
-            return 0
-        if not self.careful:
-            return target.free
-        return max(1, target.runner.slots // CAREFUL_SHARE) - target.used
-
-    def _give(self, waiter: Waiter, target: TargetState) -> None:
+    def _give(self, waiter: Waiter, targets: list[TargetState]) -> TargetState:
         request = waiter.request
-        grant = Grant(
-            request_id=request.request_id,
-            grant_id=f"{self._id_prefix}-{next(self._id_counter)}",
-            target=target.name,
-            address=target.runner.address,
-            lifetime_ms=round(self._policies.grant_lifetime / MILLISECOND),
-        )
-        target.counts[request.work_class] += 1
-        self._grants.add(
-            LiveGrant(
-                grant.grant_id,
-                target.name,
-                waiter.holder,
-                request.owner,
-                request.work_class,
-                self._clock.monotonic(),
-            )
+        target = self._choose(ChoiceView(request, targets, self._hints))
+        self._hints.record(request.prefix_hash, target.name)
+        self._limits.charge(request, self._clock.monotonic())
+        grant = self._pool.take(request, waiter.holder, target)
+        self._queue(request.work_class).discard(waiter)
+        waiter.give(grant)
+        return target
+
+    def _limit_delay(self, request: GrantRequest) -> timedelta | None:
+        key = OwnerClass(request.owner, request.work_class)
+        if self._limits.rule(request) is None:
+            return None
+        held = self._pool.grants.held(key)
+        return self._limits.delay(request, held, self._clock.monotonic())
+
+    def _learn(self, grant: LiveGrant, release: GrantRelease, now: timedelta) -> None:
+        """Draw from a finished use what it says of its target."""
+        target = self._pool.targets.get(grant.target)
+        if target is None:
+            return
+        if release.outcome in FAILED_OUTCOMES:
+            target.health.record_failure(now)
+        elif release.outcome is Outcome.done:
+            target.health.record_success()
+            if grant.work_class is WorkClass.online:
+                self._drain.record(now - grant.granted_at)
+                sample = self._sample(grant, release)
+                self._control.record(target, sample, now)
+
+    def _sample(self, grant: LiveGrant, release: GrantRelease) -> OnlineSample:
+        first_bound = self._service.first_token_ms * MILLISECOND
+        gap_bound = self._service.token_gap_ms * MILLISECOND
+        harm = max(
+            release.first_token_us * MICROSECOND / first_bound,
+            release.token_gap_us * MICROSECOND / gap_bound,
         )
-        self._settle(waiter, grant=grant)
+        return OnlineSample(grant.target, grant.granted_at, harm)
 
-    def _revoke_for_online(self) -> None:
-        """Take back one batch grant for each online request that waits."""
-        revoked = sum(target.revoking for target in self._targets.values())
-        wanted = len(self._online) - revoked
-        if wanted <= 0:
-            return
+    def _refuse_hopeless(self) -> None:
+        """Refuse the online requests that can't be served in time any more."""
         now = self._clock.monotonic()
-        running = [
-            grant
-            for grant in self._grants
-            if grant.work_class is WorkClass.batch and not grant.revoked
-        ]
-        for grant in running[: -wanted - 1 : -1]:
-            grant.revoked = True
-            grant.lapses_at = now + self._policies.revoke_bound
-            self._targets[grant.target].revoking += 1
-            self._revoke(grant.holder, grant.grant_id)
-
-    def _take_back(self, grant: LiveGrant) -> None:
-        self._grants.pop(grant.grant_id)
-        self._free(grant)
-
-    def _free(self, grant: LiveGrant) -> None:
-        target = self._targets[grant.target]
-        target.counts[grant.work_class] -= 1
-        if grant.revoked:
-            target.revoking -= 1
-        if not target.in_inventory and target.used == 0:
-            del self._targets[target.name]
-
-    def _queue(self, work_class: WorkClass) -> list[Waiter]:
-        return self._online if work_class is WorkClass.online else self._batch
-
-    def _expected_wait(self, place: int) -> timedelta:
-        slots = max(1, self.load().total_slots)
-        return self._mean_hold * ((place + 1) / slots)
+        slots = self._pool.total_slots
+        revocable = self._pool.held(WorkClass.batch) if self._control.yields else 0
+        for place, waiter in enumerate(self._in_order(WorkClass.online)):
+            prospect = Prospect(
+                wait=self._drain.wait(place, revocable, slots),
+                hold=self._drain.mean_hold,
+                remaining=waiter.deadline - now,
+                ahead=place,
+                slots=slots,
+            )
+            if self._refuses(prospect):
+                self._refuse(waiter, ErrorKind.NO_CAPACITY)
 
-    def _settle(
-        self,
-        waiter: Waiter,
-        grant: Grant | None = None,
-        error: ChivespanError | None = None,
+    def _refuse(
+        self, waiter: Waiter, kind: ErrorKind, delay: timedelta | None = None
     ) -> None:
-        self._queue(waiter.request.work_class).remove(waiter)
-        waiter.grant = grant
-        waiter.error = error
-        waiter.woken.set()
+        request = waiter.request
+        slots = self._pool.total_slots
+        self._usage.record_refusal(OwnerClass(request.owner, request.work_class))
+        drained = retry_after(self._drain, len(self._online), slots)
+        reason = f"no slot of {self._part.slice_id} for request {request.request_id}"
+        error = ChivespanError(
+            kind,
+            reason,
+            retry_after=delay or drained,
+            shares=self._pool.grants.shares(),
+        )
+        self._queue(request.work_class).discard(waiter)
+        waiter.refuse(error)
 
     def _give_up(self, waiter: Waiter) -> None:
+        """Undo what was done for a request whose asker went away."""
         if waiter.grant is not None:
-            release = GrantRelease(
-                grant_id=waiter.grant.grant_id, outcome=Outcome.not_sent
-            )
-            self.release(release)
+            self._pool.give_back(waiter.grant.grant_id)
+            self._schedule()
         elif not waiter.settled:
-            self._queue(waiter.request.work_class).remove(waiter)
+            self._refuse(waiter, ErrorKind.CANCELLED)
 
-    def _refuse(self, waiter: Waiter, kind: ErrorKind) -> NoReturn:
-        raise self._refusal(waiter, kind)
+    def _waiting(self) -> list[Waiter]:
+        return [*self._online, *self._batch]
 
-    def _refusal(self, waiter: Waiter, kind: ErrorKind) -> ChivespanError:
-        request = waiter.request
-        self._usage.record_refusal(request.owner, request.work_class)
-        drained = self._expected_wait(len(self._queue(request.work_class)))
-        return ChivespanError(
-            kind,
-            f"no slot of {self._part.slice_id} for request {request.request_id}",
-            retry_after=max(MIN_RETRY_AFTER, drained),
-            shares=self._grants.shares(),
-        )
+    def _queue(self, work_class: WorkClass) -> WaitQueue:
+        return self._online if work_class is WorkClass.online else self._batch
+
+    async def _probe_targets(self, probe: LoadProbe) -> None:
+        while True:
+            async with anyio.create_task_group() as tasks:
+                for target in list(self._pool.serving):
+                    tasks.start_soon(self._probe_one, probe, target)
+            await anyio.sleep(PROBE_INTERVAL.total_seconds())
+
+    async def _probe_one(self, probe: LoadProbe, target: TargetState) -> None:
+        try:
+            load = await probe.load(target.runner.address)
+        except ChivespanError:
+            return
+        self.report_load(target.name, load)
--- /dev/null
+++ b/chivespan/targetchoice.py
@@ -0,0 +1,105 @@
+"""Which target a request gets: own counts first, then reports, then prefix hints.
+
+Engines report late and cache events have gaps, so a hint decides only between targets
+that the counts hold equal.
+"""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from chivespan.messages import GrantRequest, WorkClass
+from chivespan.registry import Registry
+from chivespan.targetstate import TargetState
+
+PREFIXES_KEPT = 4096
+
+
+class PrefixHints:
+    """Which target read a prompt's head last, as far as is known; bounded."""
+
+    def __init__(self) -> None:
+        self._targets: OrderedDict[int, str] = OrderedDict()
+
+    def record(self, prefix_hash: int, target: str) -> None:
+        """Note that a target has or will soon have a prompt's head in its cache."""
+        if prefix_hash == 0:
+            return
+        self._targets[prefix_hash] = target
+        self._targets.move_to_end(prefix_hash)
+        if len(self._targets) > PREFIXES_KEPT:
+            self._targets.popitem(last=False)
+
+    def forget(self, prefix_hash: int, target: str) -> None:
+        """Note that a target dropped a prompt's head."""
+        if self._targets.get(prefix_hash) == target:
+            del self._targets[prefix_hash]
+
+    def points_to(self, prefix_hash: int, target: str) -> bool:
+        """Return whether a target probably has a prompt's head."""
+        return prefix_hash != 0 and self._targets.get(prefix_hash) == target
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceView:
+    """A request and the targets that may take it."""
+
+    request: GrantRequest
+    targets: Sequence[TargetState]
+    hints: PrefixHints
+
+    def hinted(self, target: TargetState) -> bool:
+        """Return whether a hint speaks for a target."""
+        return self.hints.points_to(self.request.prefix_hash, target.name)
+
+
+TargetChoice: TypeAlias = Callable[[ChoiceView], TargetState]
+TARGET_CHOICES: Registry[TargetChoice] = Registry("target choice")
+
+
+@TARGET_CHOICES.register("counts")
+def by_counts(view: ChoiceView) -> TargetState:
+    """Choose the least used target, by counts, then reported load, then hints.
+
+    Online looks at online work alone, since batch gives way; batch keeps away from
+    targets with online work.
+    """
+    if view.request.work_class is WorkClass.online:
+        return min(
+            view.targets,
+            key=lambda target: (
+                target.share(WorkClass.online),
+                -target.free,
+                not view.hinted(target),
+                target.reported_load,
+            ),
+        )
+    return min(
+        view.targets,
+        key=lambda target: (
+            target.used / max(1, target.runner.slots),
+            target.share(WorkClass.online),
+            not view.hinted(target),
+            target.reported_load,
+        ),
+    )
+
+
+@TARGET_CHOICES.register("reported")
+def by_report(view: ChoiceView) -> TargetState:
+    """Choose by the engines' late reports alone; for comparison."""
+    return min(view.targets, key=lambda target: target.reported_load)
+
+
+@TARGET_CHOICES.register("hints_first")
+def by_hints(view: ChoiceView) -> TargetState:
+    """Follow prefix hints before counts; for comparison."""
+    return min(view.targets, key=lambda target: (not view.hinted(target), -target.free))
+
+
+@TARGET_CHOICES.register("random")
+def by_chance(view: ChoiceView) -> TargetState:
+    """Choose any target; for comparison."""
+    return random.choice(view.targets)
--- a/chivespan/targetstate.py
+++ b/chivespan/targetstate.py
@@ -1,23 +1,39 @@
 """One target of a slice as its owner counts it."""
 
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from chivespan.documents import Runner
+from chivespan.engineapi import EngineLoad
 from chivespan.messages import TargetStatus, WorkClass
+from chivespan.targethealth import HealthState, TargetHealth
 
 SERVING_ROLE = "serve"
 
 
 @dataclass(slots=True)
 class TargetState:
-    """Exact counts of one target's grants."""
+    """Exact counts of one target's grants, and what is known of it besides.
+
+    :param listed: whether the inventory still has it.
+    :param revoking: batch grants taken back whose slots aren't free yet.
+    :param unseen: slots that grants of an earlier owner may hold.
+    :param careful_until: monotonic time up to which there may be such grants; None
+        once all are known.
+    :param reported: the engine's last report, which lags.
+    """
 
     runner: Runner
-    in_inventory: bool = True
+    listed: bool = True
     counts: dict[WorkClass, int] = field(
         default_factory=lambda: dict.fromkeys(WorkClass, 0)
     )
     revoking: int = 0
+    unseen: int = 0
+    careful_until: timedelta | None = None
+    reported: EngineLoad | None = None
+    health: TargetHealth = field(default_factory=TargetHealth)
+    open_slots: int = 0
 
     @property
     def name(self) -> str:
@@ -27,17 +43,51 @@
     @property
     def used(self) -> int:
         """Slots that grants hold."""
-        return sum(self.counts.values())
+        return self.counts[WorkClass.online] + self.counts[WorkClass.batch]
 
     @property
     def free(self) -> int:
-        """Slots that no grant holds; negative after the inventory lowered them."""
-        return self.runner.slots - self.used
+        """Slots that may be used and that no grant holds; negative when over."""
+        return self.open_slots - self.used
+
+    @property
+    def standing_batch(self) -> int:
+        """Batch grants that have not been taken back."""
+        return self.counts[WorkClass.batch] - self.revoking
+
+    @property
+    def serving(self) -> bool:
+        """Whether the inventory lets it have new work."""
+        return self.listed and self.runner.role == SERVING_ROLE
 
     @property
-    def usable(self) -> bool:
-        """Whether new grants may be given."""
-        return self.in_inventory and self.runner.role == SERVING_ROLE
+    def reported_load(self) -> float:
+        """Running and waiting requests for each slot, as the engine last said."""
+        if self.reported is None:
+            return 0.0
+        requests = self.reported.running + self.reported.waiting
+        return requests / max(1, self.runner.slots)
+
+    def share(self, work_class: WorkClass) -> float:
+        """Return the part of the slots that work of a class holds."""
+        return self.counts[work_class] / max(1, self.runner.slots)
+
+    @property
+    def careful(self) -> bool:
+        """Whether grants of an earlier owner may be out unseen."""
+        return self.careful_until is not None
+
+    def end_careful_phase(self) -> None:
+        """Take all grants for known."""
+        self.careful_until = None
+        self.unseen = 0
+
+    def refresh(self, now: timedelta) -> None:
+        """Work out how many slots may be used now."""
+        if self.careful_until is not None and now >= self.careful_until:
+            self.end_careful_phase()
+        slots = self.health.slots(self.runner.slots, now) if self.serving else 0
+        self.open_slots = max(0, slots - self.unseen)
 
     def serves(self, model: str) -> bool:
         """Return whether requests for ``model`` may run here."""
@@ -45,10 +95,13 @@
 
     def status(self, slice_id: str) -> TargetStatus:
         """Return what operators see."""
+        state = self.health.state.value if self.serving else "leaving"
+        if state == HealthState.HEALTHY:
+            state = "serving"
         return TargetStatus(
             target=self.name,
             slice_id=slice_id,
-            state="serving" if self.usable else "leaving",
+            state=state,
             slots=self.runner.slots,
             online_running=self.counts[WorkClass.online],
             batch_running=self.counts[WorkClass.batch],
