--- a/chivespan/online.py
+++ b/chivespan/online.py
@@ -19,6 +19,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.messages import Grant, GrantRequest, Outcome, WorkClass
 from chivespan.plainclient import PlainClient, PlainRequest
+from chivespan.retrybudget import RetryBudget
 from chivespan.targethttp import HttpAnswer
 
 MAX_ATTEMPTS = 4
@@ -67,18 +68,6 @@
         ...
 
 
-class RetryPermits(Protocol):
-    """Bounds retries to a share of successes."""
-
-    def record_success(self) -> None:
-        """Count a request that went well."""
-        ...
-
-    def try_spend(self) -> bool:
-        """Take one retry, or return False when the budget is spent."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class OnlineRequest:
     """An online request whose owner and service are known.
@@ -168,7 +157,7 @@
         slots: SlotSource,
         engines: EngineClient,
         plain: PlainClient,
-        retries: RetryPermits,
+        retries: RetryBudget,
         clock: Clock,
     ) -> None:
         self._slots = slots
