--- /dev/null
+++ b/chivespan/dispatcher.py
@@ -0,0 +1,411 @@
+"""The work of chivespan-dispatch: one node's control, and the grants of its slices."""
+
+from datetime import timedelta
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.clock import Clock
+from chivespan.codec import encode_message
+from chivespan.configcopy import ConfigCopy
+from chivespan.configfeed import ConfigFeed, SnapshotSource
+from chivespan.errors import ChivespanError
+from chivespan.logs import logger
+from chivespan.membership import Membership
+from chivespan.mesh import Mesh
+from chivespan.messages import (
+    ConfigRecords,
+    ConfigRequest,
+    ConfigSnapshot,
+    DrainRequest,
+    GrantAbandon,
+    GrantRelease,
+    GrantRequest,
+    GrantRevoke,
+    Heartbeat,
+    HeldGrants,
+    Hello,
+    MembershipUpdate,
+    Program,
+    StatusReply,
+    StatusRequest,
+    UsageCount,
+    UsageReply,
+    UsageReport,
+    UsageRequest,
+)
+from chivespan.metrics import Metrics
+from chivespan.peerlink import (
+    IDLE_HEARTBEAT,
+    LinkEnd,
+    LinkOptions,
+    PeerLink,
+    listen,
+    new_hello,
+)
+from chivespan.platform import LogService, VmList
+from chivespan.policies import Policies
+from chivespan.settings import NodeSettings
+from chivespan.sliceowner import SliceOwner
+from chivespan.usage import UsageKey, UsageLedger, key_of
+
+LIST_INTERVAL = timedelta(seconds=1)
+LIST_BYTES_SHARE_S = 4000
+LISTED_VM_BYTES = 90
+LOAD_PUSH_INTERVAL = timedelta(milliseconds=500)
+REMOTE_PUSH_INTERVAL = timedelta(seconds=2)
+COALESCE = timedelta(milliseconds=20)
+USAGE_INTERVAL = timedelta(seconds=5)
+DRAIN_TAIL = timedelta(seconds=3)
+DRAIN_LIMIT = timedelta(seconds=60)
+MILLISECOND = timedelta(milliseconds=1)
+
+_log = logger("dispatch")
+
+
+class Dispatcher:
+    """One node's control program.
+
+    :param snapshots: gives the newest usable configuration snapshot from the log.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        log: LogService,
+        vm_list: VmList,
+        clock: Clock,
+        metrics: Metrics,
+        policies: Policies | None = None,
+        snapshots: SnapshotSource | None = None,
+    ) -> None:
+        self._settings = settings
+        self._vm_list = vm_list
+        self._clock = clock
+        self._metrics = metrics
+        self._copy = ConfigCopy()
+        self._membership = Membership(settings, clock)
+        self._end = LinkEnd(
+            new_hello(settings, Program.dispatch),
+            LinkOptions.from_settings(settings),
+            clock,
+            metrics,
+            self._heartbeat_for,
+        )
+        self._mesh = Mesh(settings, self._end, self._membership, self._read_link)
+        self._feed = ConfigFeed(
+            settings,
+            log,
+            self._copy,
+            self._membership,
+            clock,
+            metrics,
+            self._push_configuration,
+            snapshots,
+        )
+        self._slices = SliceOwner(
+            settings,
+            self._membership,
+            clock,
+            metrics,
+            self._revoke,
+            policies or Policies(),
+        )
+        self._usage = UsageLedger()
+        self._reported: dict[UsageKey, UsageCount] = {}
+        self._holders: dict[str, list[PeerLink]] = {}
+        self._followers: set[PeerLink] = set()
+        self._heartbeat_frame = IDLE_HEARTBEAT
+        self._configuration_changed = anyio.Event()
+        self._follower_ended = anyio.Event()
+        self._drained = anyio.Event()
+
+    @property
+    def membership(self) -> Membership:
+        """This node's view of the VMs."""
+        return self._membership
+
+    @property
+    def feed(self) -> ConfigFeed:
+        """Where the configuration comes from."""
+        return self._feed
+
+    @property
+    def copy(self) -> ConfigCopy:
+        """The configuration in force here."""
+        return self._copy
+
+    async def run(self) -> None:
+        """Work until drained."""
+        settings = self._settings
+        async with (
+            listen(settings.vm, settings.dispatch_port, self._end, self._accept),
+            anyio.create_task_group() as tasks,
+        ):
+            _log.notice("started", port=settings.dispatch_port)
+            tasks.start_soon(self._mesh.run)
+            tasks.start_soon(self._feed.run)
+            tasks.start_soon(self._poll_list)
+            tasks.start_soon(self._follow_configuration, tasks)
+            tasks.start_soon(self._follow_membership, tasks)
+            tasks.start_soon(self._refresh_heartbeat)
+            tasks.start_soon(self._share_usage)
+            await self._drained.wait()
+            tasks.cancel_scope.cancel()
+        _log.notice("ended")
+
+    def announce_leaving(self) -> None:
+        """Tell everybody that this node leaves, and hand its slices over."""
+        if self._membership.leaving:
+            return
+        _log.notice("leaving")
+        self._membership.announce_leaving()
+        self._make_heartbeat()
+        for link in self._mesh.links:
+            link.send_frame(self._heartbeat_frame)
+
+    async def drain(self) -> None:
+        """Leave: hand over, serve the VM's own programs until they ended, then stop."""
+        self.announce_leaving()
+        await anyio.sleep(DRAIN_TAIL.total_seconds())
+        with anyio.move_on_after(DRAIN_LIMIT.total_seconds()):
+            await self._wait_own_followers_ended()
+        self._drained.set()
+
+    async def _wait_own_followers_ended(self) -> None:
+        own = self._settings.vm
+        while any(link.remote.vm == own for link in self._followers):
+            self._follower_ended = anyio.Event()
+            await self._follower_ended.wait()
+
+    def status(self, request_id: str) -> StatusReply:
+        """Return what this node owns and has in force."""
+        return StatusReply(
+            request_id=request_id,
+            vm=self._settings.vm,
+            config_offset=self._copy.offset,
+            config_age_ms=self._feed.age // MILLISECOND,
+            leaving=self._membership.leaving,
+            targets=self._slices.statuses(),
+            vms=list(self._membership.views.values()),
+        )
+
+    async def _accept(self, link: PeerLink) -> None:
+        if link.remote.program is not Program.dispatch:
+            await self._read_link(link)
+        elif link.remote.data_centre == self._settings.data_centre:
+            await self._mesh.hold(link, self._read_link)
+        else:
+            await self._mesh.hold(link, self._inform_remote)
+
+    async def _inform_remote(self, link: PeerLink) -> None:
+        """Tell a peer of another data centre, which dialled, about this one."""
+        centre = self._settings.data_centre
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._push_membership, link, centre, REMOTE_PUSH_INTERVAL)
+            await self._read_link(link)
+            tasks.cancel_scope.cancel()
+
+    async def _read_link(self, link: PeerLink) -> None:
+        """Take a link's messages until it ends."""
+        self._holders.setdefault(link.holder, []).append(link)
+        if link.remote.program is Program.dispatch:
+            self._greet_peer(link)
+        try:
+            async with anyio.create_task_group() as tasks:
+                async for message in link:
+                    self._take_checked(link, message, tasks)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._followers.discard(link)
+            self._follower_ended.set()
+            self._forget_holder(link)
+
+    def _forget_holder(self, link: PeerLink) -> None:
+        links = self._holders[link.holder]
+        links.remove(link)
+        if not links:
+            del self._holders[link.holder]
+            self._slices.holder_lost(link.holder)
+
+    def _greet_peer(self, link: PeerLink) -> None:
+        if link.remote.data_centre == self._settings.data_centre:
+            for report in self._usage.reports(self._settings.vm):
+                link.send(report)
+
+    def _take_checked(self, link: PeerLink, message: object, tasks: TaskGroup) -> None:
+        try:
+            self._take(link, message, tasks)
+        except ChivespanError as error:
+            _log.warning("bad message", peer=link.remote.vm, reason=error.message)
+            link.reject()
+
+    def _take(self, link: PeerLink, message: object, tasks: TaskGroup) -> None:
+        match message:
+            case Heartbeat():
+                self._take_heartbeat(link, message)
+            case GrantRequest():
+                tasks.start_soon(self._grant, link, message)
+            case GrantRelease():
+                self._slices.release(message)
+            case GrantAbandon():
+                self._slices.abandon(message.request_id)
+            case HeldGrants():
+                self._slices.report(link.holder, message)
+            case ConfigRequest():
+                self._follow(link, message, tasks)
+            case ConfigRecords():
+                self._feed.take_records(link, message)
+            case ConfigSnapshot():
+                self._feed.take_snapshot(message)
+            case MembershipUpdate():
+                self._membership.take_report(link.remote.data_centre, message)
+            case UsageReport():
+                self._usage.take(message)
+            case _:
+                self._take_question(link, message)
+
+    def _take_question(self, link: PeerLink, message: object) -> None:
+        match message:
+            case StatusRequest():
+                link.send(self.status(message.request_id))
+            case UsageRequest():
+                totals = self._merged_usage()
+                link.send(UsageReply(request_id=message.request_id, counts=totals))
+            case DrainRequest():
+                self.announce_leaving()
+                link.send(self.status(message.request_id))
+            case _:
+                self._metrics.incr("peer.unexpected_messages")
+
+    def _take_heartbeat(self, link: PeerLink, heartbeat: Heartbeat) -> None:
+        if link.remote.program is Program.dispatch:
+            self._membership.heard(link.remote.vm, heartbeat)
+            self._feed.heard_offset(link, heartbeat.config_offset)
+
+    async def _grant(self, link: PeerLink, request: GrantRequest) -> None:
+        answer = await self._slices.answer(request, link.holder)
+        link.send(answer)
+
+    def _revoke(self, holder: str, grant_id: str) -> None:
+        for link in self._holders.get(holder, ()):
+            link.send(GrantRevoke(grant_id=grant_id))
+
+    def _follow(self, link: PeerLink, request: ConfigRequest, tasks: TaskGroup) -> None:
+        """Answer a request for configuration; local programs follow from then on."""
+        self._feed.answer(link, request)
+        if link.remote.program is Program.dispatch or link in self._followers:
+            return
+        self._followers.add(link)
+        tasks.start_soon(self._push_membership, link, None, LOAD_PUSH_INTERVAL)
+        if not self._feed.is_known:
+            tasks.start_soon(self._answer_when_known, link, request)
+
+    async def _answer_when_known(self, link: PeerLink, request: ConfigRequest) -> None:
+        await self._feed.wait_known()
+        self._feed.answer(link, request)
+
+    async def _push_membership(
+        self, link: PeerLink, data_centre: str | None, interval: timedelta
+    ) -> None:
+        """Send what changed: states at once, loads at an interval."""
+        sequence = 0
+        while link.is_open:
+            update = self._membership.changes_since(sequence, data_centre)
+            sequence = self._membership.sequence
+            if update is not None:
+                link.send(update)
+            with anyio.move_on_after(interval.total_seconds()):
+                await self._membership.wait_state_changed()
+            await anyio.sleep(COALESCE.total_seconds())
+
+    def _push_configuration(
+        self, message: ConfigRecords | ConfigSnapshot, peers_too: bool
+    ) -> None:
+        """Pass a change of the configuration on."""
+        frame = encode_message(message)
+        for link in self._followers:
+            link.send_frame(frame)
+        if peers_too:
+            for link in self._mesh.links_here():
+                link.send_frame(frame)
+        self._metrics.gauge("config.offset", self._copy.offset)
+        self._configuration_changed.set()
+
+    async def _follow_configuration(self, tasks: TaskGroup) -> None:
+        """Divide slices and rules anew whenever the configuration changes."""
+        await self._feed.wait_known()
+        while True:
+            self._configuration_changed = anyio.Event()
+            self._slices.refresh(self._copy.configuration, tasks)
+            await self._configuration_changed.wait()
+            await anyio.sleep(COALESCE.total_seconds())
+
+    async def _follow_membership(self, tasks: TaskGroup) -> None:
+        """Take slices over and hand them over whenever a VM comes or goes."""
+        await self._feed.wait_known()
+        while True:
+            await self._membership.wait_state_changed()
+            self._slices.refresh(self._copy.configuration, tasks)
+
+    async def _poll_list(self) -> None:
+        """Read the VM list; the larger it is, the more rarely."""
+        known = True
+        while True:
+            count = 0
+            try:
+                listed = await self._vm_list.fetch()
+                count = len(listed)
+                self._membership.take_list(listed)
+            except ChivespanError as error:
+                self._metrics.incr("membership.list_failures")
+                if known:
+                    _log.warning("the VM list gives no answer", reason=error.message)
+            known = count > 0
+            share = timedelta(seconds=count * LISTED_VM_BYTES / LIST_BYTES_SHARE_S)
+            await anyio.sleep(max(LIST_INTERVAL, share).total_seconds())
+
+    async def _refresh_heartbeat(self) -> None:
+        while True:
+            self._make_heartbeat()
+            await anyio.sleep(self._end.options.heartbeat.total_seconds())
+
+    def _make_heartbeat(self) -> None:
+        heartbeat = Heartbeat(
+            config_offset=self._copy.offset,
+            leaving=self._membership.leaving,
+            slices=self._slices.loads(),
+        )
+        self._membership.set_own(heartbeat)
+        self._heartbeat_frame = encode_message(heartbeat)
+
+    def _heartbeat_for(self, remote: Hello) -> bytes:
+        if remote.program is Program.dispatch:
+            return self._heartbeat_frame
+        return IDLE_HEARTBEAT
+
+    def _own_usage(self, counts: list[UsageCount]) -> UsageReport:
+        return UsageReport(
+            vm=self._settings.vm,
+            incarnation=self._end.hello.incarnation,
+            counts=counts,
+        )
+
+    def _merged_usage(self) -> list[UsageCount]:
+        self._usage.take(self._own_usage(self._slices.usage()))
+        return self._usage.totals()
+
+    async def _share_usage(self) -> None:
+        """Send the running totals that changed to the data centre's peers."""
+        while True:
+            await anyio.sleep(USAGE_INTERVAL.total_seconds())
+            counts = self._slices.usage()
+            changed = [c for c in counts if self._reported.get(key_of(c)) != c]
+            if not changed:
+                continue
+            self._reported.update((key_of(count), count) for count in changed)
+            report = self._own_usage(changed)
+            self._usage.take(report)
+            frame = encode_message(report)
+            for link in self._mesh.links_here():
+                link.send_frame(frame)
--- /dev/null
+++ b/chivespan/grantclient.py
@@ -0,0 +1,431 @@
+"""Asks the owners of slices for slots, for the entry and the batch worker.
+
+The bytes of a request flow straight to the target; only the grant goes through a
+dispatcher. Where an owner can't be reached the next in rendezvous order is asked, and
+cut off from all, online work may use this VM's fixed share of each target.
+"""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from functools import partial
+from itertools import islice
+from math import ceil
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.heldslot import HeldSlot, slot_share
+from chivespan.messages import (
+    Grant,
+    GrantAbandon,
+    GrantRelease,
+    GrantRequest,
+    GrantRevoke,
+    HeldGrants,
+    Outcome,
+    Refusal,
+    SliceLoad,
+    WorkClass,
+)
+from chivespan.nodeview import NodeView
+from chivespan.peerlink import Backoff, LinkEnd, PeerLink, dial_once
+from chivespan.placement import ranked
+from chivespan.settings import NodeSettings
+from chivespan.slices import Slice
+
+OWNERS_ASKED = 2
+SLICES_ASKED = 4
+HOME_SLICES = 4
+CONNECT_WAIT = timedelta(milliseconds=500)
+NO_OWNER_WAIT = timedelta(seconds=1)
+NO_OWNER_PAUSE = timedelta(milliseconds=50)
+SHARE_LIFETIME = timedelta(seconds=1)
+MILLISECOND = timedelta(milliseconds=1)
+SPILL_KINDS = frozenset({ErrorKind.NO_CAPACITY, ErrorKind.NO_TARGET})
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """One request that waits for its owner's answer."""
+
+    vm: str
+    answered: anyio.Event = field(default_factory=anyio.Event)
+    answer: Grant | Refusal | None = None
+
+    def settle(self, answer: Grant | Refusal | None) -> None:
+        self.answer = answer
+        self.answered.set()
+
+
+@dataclass(slots=True)
+class _Dispatcher:
+    """One dispatcher as this process reaches it."""
+
+    vm: str
+    link: PeerLink | None = None
+    tried: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def open_link(self) -> PeerLink | None:
+        return self.link if self.link and self.link.is_open else None
+
+
+@dataclass(slots=True)
+class _Holding:
+    """A slot in use, and the dispatcher that counts it."""
+
+    slot: HeldSlot
+    vm: str
+
+
+class GrantClient:
+    """Gets slots for one process."""
+
+    def __init__(
+        self,
+        end: LinkEnd,
+        settings: NodeSettings,
+        view: NodeView,
+        random: Random | None = None,
+    ) -> None:
+        self._end = end
+        self._settings = settings
+        self._view = view
+        self._random = random or Random()
+        self._dispatchers: dict[str, _Dispatcher] = {}
+        self._waiters: dict[str, _Waiter] = {}
+        self._held: dict[str, _Holding] = {}
+        self._owners: dict[str, str] = {}
+        self._shared: Counter[str] = Counter()
+        self._tasks: TaskGroup | None = None
+        self._started = anyio.Event()
+
+    async def run(self) -> None:
+        """Keep the links and report what is held to new owners of slices."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._started.set()
+            while True:
+                self._follow_owners()
+                await self._view.wait_changed()
+
+    async def acquire(self, request: GrantRequest) -> HeldSlot:
+        """Return a slot.
+
+        :param request: its ``slice_id`` may be empty; it is chosen here.
+        :raises ChivespanError: the refusal, with when to come back and whose work
+            holds the capacity.
+        """
+        await self._started.wait()
+        clock = self._end.clock
+        began = clock.monotonic()
+        deadline = began + request.deadline_ms * MILLISECOND
+        patience = min(deadline, began + NO_OWNER_WAIT)
+        while True:
+            try:
+                return await self._ask_slices(request, deadline)
+            except ChivespanError as error:
+                if error.kind is not ErrorKind.NO_DISPATCHER:
+                    raise
+                if self._cut_off and request.work_class is WorkClass.online:
+                    return self._take_share(request)
+                if clock.monotonic() >= patience:
+                    raise
+            await anyio.sleep(NO_OWNER_PAUSE.total_seconds())
+
+    @property
+    def _cut_off(self) -> bool:
+        return not any(each.open_link for each in self._dispatchers.values())
+
+    async def _ask_slices(self, request: GrantRequest, deadline: timedelta) -> HeldSlot:
+        """Ask slice after slice until one grants.
+
+        :raises ChivespanError: the first refusal; ``no_dispatcher`` when no owner
+            gave an answer.
+        """
+        refusal = self._no_dispatcher(request)
+        for part in islice(self._candidates(request), SLICES_ASKED):
+            remaining = deadline - self._end.clock.monotonic()
+            asked = replace(
+                request,
+                slice_id=part.slice_id,
+                deadline_ms=max(0, remaining // MILLISECOND),
+            )
+            try:
+                return await self._ask_owners(part, asked)
+            except ChivespanError as error:
+                if error.kind is ErrorKind.NO_DISPATCHER:
+                    continue
+                if error.kind not in SPILL_KINDS:
+                    raise
+                if refusal.kind is ErrorKind.NO_DISPATCHER:
+                    refusal = error
+        raise refusal
+
+    async def _ask_owners(self, part: Slice, request: GrantRequest) -> HeldSlot:
+        """Ask the slice's owner, or the next one where that can't be reached.
+
+        :raises ChivespanError: the refusal; ``no_dispatcher`` when none answered.
+        """
+        owners = ranked(part.slice_id, self._view.live_vms(part.data_centre))
+        for vm in owners[:OWNERS_ASKED]:
+            link = await self._link(vm)
+            if link is None:
+                continue
+            answer = await self._ask(link, request)
+            if isinstance(answer, Grant):
+                return self._hold(answer, request, vm)
+            if answer is not None and answer.error != ErrorKind.NO_DISPATCHER:
+                raise _refusal_error(answer)
+        raise self._no_dispatcher(request)
+
+    async def _ask(
+        self, link: PeerLink, request: GrantRequest
+    ) -> Grant | Refusal | None:
+        """Return the answer, or nothing when the link ended before it came."""
+        waiter = _Waiter(link.remote.vm)
+        self._waiters[request.request_id] = waiter
+        answered = False
+        try:
+            if not link.send(request):
+                return None
+            await waiter.answered.wait()
+            answered = True
+            return waiter.answer
+        finally:
+            del self._waiters[request.request_id]
+            if not answered:
+                self._abandon(link, request, waiter)
+
+    def _abandon(self, link: PeerLink, request: GrantRequest, waiter: _Waiter) -> None:
+        if isinstance(waiter.answer, Grant):
+            self._give_back_unused(link, waiter.answer)
+        elif link.is_open:
+            link.send(GrantAbandon(request_id=request.request_id))
+
+    def _give_back_unused(self, link: PeerLink, grant: Grant) -> None:
+        self._end.counters.incr("grants.unwanted")
+        link.send(GrantRelease(grant_id=grant.grant_id, outcome=Outcome.not_sent))
+
+    def _hold(self, grant: Grant, request: GrantRequest, vm: str) -> HeldSlot:
+        slot = HeldSlot(grant, request, self._release)
+        self._held[grant.grant_id] = _Holding(slot, vm)
+        return slot
+
+    def _release(self, release: GrantRelease) -> None:
+        holding = self._held.pop(release.grant_id, None)
+        if holding is None:
+            return
+        dispatcher = self._dispatchers.get(holding.vm)
+        link = dispatcher.open_link if dispatcher else None
+        if link is None:
+            self._end.counters.incr("grants.releases_unsent")
+            return
+        link.send(release)
+
+    def _candidates(self, request: GrantRequest) -> Iterator[Slice]:
+        """Yield slices: with free slots here, then near, then those to queue at."""
+        parts = [
+            part
+            for part in self._view.slices.values()
+            if part.service == request.service
+            and request.slice_id in ("", part.slice_id)
+        ]
+        here = [each for each in parts if self._is_here(each)]
+        near = [each for each in parts if not self._is_here(each)]
+        near = [each for each in near if self._in_region(each)]
+        yield from self._by_free_slots(self._homes(here))
+        yield from self._by_free_slots([p for p in here if p not in self._homes(here)])
+        yield from self._by_free_slots(near)
+        full = [part for part in (here or near) if self._free_slots(part) <= 0]
+        yield from sorted(full, key=self._queue_length)
+
+    def _by_free_slots(self, parts: list[Slice]) -> Iterator[Slice]:
+        """Yield the slices with free slots, in random order weighted by these."""
+        keys = {
+            part.slice_id: self._random.random() ** (1 / self._free_slots(part))
+            for part in parts
+            if self._free_slots(part) > 0
+        }
+        chosen = [part for part in parts if part.slice_id in keys]
+        yield from sorted(chosen, key=lambda part: -keys[part.slice_id])
+
+    def _homes(self, here: list[Slice]) -> list[Slice]:
+        """Return the few slices this process asks first, to keep its links few."""
+        ids = ranked(self._settings.vm, [part.slice_id for part in here])
+        return [part for part in here if part.slice_id in ids[:HOME_SLICES]]
+
+    def _is_here(self, part: Slice) -> bool:
+        return part.data_centre == self._settings.data_centre
+
+    def _in_region(self, part: Slice) -> bool:
+        centre = self._view.configuration.data_centres.get(part.data_centre)
+        return centre is not None and centre.region == self._settings.region
+
+    def _free_slots(self, part: Slice) -> int:
+        load = self._view.loads.get(part.slice_id)
+        if load is None:
+            return sum(runner.slots for runner in part.runners)
+        return load.free_slots - load.queued_online
+
+    def _queue_length(self, part: Slice) -> float:
+        load: SliceLoad | None = self._view.loads.get(part.slice_id)
+        if load is None or load.total_slots == 0:
+            return 0.0
+        return load.queued_online / load.total_slots
+
+    def _no_dispatcher(self, request: GrantRequest) -> ChivespanError:
+        reason = f"no dispatcher of service {request.service} can be reached"
+        return ChivespanError(ErrorKind.NO_DISPATCHER, reason)
+
+    def _take_share(self, request: GrantRequest) -> HeldSlot:
+        """Use a slot of this VM's own share of a target.
+
+        :raises ChivespanError: ``no_dispatcher`` when the share is used up.
+        """
+        vms = self._view.live_vms(self._settings.data_centre)
+        for part in self._view.slices.values():
+            if part.service != request.service or not self._is_here(part):
+                continue
+            for runner in part.runners:
+                fits = runner.model == request.model or not request.model
+                share = slot_share(runner, self._settings.vm, vms)
+                excluded = runner.name in request.excluded
+                if fits and not excluded and self._shared[runner.name] < share:
+                    return self._use_share(request, runner.name, runner.address)
+        raise self._no_dispatcher(request)
+
+    def _use_share(self, request: GrantRequest, target: str, address: str) -> HeldSlot:
+        self._end.counters.incr("grants.from_share")
+        self._shared[target] += 1
+        grant = Grant(
+            request_id=request.request_id,
+            grant_id=f"share/{request.request_id}",
+            target=target,
+            address=address,
+            lifetime_ms=ceil(SHARE_LIFETIME / MILLISECOND),
+        )
+
+        def give_back(_release: GrantRelease) -> None:
+            self._shared[target] -= 1
+
+        return HeldSlot(grant, request, give_back)
+
+    async def _link(self, vm: str) -> PeerLink | None:
+        """Return an open link to a dispatcher, or nothing when there is none soon."""
+        dispatcher = self._dispatcher(vm)
+        if dispatcher.open_link is None:
+            with anyio.move_on_after(CONNECT_WAIT.total_seconds()):
+                await dispatcher.tried.wait()
+        return dispatcher.open_link
+
+    def _dispatcher(self, vm: str) -> _Dispatcher:
+        dispatcher = self._dispatchers.get(vm)
+        if dispatcher is None:
+            dispatcher = self._dispatchers[vm] = _Dispatcher(vm)
+            if self._tasks is not None:
+                self._tasks.start_soon(self._keep_link, dispatcher)
+        return dispatcher
+
+    async def _keep_link(self, dispatcher: _Dispatcher) -> None:
+        address = f"{dispatcher.vm}:{self._settings.dispatch_port}"
+        delays = Backoff(Random())
+        while self._is_wanted(dispatcher):
+            if await dial_once(address, self._end, partial(self._listen, dispatcher)):
+                delays.reset()
+            dispatcher.tried.set()
+            await anyio.sleep(delays.next().total_seconds())
+        del self._dispatchers[dispatcher.vm]
+
+    def _is_wanted(self, dispatcher: _Dispatcher) -> bool:
+        known = {view.vm for view in self._view.vms}
+        return dispatcher.vm in known or not known
+
+    async def _listen(self, dispatcher: _Dispatcher, link: PeerLink) -> None:
+        dispatcher.link = link
+        self._report_held(dispatcher.vm, link)
+        dispatcher.tried.set()
+        try:
+            async for message in link:
+                self._take(link, message)
+        finally:
+            dispatcher.link = None
+            self._fail_waiters(dispatcher.vm)
+
+    def _fail_waiters(self, vm: str) -> None:
+        for waiter in self._waiters.values():
+            if waiter.vm == vm and not waiter.answered.is_set():
+                waiter.settle(None)
+
+    def _take(self, link: PeerLink, message: object) -> None:
+        match message:
+            case Grant() | Refusal():
+                self._take_answer(link, message)
+            case GrantRevoke():
+                holding = self._held.get(message.grant_id)
+                if holding is not None:
+                    holding.slot.revoked.set()
+
+    def _take_answer(self, link: PeerLink, answer: Grant | Refusal) -> None:
+        waiter = self._waiters.get(answer.request_id)
+        if waiter is not None and waiter.vm == link.remote.vm:
+            waiter.settle(answer)
+            return
+        self._end.counters.incr("grants.late_answers")
+        if isinstance(answer, Grant):
+            self._give_back_unused(link, answer)
+
+    def _follow_owners(self) -> None:
+        """Link to the owners that matter here, and report to those that are new."""
+        owners = dict(self._owners_that_matter())
+        for slice_id, vm in owners.items():
+            link = self._dispatcher(vm).open_link
+            if self._owners.get(slice_id) != vm and link is not None:
+                self._report_slice(slice_id, vm, link)
+        self._owners = owners
+
+    def _owners_that_matter(self) -> Iterator[tuple[str, str]]:
+        parts: Mapping[str, Slice] = self._view.slices
+        held = {each.slot.request.slice_id for each in self._held.values()}
+        services = {part.service for part in parts.values()}
+        for service in services:
+            here = [p for p in parts.values() if p.service == service]
+            held.update(
+                part.slice_id
+                for part in self._homes([each for each in here if self._is_here(each)])
+            )
+        for slice_id in held & parts.keys():
+            vms = self._view.live_vms(parts[slice_id].data_centre)
+            for vm in ranked(slice_id, vms)[:1]:
+                yield slice_id, vm
+
+    def _report_held(self, vm: str, link: PeerLink) -> None:
+        """Tell a dispatcher what is held on each slice that it owns."""
+        for slice_id, owner in self._owners_that_matter():
+            if owner == vm:
+                self._report_slice(slice_id, vm, link)
+
+    def _report_slice(self, slice_id: str, vm: str, link: PeerLink) -> None:
+        holdings = [
+            each
+            for each in self._held.values()
+            if each.slot.request.slice_id == slice_id
+        ]
+        for holding in holdings:
+            holding.vm = vm
+        reports = [holding.slot.report() for holding in holdings]
+        link.send(HeldGrants(slice_id=slice_id, grants=reports))
+
+
+def _refusal_error(refusal: Refusal) -> ChivespanError:
+    known = refusal.error in ErrorKind.__members__.values()
+    return ChivespanError(
+        ErrorKind(refusal.error) if known else ErrorKind.NO_CAPACITY,
+        "refused by the slice's owner",
+        retry_after=refusal.retry_after_ms * MILLISECOND,
+        shares=refusal.shares,
+    )
--- /dev/null
+++ b/chivespan/httpvmlist.py
@@ -0,0 +1,73 @@
+"""The platform's VM list over HTTP, as docs/PLATFORM.md describes it."""
+
+import httpcore
+import msgspec
+
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.platform import ListedVm
+
+FETCH_TIMEOUT_S = 2.0
+_TIMEOUTS = {
+    "connect": FETCH_TIMEOUT_S,
+    "read": FETCH_TIMEOUT_S,
+    "write": FETCH_TIMEOUT_S,
+    "pool": FETCH_TIMEOUT_S,
+}
+
+
+class HttpVmList:
+    """Fetches the VM list; an unchanged one costs a 304 where the service knows it.
+
+    :param base_url: URL of the service, with an IP number.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self._url = f"{base_url.rstrip('/')}/vms"
+        self._pool = httpcore.AsyncConnectionPool(max_connections=1)
+        self._entity_tag = b""
+        self._last: tuple[ListedVm, ...] = ()
+
+    async def fetch(self) -> tuple[ListedVm, ...]:
+        """Return the list.
+
+        :raises ChivespanError: ``not_ready`` when the list gives no answer.
+        """
+        try:
+            response = await self._pool.request(
+                "GET", self._url, headers=self._headers(), extensions=self._extensions()
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            raise _no_answer(repr(error)) from error
+        except httpcore.ProtocolError as error:
+            raise _no_answer(repr(error)) from error
+        return self._take(response)
+
+    async def close(self) -> None:
+        """Close the connection to the service."""
+        await self._pool.aclose()
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        if not self._entity_tag:
+            return []
+        return [(b"If-None-Match", self._entity_tag)]
+
+    def _extensions(self) -> dict[str, dict[str, float]]:
+        return {"timeout": _TIMEOUTS}
+
+    def _take(self, response: httpcore.Response) -> tuple[ListedVm, ...]:
+        if response.status == 304:
+            return self._last
+        if response.status != 200:
+            raise _no_answer(f"status {response.status}")
+        try:
+            listed = msgspec.json.decode(response.content, type=list[ListedVm])
+        except msgspec.MsgspecError as error:
+            raise _no_answer(str(error)) from error
+        headers = dict(response.headers)
+        self._entity_tag = headers.get(b"ETag", headers.get(b"etag", b""))
+        self._last = tuple(listed)
+        return self._last
+
+
+def _no_answer(reason: str) -> ChivespanError:
+    return ChivespanError(ErrorKind.NOT_READY, f"the VM list gave no answer: {reason}")
--- /dev/null
+++ b/chivespan/membership.py
@@ -0,0 +1,322 @@
+"""One node's view of which VMs are live: the platform's list and its own links.
+
+The list lags and may be down; a link says at once that a VM is there, and its end that
+the VM may be gone. Views of two nodes may differ at any time; nothing relies on equal
+ones.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+import anyio
+
+from chivespan.clock import Clock
+from chivespan.messages import (
+    Heartbeat,
+    Hello,
+    MembershipUpdate,
+    SliceLoad,
+    VmState,
+    VmView,
+)
+from chivespan.placement import ranked
+from chivespan.platform import ListedVm
+from chivespan.settings import NodeSettings
+
+REMOTE_PEERS = 2
+REJOIN_GRACE = timedelta(milliseconds=300)
+FORGET_AFTER = timedelta(seconds=60)
+
+
+@dataclass(slots=True)
+class _Vm:
+    """All that is known of one VM."""
+
+    vm: str
+    data_centre: str
+    region: str
+    first_seen: timedelta
+    listed: VmState | None = None
+    links: int = 0
+    unlinked_at: timedelta | None = None
+    unreachable: bool = False
+    heartbeat: Heartbeat | None = None
+    reported: VmView | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """A VM as last published, and when in the order of changes that was."""
+
+    view: VmView
+    sequence: int
+
+
+@dataclass(slots=True)
+class _Published:
+    """What subscribers are told."""
+
+    entries: dict[str, _Entry] = field(default_factory=dict)
+    gone: dict[str, int] = field(default_factory=dict)
+    sequence: int = 0
+
+
+class Membership:
+    """All VMs as this node sees them."""
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._silence = timedelta(milliseconds=settings.peer_silence_ms)
+        self._vms: dict[str, _Vm] = {}
+        self._leaving_addresses: frozenset[str] = frozenset()
+        self._target_addresses: frozenset[str] = frozenset()
+        self._published = _Published()
+        self._list: tuple[ListedVm, ...] = ()
+        self._doubtful: set[str] = set()
+        self._state_changed = anyio.Event()
+        self._own_heartbeat = Heartbeat(config_offset=-1, leaving=False, slices=[])
+        self._leaving = False
+        self._know(settings.vm, settings.data_centre, settings.region)
+        self.refresh()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this node leaves: it was told to, or the list says so."""
+        return self._leaving or self._vms[self._settings.vm].listed is VmState.leaving
+
+    @property
+    def views(self) -> Mapping[str, VmView]:
+        """All VMs by IP number."""
+        return {vm: entry.view for vm, entry in self._published.entries.items()}
+
+    @property
+    def leaving_addresses(self) -> frozenset[str]:
+        """IP numbers that the list shows as leaving, targets' too."""
+        return self._leaving_addresses
+
+    def live_vms(self, data_centre: str | None = None) -> list[str]:
+        """Return the live VMs of a data centre, or of all."""
+        return [
+            entry.view.vm
+            for entry in self._published.entries.values()
+            if entry.view.state is VmState.live
+            and data_centre in (None, entry.view.data_centre)
+        ]
+
+    def peers_to_link(self) -> list[str]:
+        """Return the VMs to keep links with: its data centre, and a few near ones."""
+        own = self._settings
+        present = [each for each in self._vms.values() if each.vm != own.vm]
+        here = [each.vm for each in present if each.data_centre == own.data_centre]
+        near: dict[str, list[str]] = {}
+        for each in present:
+            if each.region == own.region and each.data_centre != own.data_centre:
+                near.setdefault(each.data_centre, []).append(each.vm)
+        chosen = [ranked(own.vm, vms)[:REMOTE_PEERS] for vms in near.values()]
+        return [*here, *(vm for vms in chosen for vm in vms)]
+
+    async def wait_state_changed(self) -> None:
+        """Wait until a VM came, went or changed its state."""
+        await self._state_changed.wait()
+
+    def announce_leaving(self) -> None:
+        """Tell everybody that this node leaves."""
+        self._leaving = True
+        self.refresh()
+
+    def set_own(self, heartbeat: Heartbeat) -> None:
+        """Take what this node itself tells others."""
+        self._own_heartbeat = heartbeat
+        self._publish(self._vms[self._settings.vm])
+
+    def set_targets(self, addresses: Iterable[str]) -> None:
+        """Take the IP numbers of targets, which are no VMs of chivespan."""
+        self._target_addresses = frozenset(addresses)
+        self.refresh()
+
+    def take_list(self, listed: Iterable[ListedVm]) -> None:
+        """Take the platform's list, which may be old."""
+        entries = tuple(listed)
+        if entries == self._list:
+            return
+        self._list = entries
+        self._take_leaving(entries)
+        for known in self._vms.values():
+            known.listed = None
+        for each in entries:
+            if each.vm not in self._target_addresses:
+                vm = self._know(each.vm, each.data_centre, each.region)
+                vm.listed = each.state
+        self.refresh()
+
+    def linked(self, hello: Hello) -> None:
+        """Note that a link to a VM opened."""
+        vm = self._know(hello.vm, hello.data_centre, hello.region)
+        vm.links += 1
+        vm.unreachable = False
+        self._publish(vm)
+
+    def unlinked(self, hello: Hello) -> None:
+        """Note that a link to a VM ended."""
+        vm = self._vms.get(hello.vm)
+        if vm is not None:
+            vm.links -= 1
+            vm.unlinked_at = self._clock.monotonic()
+            self._doubtful.add(vm.vm)
+
+    def unreachable(self, vm_name: str) -> None:
+        """Note that a new connection to a VM failed."""
+        vm = self._vms.get(vm_name)
+        if vm is not None and vm.links == 0:
+            vm.unreachable = True
+            vm.unlinked_at = vm.unlinked_at or self._clock.monotonic()
+            self._publish(vm)
+
+    def heard(self, vm_name: str, heartbeat: Heartbeat) -> None:
+        """Take a peer's heartbeat."""
+        vm = self._vms.get(vm_name)
+        if vm is not None and vm.heartbeat != heartbeat:
+            vm.heartbeat = heartbeat
+            self._publish(vm)
+
+    def take_report(self, data_centre: str, update: MembershipUpdate) -> None:
+        """Take another data centre's view of its own VMs."""
+        for view in update.vms:
+            if view.data_centre == data_centre != self._settings.data_centre:
+                vm = self._know(view.vm, view.data_centre, view.region)
+                vm.reported = view
+                self._publish(vm)
+
+    def tick(self) -> None:
+        """Look again at the VMs whose state hangs on the time that passed."""
+        for name in list(self._doubtful):
+            vm = self._vms.get(name)
+            if vm is None or vm.links or self._is_silent(vm):
+                self._doubtful.discard(name)
+            if vm is not None:
+                self._publish(vm)
+
+    def refresh(self) -> None:
+        """Look again at every VM."""
+        for vm in list(self._vms.values()):
+            if self._is_forgotten(vm):
+                self._forget(vm)
+            else:
+                self._publish(vm)
+
+    def changes_since(
+        self, sequence: int, data_centre: str | None = None
+    ) -> MembershipUpdate | None:
+        """Return what changed after a point in the order of changes.
+
+        :param sequence: 0 for everything.
+        :param data_centre: only its VMs; None for all.
+        """
+        published = self._published
+        views = [
+            entry.view
+            for entry in published.entries.values()
+            if entry.sequence > sequence
+            and data_centre in (None, entry.view.data_centre)
+        ]
+        gone = [vm for vm, at in published.gone.items() if at > sequence > 0]
+        if not views and not gone:
+            return None
+        return MembershipUpdate(vms=views, whole=sequence == 0, gone=gone)
+
+    @property
+    def sequence(self) -> int:
+        """The present point in the order of changes."""
+        return self._published.sequence
+
+    def _take_leaving(self, entries: Iterable[ListedVm]) -> None:
+        leaving = frozenset(
+            each.vm for each in entries if each.state is VmState.leaving
+        )
+        if leaving != self._leaving_addresses:
+            self._leaving_addresses = leaving
+            self._announce()
+
+    def _know(self, vm: str, data_centre: str, region: str) -> _Vm:
+        known = self._vms.get(vm)
+        if known is None:
+            known = _Vm(vm, data_centre, region, self._clock.monotonic())
+            self._vms[vm] = known
+            self._doubtful.add(vm)
+            self._published.gone.pop(vm, None)
+        return known
+
+    def _forget(self, vm: _Vm) -> None:
+        del self._vms[vm.vm]
+        self._published.entries.pop(vm.vm, None)
+        self._published.sequence += 1
+        self._published.gone[vm.vm] = self._published.sequence
+        self._announce()
+
+    def _is_forgotten(self, vm: _Vm) -> bool:
+        if vm.vm == self._settings.vm or vm.links or vm.listed:
+            return False
+        if vm.vm in self._target_addresses:
+            return True
+        last_seen = vm.unlinked_at or vm.first_seen
+        return self._clock.monotonic() - last_seen > FORGET_AFTER
+
+    def _publish(self, vm: _Vm) -> None:
+        view = self._view(vm)
+        published = self._published
+        before = published.entries.get(vm.vm)
+        if before is not None and before.view == view:
+            return
+        published.sequence += 1
+        published.entries[vm.vm] = _Entry(view, published.sequence)
+        if before is None or before.view.state is not view.state:
+            self._announce()
+
+    def _announce(self) -> None:
+        self._state_changed.set()
+        self._state_changed = anyio.Event()
+
+    def _view(self, vm: _Vm) -> VmView:
+        heartbeat = self._heartbeat(vm)
+        slices: list[SliceLoad] = []
+        offset = -1
+        if heartbeat is not None:
+            slices = heartbeat.slices
+            offset = heartbeat.config_offset
+        elif vm.reported is not None:
+            return replace(vm.reported, state=self._state(vm))
+        return VmView(
+            vm=vm.vm,
+            data_centre=vm.data_centre,
+            region=vm.region,
+            state=self._state(vm),
+            config_offset=offset,
+            slices=slices,
+        )
+
+    def _heartbeat(self, vm: _Vm) -> Heartbeat | None:
+        if vm.vm == self._settings.vm:
+            return self._own_heartbeat
+        return vm.heartbeat if vm.links else None
+
+    def _state(self, vm: _Vm) -> VmState:
+        if vm.vm == self._settings.vm:
+            return VmState.leaving if self.leaving else VmState.live
+        announced = vm.heartbeat is not None and vm.heartbeat.leaving
+        if vm.listed is VmState.leaving or (vm.links and announced):
+            return VmState.leaving
+        if vm.links:
+            return VmState.live
+        if vm.data_centre != self._settings.data_centre:
+            return vm.reported.state if vm.reported else VmState.live
+        return VmState.silent if self._is_silent(vm) else VmState.live
+
+    def _is_silent(self, vm: _Vm) -> bool:
+        if vm.unreachable:
+            return True
+        now = self._clock.monotonic()
+        if vm.unlinked_at is not None:
+            return now - vm.unlinked_at > REJOIN_GRACE
+        return now - vm.first_seen > self._silence
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -262,6 +262,14 @@
     """
 
     vms: list[VmView]
+    whole: bool = True
+    """
+    False when only these VMs changed.
+    """
+    gone: list[str] = field(default_factory=list)
+    """
+    VMs to forget.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -370,3 +378,31 @@
     leaving: bool
     targets: list[TargetStatus]
     vms: list[VmView]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UsageRequest:
+    """
+    Asks a dispatcher for the merged usage of its data centre.
+    """
+
+    request_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UsageReply:
+    """
+    Usage summed over all processes of the data centre that were heard.
+    """
+
+    request_id: str
+    counts: list[UsageCount]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DrainRequest:
+    """
+    Tells a dispatcher that its VM is to leave; answered by a StatusReply.
+    """
+
+    request_id: str
--- /dev/null
+++ b/chivespan/nodeview.py
@@ -0,0 +1,174 @@
+"""What the entry and the batch worker of a VM know of configuration and membership.
+
+They follow their own VM's dispatcher, or the next one of the data centre while that
+is away; when all are away, what was known last stays in use.
+"""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+from random import Random
+
+import anyio
+
+from chivespan.configcopy import ConfigCopy
+from chivespan.configuration import Configuration
+from chivespan.documents import Runner
+from chivespan.errors import ChivespanError
+from chivespan.messages import (
+    ConfigRecords,
+    ConfigRequest,
+    ConfigSnapshot,
+    MembershipUpdate,
+    SliceLoad,
+    VmState,
+    VmView,
+)
+from chivespan.peerlink import Backoff, LinkEnd, PeerLink, dial_once
+from chivespan.placement import ranked
+from chivespan.platform import VmList
+from chivespan.settings import NodeSettings
+from chivespan.slices import Slice, slices_of
+
+FOREIGN_FOLLOW = timedelta(seconds=10)
+
+
+class NodeView:
+    """Configuration, VMs, slices and their loads, as last heard.
+
+    :param vm_list: asked for other dispatchers when none has answered yet.
+    """
+
+    def __init__(
+        self, end: LinkEnd, settings: NodeSettings, vm_list: VmList | None = None
+    ) -> None:
+        self._end = end
+        self._settings = settings
+        self._vm_list = vm_list
+        self._copy = ConfigCopy()
+        self._vms: dict[str, VmView] = {}
+        self._slices: dict[str, Slice] = {}
+        self._runners: dict[str, Runner] = {}
+        self._loads: dict[str, SliceLoad] = {}
+        self._changed = anyio.Event()
+        self._ready = anyio.Event()
+        self._has_configuration = False
+
+    @property
+    def configuration(self) -> Configuration:
+        """The documents in force."""
+        return self._copy.configuration
+
+    @property
+    def vms(self) -> tuple[VmView, ...]:
+        """All VMs known."""
+        return tuple(self._vms.values())
+
+    @property
+    def slices(self) -> Mapping[str, Slice]:
+        """All slices of the inventory by id."""
+        return self._slices
+
+    @property
+    def loads(self) -> Mapping[str, SliceLoad]:
+        """Loads by slice id, where an owner reported one."""
+        return self._loads
+
+    def live_vms(self, data_centre: str | None = None) -> list[str]:
+        """Return the live VMs of a data centre, or of all."""
+        return [
+            view.vm
+            for view in self._vms.values()
+            if view.state is VmState.live and data_centre in (None, view.data_centre)
+        ]
+
+    async def wait_ready(self) -> None:
+        """Wait until configuration and membership were heard once."""
+        await self._ready.wait()
+
+    async def wait_changed(self) -> None:
+        """Wait for the next change of anything here."""
+        await self._changed.wait()
+
+    async def run(self) -> None:
+        """Follow a dispatcher for ever."""
+        delays = Backoff(Random())
+        while True:
+            for vm in await self._dispatchers():
+                if await self._follow(vm):
+                    delays.reset()
+                    break
+            await anyio.sleep(delays.next().total_seconds())
+
+    async def _follow(self, vm: str) -> bool:
+        address = f"{vm}:{self._settings.dispatch_port}"
+        if vm == self._settings.vm:
+            return await dial_once(address, self._end, self._listen)
+        with anyio.move_on_after(FOREIGN_FOLLOW.total_seconds()):
+            return await dial_once(address, self._end, self._listen)
+        return True
+
+    async def _listen(self, link: PeerLink) -> None:
+        link.send(ConfigRequest(have_offset=self._copy.offset))
+        async for message in link:
+            self._take(link, message)
+
+    def _take(self, link: PeerLink, message: object) -> None:
+        match message:
+            case MembershipUpdate():
+                self._take_membership(message)
+            case ConfigRecords():
+                self._take_records(link, message)
+            case ConfigSnapshot():
+                self._copy.take_snapshot(message)
+                self._configuration_changed()
+
+    def _take_membership(self, update: MembershipUpdate) -> None:
+        if update.whole:
+            self._vms.clear()
+        self._vms.update((view.vm, view) for view in update.vms)
+        for vm in update.gone:
+            self._vms.pop(vm, None)
+        self._loads = dict(_merged_loads(self._vms.values()))
+        self._announce()
+
+    def _take_records(self, link: PeerLink, message: ConfigRecords) -> None:
+        if message.from_offset > self._copy.offset + 1:
+            link.send(ConfigRequest(have_offset=self._copy.offset))
+            return
+        self._copy.take_records(message)
+        self._configuration_changed()
+
+    def _configuration_changed(self) -> None:
+        self._has_configuration = True
+        if self._runners != self.configuration.runners:
+            self._runners = dict(self.configuration.runners)
+            self._slices = slices_of(self.configuration)
+        self._announce()
+
+    def _announce(self) -> None:
+        if self._has_configuration and self._vms:
+            self._ready.set()
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _dispatchers(self) -> list[str]:
+        own = self._settings.vm
+        others = self.live_vms(self._settings.data_centre)
+        if not self._vms and self._vm_list is not None:
+            others = await self._listed(self._vm_list)
+        return [own, *(vm for vm in ranked(own, others) if vm != own)]
+
+    async def _listed(self, vm_list: VmList) -> list[str]:
+        try:
+            listed = await vm_list.fetch()
+        except ChivespanError:
+            self._end.counters.incr("membership.list_failures")
+            return []
+        wanted = self._settings.data_centre
+        return [each.vm for each in listed if each.data_centre == wanted]
+
+
+def _merged_loads(views: Iterable[VmView]) -> Iterable[tuple[str, SliceLoad]]:
+    for view in views:
+        if view.state is not VmState.silent:
+            yield from ((load.slice_id, load) for load in view.slices)
--- /dev/null
+++ b/chivespan/peerlink.py
@@ -0,0 +1,319 @@
+"""Connections between chivespan's own processes: typed messages over websockets.
+
+A link starts with a Hello both ways, says that it is alive by heartbeats, and is left
+as soon as no frame came for the time allowed; a suspect connection is never used again.
+"""
+
+import hmac
+import secrets
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from random import Random
+from typing import Protocol, TypeAlias
+
+import anyio
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection, broadcast
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.http11 import Request, Response
+
+from chivespan.clock import Clock
+from chivespan.codec import decode_message, encode_message
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.messages import Heartbeat, Hello, Program
+from chivespan.settings import NodeSettings
+
+FRAME_LIMIT_BYTES = 16 * 1024 * 1024
+SEND_BUFFER_LIMIT_BYTES = 32 * 1024 * 1024
+CONNECT_TIMEOUT = timedelta(seconds=1)
+CLOSE_TIMEOUT = timedelta(milliseconds=300)
+FIRST_BACKOFF = timedelta(milliseconds=50)
+MAX_BACKOFF = timedelta(seconds=2)
+BACKOFF_FACTOR = 2
+
+
+class Counters(Protocol):
+    """Where a part counts what happens; met by ``chivespan.metrics.Metrics``."""
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Add to a counter."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class LinkOptions:
+    """How a process keeps its links.
+
+    :param heartbeat: interval of heartbeats.
+    :param silence: a link without a frame for this long is left.
+    """
+
+    peer_key: str
+    heartbeat: timedelta
+    silence: timedelta
+
+    @classmethod
+    def from_settings(cls, settings: NodeSettings) -> "LinkOptions":
+        """Return the options that a node's settings give."""
+        return cls(
+            settings.peer_key,
+            timedelta(milliseconds=settings.heartbeat_ms),
+            timedelta(milliseconds=settings.peer_silence_ms),
+        )
+
+
+def new_hello(settings: NodeSettings, program: Program) -> Hello:
+    """Return the Hello of this run of a program."""
+    return Hello(
+        vm=settings.vm,
+        program=program,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        incarnation=secrets.token_hex(6),
+    )
+
+
+def holder_name(hello: Hello) -> str:
+    """Return what one run of a process is called where it holds grants."""
+    return f"{hello.vm}/{hello.program}/{hello.incarnation}"
+
+
+IDLE_HEARTBEAT = encode_message(Heartbeat(config_offset=-1, leaving=False, slices=[]))
+
+
+def idle_heartbeat(_remote: Hello) -> bytes:
+    """Return the heartbeat frame of a process that owns nothing."""
+    return IDLE_HEARTBEAT
+
+
+@dataclass(frozen=True, slots=True)
+class LinkEnd:
+    """This process's side of all its links.
+
+    :param heartbeat: gives the heartbeat frame for the process at the other end.
+    """
+
+    hello: Hello
+    options: LinkOptions
+    clock: Clock
+    counters: Counters
+    heartbeat: Callable[[Hello], bytes] = idle_heartbeat
+
+
+class PeerLink:
+    """One open connection whose Hellos have been exchanged.
+
+    Iterate over it for the messages that arrive; the iteration ends with the link.
+    """
+
+    def __init__(self, websocket: Connection, end: LinkEnd, remote: Hello) -> None:
+        self._websocket = websocket
+        self._end = end
+        self._last_frame = end.clock.monotonic()
+        self._open = True
+        self.remote = remote
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can still be sent."""
+        return self._open
+
+    @property
+    def holder(self) -> str:
+        """What the run of the process at the other end is called."""
+        return holder_name(self.remote)
+
+    def send(self, message: object) -> bool:
+        """Send a message; return whether the link was still open for it."""
+        return self.send_frame(encode_message(message))
+
+    def send_frame(self, frame: bytes) -> bool:
+        """Send an encoded message; a receiver that falls far behind is left."""
+        if not self._open:
+            self._end.counters.incr("peer.sends_on_closed_link")
+            return False
+        buffered = self._websocket.transport.get_write_buffer_size()
+        if buffered + len(frame) > SEND_BUFFER_LIMIT_BYTES:
+            self._end.counters.incr("peer.overflows")
+            self.abort()
+            return False
+        broadcast([self._websocket], frame)
+        return True
+
+    def abort(self) -> None:
+        """Leave the connection at once, without the other end's consent."""
+        self._open = False
+        self._websocket.transport.abort()
+
+    def reject(self) -> None:
+        """Leave the connection because the other end broke the protocol."""
+        self._end.counters.incr("peer.protocol_errors")
+        self.abort()
+
+    async def close(self) -> None:
+        """End the link with an explicit close frame."""
+        self._open = False
+        with anyio.CancelScope(shield=True):
+            await self._websocket.close()
+
+    async def __aiter__(self) -> AsyncIterator[object]:
+        try:
+            async for frame in self._websocket:
+                self._last_frame = self._end.clock.monotonic()
+                yield _decoded(frame)
+        except ConnectionClosed:
+            self._end.counters.incr("peer.links_broken")
+        except ChivespanError:
+            self.reject()
+        finally:
+            self._open = False
+
+    async def keep_alive(self) -> None:
+        """Send heartbeats, and leave the link when the other end has gone silent."""
+        options = self._end.options
+        while self._open:
+            self.send_frame(self._end.heartbeat(self.remote))
+            await anyio.sleep(options.heartbeat.total_seconds())
+            silent_for = self._end.clock.monotonic() - self._last_frame
+            if silent_for > options.silence:
+                self._end.counters.incr("peer.silent")
+                self.abort()
+
+
+LinkHandler: TypeAlias = Callable[[PeerLink], Awaitable[None]]
+
+
+async def dial(address: str, end: LinkEnd, handler: LinkHandler) -> None:
+    """Keep one link to a dispatcher, a new one whenever the last has ended.
+
+    :param address: IP number and port.
+    :param handler: reads the link; the link is closed when it returns.
+    """
+    delays = Backoff(Random())
+    while True:
+        began = end.clock.monotonic()
+        await dial_once(address, end, handler)
+        if end.clock.monotonic() - began > end.options.silence:
+            delays.reset()
+        await anyio.sleep(delays.next().total_seconds())
+
+
+async def dial_once(address: str, end: LinkEnd, handler: LinkHandler) -> bool:
+    """Hold one link until it ends; return whether it was ever open."""
+    opened = False
+
+    async def note_and_handle(link: PeerLink) -> None:
+        nonlocal opened
+        opened = True
+        await handler(link)
+
+    try:
+        async with connect(
+            f"ws://{address}",
+            additional_headers={"Authorization": f"Bearer {end.options.peer_key}"},
+            compression=None,
+            proxy=None,
+            open_timeout=CONNECT_TIMEOUT.total_seconds(),
+            close_timeout=CLOSE_TIMEOUT.total_seconds(),
+            ping_interval=None,
+            max_size=FRAME_LIMIT_BYTES,
+            user_agent_header=None,
+        ) as websocket:
+            await _converse(websocket, end, note_and_handle)
+    except (OSError, WebSocketException, TimeoutError):
+        end.counters.incr("peer.connect_failures")
+    return opened
+
+
+class Backoff:
+    """Growing delays with jitter.
+
+    >>> delays = Backoff(Random(1))
+    >>> delays.next() <= FIRST_BACKOFF
+    True
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._bound = FIRST_BACKOFF
+
+    def next(self) -> timedelta:
+        """Return the next delay: between half of the bound and the whole of it."""
+        delay = self._bound * self._random.uniform(0.5, 1.0)
+        self._bound = min(self._bound * BACKOFF_FACTOR, MAX_BACKOFF)
+        return delay
+
+    def reset(self) -> None:
+        """Start again from the shortest delay."""
+        self._bound = FIRST_BACKOFF
+
+
+@asynccontextmanager
+async def listen(
+    host: str, port: int, end: LinkEnd, handler: LinkHandler
+) -> AsyncIterator[int]:
+    """Serve links while the context is open; gives the port.
+
+    :param port: 0 for any free one.
+    :param handler: reads one link; the link is closed when it returns.
+    """
+    expected = f"Bearer {end.options.peer_key}".encode()
+
+    def check_key(connection: ServerConnection, request: Request) -> Response | None:
+        given = request.headers.get("Authorization", "").encode()
+        if hmac.compare_digest(given, expected):
+            return None
+        end.counters.incr("peer.unauthenticated")
+        return connection.respond(HTTPStatus.UNAUTHORIZED, "wrong or missing key\n")
+
+    async def accept(websocket: ServerConnection) -> None:
+        await _converse(websocket, end, handler)
+
+    async with serve(
+        accept,
+        host,
+        port,
+        process_request=check_key,
+        compression=None,
+        open_timeout=CONNECT_TIMEOUT.total_seconds(),
+        close_timeout=CLOSE_TIMEOUT.total_seconds(),
+        ping_interval=None,
+        max_size=FRAME_LIMIT_BYTES,
+        server_header=None,
+    ) as server:
+        yield next(iter(server.sockets)).getsockname()[1]
+
+
+async def _converse(websocket: Connection, end: LinkEnd, handler: LinkHandler) -> None:
+    """Exchange Hellos and run the handler until it or the link ends."""
+    try:
+        broadcast([websocket], encode_message(end.hello))
+        with anyio.fail_after(end.options.silence.total_seconds()):
+            first = _decoded(await websocket.recv())
+        if not isinstance(first, Hello):
+            raise ChivespanError(ErrorKind.PROTOCOL, "the first frame was no Hello")
+        await _run_link(PeerLink(websocket, end, first), handler)
+    except ChivespanError:
+        end.counters.incr("peer.protocol_errors")
+    except (ConnectionClosed, TimeoutError):
+        end.counters.incr("peer.links_broken")
+
+
+async def _run_link(link: PeerLink, handler: LinkHandler) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.keep_alive)
+        try:
+            await handler(link)
+        finally:
+            await link.close()
+            tasks.cancel_scope.cancel()
+
+
+def _decoded(frame: str | bytes) -> object:
+    if isinstance(frame, str):
+        raise ChivespanError(ErrorKind.PROTOCOL, "a text frame")
+    return decode_message(frame)
--- /dev/null
+++ b/chivespan/usage.py
@@ -0,0 +1,102 @@
+"""What owners consumed, merged from all processes that counted it.
+
+Every process reports running totals under its incarnation; the highest total of each
+incarnation counts, so reports may be lost, doubled or reordered. What a process
+counted after its last report goes with it.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from chivespan.messages import UsageCount, UsageReport, WorkClass
+
+
+@dataclass(frozen=True, slots=True)
+class UsageKey:
+    """What a count is kept for."""
+
+    owner: str
+    service: str
+    work_class: WorkClass
+
+
+_COUNTS = ("requests", "tokens", "slot_ms", "refusals")
+
+
+def key_of(count: UsageCount) -> UsageKey:
+    """Return what a count is kept for."""
+    return UsageKey(count.owner, count.service, count.work_class)
+
+
+def summed(counts: Iterable[UsageCount]) -> dict[UsageKey, UsageCount]:
+    """Return the sum of counts for each key."""
+    totals: dict[UsageKey, UsageCount] = {}
+    for count in counts:
+        key = key_of(count)
+        totals[key] = _added(totals[key], count) if key in totals else count
+    return totals
+
+
+class UsageLedger:
+    """Totals of every incarnation heard of.
+
+    >>> count = UsageCount(
+    ...     owner="o", service="s", work_class=WorkClass.online, requests=3
+    ... )
+    >>> ledger = UsageLedger()
+    >>> report = UsageReport(vm="10.0.0.1", incarnation="a", counts=[count])
+    >>> ledger.take(report), ledger.take(report)
+    (None, None)
+    >>> [total.requests for total in ledger.totals()]
+    [3]
+    """
+
+    def __init__(self) -> None:
+        self._by_incarnation: dict[str, dict[UsageKey, UsageCount]] = {}
+
+    def take(self, report: UsageReport) -> None:
+        """Merge one process's running totals."""
+        known = self._by_incarnation.setdefault(report.incarnation, {})
+        for count in report.counts:
+            key = key_of(count)
+            known[key] = _highest(known[key], count) if key in known else count
+
+    def totals(self) -> list[UsageCount]:
+        """Return the sum over all incarnations."""
+        counts = (
+            count
+            for by_key in self._by_incarnation.values()
+            for count in by_key.values()
+        )
+        return list(summed(counts).values())
+
+    def reports(self, vm: str) -> list[UsageReport]:
+        """Return all that is known, for a process that has just come.
+
+        :param vm: IP number of the sender's VM.
+        """
+        return [
+            UsageReport(vm=vm, incarnation=incarnation, counts=list(by_key.values()))
+            for incarnation, by_key in self._by_incarnation.items()
+        ]
+
+
+def _added(one: UsageCount, other: UsageCount) -> UsageCount:
+    return _combined(one, [getattr(one, n) + getattr(other, n) for n in _COUNTS])
+
+
+def _highest(one: UsageCount, other: UsageCount) -> UsageCount:
+    return _combined(one, [max(getattr(one, n), getattr(other, n)) for n in _COUNTS])
+
+
+def _combined(like: UsageCount, values: list[int]) -> UsageCount:
+    requests, tokens, slot_ms, refusals = values
+    return UsageCount(
+        owner=like.owner,
+        service=like.service,
+        work_class=like.work_class,
+        requests=requests,
+        tokens=tokens,
+        slot_ms=slot_ms,
+        refusals=refusals,
+    )
