--- a/chivespan/entrycontext.py
+++ b/chivespan/entrycontext.py
@@ -12,6 +12,7 @@
 from chivespan.configuration import Configuration
 from chivespan.documents import Operator, Owner
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.logs import logger
 from chivespan.messages import VmState, VmView
 from chivespan.metrics import Metrics
 from chivespan.online import OnlineService
@@ -32,6 +33,9 @@
         ...
 
 
+_log = logger("entry")
+
+
 @dataclass(slots=True)
 class EntryContext:
     """Shared by all handlers of one entry process.
@@ -58,6 +62,15 @@
             for vm in self.view.vms
         )
 
+    def leave(self, told_by: str) -> None:
+        """Leave this VM out of address answers from now on.
+
+        :param told_by: the operator or the signal.
+        """
+        if not self.leaving:
+            _log.notice("leaving", told_by=told_by, in_progress=self.in_progress)
+        self.leaving = True
+
     def authenticate(self, request: Request) -> Owner:
         """Return the owner who sent a request.
 
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -406,3 +406,29 @@
     """
 
     request_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetStatus:
+    """
+    Answer of GET /operator/status, in JSON.
+    """
+
+    vms: list[StatusReply]
+    unreachable: list[str]
+    """
+    VMs whose dispatcher gave no answer.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetUsage:
+    """
+    Answer of GET /v1/usage, in JSON.
+    """
+
+    counts: list[UsageCount]
+    missing: list[str]
+    """
+    Data centres of which no dispatcher gave an answer.
+    """
--- /dev/null
+++ b/chivespan/operatorapi.py
@@ -0,0 +1,116 @@
+"""The HTTP interface towards operators and owners: status, usage and leaving."""
+
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+import anyio
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+
+from chivespan.answers import json_response
+from chivespan.dispatchquery import ask_status, ask_to_leave, ask_usage
+from chivespan.entrycontext import EntryContext
+from chivespan.errors import ChivespanError
+from chivespan.httpapi import answering
+from chivespan.messages import (
+    FleetStatus,
+    FleetUsage,
+    StatusReply,
+    UsageCount,
+    VmState,
+    VmView,
+)
+from chivespan.peerlink import LinkEnd
+from chivespan.usage import summed
+
+DISPATCHERS_ASKED = 3
+
+Ask = Callable[[str], Coroutine[Any, Any, None]]
+
+
+class OperatorApi:
+    """Handlers that gather what dispatchers know; one for a process."""
+
+    def __init__(self, context: EntryContext, end: LinkEnd) -> None:
+        self._context = context
+        self._end = end
+
+    def routes(self) -> list[BaseRoute]:
+        """Return the routes of all handlers."""
+        context = self._context
+        return [
+            Route("/v1/usage", answering(context, self._usage), methods=["GET"]),
+            Route(
+                "/operator/status", answering(context, self._status), methods=["GET"]
+            ),
+            Route("/operator/usage", answering(context, self._all_usage)),
+            Route("/operator/drain", answering(context, self._drain), methods=["POST"]),
+        ]
+
+    async def _status(self, request: Request) -> Response:
+        self._context.authenticate_operator(request)
+        replies: list[StatusReply] = []
+        unreachable: list[str] = []
+
+        async def ask(vm: str) -> None:
+            try:
+                replies.append(await ask_status(self._end, self._address(vm)))
+            except ChivespanError:
+                unreachable.append(vm)
+
+        await _ask_all(ask, [view.vm for view in self._context.view.vms])
+        replies.sort(key=lambda reply: reply.vm)
+        return json_response(FleetStatus(vms=replies, unreachable=sorted(unreachable)))
+
+    async def _usage(self, request: Request) -> Response:
+        self._context.authenticate(request)
+        return json_response(await self._fleet_usage())
+
+    async def _all_usage(self, request: Request) -> Response:
+        self._context.authenticate_operator(request)
+        return json_response(await self._fleet_usage())
+
+    async def _drain(self, request: Request) -> Response:
+        operator = self._context.authenticate_operator(request)
+        reply = await ask_to_leave(self._end, self._address(self._context.settings.vm))
+        self._context.leave(operator.name)
+        return json_response(reply)
+
+    async def _fleet_usage(self) -> FleetUsage:
+        """Return the sum over data centres, each asked of a few of its dispatchers."""
+        counts: list[UsageCount] = []
+        missing: list[str] = []
+
+        async def ask(data_centre: str) -> None:
+            for vm in self._dispatchers(data_centre):
+                try:
+                    counts.extend(await ask_usage(self._end, self._address(vm)))
+                except ChivespanError:
+                    continue
+                return
+            missing.append(data_centre)
+
+        views = self._context.view.vms
+        await _ask_all(ask, {view.data_centre for view in views})
+        return FleetUsage(counts=list(summed(counts).values()), missing=sorted(missing))
+
+    def _dispatchers(self, data_centre: str) -> list[str]:
+        here = [
+            view for view in self._context.view.vms if view.data_centre == data_centre
+        ]
+        here.sort(key=_least_doubtful)
+        return [view.vm for view in here[:DISPATCHERS_ASKED]]
+
+    def _address(self, vm: str) -> str:
+        return f"{vm}:{self._context.settings.dispatch_port}"
+
+
+def _least_doubtful(view: VmView) -> int:
+    return [VmState.live, VmState.leaving, VmState.silent].index(view.state)
+
+
+async def _ask_all(ask: Ask, names: Iterable[str]) -> None:
+    async with anyio.create_task_group() as tasks:
+        for name in names:
+            tasks.start_soon(ask, name)
