Add the batch program: partitions, items, upkeep and the batch API

Entries ask a partition's owner directly and the next ones after it; the owner's group commit gathers the records of many nodes, so no node but the owner appends in normal times. Items that may not be repeated are sent only after their start was read back.

--- /dev/null
+++ b/chivespan/batch_main.py
@@ -0,0 +1,124 @@
+"""The program chivespan-batch: runs batch jobs and keeps claims, on every VM."""
+
+import os
+import signal
+from datetime import timedelta
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.batchserver import BatchServer
+from chivespan.clock import SystemClock
+from chivespan.engineclient import EngineClient
+from chivespan.grantclient import GrantClient
+from chivespan.httplog import HttpLog
+from chivespan.httpvmlist import HttpVmList
+from chivespan.itemrunner import ItemRunner
+from chivespan.logs import configure_logging, logger
+from chivespan.messages import Program
+from chivespan.metrics import Metrics
+from chivespan.nodeview import NodeView
+from chivespan.options import start
+from chivespan.partitions import PartitionContext, Partitions
+from chivespan.peerlink import LinkEnd, LinkOptions, holder_name, listen, new_hello
+from chivespan.placement import owner
+from chivespan.plainclient import PlainClient
+from chivespan.settings import NodeSettings
+from chivespan.targethttp import TargetHttp
+
+LEAVE_TIMEOUT = timedelta(seconds=60)
+
+_log = logger("batch")
+
+
+def main() -> None:
+    """Run the program with the flags and environment it was started with."""
+    settings = start(NodeSettings, os.environ)
+    configure_logging("chivespan-batch", settings.vm, settings.log_level)
+    anyio.run(serve, settings, backend_options={"use_uvloop": True})
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Serve entries and run jobs until told to leave."""
+    clock = SystemClock()
+    metrics = Metrics(settings.statsd_address, "chivespan.batch")
+    hello = new_hello(settings, Program.batch)
+    end = LinkEnd(hello, LinkOptions.from_settings(settings), clock, metrics)
+    view = NodeView(end, settings, HttpVmList(settings.vm_list_url))
+    grants = GrantClient(end, settings, view)
+    async with TargetHttp() as http:
+        context = PartitionContext(
+            settings=settings,
+            log=HttpLog(settings.log_url),
+            writer=holder_name(hello),
+            clock=clock,
+            metrics=metrics,
+            items=ItemRunner(
+                grants, EngineClient(http), PlainClient(http), clock, metrics
+            ),
+            configuration=lambda: view.configuration,
+        )
+        partitions = Partitions(context)
+        server = BatchServer(partitions, metrics)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(view.run)
+            tasks.start_soon(grants.run)
+            tasks.start_soon(partitions.run)
+            await partitions.wait_started()
+            owning = anyio.CancelScope()
+            tasks.start_soon(_keep_ownership, owning, settings, view, partitions)
+            async with listen(
+                settings.vm, settings.batch_port, end, server.handle
+            ) as port:
+                _log.notice("serving", port=port)
+                await _wait_for_signal(tasks)
+                owning.cancel()
+                await _leave(partitions)
+            tasks.cancel_scope.cancel()
+    _log.notice("ended")
+
+
+async def _keep_ownership(
+    scope: anyio.CancelScope,
+    settings: NodeSettings,
+    view: NodeView,
+    partitions: Partitions,
+) -> None:
+    """Own the streams for which this VM is first among the live ones."""
+    with scope:
+        await view.wait_ready()
+        while True:
+            live = view.live_vms()
+            streams = partitions.all_streams()
+            mine = frozenset(one for one in streams if owner(one, live) == settings.vm)
+            if mine != partitions.owned:
+                _log.notice("owned", streams=",".join(sorted(mine)))
+                partitions.own(mine)
+            await view.wait_changed()
+
+
+async def _wait_for_signal(tasks: TaskGroup) -> None:
+    """Return on the first signal; a second one ends the process at once."""
+    first = anyio.Event()
+
+    async def watch() -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                if first.is_set():
+                    tasks.cancel_scope.cancel()
+                    return
+                first.set()
+
+    tasks.start_soon(watch)
+    await first.wait()
+
+
+async def _leave(partitions: Partitions) -> None:
+    """Give all partitions up and write the results that are left."""
+    partitions.own(frozenset())
+    with anyio.move_on_after(LEAVE_TIMEOUT.total_seconds()):
+        await partitions.wait_written()
+
+
+if __name__ == "__main__":
+    main()
--- a/chivespan/callerapi.py
+++ b/chivespan/callerapi.py
@@ -195,3 +195,76 @@
     ready: bool
     leaving: bool
     in_progress: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BatchModelItem:
+    """
+    One line of a batch job for a model.
+    """
+
+    id: str
+    prompt: str
+    max_tokens: int = 256
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BatchPlainItem:
+    """
+    One line of a batch job for a plain service.
+    """
+
+    id: str
+    path: str
+    method: str = 'POST'
+    content_type: str = 'application/json'
+    body: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BatchJob:
+    """
+    A batch job's state.
+    """
+
+    id: str
+    service: str
+    status: str
+    items: int
+    done: int
+    """
+    Items with a result, good or failed.
+    """
+    failed: int
+    key: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BatchJobList:
+    object: str
+    data: list[BatchJob]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BatchItemError:
+    code: str
+    message: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BatchResult:
+    """
+    One line of a batch job's results; either an answer or an error.
+    """
+
+    index: int
+    id: str
+    ok: bool
+    attempts: int
+    status: int = 200
+    content_type: str = ''
+    text: str = ''
+    """
+    The model's answer or the plain service's body.
+    """
+    error: BatchItemError | None = None
--- a/chivespan/claimfold.py
+++ b/chivespan/claimfold.py
@@ -52,6 +52,12 @@
     outcome_offset: int = -1
     known: bool = False
 
+    def is_meant_by(self, outcome: ClaimOutcome) -> bool:
+        """Return whether an outcome is this claim's and not an earlier one's."""
+        if outcome.claimant:
+            return outcome.claimant == self.claimant
+        return outcome.claim_offset == self.offset
+
 
 _Handler = Callable[["ClaimFold", OpenedRecord, Any], None]
 _HANDLERS: dict[type[Any], _Handler] = {}
@@ -130,7 +136,7 @@
     def _outcome(self, opened: OpenedRecord, record: ClaimOutcome) -> None:
         name = claim_id(record.owner, record.key)
         held = self._claims.get(name)
-        if held is None or held.offset != record.claim_offset or held.known:
+        if held is None or held.known or not held.is_meant_by(record):
             return
         if record.known and not record.ran:
             del self._claims[name]
--- /dev/null
+++ b/chivespan/jobstore.py
@@ -0,0 +1,220 @@
+"""One partition of batch jobs: submissions, states, results and cancels.
+
+Every VM can serve any partition; its owner does so by choice. What is said here rests
+on records that were read back and folded, never on who owns what.
+"""
+
+from collections.abc import AsyncIterator, Iterator
+from datetime import timedelta
+
+from chivespan.appender import Appender
+from chivespan.envelope import decode_envelope, open_envelope
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.follower import Follower
+from chivespan.jobfold import ENDED, Chunk, Job, JobFold
+from chivespan.jobmessages import JobPhase, JobResult, JobState
+from chivespan.jobplan import JobPlan
+from chivespan.platform import LogService
+from chivespan.records import (
+    CarriedChunk,
+    CarriedResults,
+    ItemResult,
+    ItemResults,
+    JobBegin,
+    JobCancel,
+    JobChunk,
+    JobClose,
+    JobItem,
+)
+
+UNIT_BYTES = 2 * 1024 * 1024
+NO_WAIT = timedelta(0)
+
+
+class JobStore:
+    """Carries out what callers ask of one partition's jobs."""
+
+    def __init__(
+        self,
+        log: LogService,
+        stream: str,
+        follower: Follower[JobFold],
+        appender: Appender,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._follower = follower
+        self._appender = appender
+
+    @property
+    def fold(self) -> JobFold:
+        """The jobs as last read."""
+        return self._follower.fold
+
+    async def submit(self, plan: JobPlan) -> JobState:
+        """Append a job and return its state once it is accepted.
+
+        The same job sent again is the same job, however far the first try came.
+
+        :raises ChivespanError: ``key_reused``; ``log_unavailable`` when it is not
+            accepted; ``acceptance_unknown`` when the same key must be sent again.
+        """
+        self._require_log()
+        await self._follower.wait_current()
+        known = self.fold.job(plan.job_id)
+        if known is None or known.phase is JobPhase.submitting:
+            await self._append(plan)
+        return self._accepted(plan)
+
+    def job(self, owner: str, job_id: str) -> Job:
+        """Return an owner's job.
+
+        :raises ChivespanError: ``not_found``; ``not_ready`` while the stream is read
+            for the first time.
+        """
+        if not self._follower.is_current:
+            reason = f"{self._stream} is still being read"
+            raise ChivespanError(ErrorKind.NOT_READY, reason)
+        job = self.fold.job(job_id)
+        if job is None or job.begin.owner != owner:
+            raise ChivespanError(ErrorKind.NOT_FOUND, f"there is no job {job_id!r}")
+        return job
+
+    def states(self, owner: str) -> list[JobState]:
+        """Return the states of an owner's jobs that were accepted.
+
+        :raises ChivespanError: ``not_ready``.
+        """
+        if not self._follower.is_current:
+            reason = f"{self._stream} is still being read"
+            raise ChivespanError(ErrorKind.NOT_READY, reason)
+        return [
+            job.state()
+            for job in self.fold.jobs()
+            if job.begin.owner == owner and job.phase is not JobPhase.submitting
+        ]
+
+    async def cancel(self, owner: str, job_id: str, reason: str) -> JobState:
+        """Cancel a job and return its state; one that ended before stays as it is.
+
+        :raises ChivespanError: ``not_found``; ``log_unavailable``;
+            ``acceptance_unknown``.
+        """
+        job = self.job(owner, job_id)
+        if job.phase not in ENDED:
+            offset = await self._appender.append(
+                JobCancel(job_id=job_id, reason=reason)
+            )
+            await self._follower.wait_applied(offset)
+        return self.job(owner, job_id).state()
+
+    async def results(self, owner: str, job_id: str, number: int) -> list[JobResult]:
+        """Return the results so far of one chunk's items, in order.
+
+        :raises ChivespanError: ``not_found``; ``log_unavailable``; ``log_expired``.
+        """
+        job = self.job(owner, job_id)
+        if not 0 <= number < len(job.chunks):
+            reason = f"job {job_id} has {len(job.chunks)} chunks"
+            raise ChivespanError(ErrorKind.NOT_FOUND, reason)
+        first = sum(chunk.count for chunk in job.chunks[:number])
+        found = await self.chunk_results(job.chunks[number])
+        return [_job_result(first, result) for result in found]
+
+    async def chunk_results(self, chunk: Chunk) -> list[ItemResult]:
+        """Return the results of a chunk's items that count, in order."""
+        found: dict[int, ItemResult] = {}
+        for offset in tuple(chunk.results):
+            record = await self._record(offset)
+            if isinstance(record, ItemResults | CarriedResults):
+                for result in record.results:
+                    found.setdefault(result.index, result)
+        return [found[index] for index in sorted(found) if chunk.is_done(index)]
+
+    async def chunk_items(self, chunk: Chunk) -> list[JobItem]:
+        """Return a chunk's items.
+
+        :raises ChivespanError: ``log_unavailable``; ``log_expired``.
+        """
+        record = await self._record(chunk.offset)
+        if not isinstance(record, JobChunk | CarriedChunk):
+            reason = f"{self._stream} has no chunk at {chunk.offset}"
+            raise ChivespanError(ErrorKind.PROTOCOL, reason)
+        return record.items
+
+    async def _record(self, offset: int) -> object:
+        page = await self._log.read(self._stream, offset, 1, NO_WAIT)
+        if not page.records:
+            reason = f"{self._stream} shows no record at {offset}"
+            raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
+        return open_envelope(decode_envelope(page.records[0].payload))
+
+    async def _append(self, plan: JobPlan) -> None:
+        async for offset in self._appended(plan):
+            await self._follower.wait_applied(offset)
+
+    async def _appended(self, plan: JobPlan) -> AsyncIterator[int]:
+        for unit in _units(plan):
+            offsets = await self._appender.append_all(unit)
+            yield offsets[-1]
+
+    def _accepted(self, plan: JobPlan) -> JobState:
+        job = self.fold.job(plan.job_id)
+        if job and job.begin.digest != plan.digest:
+            reason = f"the job key {plan.job_key!r} stands for a job of other content"
+            raise ChivespanError(ErrorKind.KEY_REUSED, reason)
+        if job is None or job.phase is JobPhase.submitting:
+            reason = f"job {plan.job_id} was not taken whole; send it again"
+            raise ChivespanError(ErrorKind.ACCEPTANCE_UNKNOWN, reason)
+        return job.state()
+
+    def _require_log(self) -> None:
+        if not self._appender.available:
+            reason = "not accepted: the log is away"
+            raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
+
+
+def _units(plan: JobPlan) -> Iterator[list[object]]:
+    """Yield the records of a submission in runs that are appended as one unit."""
+    unit: list[object] = [
+        JobBegin(
+            job_id=plan.job_id,
+            owner=plan.owner,
+            job_key=plan.job_key,
+            service=plan.service,
+            model=plan.model,
+            items=plan.items,
+            chunks=len(plan.chunks),
+            digest=plan.digest,
+            idempotent=plan.idempotent,
+        )
+    ]
+    size = 0
+    for number, items in enumerate(plan.chunks):
+        if size > UNIT_BYTES:
+            yield unit
+            unit, size = [], 0
+        size += sum(len(item.body) for item in items)
+        unit.append(
+            JobChunk(
+                job_id=plan.job_id,
+                chunk=number,
+                items=[
+                    JobItem(item_key=item.item_key, body=item.body) for item in items
+                ],
+                digest=plan.digest,
+            )
+        )
+    unit.append(JobClose(job_id=plan.job_id, digest=plan.digest))
+    yield unit
+
+
+def _job_result(first: int, result: ItemResult) -> JobResult:
+    return JobResult(
+        index=first + result.index,
+        item_key=result.item_key,
+        ok=result.ok,
+        attempts=result.attempts,
+        error=result.error,
+        body=result.body,
+    )
--- a/chivespan/records.py
+++ b/chivespan/records.py
@@ -225,6 +225,10 @@
     """
     Offset of the claim that this is the outcome of.
     """
+    claimant: str = ''
+    """
+    Names the claim where its offset isn't known.
+    """
     status: int = 0
     content_type: str = ''
 
@@ -465,3 +469,23 @@
     offset: int
     claims: list[ClaimEntry]
     seen: list[SeenWriter]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemAnswer:
+    """
+    Body of an item's good result.
+    """
+
+    status: int
+    content_type: str
+    text: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemFailure:
+    """
+    Body of an item's failed result.
+    """
+
+    message: str
--- a/chivespan/settings.py
+++ b/chivespan/settings.py
@@ -79,7 +79,19 @@
     """
     partitions: int = 8
     """
-    Partitions of batch jobs and of claims; the same on every VM.
+    Partitions of batch jobs; the same on every VM.
+    """
+    batch_items: int = 256
+    """
+    Batch items that a VM runs or waits for slots with at a time.
+    """
+    log_appends_per_s: int = 200
+    """
+    Appends a second that the batch jobs of all VMs together may use.
+    """
+    log_keep_minutes: int = 1440
+    """
+    The log keeps records for at least this long.
     """
 
 
