Test jobs and claims through losses, races, outages and retention

Found by these tests and mended: a follower waited a whole long poll before it knew that an empty stream has no more records; a caller waited without bound for a stream that was never read while the log was away; a job's items could run again between the append of their results and the fold's applying it.

--- a/chivespan/batchserver.py
+++ b/chivespan/batchserver.py
@@ -27,6 +27,7 @@
     SubmitJob,
 )
 from chivespan.jobplan import JobPlan, partition_of
+from chivespan.jobstore import JobStore
 from chivespan.messages import JobCancelNotice
 from chivespan.metrics import Metrics
 from chivespan.partitions import Partitions
@@ -99,6 +100,15 @@
         if session.link.is_open:
             session.link.send(reply)
 
+    async def _store(self, partition: int) -> JobStore:
+        """Return a partition's jobs, read to the end of its stream.
+
+        :raises ChivespanError: ``not_found``, ``not_ready``, ``log_unavailable``.
+        """
+        jobs = self._partitions.jobs(partition)
+        await jobs.follower.reach_current()
+        return jobs.store
+
     def _stop(self, notice: JobCancelNotice) -> None:
         """Stop a job at once; it goes on if the log shows no cancel."""
         partition = self._partitions.jobs(partition_of(notice.job_id))
@@ -134,21 +144,21 @@
             chunks=tuple(submission.chunks[n] for n in range(message.chunks)),
             digest=message.digest,
         )
-        partition = self._partitions.jobs(partition_of(message.job_id))
-        state = await partition.store.submit(plan)
+        store = await self._store(partition_of(message.job_id))
+        state = await store.submit(plan)
         return JobStateReply(request_id=message.request_id, state=state)
 
     @_handles(JobStateRequest)
     async def _state(
         self, session: _Session, message: JobStateRequest
     ) -> JobStateReply:
-        store = self._partitions.jobs(partition_of(message.job_id)).store
+        store = await self._store(partition_of(message.job_id))
         job = store.job(message.owner, message.job_id)
         return JobStateReply(request_id=message.request_id, state=job.state())
 
     @_handles(JobListRequest)
     async def _list(self, session: _Session, message: JobListRequest) -> JobListReply:
-        store = self._partitions.jobs(message.partition).store
+        store = await self._store(message.partition)
         states = store.states(message.owner)
         return JobListReply(request_id=message.request_id, states=states)
 
@@ -156,7 +166,7 @@
     async def _results(
         self, session: _Session, message: JobResultsRequest
     ) -> JobResultsReply:
-        store = self._partitions.jobs(partition_of(message.job_id)).store
+        store = await self._store(partition_of(message.job_id))
         job = store.job(message.owner, message.job_id)
         results = await store.results(message.owner, message.job_id, message.chunk)
         return JobResultsReply(
@@ -167,7 +177,7 @@
     async def _cancel(
         self, session: _Session, message: JobCancelRequest
     ) -> JobStateReply:
-        store = self._partitions.jobs(partition_of(message.job_id)).store
+        store = await self._store(partition_of(message.job_id))
         state = await store.cancel(message.owner, message.job_id, message.reason)
         return JobStateReply(request_id=message.request_id, state=state)
 
--- a/chivespan/claimstore.py
+++ b/chivespan/claimstore.py
@@ -41,7 +41,7 @@
             ``acceptance_unknown``; ``key_reused``; ``outcome_unknown`` when the
             request may have run and its answer isn't known.
         """
-        await self._follower.wait_current()
+        await self._follower.reach_current()
         held = self.fold.claim(request.owner, request.key)
         if held is None:
             offset = await self._appender.append(_claim(request))
--- a/chivespan/follower.py
+++ b/chivespan/follower.py
@@ -15,6 +15,8 @@
 
 READ_WAIT = timedelta(seconds=5)
 PAGE_RECORDS = 256
+NO_WAIT = timedelta(0)
+CURRENT_WAIT = timedelta(seconds=1)
 
 _log = logger("follower")
 
@@ -62,6 +64,23 @@
         """Wait until the end of the stream was reached once."""
         await self._current.wait()
 
+    async def reach_current(self) -> None:
+        """Wait a short time for the end of the stream, for a caller who waits.
+
+        :raises ChivespanError: ``log_unavailable`` when the log is away; ``not_ready``
+            when there is more to read.
+        """
+        with anyio.move_on_after(CURRENT_WAIT.total_seconds()):
+            while self._answering and not self.is_current:
+                await self._changed.wait()
+        if self.is_current:
+            return
+        if not self._answering:
+            reason = f"not accepted: {self._stream} can't be read"
+            raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
+        reason = f"not accepted: {self._stream} is still being read"
+        raise ChivespanError(ErrorKind.NOT_READY, reason)
+
     async def wait_changed(self) -> None:
         """Wait for the next records."""
         await self._changed.wait()
@@ -91,7 +110,8 @@
     async def _tail(self, delays: Backoff) -> None:
         while True:
             start = self._fold.offset + 1
-            page = await self._log.read(self._stream, start, PAGE_RECORDS, READ_WAIT)
+            wait = READ_WAIT if self.is_current else NO_WAIT
+            page = await self._log.read(self._stream, start, PAGE_RECORDS, wait)
             delays.reset()
             self._note_answering(True, "")
             self._apply(page)
@@ -104,13 +124,17 @@
         if first_time:
             self._current.set()
         if page.records or first_time:
-            self._changed.set()
-            self._changed = anyio.Event()
+            self._announce()
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
 
     def _note_answering(self, answering: bool, reason: str) -> None:
         if answering is self._answering:
             return
         self._answering = answering
+        self._announce()
         if answering:
             _log.notice("log answers again", stream=self._stream)
         else:
--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -101,7 +101,7 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, eq=False, slots=True)
 class Item:
     """One item to run.
 
--- a/chivespan/jobstore.py
+++ b/chivespan/jobstore.py
@@ -60,7 +60,7 @@
             accepted; ``acceptance_unknown`` when the same key must be sent again.
         """
         self._require_log()
-        await self._follower.wait_current()
+        await self._follower.reach_current()
         known = self.fold.job(plan.job_id)
         if known is None or known.phase is JobPhase.submitting:
             await self._append(plan)
--- a/chivespan/partitions.py
+++ b/chivespan/partitions.py
@@ -18,7 +18,7 @@
 from chivespan.follower import Follower
 from chivespan.itemrunner import ItemRunner
 from chivespan.jobfold import JobFold, jobs_stream
-from chivespan.jobrunner import JobRunner, PartitionParts
+from chivespan.jobrunner import START_GRACE, JobRunner, PartitionParts
 from chivespan.jobstore import JobStore
 from chivespan.metrics import Metrics
 from chivespan.platform import LogService
@@ -48,6 +48,7 @@
     metrics: Metrics
     items: ItemRunner
     configuration: Callable[[], Configuration]
+    start_grace: timedelta = START_GRACE
 
     @property
     def log_keeps(self) -> timedelta:
@@ -81,15 +82,21 @@
             log, stream, context.writer, context.clock, context.job_appends
         )
         results = ResultBuffer(appender, follower.wait_applied, metrics)
+        self.follower = follower
         self.store = JobStore(log, stream, follower, appender)
         self._parts = PartitionParts(self.store, follower, appender, results)
         self._runner = JobRunner(
-            self._parts, context.items, running, context.configuration, metrics
+            self._parts,
+            context.items,
+            running,
+            context.configuration,
+            metrics,
+            context.start_grace,
         )
         carrier = JobCarrier(
             self.store, appender, lambda: context.configuration().keeping
         )
-        self._upkeep = Upkeep(
+        self.upkeep = Upkeep(
             StreamParts(
                 log, stream, follower, snapshots, JobFold, JobFold.from_snapshot
             ),
@@ -115,7 +122,7 @@
         """Run the partition's items and look after its stream until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._runner.run)
-            tasks.start_soon(self._upkeep.run)
+            tasks.start_soon(self.upkeep.run)
 
     def stop_job(self, job_id: str) -> None:
         """Stop a job's items at once."""
@@ -133,20 +140,20 @@
         stream = claims_stream(number)
         log = context.log
         snapshots = SnapshotStore(log, stream, context.writer)
-        self._follower = Follower(
+        self.follower = Follower(
             log, stream, snapshots, ClaimFold, ClaimFold.from_snapshot, context.metrics
         )
         options = AppenderOptions(interval=CLAIM_INTERVAL)
         self._appender = Appender(log, stream, context.writer, context.clock, options)
-        self.store = ClaimStore(log, stream, self._follower, self._appender)
+        self.store = ClaimStore(log, stream, self.follower, self._appender)
         carrier = ClaimCarrier(
             self.store, self._appender, lambda: context.configuration().keeping
         )
-        self._upkeep = Upkeep(
+        self.upkeep = Upkeep(
             StreamParts(
                 log,
                 stream,
-                self._follower,
+                self.follower,
                 snapshots,
                 ClaimFold,
                 ClaimFold.from_snapshot,
@@ -160,12 +167,12 @@
     async def run(self) -> None:
         """Follow the stream and append to it until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follower.run)
+            tasks.start_soon(self.follower.run)
             tasks.start_soon(self._appender.run)
 
     async def own(self) -> None:
         """Look after the stream until cancelled."""
-        await self._upkeep.run()
+        await self.upkeep.run()
 
 
 class Partitions:
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,198 @@
+"""Keyed requests run at most once; a resend gets the recorded answer or "unknown"."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from chivespan.batchlinks import BatchLinks
+from chivespan.batchserver import BatchServer
+from chivespan.claimclient import ClaimClient, GrantedClaim, RecordedAnswer
+from chivespan.claimfold import claim_partition, claims_stream
+from chivespan.clock import ManualClock, SystemClock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.jobclient import JobClient
+from chivespan.jobfold import jobs_stream
+from chivespan.jobmessages import JobPhase
+from chivespan.messages import Program
+from chivespan.metrics import Metrics
+from chivespan.nodeview import NodeView
+from chivespan.partitions import Partitions
+from chivespan.peerlink import LinkEnd, LinkOptions, listen, new_hello
+from chivespan.targethttp import HttpAnswer
+from tests.batchfakes import OWNER, SETTINGS, Site, model_plan
+
+pytestmark = pytest.mark.anyio
+
+KEY = "booking-7"
+ANSWER = HttpAnswer(201, "text/plain", b"confirmed")
+PARTITION = claim_partition(OWNER, KEY)
+
+
+@asynccontextmanager
+async def linked(partitions: Partitions) -> AsyncIterator[BatchLinks]:
+    """Serve a worker's partitions over a real link, and give an entry's end."""
+    options = LinkOptions.from_settings(SETTINGS)
+    ends = {
+        program: LinkEnd(
+            new_hello(SETTINGS, program), options, SystemClock(), Metrics()
+        )
+        for program in (Program.batch, Program.entry)
+    }
+    handle = BatchServer(partitions, Metrics()).handle
+    async with listen(SETTINGS.vm, 0, ends[Program.batch], handle) as port:
+        settings = replace(SETTINGS, batch_port=port)
+        end = ends[Program.entry]
+        links = BatchLinks(end, settings, NodeView(end, settings))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(links.run)
+            yield links
+            tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def entry(site: Site) -> AsyncIterator[ClaimClient]:
+    async with site.partitions() as partitions, linked(partitions) as links:
+        yield ClaimClient(links)
+
+
+async def claim(
+    client: ClaimClient, digest: str = "d"
+) -> GrantedClaim | RecordedAnswer:
+    return await client.claim(OWNER, KEY, digest, "bookings", "/bookings")
+
+
+async def granted(client: ClaimClient) -> GrantedClaim:
+    found = await claim(client)
+    assert isinstance(found, GrantedClaim)
+    return found
+
+
+async def refusal(client: ClaimClient, digest: str = "d") -> ErrorKind:
+    with pytest.raises(ChivespanError) as refused:
+        await claim(client, digest)
+    return refused.value.kind
+
+
+async def test_one_of_many_claims_on_two_vms_is_granted() -> None:
+    site = Site()
+    outcomes: list[str] = []
+    async with entry(site) as one, entry(site) as other:
+
+        async def try_claim(client: ClaimClient) -> None:
+            try:
+                await claim(client)
+            except ChivespanError as error:
+                outcomes.append(error.kind.value)
+            else:
+                outcomes.append("granted")
+
+        async with anyio.create_task_group() as tasks:
+            for client in (one, other) * 5:
+                tasks.start_soon(try_claim, client)
+    assert sorted(outcomes) == ["granted"] + ["outcome_unknown"] * 9
+
+
+async def test_resend_at_another_vm_gets_the_recorded_answer() -> None:
+    site = Site()
+    async with entry(site) as one:
+        await one.record_answer(await granted(one), ANSWER)
+    async with entry(site) as other:
+        assert await claim(other) == RecordedAnswer(ANSWER)
+        assert await refusal(other, "other content") is ErrorKind.KEY_REUSED
+
+
+async def test_claim_without_an_outcome_is_never_granted_again() -> None:
+    site = Site()
+    async with entry(site) as one:
+        held = await granted(one)
+        async with entry(site) as other:
+            assert await refusal(other) is ErrorKind.OUTCOME_UNKNOWN
+        await one.record_unknown(held)
+    async with entry(site) as other:
+        assert await refusal(other) is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def test_claim_given_back_can_be_taken_again_but_not_by_its_late_outcome() -> (
+    None
+):
+    site = Site()
+    async with entry(site) as one, entry(site) as other:
+        first = await granted(one)
+        await one.record_not_run(first)
+        second = await granted(other)
+        await one.record_not_run(first)
+        assert second.claim_offset > first.claim_offset
+        assert await refusal(one) is ErrorKind.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize("fault", ["lost_answers", "dropped", "late_effects"])
+async def test_unanswered_append_of_a_claim_is_resolved(fault: str) -> None:
+    site = Site()
+    async with entry(site) as one:
+        setattr(site.log, fault, 2)
+        await granted(one)
+        site.log.release_late()
+        assert await refusal(one) is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def test_without_the_log_nothing_is_claimed_and_a_known_run_is_not_denied() -> (
+    None
+):
+    site = Site()
+    async with entry(site) as one:
+        await one.record_answer(await granted(one), ANSWER)
+        site.log.unreachable = True
+        assert await refusal(one) is ErrorKind.OUTCOME_UNKNOWN
+        with pytest.raises(ChivespanError) as refused, anyio.fail_after(2):
+            await one.claim(OWNER, "other", "d", "bookings", "/bookings")
+        assert refused.value.kind is ErrorKind.LOG_UNAVAILABLE
+        assert not refused.value.answer.may_have_run
+        site.log.unreachable = False
+
+
+async def test_recorded_answers_outlive_retention_for_their_keeping_time() -> None:
+    clock = ManualClock()
+    site, stream = Site(clock=clock), claims_stream(PARTITION)
+    async with site.partitions() as partitions, linked(partitions) as links:
+        client = ClaimClient(links)
+        await client.record_answer(await granted(client), ANSWER)
+        part = partitions.claims(PARTITION)
+        clock.advance(timedelta(hours=20))
+        await part.upkeep.look_after()
+        carried = site.log.records(stream)[-1].offset
+        await part.follower.wait_applied(carried)
+        clock.advance(timedelta(hours=4))
+        await part.upkeep.look_after()
+        site.log.expire(stream, carried)
+    async with site.partitions() as partitions, linked(partitions) as links:
+        client = ClaimClient(links)
+        assert await claim(client) == RecordedAnswer(ANSWER)
+        clock.advance(timedelta(days=8))
+        part = partitions.claims(PARTITION)
+        await part.upkeep.look_after()
+        await part.follower.wait_applied(site.log.records(stream)[-1].offset)
+        await granted(client)
+
+
+async def test_job_goes_over_the_link_and_back() -> None:
+    site = Site()
+    plan = model_plan([f"note {n}" for n in range(1200)])
+    async with site.partitions() as partitions, linked(partitions) as links:
+        partitions.own(frozenset({jobs_stream(0)}))
+        client = JobClient(links, partitions=1)
+        await client.submit(plan)
+        with anyio.fail_after(20):
+            while (await client.state(OWNER, plan.job_id)).phase is JobPhase.accepted:
+                await anyio.sleep(0.02)
+        found = [result async for result in client.results(OWNER, plan.job_id)]
+        states = await client.states(OWNER)
+        with pytest.raises(ChivespanError) as foreign:
+            await client.state("another", plan.job_id)
+    assert [one.index for one in found] == list(range(1200))
+    assert len(plan.chunks) == 3
+    assert [one.done for one in states] == [1200]
+    assert foreign.value.kind is ErrorKind.NOT_FOUND
