--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from functools import partial
@@ -28,18 +28,17 @@
     HeldGrants,
     Outcome,
     Refusal,
-    SliceLoad,
     WorkClass,
 )
 from chivespan.nodeview import NodeView
 from chivespan.peerlink import Backoff, LinkEnd, PeerLink, dial_once
 from chivespan.placement import ranked
 from chivespan.settings import NodeSettings
+from chivespan.slicechoice import SliceChoice
 from chivespan.slices import Slice
 
 OWNERS_ASKED = 2
 SLICES_ASKED = 4
-HOME_SLICES = 4
 CONNECT_WAIT = timedelta(milliseconds=500)
 NO_OWNER_WAIT = timedelta(seconds=1)
 NO_OWNER_PAUSE = timedelta(milliseconds=50)
@@ -95,7 +94,7 @@
         self._end = end
         self._settings = settings
         self._view = view
-        self._random = random or Random()
+        self._choice = SliceChoice(settings, view, random or Random())
         self._dispatchers: dict[str, _Dispatcher] = {}
         self._waiters: dict[str, _Waiter] = {}
         self._held: dict[str, _Holding] = {}
@@ -148,7 +147,7 @@
             gave an answer.
         """
         refusal = self._no_dispatcher(request)
-        for part in islice(self._candidates(request), SLICES_ASKED):
+        for part in islice(self._choice.candidates(request), SLICES_ASKED):
             remaining = deadline - self._end.clock.monotonic()
             asked = replace(
                 request,
@@ -227,57 +226,6 @@
             return
         link.send(release)
 
-    def _candidates(self, request: GrantRequest) -> Iterator[Slice]:
-        """Yield slices: with free slots here, then near, then those to queue at."""
-        parts = [
-            part
-            for part in self._view.slices.values()
-            if part.service == request.service
-            and request.slice_id in ("", part.slice_id)
-        ]
-        here = [each for each in parts if self._is_here(each)]
-        near = [each for each in parts if not self._is_here(each)]
-        near = [each for each in near if self._in_region(each)]
-        yield from self._by_free_slots(self._homes(here))
-        yield from self._by_free_slots([p for p in here if p not in self._homes(here)])
-        yield from self._by_free_slots(near)
-        full = [part for part in (here or near) if self._free_slots(part) <= 0]
-        yield from sorted(full, key=self._queue_length)
-
-    def _by_free_slots(self, parts: list[Slice]) -> Iterator[Slice]:
-        """Yield the slices with free slots, in random order weighted by these."""
-        keys = {
-            part.slice_id: self._random.random() ** (1 / self._free_slots(part))
-            for part in parts
-            if self._free_slots(part) > 0
-        }
-        chosen = [part for part in parts if part.slice_id in keys]
-        yield from sorted(chosen, key=lambda part: -keys[part.slice_id])
-
-    def _homes(self, here: list[Slice]) -> list[Slice]:
-        """Return the few slices this process asks first, to keep its links few."""
-        ids = ranked(self._settings.vm, [part.slice_id for part in here])
-        return [part for part in here if part.slice_id in ids[:HOME_SLICES]]
-
-    def _is_here(self, part: Slice) -> bool:
-        return part.data_centre == self._settings.data_centre
-
-    def _in_region(self, part: Slice) -> bool:
-        centre = self._view.configuration.data_centres.get(part.data_centre)
-        return centre is not None and centre.region == self._settings.region
-
-    def _free_slots(self, part: Slice) -> int:
-        load = self._view.loads.get(part.slice_id)
-        if load is None:
-            return sum(runner.slots for runner in part.runners)
-        return load.free_slots - load.queued_online
-
-    def _queue_length(self, part: Slice) -> float:
-        load: SliceLoad | None = self._view.loads.get(part.slice_id)
-        if load is None or load.total_slots == 0:
-            return 0.0
-        return load.queued_online / load.total_slots
-
     def _no_dispatcher(self, request: GrantRequest) -> ChivespanError:
         reason = f"no dispatcher of service {request.service} can be reached"
         return ChivespanError(ErrorKind.NO_DISPATCHER, reason)
@@ -289,7 +237,7 @@
         """
         vms = self._view.live_vms(self._settings.data_centre)
         for part in self._view.slices.values():
-            if part.service != request.service or not self._is_here(part):
+            if part.service != request.service or not self._choice.is_here(part):
                 continue
             for runner in part.runners:
                 fits = runner.model == request.model or not request.model
@@ -389,16 +337,10 @@
         self._owners = owners
 
     def _owners_that_matter(self) -> Iterator[tuple[str, str]]:
-        parts: Mapping[str, Slice] = self._view.slices
-        held = {each.slot.request.slice_id for each in self._held.values()}
-        services = {part.service for part in parts.values()}
-        for service in services:
-            here = [p for p in parts.values() if p.service == service]
-            held.update(
-                part.slice_id
-                for part in self._homes([each for each in here if self._is_here(each)])
-            )
-        for slice_id in held & parts.keys():
+        parts = self._view.slices
+        wanted = {each.slot.request.slice_id for each in self._held.values()}
+        wanted.update(self._choice.home_ids())
+        for slice_id in wanted & parts.keys():
             vms = self._view.live_vms(parts[slice_id].data_centre)
             for vm in ranked(slice_id, vms)[:1]:
                 yield slice_id, vm
--- /dev/null
+++ b/tests/controlnodes.py
@@ -0,0 +1,252 @@
+"""Dispatchers and their neighbours in one process, on loopback addresses."""
+
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.clock import SystemClock
+from chivespan.codec import encode
+from chivespan.configfold import CONFIG_STREAM
+from chivespan.dispatcher import Dispatcher
+from chivespan.documents import (
+    DataCentre,
+    DocumentKind,
+    Model,
+    Region,
+    Rule,
+    Runner,
+    Service,
+    ServiceKind,
+    WorkClassRule,
+)
+from chivespan.envelope import encode_record
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.grantclient import GrantClient
+from chivespan.messages import GrantRequest, Program, VmState, WorkClass
+from chivespan.metrics import Metrics
+from chivespan.nodeview import NodeView
+from chivespan.peerlink import LinkEnd, LinkOptions, new_hello
+from chivespan.platform import ListedVm
+from chivespan.policies import Policies
+from chivespan.records import ConfigChange, DocumentChange, RecordId
+from chivespan.settings import NodeSettings
+from tests.fakelog import FakeLog
+
+CENTRE = "centre-a"
+REGION = "region"
+SERVICE = "lm"
+MODEL = "model"
+PATIENCE_S = 10.0
+
+
+def settings_of(vm: str, port: int, centre: str = CENTRE) -> NodeSettings:
+    return NodeSettings(
+        vm=vm,
+        data_centre=centre,
+        region=REGION,
+        log_url="http://127.0.0.1:1",
+        vm_list_url="http://127.0.0.1:1",
+        peer_key="peer-key",
+        dispatch_port=port,
+        heartbeat_ms=50,
+        peer_silence_ms=250,
+    )
+
+
+@dataclass
+class FakeVmList:
+    """The VM list in memory."""
+
+    vms: tuple[ListedVm, ...] = ()
+    down: bool = False
+
+    async def fetch(self) -> tuple[ListedVm, ...]:
+        await anyio.lowlevel.checkpoint()
+        if self.down:
+            raise ChivespanError(ErrorKind.NOT_READY, "down")
+        return self.vms
+
+    def mark(self, vm: str, state: VmState) -> None:
+        self.vms = tuple(
+            replace(each, state=state) if each.vm == vm else each for each in self.vms
+        )
+
+
+@dataclass
+class Platform:
+    """What the nodes of one test share."""
+
+    port: int
+    log: FakeLog = field(default_factory=FakeLog)
+    vm_list: FakeVmList = field(default_factory=FakeVmList)
+    sequence: int = 0
+
+    def list_vms(self, *vms: str, centre: str = CENTRE) -> None:
+        listed = [ListedVm(vm, centre, REGION, VmState.live) for vm in vms]
+        self.vm_list.vms = (*self.vm_list.vms, *listed)
+
+    def publish(self, *changes: DocumentChange) -> int:
+        """Put one change on the log; return its offset."""
+        self.sequence += 1
+        change = ConfigChange(operator="op", reason="test", changes=list(changes))
+        record_id = RecordId(writer="test", sequence=self.sequence)
+        payload = encode_record(change, record_id, SystemClock().now())
+        return self.log.put(CONFIG_STREAM, [payload])
+
+
+@dataclass
+class ControlNode:
+    """One dispatcher that runs in this process."""
+
+    settings: NodeSettings
+    dispatcher: Dispatcher
+    metrics: Metrics
+    scope: anyio.CancelScope
+
+    @property
+    def vm(self) -> str:
+        return self.settings.vm
+
+    @property
+    def offset(self) -> int:
+        return self.dispatcher.copy.offset
+
+    def state_of(self, vm: str) -> VmState | None:
+        view = self.dispatcher.membership.views.get(vm)
+        return view.state if view else None
+
+    def stop(self) -> None:
+        """End the dispatcher without any drain."""
+        self.scope.cancel()
+
+
+@dataclass
+class Asker:
+    """A program that follows the view and asks for grants."""
+
+    view: NodeView
+    client: GrantClient
+    metrics: Metrics
+
+
+def start_node(
+    tasks: TaskGroup, platform: Platform, vm: str, centre: str = CENTRE
+) -> ControlNode:
+    settings = settings_of(vm, platform.port, centre)
+    metrics = Metrics()
+    dispatcher = Dispatcher(
+        settings,
+        platform.log,
+        platform.vm_list,
+        SystemClock(),
+        metrics,
+        Policies(grant_lifetime=timedelta(milliseconds=300)),
+    )
+    node = ControlNode(settings, dispatcher, metrics, anyio.CancelScope())
+    tasks.start_soon(_run_node, node)
+    return node
+
+
+async def _run_node(node: ControlNode) -> None:
+    with node.scope:
+        await node.dispatcher.run()
+
+
+@asynccontextmanager
+async def control_nodes(
+    platform: Platform, vms: Sequence[str]
+) -> AsyncIterator[list[ControlNode]]:
+    """Run a dispatcher on each address, listed as live."""
+    platform.list_vms(*vms)
+    async with anyio.create_task_group() as tasks:
+        yield [start_node(tasks, platform, vm) for vm in vms]
+        tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def asker(
+    platform: Platform, vm: str, program: Program = Program.entry
+) -> AsyncIterator[Asker]:
+    """Run what an entry uses: a view and a grant client."""
+    settings = settings_of(vm, platform.port)
+    metrics = Metrics()
+    end = LinkEnd(
+        new_hello(settings, program),
+        LinkOptions.from_settings(settings),
+        SystemClock(),
+        metrics,
+    )
+    view = NodeView(end, settings, platform.vm_list)
+    client = GrantClient(end, settings, view, Random(1))
+    async with AsyncExitStack() as stack:
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        tasks.start_soon(view.run)
+        tasks.start_soon(client.run)
+        with anyio.fail_after(PATIENCE_S):
+            await view.wait_ready()
+        yield Asker(view, client, metrics)
+        tasks.cancel_scope.cancel()
+
+
+def added(kind: DocumentKind, name: str, document: object) -> DocumentChange:
+    return DocumentChange(
+        kind=kind.value, name=name, base_version=0, document=encode(document)
+    )
+
+
+def inventory(targets: int, slots: int = 4) -> list[DocumentChange]:
+    """Return the documents of one service with targets in one data centre."""
+    runners = [
+        Runner(
+            name=f"runner-{number}",
+            service=SERVICE,
+            address=f"127.9.0.{number + 1}:9000",
+            data_centre=CENTRE,
+            slots=slots,
+            model=MODEL,
+        )
+        for number in range(targets)
+    ]
+    rules = [
+        Rule(name=work.value, owner="owner", service=SERVICE, work_class=work)
+        for work in WorkClassRule
+    ]
+    service = Service(name=SERVICE, kind=ServiceKind.model, models=[MODEL])
+    return [
+        added(DocumentKind.region, REGION, Region(name=REGION)),
+        added(DocumentKind.data_centre, CENTRE, DataCentre(name=CENTRE, region=REGION)),
+        added(DocumentKind.model, MODEL, Model(name=MODEL, version="1")),
+        added(DocumentKind.service, SERVICE, service),
+        *(added(DocumentKind.runner, runner.name, runner) for runner in runners),
+        *(added(DocumentKind.rule, rule.name, rule) for rule in rules),
+    ]
+
+
+def request(
+    number: int, work_class: WorkClass = WorkClass.online, deadline_ms: int = 5000
+) -> GrantRequest:
+    return GrantRequest(
+        request_id=f"request-{number}",
+        slice_id="",
+        service=SERVICE,
+        model=MODEL,
+        owner="owner",
+        work_class=work_class,
+        deadline_ms=deadline_ms,
+        tokens=16,
+    )
+
+
+async def until(condition: Callable[[], bool], patience_s: float = PATIENCE_S) -> None:
+    """Wait until a condition holds.
+
+    :raises TimeoutError: when it doesn't within the patience.
+    """
+    with anyio.fail_after(patience_s):
+        while not condition():
+            await anyio.sleep(0.005)
