Add the operators' command line: validate, import, apply, outcome, show, history

A change goes to the log as deltas with base versions and is only called accepted after it was read back; a lost answer gives an id to ask by, and asking voids the id first, so that 'not accepted' holds. A command runs only after all its flags were understood: fire would run apply and then complain of an unknown flag.

--- a/chivespan/inventorychecks.py
+++ b/chivespan/inventorychecks.py
@@ -144,31 +144,44 @@
     return register
 
 
-def check_inventory(
-    inventory: Inventory, in_force: Mapping[DocumentId, Document] | None = None
-) -> list[Fault]:
+def check_inventory(inventory: Inventory) -> list[Fault]:
     """Return every fault of an inventory, those of reading it included.
 
-    :param in_force: documents in force, for kinds that the files don't have; None
-        when unknown, then references to such kinds aren't checked.
+    References to kinds that the files have no table of aren't checked.
+    """
+    found = Documents(inventory.documents, inventory.kinds, inventory.broken)
+    return [*inventory.faults, *_faults(inventory.documents, found, inventory.places)]
+
+
+def check_result(
+    before: Mapping[DocumentId, Document],
+    after: Mapping[DocumentId, Document],
+    places: Mapping[DocumentId, Place],
+) -> list[Fault]:
+    """Return the faults that a change brings; those that were there before may stay.
+
+    :param before: all documents in force.
+    :param after: all documents in force once the change is.
+    :param places: where documents stand in the files.
     """
-    documents = dict(inventory.documents)
-    known = set(inventory.kinds)
-    if in_force is not None:
-        known = set(DocumentKind)
-        for document_id, document in in_force.items():
-            if document_id.kind not in inventory.kinds:
-                documents[document_id] = document
-    found = Documents(documents, known, inventory.broken)
-    faults = list(inventory.faults)
+    everything = set(DocumentKind)
+    known = set(_faults(before, Documents(before, everything, set()), places))
+    faults = _faults(after, Documents(after, everything, set()), places)
+    return [fault for fault in faults if fault not in known]
+
+
+def _faults(
+    documents: Mapping[DocumentId, Document],
+    all_: Documents,
+    places: Mapping[DocumentId, Place],
+) -> Iterator[Fault]:
     for document_id, document in documents.items():
-        place = inventory.places.get(document_id) or Place(
+        place = places.get(document_id) or Place(
             "in force", TABLE_OF_KIND[document_id.kind], 0, document_id.name
         )
         for one in _CHECKS[document_id.kind]:
-            for problem in one(document, found):
-                faults.append(Fault(place.at(problem.field), problem.problem))
-    return faults
+            for problem in one(document, all_):
+                yield Fault(place.at(problem.field), problem.problem)
 
 
 def unchecked_kinds(inventory: Inventory) -> list[DocumentKind]:
--- /dev/null
+++ b/chivespan/operatorapply.py
@@ -0,0 +1,130 @@
+"""``chivespan apply``: from files to changes on the log, and what became of them."""
+
+from dataclasses import dataclass
+
+from chivespan.auth import key_hash
+from chivespan.configchanges import (
+    Plan,
+    changes_of,
+    documents_after,
+    documents_in_force,
+    plan_changes,
+)
+from chivespan.configuration import Configuration
+from chivespan.documents import DocumentKind, Operator
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.inventory import Inventory
+from chivespan.inventorychecks import check_inventory, check_result
+from chivespan.operatorlog import OperatorLog, Published
+from chivespan.operatorresults import (
+    ApplyOutcome,
+    ApplyResult,
+    Conflict,
+    DeltaLine,
+    PartOutcome,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyOptions:
+    """How files are applied.
+
+    :param operator: name of the operator who asks.
+    :param partial: only add and change, remove nothing.
+    :param dry_run: only say what would change.
+    """
+
+    operator: str
+    operator_key: str
+    reason: str = ""
+    partial: bool = False
+    dry_run: bool = False
+
+
+async def apply_inventory(
+    log: OperatorLog, inventory: Inventory, options: ApplyOptions
+) -> ApplyResult:
+    """Publish what an inventory changes and return what became of it.
+
+    :raises ChivespanError: ``log_unavailable`` when nothing could be read,
+        ``unauthenticated`` for a wrong operator, ``version_conflict`` for files that
+        are too old.
+    """
+    if inventory.faults:
+        found = check_inventory(inventory)
+        return ApplyResult(ApplyOutcome.INVALID, faults=tuple(found))
+    fold = await log.read()
+    configuration = fold.configuration
+    require_operator(configuration, inventory, options)
+    plan = plan_changes(inventory, configuration, fold.history, partial=options.partial)
+    faults = check_result(
+        documents_in_force(configuration),
+        documents_after(configuration, plan),
+        inventory.places,
+    )
+    if faults:
+        return ApplyResult(ApplyOutcome.INVALID, faults=tuple(faults))
+    if options.dry_run or not plan.deltas:
+        outcome = ApplyOutcome.DRY_RUN if plan.deltas else ApplyOutcome.NOTHING_TO_DO
+        return _result(outcome, plan, [], fold.offset)
+    return await _publish(log, plan, options)
+
+
+def require_operator(
+    configuration: Configuration, inventory: Inventory, options: ApplyOptions
+) -> None:
+    """Check the operator's name and key against the rules in force.
+
+    While none is in force, the files must name the operator. This guards against
+    mistakes; who may write to the log is the platform's to say.
+
+    :raises ChivespanError: ``unauthenticated``.
+    """
+    named: dict[str, Operator] = dict(configuration.operators)
+    where = "in force"
+    if not named:
+        where = "in the files"
+        for name, document in inventory.of_kind(DocumentKind.operator).items():
+            if isinstance(document, Operator):
+                named[name] = document
+    known = named.get(options.operator)
+    if known is None or key_hash(options.operator_key) not in known.key_sha256:
+        reason = f"no operator {options.operator!r} with this key is {where}"
+        raise ChivespanError(ErrorKind.UNAUTHENTICATED, reason)
+
+
+async def _publish(log: OperatorLog, plan: Plan, options: ApplyOptions) -> ApplyResult:
+    parts: list[Published] = []
+    for change in changes_of(plan, options.operator, options.reason):
+        published = await log.publish(change)
+        parts.append(published)
+        if published.outcome is not ApplyOutcome.ACCEPTED:
+            break
+    return _result(parts[-1].outcome, plan, parts, log.fold.offset)
+
+
+def _result(
+    outcome: ApplyOutcome, plan: Plan, parts: list[Published], offset: int
+) -> ApplyResult:
+    return ApplyResult(
+        outcome,
+        deltas=tuple(map(DeltaLine.of, plan.deltas)),
+        kept=tuple(f"{one.kind.value} {one.name}" for one in plan.kept),
+        parts=tuple(
+            PartOutcome(
+                part.change_id,
+                part.outcome,
+                len(part.entry.changes) if part.entry else 0,
+                part.message,
+            )
+            for part in parts
+        ),
+        conflicts=tuple(
+            Conflict(one.kind, one.name, one.base_version, one.version)
+            for part in parts
+            if part.entry and part.outcome is ApplyOutcome.CONFLICT
+            for one in part.entry.changes
+            if one.base_version != one.version
+        ),
+        offset=offset,
+    )
--- /dev/null
+++ b/chivespan/operatorlog.py
@@ -0,0 +1,181 @@
+"""The operators' side of the configuration stream: read, publish, ask by id."""
+
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+
+import anyio
+
+from chivespan.appender import Appender
+from chivespan.clock import Clock
+from chivespan.codec import decode
+from chivespan.configfold import CONFIG_STREAM, ConfigFold
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.operatorresults import ApplyOutcome, OutcomeResult
+from chivespan.platform import LogService
+from chivespan.records import (
+    AuditEntry,
+    ConfigChange,
+    ConfigState,
+    RecordId,
+    VoidRecord,
+)
+
+READ_LIMIT = 1000
+NO_WAIT = timedelta(0)
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """What became of one record.
+
+    :param entry: its line of the audit trail, once it was read back.
+    """
+
+    change_id: str
+    outcome: ApplyOutcome
+    message: str = ""
+    entry: AuditEntry | None = None
+
+
+def change_id(record_id: RecordId) -> str:
+    """Return the id that operators ask by.
+
+    >>> change_id(RecordId(writer="ana-1f", sequence=1))
+    'ana-1f/1'
+    """
+    return f"{record_id.writer}/{record_id.sequence}"
+
+
+def parse_change_id(text: str) -> RecordId:
+    """Return the record id of a change id.
+
+    :raises ChivespanError: ``bad_request`` when it is none.
+    """
+    writer, _, sequence = text.rpartition("/")
+    if not writer or not sequence.isdecimal():
+        reason = f"{text!r} is no change id; give one that 'apply' printed"
+        raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
+    return RecordId(writer=writer, sequence=int(sequence))
+
+
+class OperatorLog:
+    """The configuration stream as one operator's command uses it.
+
+    Use :meth:`opened`; each command writes under an id of its own.
+    """
+
+    def __init__(self, log: LogService, appender: Appender, writer: str) -> None:
+        self._log = log
+        self._appender = appender
+        self._writer = writer
+        self._published = 0
+        self._fold = ConfigFold()
+
+    @classmethod
+    @asynccontextmanager
+    async def opened(
+        cls, log: LogService, operator: str, clock: Clock
+    ) -> AsyncIterator["OperatorLog"]:
+        """Give an open stream; its appender runs as long as the block.
+
+        :param operator: name of the operator, the head of every change's id.
+        """
+        writer = f"{operator}-{uuid.uuid4().hex[:12]}"
+        appender = Appender(log, CONFIG_STREAM, writer, clock)
+        failure: ChivespanError | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(appender.run)
+            try:
+                yield cls(log, appender, writer)
+            except ChivespanError as error:
+                failure = error
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    @property
+    def fold(self) -> ConfigFold:
+        """What was read so far."""
+        return self._fold
+
+    async def read(self) -> ConfigFold:
+        """Read to the end of the stream and return its fold.
+
+        :raises ChivespanError: ``log_unavailable`` when the log gives no answer.
+        """
+        while True:
+            start = self._fold.offset + 1
+            page = await self._log.read(CONFIG_STREAM, start, READ_LIMIT, NO_WAIT)
+            for record in page.records:
+                self._fold.apply(record)
+            if self._fold.offset + 1 >= page.end:
+                return self._fold
+
+    async def publish(self, change: ConfigChange) -> Published:
+        """Append a change and return what the order of the log made of it."""
+        self._published += 1
+        record_id = RecordId(writer=self._writer, sequence=self._published)
+        name = change_id(record_id)
+        try:
+            await self._appender.append(change)
+        except ChivespanError as error:
+            if error.kind is ErrorKind.ACCEPTANCE_UNKNOWN:
+                return Published(name, ApplyOutcome.UNKNOWN, error.message)
+            return Published(name, ApplyOutcome.NOT_ACCEPTED, error.message)
+        try:
+            await self.read()
+        except ChivespanError as error:
+            reason = f"it is in the log but could not be read: {error.message}"
+            return Published(name, ApplyOutcome.UNKNOWN, reason)
+        return _decided(name, self._entry(record_id))
+
+    async def outcome(self, record_id: RecordId) -> OutcomeResult:
+        """Return what became of a change; after this it can no more arrive late.
+
+        When no trace of it is found, a void is written for its id first.
+
+        :raises ChivespanError: ``log_unavailable`` or ``acceptance_unknown`` when that
+            can't be told now.
+        """
+        await self.read()
+        name = change_id(record_id)
+        entry = self._entry(record_id)
+        if entry is None and self._has_seen(record_id):
+            return OutcomeResult(name, ApplyOutcome.UNKNOWN, None)
+        if entry is None:
+            void = VoidRecord(writer=record_id.writer, sequence=record_id.sequence)
+            await self._appender.append(void)
+            await self.read()
+            entry = self._entry(record_id)
+        if entry is None:
+            return OutcomeResult(name, ApplyOutcome.NOT_ACCEPTED, None)
+        return OutcomeResult(name, _decided(name, entry).outcome, entry)
+
+    def _entry(self, record_id: RecordId) -> AuditEntry | None:
+        for entry in reversed(self._fold.history):
+            if (entry.writer, entry.sequence) == (record_id.writer, record_id.sequence):
+                return entry
+        return None
+
+    def _has_seen(self, record_id: RecordId) -> bool:
+        """Return whether the id was decided, though the audit trail has lost it."""
+        state = decode(self._fold.snapshot(), ConfigState)
+        return any(
+            one.writer == record_id.writer
+            and (record_id.sequence <= one.floor or record_id.sequence in one.above)
+            for one in state.seen
+        )
+
+
+def _decided(name: str, entry: AuditEntry | None) -> Published:
+    if entry is None:
+        reason = "the log holds it, but the audit trail doesn't show it"
+        return Published(name, ApplyOutcome.UNKNOWN, reason)
+    if entry.accepted:
+        return Published(name, ApplyOutcome.ACCEPTED, entry=entry)
+    conflict = entry.error == ErrorKind.VERSION_CONFLICT
+    outcome = ApplyOutcome.CONFLICT if conflict else ApplyOutcome.REFUSED
+    return Published(name, outcome, entry.detail, entry)
--- /dev/null
+++ b/chivespan/operatortext.py
@@ -0,0 +1,286 @@
+"""Results of the operators' commands as lines for people; a renderer for each class."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
+from datetime import datetime
+from typing import Any, TypeAlias
+
+from chivespan.inventory import Fault
+from chivespan.messages import TargetStatus, VmView
+from chivespan.operatorresults import (
+    ApplyOutcome,
+    ApplyResult,
+    CheckResult,
+    DrainResult,
+    ErrorResult,
+    HistoryResult,
+    ImportResult,
+    JobsResult,
+    KeyResult,
+    OutcomeResult,
+    ShowResult,
+    StatusResult,
+    UsageResult,
+    VmStatus,
+)
+from chivespan.records import AuditChange, AuditEntry
+
+Render: TypeAlias = Callable[[Any], Iterator[str]]
+_RENDERERS: dict[type[Any], Render] = {}
+
+
+def renders(cls: type[Any]) -> Callable[[Render], Render]:
+    """Register how results of a class are shown to people."""
+
+    def register(function: Render) -> Render:
+        _RENDERERS[cls] = function
+        return function
+
+    return register
+
+
+def lines(result: object) -> Iterator[str]:
+    """Yield a result as lines for people."""
+    yield from _RENDERERS[type(result)](result)
+
+
+def table(rows: Iterable[tuple[object, ...]], *titles: str) -> Iterator[str]:
+    """Yield rows under titles, in columns as wide as needed."""
+    cells = [titles, *(tuple(str(cell) for cell in row) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    for row in cells:
+        padded = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        yield "  ".join(padded).rstrip()
+
+
+@renders(ErrorResult)
+def _error_lines(result: ErrorResult) -> Iterator[str]:
+    yield f"{result.error}: {result.message}"
+
+
+def _fault_lines(faults: tuple[Fault, ...]) -> Iterator[str]:
+    yield from map(str, faults)
+    yield "1 fault" if len(faults) == 1 else f"{len(faults)} faults"
+
+
+@renders(CheckResult)
+def _check_lines(result: CheckResult) -> Iterator[str]:
+    if result.faults:
+        yield from _fault_lines(result.faults)
+    else:
+        yield f"{result.documents} documents, no fault"
+    if result.unchecked:
+        kinds = ", ".join(result.unchecked)
+        yield f"references to these were not checked, no file has them: {kinds}"
+
+
+@renders(ImportResult)
+def _import_lines(result: ImportResult) -> Iterator[str]:
+    if result.faults:
+        yield from _fault_lines(result.faults)
+        return
+    yield f"# rows without a service, left aside: {result.skipped_rows}"
+    if result.unused_columns:
+        yield f"# columns left aside: {', '.join(result.unused_columns)}"
+    yield ""
+    yield result.toml.rstrip("\n")
+
+
+@renders(KeyResult)
+def _key_lines(result: KeyResult) -> Iterator[str]:
+    yield f"key         {result.key}"
+    yield f"key_sha256  {result.key_sha256}"
+    yield "Give the key to its holder; only the hash goes into the rules."
+
+
+@renders(ApplyResult)
+def _apply_lines(result: ApplyResult) -> Iterator[str]:
+    if result.faults:
+        yield from _fault_lines(result.faults)
+    for delta in result.deltas:
+        base = f" (version {delta.base_version})" if delta.base_version else ""
+        yield f"{delta.action:7}{delta.kind} {delta.name}{base}"
+    for name in result.kept:
+        yield f"kept   {name}, added by others since the files were made"
+    for conflict in result.conflicts:
+        yield (
+            f"conflict: {conflict.kind} {conflict.name} is at version "
+            f"{conflict.version}, the change was made against {conflict.base_version}"
+        )
+    for part in result.parts:
+        detail = f": {part.message}" if part.message else ""
+        yield f"change {part.change_id}: {part.outcome}{detail}"
+    yield _outcome_line(result)
+
+
+def _outcome_line(result: ApplyResult) -> str:
+    count = len(result.deltas)
+    match result.outcome:
+        case ApplyOutcome.ACCEPTED:
+            return f"accepted: {count} documents, as of {result.offset}"
+        case ApplyOutcome.NOTHING_TO_DO:
+            return f"nothing to do: all this is in force as of {result.offset}"
+        case ApplyOutcome.DRY_RUN:
+            return f"dry run: {count} documents would change"
+        case ApplyOutcome.INVALID:
+            return "not sent: the files have faults"
+        case ApplyOutcome.NOT_ACCEPTED:
+            return "not accepted: it is not in force and won't be; apply it again"
+        case ApplyOutcome.UNKNOWN:
+            return "unknown: ask with 'chivespan outcome ID' before applying again"
+        case _:
+            parts = [part for part in result.parts if part.message]
+            done = sum(part.outcome is ApplyOutcome.ACCEPTED for part in result.parts)
+            rest = f"; {done} earlier parts are in force" if done else ""
+            return f"{result.outcome}: {len(parts)} part refused{rest}"
+
+
+@renders(OutcomeResult)
+def _outcome_lines(result: OutcomeResult) -> Iterator[str]:
+    yield f"change {result.change_id}: {result.outcome}"
+    if result.entry:
+        yield from _entry_lines(result.entry)
+
+
+@renders(ShowResult)
+def _show_lines(result: ShowResult) -> Iterator[str]:
+    if result.toml:
+        yield result.toml.rstrip("\n")
+        return
+    rows = ((one.kind, one.name, one.version) for one in result.documents)
+    yield from table(rows, "KIND", "NAME", "VERSION")
+    yield f"{len(result.documents)} documents as of {result.as_of}"
+
+
+@renders(HistoryResult)
+def _history_lines(result: HistoryResult) -> Iterator[str]:
+    for entry in result.entries:
+        yield from _entry_lines(entry)
+    if not result.entries:
+        yield "no change is on record"
+
+
+def _entry_lines(entry: AuditEntry) -> Iterator[str]:
+    outcome = "accepted" if entry.accepted else f"refused ({entry.error})"
+    yield (
+        f"{entry.offset}  {_time(entry.written_at)}  {entry.operator}  {outcome}  "
+        f"{entry.reason or '-'}"
+    )
+    if entry.detail:
+        yield f"    because {entry.detail}"
+    for change in entry.changes:
+        yield f"    {_change_line(change, entry.accepted)}"
+
+
+def _change_line(change: AuditChange, accepted: bool) -> str:
+    if not accepted:
+        versions = f"made against {change.base_version}, in force {change.version}"
+    elif change.removed:
+        versions = f"{change.base_version} -> removed"
+    else:
+        versions = f"{change.base_version or 'new'} -> {change.version}"
+    return f"{change.kind} {change.name}: {versions}"
+
+
+def _time(moment: datetime) -> str:
+    return moment.strftime("%Y-%m-%d %H:%M:%SZ")
+
+
+@renders(UsageResult)
+def _usage_lines(result: UsageResult) -> Iterator[str]:
+    rows = (
+        (
+            one.owner,
+            one.service,
+            one.work_class.value,
+            one.requests,
+            one.tokens,
+            f"{one.slot_ms / 1000:.1f}",
+            one.refusals,
+        )
+        for one in sorted(
+            result.counts, key=lambda one: (one.owner, one.service, one.work_class)
+        )
+    )
+    titles = "OWNER", "SERVICE", "CLASS", "REQUESTS", "TOKENS", "SLOT-SECONDS"
+    yield from table(rows, *titles, "REFUSED")
+
+
+@renders(JobsResult)
+def _job_lines(result: JobsResult) -> Iterator[str]:
+    rows = (
+        (
+            one.job_id,
+            one.owner,
+            one.service,
+            one.phase.value,
+            one.items,
+            one.done,
+            one.failed,
+        )
+        for one in result.jobs
+    )
+    titles = "JOB", "OWNER", "SERVICE", "STATE", "ITEMS", "DONE", "FAILED"
+    yield from table(rows, *titles)
+
+
+@renders(StatusResult)
+def _status_lines(result: StatusResult) -> Iterator[str]:
+    views = _views(result)
+    yield from table(
+        (_vm_row(one, views) for one in result.vms),
+        *("VM", "DATA CENTRE", "STATE", "CONFIGURATION", "AGE", "SLICES", "TARGETS"),
+    )
+    targets = [
+        target for one in result.vms if one.status for target in one.status.targets
+    ]
+    if not targets:
+        return
+    yield ""
+    yield from table(
+        map(_target_row, sorted(targets, key=lambda one: one.target)),
+        *("TARGET", "STATE", "SLOTS", "ONLINE", "BATCH", "MODEL", "SLICE"),
+    )
+
+
+def _views(result: StatusResult) -> dict[str, VmView]:
+    by_vm: dict[str, list[VmView]] = defaultdict(list)
+    for one in result.vms:
+        for view in one.status.vms if one.status else ():
+            by_vm[view.vm].append(view)
+    return {vm: views[0] for vm, views in by_vm.items()}
+
+
+def _target_row(one: TargetStatus) -> tuple[object, ...]:
+    return (
+        one.target,
+        one.state,
+        one.slots,
+        one.online_running,
+        one.batch_running,
+        f"{one.model} {one.version}".strip() or "-",
+        one.slice_id,
+    )
+
+
+def _vm_row(one: VmStatus, views: dict[str, VmView]) -> tuple[object, ...]:
+    view = views.get(one.vm)
+    centre = view.data_centre if view else "-"
+    if one.status is None:
+        return (one.vm, centre, f"no answer: {one.error}", "-", "-", "-", "-")
+    reply = one.status
+    state = "leaving" if reply.leaving else "live"
+    slices = len({target.slice_id for target in reply.targets})
+    age = f"{reply.config_age_ms / 1000:.1f} s"
+    return (
+        *(one.vm, centre, state, reply.config_offset, age),
+        *(slices, len(reply.targets)),
+    )
+
+
+@renders(DrainResult)
+def _drain_lines(result: DrainResult) -> Iterator[str]:
+    if result.leaving:
+        yield f"{result.vm} is leaving: it finishes what runs and takes no new callers"
+    else:
+        yield f"{result.vm} is not leaving"
--- a/chivespan/options.py
+++ b/chivespan/options.py
@@ -18,6 +18,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 
 T = TypeVar("T")
+Function = TypeVar("Function", bound=Callable[..., Any])
 
 ENVIRONMENT_PREFIX = "CHIVESPAN_"
 LOG_LEVELS = ("debug", "info", "notice", "warning", "error")
@@ -86,6 +87,15 @@
         raise SystemExit(2) from None
 
 
+def as_text(*names: str) -> Callable[[Function], Function]:
+    """Keep arguments of a command as text, so that fire reads no numbers into them.
+
+    :param names: the arguments; all when none is named.
+    """
+    keep: Callable[[Function], Function] = fire.decorators.SetParseFn(str, *names)
+    return keep
+
+
 def variable(name: str) -> str:
     """Return the environment variable of a setting.
 
@@ -180,7 +190,7 @@
 def _parse_flags(arguments: Sequence[str]) -> _Flags:
     collected: list[_Flags] = []
 
-    @fire.decorators.SetParseFn(str)  # type: ignore[untyped-decorator, unused-ignore]
+    @as_text()
     def collect(*words: str, **named: str) -> None:
         collected.append(_Flags(named, words))
 
