--- a/chivespan/operatorentry.py
+++ b/chivespan/operatorentry.py
@@ -1,30 +1,22 @@
 """What operators ask entry VMs: usage, batch jobs, status, drain."""
 
-from typing import TypeVar
 from urllib.parse import quote
 
-import anyio
-
 from chivespan.addresses import is_ip_number, parse_address
 from chivespan.entryclient import EntryClient
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.jobmessages import JobState
-from chivespan.messages import StatusReply, UsageReport
+from chivespan.messages import FleetStatus, FleetUsage, StatusReply
 from chivespan.operatorresults import (
     DrainResult,
     JobsResult,
     StatusResult,
     UsageResult,
-    VmStatus,
 )
 
-MAX_ASKED_AT_ONCE = 32
-
-T = TypeVar("T")
-
 
 class OperatorEntry:
-    """Asks one entry, and for status and drain others that it knows of.
+    """Asks one entry, and for a drain the entry of the VM that is to leave.
 
     :param address: IP number and port of any entry VM.
     """
@@ -36,8 +28,8 @@
 
     async def usage(self) -> UsageResult:
         """Return what every owner consumed."""
-        report = await self._client.get("/v1/usage", UsageReport)
-        return UsageResult(tuple(report.counts))
+        fleet = await self._client.get("/operator/usage", FleetUsage)
+        return UsageResult(tuple(fleet.counts), tuple(fleet.missing))
 
     async def jobs(self) -> JobsResult:
         """Return all batch jobs."""
@@ -55,30 +47,13 @@
 
     async def drain(self, vm: str) -> DrainResult:
         """Tell a VM to leave."""
-        await self._of(vm).post("/operator/drain", dict[str, object])
-        return DrainResult(vm, leaving=True)
+        reply = await self._of(vm).post("/operator/drain", StatusReply)
+        return DrainResult(vm, reply.leaving)
 
     async def status(self) -> StatusResult:
-        """Return what every VM that this entry knows of says of itself."""
-        own = await self._client.get("/operator/status", StatusReply)
-        others = sorted({view.vm for view in own.vms} - {own.vm})
-        found = {own.vm: VmStatus(own.vm, own)}
-        limit = anyio.CapacityLimiter(MAX_ASKED_AT_ONCE)
-
-        async def ask(vm: str) -> None:
-            async with limit:
-                found[vm] = await self._status_of(vm)
-
-        async with anyio.create_task_group() as group:
-            for vm in others:
-                group.start_soon(ask, vm)
-        return StatusResult(tuple(found[vm] for vm in sorted(found)))
-
-    async def _status_of(self, vm: str) -> VmStatus:
-        try:
-            return VmStatus(vm, await self._of(vm).get("/operator/status", StatusReply))
-        except ChivespanError as error:
-            return VmStatus(vm, None, error.message)
+        """Return what every VM that the entry knows of says of itself."""
+        fleet = await self._client.get("/operator/status", FleetStatus)
+        return StatusResult(tuple(fleet.vms), tuple(fleet.unreachable))
 
     def _of(self, vm: str) -> EntryClient:
         """Return a client of another VM's entry, which has the same port."""
--- a/chivespan/operatorresults.py
+++ b/chivespan/operatorresults.py
@@ -172,9 +172,13 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageResult:
-    """Who consumed what."""
+    """Who consumed what.
+
+    :param missing: data centres whose part is not known now.
+    """
 
     counts: tuple[UsageCount, ...]
+    missing: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,20 +188,12 @@
     jobs: tuple[JobState, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class VmStatus:
-    """What one VM says of itself, or why it says nothing."""
-
-    vm: str
-    status: StatusReply | None
-    error: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class StatusResult:
-    """What every VM says of itself."""
+    """What every VM says of itself, and the VMs that gave no answer."""
 
-    vms: tuple[VmStatus, ...]
+    vms: tuple[StatusReply, ...]
+    unreachable: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/chivespan/operatortext.py
+++ b/chivespan/operatortext.py
@@ -1,12 +1,11 @@
 """Results of the operators' commands as lines for people; a renderer for each class."""
 
-from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from datetime import datetime
 from typing import Any, TypeAlias
 
 from chivespan.inventory import Fault
-from chivespan.messages import TargetStatus, VmView
+from chivespan.messages import StatusReply, TargetStatus, VmView
 from chivespan.operatorresults import (
     ApplyOutcome,
     ApplyResult,
@@ -21,7 +20,6 @@
     ShowResult,
     StatusResult,
     UsageResult,
-    VmStatus,
 )
 from chivespan.records import AuditChange, AuditEntry
 
@@ -204,6 +202,8 @@
     )
     titles = "OWNER", "SERVICE", "CLASS", "REQUESTS", "TOKENS", "SLOT-SECONDS"
     yield from table(rows, *titles, "REFUSED")
+    for data_centre in result.missing:
+        yield f"{data_centre}: no dispatcher answered, its part is missing"
 
 
 @renders(JobsResult)
@@ -226,14 +226,14 @@
 
 @renders(StatusResult)
 def _status_lines(result: StatusResult) -> Iterator[str]:
-    views = _views(result)
+    views = {view.vm: view for reply in result.vms for view in reply.vms}
     yield from table(
-        (_vm_row(one, views) for one in result.vms),
+        (_vm_row(reply, views.get(reply.vm)) for reply in result.vms),
         *("VM", "DATA CENTRE", "STATE", "CONFIGURATION", "AGE", "SLICES", "TARGETS"),
     )
-    targets = [
-        target for one in result.vms if one.status for target in one.status.targets
-    ]
+    for vm in result.unreachable:
+        yield f"{vm}: no answer"
+    targets = [target for reply in result.vms for target in reply.targets]
     if not targets:
         return
     yield ""
@@ -243,14 +243,6 @@
     )
 
 
-def _views(result: StatusResult) -> dict[str, VmView]:
-    by_vm: dict[str, list[VmView]] = defaultdict(list)
-    for one in result.vms:
-        for view in one.status.vms if one.status else ():
-            by_vm[view.vm].append(view)
-    return {vm: views[0] for vm, views in by_vm.items()}
-
-
 def _target_row(one: TargetStatus) -> tuple[object, ...]:
     return (
         one.target,
@@ -263,18 +255,15 @@
     )
 
 
-def _vm_row(one: VmStatus, views: dict[str, VmView]) -> tuple[object, ...]:
-    view = views.get(one.vm)
-    centre = view.data_centre if view else "-"
-    if one.status is None:
-        return (one.vm, centre, f"no answer: {one.error}", "-", "-", "-", "-")
-    reply = one.status
-    state = "leaving" if reply.leaving else "live"
-    slices = len({target.slice_id for target in reply.targets})
-    age = f"{reply.config_age_ms / 1000:.1f} s"
+def _vm_row(reply: StatusReply, view: VmView | None) -> tuple[object, ...]:
     return (
-        *(one.vm, centre, state, reply.config_offset, age),
-        *(slices, len(reply.targets)),
+        reply.vm,
+        view.data_centre if view else "-",
+        "leaving" if reply.leaving else "live",
+        reply.config_offset,
+        f"{reply.config_age_ms / 1000:.1f} s",
+        len({target.slice_id for target in reply.targets}),
+        len(reply.targets),
     )
 
 
