--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,216 @@
+"""``make demo``: the whole path on the livestock example, each step with its result.
+
+Three VMs' programs and the stand-ins run as separate processes on loopback; all that
+was started is ended again.
+"""
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Mapping
+from dataclasses import replace
+from datetime import timedelta
+from pathlib import Path
+from typing import TypeVar
+
+import httpcore
+import msgspec
+
+from chivespan.callerapi import AddressAnswer, ChatChunk, CompletionAnswer, ErrorAnswer
+from chivespan.documents import Runner
+from chivespan.inventory import read_files, write_text
+from tools.cluster import Cluster, Site, free_block, wait_until
+
+T = TypeVar("T")
+
+EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "livestock"
+DATA_CENTRES = ("hr-east-osijek", "hr-east-vukovar", "hr-east-slavonski")
+REGION = "hr-east"
+MODEL = "booking-lm"
+OPERATOR = "ana"
+OPERATOR_KEY = "demo-operator-ana"
+OWNER_KEY = "demo-owner-baranja"
+READY_TIMEOUT = timedelta(seconds=20)
+
+
+class Demo:
+    """The steps, each printing its result."""
+
+    def __init__(self, cluster: Cluster, folder: Path) -> None:
+        self._cluster = cluster
+        self._folder = folder
+        self._entries = [f"{place.vm}:8080" for place in cluster.site.vms]
+        self._address = self._entries[0]
+        self._step = 0
+
+    def run(self) -> None:
+        """Take all steps."""
+        self._apply()
+        self._addresses()
+        self._whole()
+        self._streamed()
+        self._plain()
+        self._mistakes()
+        self._operators()
+
+    def _apply(self) -> None:
+        self._say("An operator checks the example and puts it in force")
+        files = [str(path) for path in self._write_files()]
+        self._chivespan("validate", *files)
+        self._chivespan("apply", *files, "--reason=first day")
+        for _ in wait_until("the configuration on every VM", READY_TIMEOUT):
+            if all(self._is_ready(address) for address in self._entries):
+                break
+
+    def _write_files(self) -> Iterator[Path]:
+        """Write the example with the addresses of the stand-ins in place of its own."""
+        inventory = read_files([EXAMPLE / "inventory.toml"])
+        engines = iter(self._cluster.site.engine_addresses)
+        plains = iter(self._cluster.site.plain_addresses)
+        documents = []
+        for document in inventory.documents.values():
+            if isinstance(document, Runner):
+                address = next(engines if document.model else plains)
+                document = replace(document, address=address)
+            documents.append(document)
+        target = self._folder / "inventory.toml"
+        target.write_text(write_text(documents))
+        yield target
+        yield EXAMPLE / "rules.toml"
+
+    def _is_ready(self, address: str) -> bool:
+        answer = self._request("GET", "/v1/addresses", address=address)
+        if answer.status != 200:
+            return False
+        return len(_decode(answer, AddressAnswer).addresses) == len(self._entries)
+
+    def _addresses(self) -> None:
+        self._say("A caller asks any VM which address to use")
+        answer = _decode(self._request("GET", "/v1/addresses"), AddressAnswer)
+        print(f"use {', '.join(answer.addresses)}", end=" ")
+        print(f"for {answer.lifetime_ms / 1000:.0f} s")
+        self._address = answer.addresses[0]
+
+    def _whole(self) -> None:
+        self._say("An online request, answered whole")
+        body = {"model": MODEL, "prompt": "Is slot 7 free?", "max_tokens": 12}
+        answer = _decode(
+            self._request("POST", "/v1/completions", body), CompletionAnswer
+        )
+        print(f"{answer.choices[0].text!r} ({answer.choices[0].finish_reason})")
+
+    def _streamed(self) -> None:
+        self._say("An online chat request, answered as a stream")
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": "Is permit 4711 valid?"}],
+            "max_tokens": 8,
+            "stream": True,
+        }
+        answer = self._request("POST", "/v1/chat/completions", body)
+        events = _events(answer.content)
+        chunks = [msgspec.json.decode(event, type=ChatChunk) for event in events[:-1]]
+        for chunk in chunks:
+            print(repr(chunk.choices[0].delta.content), end=" ")
+        print(f"then {events[-1].decode()}")
+        _require(events[-1] == b"[DONE]", "the stream has its end mark")
+
+    def _plain(self) -> None:
+        self._say("Plain calls: a booking, never sent twice, and a permit")
+        body = {"farm": "Bilje 12", "slot": 7}
+        booking = self._request("POST", "/services/bookings/bookings", body)
+        print(f"{booking.status} {booking.content.decode()}")
+        permit = self._request("GET", "/services/bookings/permits/4711")
+        print(f"{permit.status} {permit.content.decode()}")
+        _require((booking.status, permit.status) == (201, 200), "both were answered")
+
+    def _mistakes(self) -> None:
+        self._say("Mistakes, each with its own error")
+        self._mistake({"model": MODEL, "promt": "x"})
+        self._mistake({"model": "no-such-model", "prompt": "x"})
+        self._mistake({"model": MODEL, "prompt": "x"}, key="nobody's")
+
+    def _mistake(self, body: Mapping[str, object], key: str = OWNER_KEY) -> None:
+        answer = self._request("POST", "/v1/completions", body, key=key)
+        error = _decode(answer, ErrorAnswer).error
+        print(f"{answer.status} {error.code}: {error.message}; run: {error.was_run}")
+        _require(error.was_run == "no", "it was not run")
+
+    def _operators(self) -> None:
+        self._say("Operators look at what happened")
+        self._chivespan("history")
+        self._chivespan("usage")
+        self._chivespan("status")
+
+    def _say(self, text: str) -> None:
+        self._step += 1
+        print(f"\n{self._step}. {text}", flush=True)
+
+    def _chivespan(self, *arguments: str) -> None:
+        print(f"$ chivespan {' '.join(arguments)}", flush=True)
+        environment = {
+            **os.environ,
+            "CHIVESPAN_LOG_URL": self._cluster.site.log_url,
+            "CHIVESPAN_OPERATOR": OPERATOR,
+            "CHIVESPAN_OPERATOR_KEY": OPERATOR_KEY,
+            "CHIVESPAN_ENTRY": self._address,
+        }
+        command = [sys.executable, "-m", "chivespan.operator_main", *arguments]
+        subprocess.run(command, env=environment, check=True)
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        key: str = OWNER_KEY,
+        address: str = "",
+    ) -> httpcore.Response:
+        return httpcore.request(
+            method,
+            f"http://{address or self._address}{path}",
+            headers={
+                "Authorization": f"Bearer {key}",
+                "Content-Type": "application/json",
+            },
+            content=b"" if body is None else msgspec.json.encode(body),
+        )
+
+
+def _events(content: bytes) -> list[bytes]:
+    """Return the data of every server-sent event."""
+    blocks = content.split(b"\n\n")
+    return [block.removeprefix(b"data: ") for block in blocks if block]
+
+
+def _decode(answer: httpcore.Response, cls: type[T]) -> T:
+    return msgspec.json.decode(answer.content, type=cls)
+
+
+def _require(holds: bool, what: str) -> None:
+    if not holds:
+        raise SystemExit(f"FAILED: {what}")
+
+
+def main() -> None:
+    """Run the demo; ends with code 0 when every step had the result it should."""
+    started = time.monotonic()
+    site = Site(
+        data_centres=DATA_CENTRES,
+        region=REGION,
+        block=free_block(),
+        engines=6,
+        plains=3,
+        programs=("dispatch", "entry"),
+    )
+    print(f"Starting {len(DATA_CENTRES)} VMs and the stand-ins on {site.block}.x")
+    with Cluster(site) as cluster, tempfile.TemporaryDirectory() as folder:
+        Demo(cluster, Path(folder)).run()
+    print(f"\nAll done in {time.monotonic() - started:.1f} s; everything is stopped.")
+
+
+if __name__ == "__main__":
+    main()
