--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,11 @@
 
 generate: setup
 	$(PYTHON) -m tools.generate
+	$(PYTHON) -m tools.errortable
 
 check-generated: setup
 	$(PYTHON) -m tools.generate --check
+	$(PYTHON) -m tools.errortable --check
 
 format: setup
 	.venv/bin/ruff format .
--- /dev/null
+++ b/tools/errortable.py
@@ -0,0 +1,95 @@
+"""Write the table of errors in docs/API.md from the closed list in chivespan.errors.
+
+``--check`` fails when the page differs from what the list gives.
+"""
+
+import sys
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+
+from chivespan.errors import ANSWERS, Answer, ErrorKind
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "API.md"
+BEGIN = "<!-- errors: written by tools/errortable.py -->\n"
+END = "<!-- end of errors -->\n"
+
+MEANINGS: Mapping[ErrorKind, str] = {
+    ErrorKind.BAD_REQUEST: "The request can't be read; the message names the place.",
+    ErrorKind.UNKNOWN_FIELD: "The body has a field that doesn't exist.",
+    ErrorKind.BODY_TOO_LARGE: "The body is over the limit.",
+    ErrorKind.UNAUTHENTICATED: "The key is missing or unknown.",
+    ErrorKind.FORBIDDEN: "The key is known but may not do this.",
+    ErrorKind.NOT_FOUND: "There is no such path, service or job.",
+    ErrorKind.UNKNOWN_MODEL: "No service serves this model.",
+    ErrorKind.UNKNOWN_OWNER: "The owner isn't in the rules.",
+    ErrorKind.NO_RULE: "No rule lets this owner send such work to this service.",
+    ErrorKind.KEY_REUSED: "The idempotency or job key was used for other content.",
+    ErrorKind.VERSION_CONFLICT: "Somebody else changed the same document first.",
+    ErrorKind.INVALID_DOCUMENT: "A document of the inventory or rules has a fault.",
+    ErrorKind.INVALID_SETTING: "A flag or environment variable is wrong.",
+    ErrorKind.OWNER_LIMIT: "The owner's own limit in the rules is reached.",
+    ErrorKind.NO_CAPACITY: "All is in use; `shares` says whose work holds it.",
+    ErrorKind.DEADLINE_PASSED: "It can't start before its deadline.",
+    ErrorKind.NO_DISPATCHER: "No VM that grants slots could be reached.",
+    ErrorKind.NO_TARGET: "No target of the service can take it.",
+    ErrorKind.LOG_UNAVAILABLE: "The log is away; nothing was accepted.",
+    ErrorKind.LOG_EXPIRED: "The log has dropped what a reader needs.",
+    ErrorKind.NOT_READY: "This VM has no configuration yet.",
+    ErrorKind.LEAVING: "This VM leaves; ask for an address again.",
+    ErrorKind.TARGET_UNREACHABLE: "No target could be connected to.",
+    ErrorKind.TARGET_FAILED: "The target answered with an error.",
+    ErrorKind.TARGET_TIMEOUT: "The target gave no answer in time.",
+    ErrorKind.STREAM_BROKEN: "The stream broke and could not be resumed.",
+    ErrorKind.OUTCOME_UNKNOWN: "It was sent once; nobody can know if it ran.",
+    ErrorKind.ACCEPTANCE_UNKNOWN: "It may be accepted later; ask by its id.",
+    ErrorKind.ITEM_FAILED: "A batch item failed for good.",
+    ErrorKind.CANCELLED: "The job or request was cancelled.",
+    ErrorKind.REVOKED: "The slot was taken back for online work.",
+    ErrorKind.PROTOCOL: "Another process sent what can't be read.",
+    ErrorKind.INTERNAL: "A fault in chivespan; report it with the request id.",
+}
+
+
+def table() -> str:
+    """Return the table of all errors."""
+    return "\n".join(_lines()) + "\n"
+
+
+def _lines() -> Iterator[str]:
+    yield "| code | HTTP | was it run | come back | what it means |"
+    yield "|---|---|---|---|---|"
+    for kind, answer in ANSWERS.items():
+        run = "perhaps" if answer.may_have_run else "no"
+        yield (
+            f"| `{kind.value}` | {answer.status} | {run} | {_when(answer)} "
+            f"| {MEANINGS[kind]} |"
+        )
+
+
+def _when(answer: Answer) -> str:
+    if answer.retry_after is None:
+        return "not as it is"
+    return f"after {answer.retry_after.total_seconds():g} s"
+
+
+def with_table(page: str) -> str:
+    """Return a page with the table as it is now between its two marks."""
+    head, rest = page.split(BEGIN)
+    _, tail = rest.split(END)
+    return f"{head}{BEGIN}{table()}{END}{tail}"
+
+
+def main() -> int:
+    """Write or check the page; return the exit code."""
+    page = PAGE.read_text()
+    fresh = with_table(page)
+    if "--check" not in sys.argv[1:]:
+        PAGE.write_text(fresh)
+        return 0
+    if page != fresh:
+        print("docs/API.md has an old table; run 'make generate'")
+    return int(page != fresh)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
