--- a/tools/errortable.py
+++ b/tools/errortable.py
@@ -37,6 +37,7 @@
     ErrorKind.NOT_READY: "This VM has no configuration yet.",
     ErrorKind.LEAVING: "This VM leaves; ask for an address again.",
     ErrorKind.TARGET_UNREACHABLE: "No target could be connected to.",
+    ErrorKind.TARGET_REFUSED: "The target finds the request itself wrong.",
     ErrorKind.TARGET_FAILED: "The target answered with an error.",
     ErrorKind.TARGET_TIMEOUT: "The target gave no answer in time.",
     ErrorKind.STREAM_BROKEN: "The stream broke and could not be resumed.",
