--- /dev/null
+++ b/chivespan/operatorentry.py
@@ -0,0 +1,65 @@
+"""What operators ask entry VMs: usage, batch jobs, status, drain."""
+
+from urllib.parse import quote
+
+from chivespan.addresses import is_ip_number, parse_address
+from chivespan.entryclient import EntryClient
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.jobmessages import JobState
+from chivespan.messages import FleetStatus, FleetUsage, StatusReply
+from chivespan.operatorresults import (
+    DrainResult,
+    JobsResult,
+    StatusResult,
+    UsageResult,
+)
+
+
+class OperatorEntry:
+    """Asks one entry, and for a drain the entry of the VM that is to leave.
+
+    :param address: IP number and port of any entry VM.
+    """
+
+    def __init__(self, address: str, operator_key: str) -> None:
+        self._address = address
+        self._key = operator_key
+        self._client = EntryClient(address, operator_key)
+
+    async def usage(self) -> UsageResult:
+        """Return what every owner consumed."""
+        fleet = await self._client.get("/operator/usage", FleetUsage)
+        return UsageResult(tuple(fleet.counts), tuple(fleet.missing))
+
+    async def jobs(self) -> JobsResult:
+        """Return all batch jobs."""
+        return JobsResult(tuple(await self._client.get("/v1/batches", list[JobState])))
+
+    async def job(self, job_id: str) -> JobsResult:
+        """Return one batch job."""
+        path = f"/v1/batches/{quote(job_id, safe='')}"
+        return JobsResult((await self._client.get(path, JobState),))
+
+    async def cancel(self, job_id: str) -> JobsResult:
+        """Cancel a batch job and return its state."""
+        path = f"/v1/batches/{quote(job_id, safe='')}/cancel"
+        return JobsResult((await self._client.post(path, JobState),))
+
+    async def drain(self, vm: str) -> DrainResult:
+        """Tell a VM to leave."""
+        reply = await self._of(vm).post("/operator/drain", StatusReply)
+        return DrainResult(vm, reply.leaving)
+
+    async def status(self) -> StatusResult:
+        """Return what every VM that the entry knows of says of itself."""
+        fleet = await self._client.get("/operator/status", FleetStatus)
+        return StatusResult(tuple(fleet.vms), tuple(fleet.unreachable))
+
+    def _of(self, vm: str) -> EntryClient:
+        """Return a client of another VM's entry, which has the same port."""
+        if not is_ip_number(vm):
+            reason = f"{vm!r} is no IP number of a VM"
+            raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
+        host = f"[{vm}]" if ":" in vm else vm
+        port = parse_address(self._address).port
+        return EntryClient(f"{host}:{port}", self._key)
