Add the policy bench over the scheduler and the engine stand-in's batch

Seeded open-loop arrivals, steady with bursts of seconds, and an evening batch that never runs out; every policy sees the same arrivals in a process of its own.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: setup generate check-generated format lint types test faults demo
+.PHONY: setup generate check-generated format lint types test faults demo bench-policy
 
 setup: .venv/.locked
 
@@ -32,3 +32,7 @@
 
 demo: setup
 	$(PYTHON) -m tools.demo
+
+bench-policy: setup
+	$(PYTHON) -m bench.bench_policy compare
+	$(PYTHON) -m bench.bench_policy compare --kill=True --name=bench_policy_killed
--- /dev/null
+++ b/bench/bench_policy.py
@@ -0,0 +1,232 @@
+"""Compares batch policies on the same arrivals; ``make bench-policy``.
+
+Every run is a process of its own, a few at a time, over the scheduler itself and the
+running batch of the engine stand-in. Writes JSON lines and a plot to ``out/``.
+"""
+
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import anyio
+import fire
+import msgspec
+import numpy as np
+
+from bench.policyload import (
+    LoadOptions,
+    batch_items,
+    burst_starts,
+    online_arrivals,
+)
+from bench.policyplot import plot
+from bench.policyrun import Result, Run, quantiles
+from bench.policysite import Deployment, Site
+from chivespan.policies import Policies
+from standins.enginebatch import EngineOptions
+
+OUT = Path("out")
+PROCESSES = 4
+ITEMS = 20_000
+KILL_INTO_BURST_S = 0.5
+FIRST_TOKEN_GOAL = 1.05
+THROUGHPUT_GOAL = 0.90
+
+DEPLOYMENTS = {
+    "osijek": Deployment("osijek", runners_each=2),
+    "darkmoor": Deployment("darkmoor", runners_each=3),
+}
+
+
+def policies_named(name: str) -> Policies:
+    """Return the policies of a name such as ``fixed-3`` or ``steered,refusal=never``.
+
+    Times are in seconds.
+    """
+    base, *changes = name.split(",")
+    fields = dict(change.split("=") for change in changes)
+    fields["batch_level"] = base
+    if base.startswith("fixed-"):
+        fields["batch_level"] = "fixed"
+        fields["fixed_batch_slots"] = base.removeprefix("fixed-")
+    return msgspec.convert(fields, Policies, strict=False)
+
+
+async def run_once(
+    deployment_name: str, policy: str, seed: int, kill: bool, load: LoadOptions
+) -> Result:
+    """Play one load under one policy."""
+    deployment = DEPLOYMENTS[deployment_name]
+    site = Site(deployment, policies_named(policy), EngineOptions())
+    arrivals = online_arrivals(load, deployment.runners, deployment.data_centres, seed)
+    bursts = burst_starts(load, np.random.default_rng(seed))
+    kill_at = bursts[1] + KILL_INTO_BURST_S if kill else None
+    run = Run(site, load, arrivals, batch_items(load, ITEMS, seed), kill_at)
+    began = time.process_time()
+    measures = await run.play()
+    busy = time.process_time() - began
+    items, tokens = run.batch_total
+    batch_s = load.seconds - load.batch_at_s
+    return Result(
+        deployment=deployment_name,
+        policy=policy,
+        seed=seed,
+        dispatcher_killed=kill,
+        first_token_ms=quantiles(measures.first_token),
+        first_token_steady_ms=quantiles(measures.first_token_steady),
+        first_token_burst_ms=quantiles(measures.first_token_burst),
+        grant_ms=quantiles(measures.grant),
+        token_gap_ms=quantiles(measures.gap),
+        online_done=measures.online_done,
+        online_refused=measures.online_refused,
+        batch_items_per_s=items / batch_s,
+        batch_tokens_per_s=tokens / batch_s,
+        batch_revokes=measures.revokes,
+        batch_tokens_reread=measures.tokens_reread,
+        batch_tokens_lost=measures.tokens_lost,
+        processor_share=busy / load.seconds,
+        samples=measures.samples,
+    )
+
+
+@dataclass(frozen=True)
+class Case:
+    """One run to make."""
+
+    deployment: str
+    policy: str
+    kill: bool
+    seed: int
+    seconds: float
+    burst_per_s: float
+
+    def command(self) -> list[str]:
+        """Return the command line that makes it."""
+        flags = [f"--{key}={value}" for key, value in asdict(self).items()]
+        return [sys.executable, "-m", "bench.bench_policy", "one", *flags]
+
+
+def run_cases(cases: Sequence[Case]) -> Iterator[dict[str, object]]:
+    """Run all cases, a few at a time; yield their results in order."""
+    waiting = list(cases)
+    running: list[subprocess.Popen[str]] = []
+    started: list[subprocess.Popen[str]] = []
+    while waiting or running:
+        running = [process for process in running if process.poll() is None]
+        if waiting and len(running) < PROCESSES:
+            command = waiting.pop(0).command()
+            log = (OUT / f"run-{len(started)}.json").open("w")
+            process = subprocess.Popen(command, stdout=log, text=True)
+            running.append(process)
+            started.append(process)
+            continue
+        time.sleep(0.1)
+    for number, process in enumerate(started):
+        if process.returncode != 0:
+            raise SystemExit(f"run {number} failed: {cases[number]}")
+        yield json.loads((OUT / f"run-{number}.json").read_text())
+
+
+class Commands:
+    """The bench's command line."""
+
+    def one(
+        self,
+        deployment: str,
+        policy: str,
+        kill: bool,
+        seed: int,
+        seconds: float,
+        burst_per_s: float,
+    ) -> None:
+        """Make one run and print its result as a JSON line."""
+        name = policy if isinstance(policy, str) else ",".join(policy)
+        load = LoadOptions(seconds=seconds, burst_per_s=burst_per_s)
+        result = anyio.run(run_once, deployment, name, seed, kill, load)
+        print(json.dumps(result.as_json()))
+
+    def compare(
+        self,
+        policies: str = "none,unlimited,fixed-2,fixed-4,fixed-6,idle,steered",
+        deployments: str = "osijek,darkmoor",
+        kill: bool = False,
+        seed: int = 1,
+        seconds: float = 60.0,
+        burst_per_s: float = 6.0,
+        name: str = "bench_policy",
+    ) -> None:
+        """Run policies (separated by ``;`` or ``,``) on the same arrivals."""
+        OUT.mkdir(exist_ok=True)
+        split = ";" if ";" in str(policies) else ","
+        names = policies.split(split) if isinstance(policies, str) else list(policies)
+        places = (
+            deployments.split(",")
+            if isinstance(deployments, str)
+            else list(deployments)
+        )
+        cases = [
+            Case(place, policy, kill, seed, seconds, burst_per_s)
+            for place in places
+            for policy in names
+        ]
+        results = list(run_cases(cases))
+        with (OUT / f"{name}.jsonl").open("a") as lines:
+            for result in results:
+                lines.write(json.dumps(result) + "\n")
+        for place in places:
+            report([each for each in results if each["deployment"] == place])
+        plot(results, OUT / f"{name}.png")
+
+
+def report(results: Sequence[dict[str, object]]) -> None:
+    """Print a table with the ratios to the two ends."""
+    by_policy = {str(result["policy"]): result for result in results}
+    base = by_policy.get("none", results[0])
+    most = by_policy.get("unlimited", results[0])
+    print(f"{base['deployment']}  killed={base['dispatcher_killed']}")
+    print(
+        f"{'policy':34} {'p50':>6} {'p95':>6} {'p99':>6} ratio  burst steady "
+        f"{'gr95':>6} {'gr99':>6} {'gap99':>6} ref   items/s  ratio  revokes reread  cpu"
+    )
+    for policy, result in by_policy.items():
+        first = _of(result, "first_token_ms")
+        ratio = first["p99"] / _of(base, "first_token_ms")["p99"]
+        burst = _p99_ratio(result, base, "first_token_burst_ms")
+        steady = _p99_ratio(result, base, "first_token_steady_ms")
+        gap = _of(result, "token_gap_ms")["p99"]
+        tokens = _number(result, "batch_tokens_per_s")
+        share = tokens / (_number(most, "batch_tokens_per_s") or 1.0)
+        print(
+            f"{policy:34} {first['p50']:6.1f} {first['p95']:6.1f} {first['p99']:6.1f} "
+            f"{ratio:5.3f}  {burst:5.3f} {steady:5.3f} "
+            f"{_of(result, 'grant_ms')['p95']:6.1f} "
+            f"{_of(result, 'grant_ms')['p99']:6.1f} {gap:6.1f} "
+            f"{result['online_refused']!s:>3} "
+            f"{_number(result, 'batch_items_per_s'):9.2f}  {share:5.3f} "
+            f"{result['batch_revokes']!s:>8} {result['batch_tokens_reread']!s:>6} "
+            f"{_number(result, 'processor_share'):5.2f}"
+        )
+
+
+def _of(result: dict[str, object], key: str) -> dict[str, float]:
+    value = result[key]
+    assert isinstance(value, dict)
+    return value
+
+
+def _number(result: dict[str, object], key: str) -> float:
+    value = result[key]
+    assert isinstance(value, int | float)
+    return float(value)
+
+
+def _p99_ratio(result: dict[str, object], base: dict[str, object], key: str) -> float:
+    return _of(result, key)["p99"] / (_of(base, key)["p99"] or 1.0)
+
+
+if __name__ == "__main__":
+    fire.Fire(Commands)
--- /dev/null
+++ b/bench/policyrun.py
@@ -0,0 +1,255 @@
+"""One run of the policy bench: one policy under one load, and what was measured."""
+
+import time
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+from hdrh.histogram import HdrHistogram
+
+from bench.policyload import BatchItem, LoadOptions, OnlineArrival
+from bench.policysite import Site, Work, done
+from chivespan.errors import ChivespanError
+from chivespan.messages import Outcome, WorkClass
+from standins.enginebatch import CHARACTERS_PER_TOKEN
+
+MICROSECONDS = 1e6
+LONGEST_US = 60_000_000
+WORKERS_PER_SLOT = 2
+SAMPLE_S = 0.1
+
+
+def histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(1, LONGEST_US, 3)
+
+
+@dataclass(frozen=True)
+class Quantiles:
+    """Latency in milliseconds."""
+
+    p50: float
+    p95: float
+    p99: float
+    count: int
+
+
+def quantiles(measured: HdrHistogram) -> Quantiles:
+    """Return the quantiles of a histogram of microseconds."""
+    p50, p95, p99 = (
+        measured.get_value_at_percentile(percent) / 1000 for percent in (50, 95, 99)
+    )
+    return Quantiles(p50, p95, p99, measured.get_total_count())
+
+
+@dataclass(frozen=True)
+class Sample:
+    """Slots in use at one moment."""
+
+    at: float
+    online: int
+    batch: int
+    queued: int
+
+
+@dataclass
+class Measures:
+    """What one run measured."""
+
+    first_token: HdrHistogram = field(default_factory=histogram)
+    first_token_steady: HdrHistogram = field(default_factory=histogram)
+    first_token_burst: HdrHistogram = field(default_factory=histogram)
+    grant: HdrHistogram = field(default_factory=histogram)
+    gap: HdrHistogram = field(default_factory=histogram)
+    online_done: int = 0
+    online_refused: int = 0
+    items_done: int = 0
+    batch_tokens: int = 0
+    revokes: int = 0
+    tokens_reread: int = 0
+    tokens_lost: int = 0
+    samples: list[Sample] = field(default_factory=list)
+
+
+class Run:
+    """Plays a load against a site."""
+
+    def __init__(
+        self,
+        site: Site,
+        load: LoadOptions,
+        arrivals: Iterable[OnlineArrival],
+        items: Iterable[BatchItem],
+        kill_at_s: float | None,
+    ) -> None:
+        self.measures = Measures()
+        self._site = site
+        self._load = load
+        self._arrivals = list(arrivals)
+        self._items = iter(enumerate(items))
+        self._kill_at_s = kill_at_s
+        self._start = 0.0
+
+    async def play(self) -> Measures:
+        """Play the whole load; return what was measured."""
+        async with anyio.create_task_group() as tasks:
+            self._site.start(tasks)
+            self._start = time.perf_counter()
+            tasks.start_soon(self._sample)
+            tasks.start_soon(self._submit_batch)
+            if self._kill_at_s is not None:
+                tasks.start_soon(self._kill, tasks)
+            async with anyio.create_task_group() as callers:
+                for index, arrival in enumerate(self._arrivals):
+                    await anyio.sleep(max(0.0, arrival.at - self._now()))
+                    callers.start_soon(self._call, index, arrival)
+                await anyio.sleep(max(0.0, self._load.seconds - self._now()))
+                self._stop_counting_batch()
+            tasks.cancel_scope.cancel()
+        return self.measures
+
+    def _now(self) -> float:
+        return time.perf_counter() - self._start
+
+    def _stop_counting_batch(self) -> None:
+        self._final = (self.measures.items_done, self.measures.batch_tokens)
+
+    @property
+    def batch_total(self) -> tuple[int, int]:
+        """Items and tokens of batch until the load's end."""
+        return self._final
+
+    async def _kill(self, tasks: TaskGroup) -> None:
+        assert self._kill_at_s is not None
+        await anyio.sleep(self._kill_at_s)
+        slice_id = min(self._site.slices)
+        await self._site.kill_dispatcher(slice_id, tasks)
+
+    async def _call(self, index: int, arrival: OnlineArrival) -> None:
+        """Ask once, as a caller does; no answer or a refusal counts as refused."""
+        work = Work(f"online-{index}", arrival.prompt, arrival.tokens)
+        request = self._site.request(work, f"owner{arrival.owner}", WorkClass.online)
+        data_centre = self._site.data_centre(arrival.data_centre)
+        try:
+            held = await self._site.acquire(request, data_centre)
+        except ChivespanError:
+            self.measures.online_refused += 1
+            return
+        granted = time.perf_counter()
+        granted_us = (granted - self._start - arrival.at) * MICROSECONDS
+        self.measures.grant.record_value(max(1, int(granted_us)))
+        first = last = 0.0
+        received = 0
+        async for _ in self._site.stream(held, work):
+            now = time.perf_counter()
+            if received == 0:
+                first = now
+                self._record_first_token(arrival, now)
+            else:
+                self.measures.gap.record_value(int((now - last) * MICROSECONDS) or 1)
+            last = now
+            received += 1
+        self.measures.online_done += 1
+        gap_us = (last - first) / max(1, received - 1) * MICROSECONDS
+        release = done(
+            held,
+            Outcome.done,
+            first_token_us=int((first - granted) * MICROSECONDS),
+            token_gap_us=int(gap_us),
+            tokens=received,
+        )
+        await self._site.release(held, release)
+
+    def _record_first_token(self, arrival: OnlineArrival, now: float) -> None:
+        waited = now - self._start - arrival.at
+        value = max(1, int(waited * MICROSECONDS))
+        measures = self.measures
+        measures.first_token.record_value(value)
+        phase = (
+            measures.first_token_burst
+            if arrival.in_burst
+            else measures.first_token_steady
+        )
+        phase.record_value(value)
+
+    async def _submit_batch(self) -> None:
+        await anyio.sleep(self._load.batch_at_s)
+        async with anyio.create_task_group() as workers:
+            for part in self._site.slices.values():
+                slots = sum(runner.slots for runner in part.runners)
+                for index in range(slots * WORKERS_PER_SLOT):
+                    workers.start_soon(self._work, part.slice_id, index)
+
+    async def _work(self, slice_id: str, index: int) -> None:
+        """Run one batch item after the other."""
+        owner = f"owner{index % 4}"
+        for number, item in self._items:
+            received = 0
+            while received < item.tokens:
+                work = Work(f"batch-{number}", item.prompt, item.tokens, received)
+                received += await self._attempt(slice_id, owner, work)
+            self.measures.items_done += 1
+
+    async def _attempt(self, slice_id: str, owner: str, work: Work) -> int:
+        """Run an item as far as it gets; return the tokens received."""
+        request = self._site.request(work, owner, WorkClass.batch)
+        part = self._site.slices[slice_id]
+        try:
+            held = await self._site.acquire_of(request, part)
+        except ChivespanError as refusal:
+            retry_after = refusal.retry_after
+            assert retry_after is not None
+            await anyio.sleep(retry_after.total_seconds())
+            return 0
+        received = 0
+        async for _ in self._site.stream(held, work):
+            received += 1
+            self.measures.batch_tokens += 1
+        finished = work.received + received == work.tokens
+        if not finished:
+            self.measures.revokes += 1
+            prompt = len(work.prompt) // CHARACTERS_PER_TOKEN
+            self.measures.tokens_reread += prompt + work.received + received
+        outcome = Outcome.done if finished else Outcome.cancelled
+        await self._site.release(held, done(held, outcome, tokens=received))
+        return received
+
+    async def _sample(self) -> None:
+        while True:
+            loads = [each.load() for each in self._site.schedulers.values()]
+            used = sum(load.total_slots - load.free_slots for load in loads)
+            batch = sum(load.batch_running for load in loads)
+            queued = sum(load.queued_online for load in loads)
+            self.measures.samples.append(
+                Sample(round(self._now(), 2), used - batch, batch, queued)
+            )
+            await anyio.sleep(SAMPLE_S)
+
+
+@dataclass(frozen=True)
+class Result:
+    """One line of the bench's output."""
+
+    deployment: str
+    policy: str
+    seed: int
+    dispatcher_killed: bool
+    first_token_ms: Quantiles
+    first_token_steady_ms: Quantiles
+    first_token_burst_ms: Quantiles
+    grant_ms: Quantiles
+    token_gap_ms: Quantiles
+    online_done: int
+    online_refused: int
+    batch_items_per_s: float
+    batch_tokens_per_s: float
+    batch_revokes: int
+    batch_tokens_reread: int
+    batch_tokens_lost: int
+    processor_share: float
+    samples: list[Sample]
+
+    def as_json(self) -> dict[str, object]:
+        """Return what goes into a JSON line."""
+        return asdict(self)
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -86,6 +86,7 @@
         self._control = BatchControl(policies)
         self._hints = PrefixHints()
         self._drain = DrainRate()
+        self._closed = False
         self.reconfigure(part, configuration)
 
     def reconfigure(self, part: Slice, configuration: Configuration) -> None:
@@ -166,13 +167,21 @@
         return self._usage.counts()
 
     async def run(self) -> None:
-        """Keep times: lapsing grants, deadlines, health, and reports of load."""
-        async with anyio.create_task_group() as tasks:
-            if self._probe is not None:
-                tasks.start_soon(self._probe_targets, self._probe)
-            while True:
-                await anyio.sleep(TICK.total_seconds())
-                self.expire()
+        """Keep times: lapsing grants, deadlines, health, and reports of load.
+
+        When cancelled, the slice is given up: whoever waits is told so at once.
+        """
+        try:
+            async with anyio.create_task_group() as tasks:
+                if self._probe is not None:
+                    tasks.start_soon(self._probe_targets, self._probe)
+                while True:
+                    await anyio.sleep(TICK.total_seconds())
+                    self.expire()
+        finally:
+            self._closed = True
+            for waiter in self._waiting():
+                self._refuse(waiter, ErrorKind.NO_DISPATCHER)
 
     def expire(self) -> None:
         """Do all that is due by now."""
@@ -189,6 +198,9 @@
         request = waiter.request
         rule = self._limits.rule(request)
         self._queue(request.work_class).push(waiter, rule.weight if rule else 1)
+        if self._closed:
+            self._refuse(waiter, ErrorKind.NO_DISPATCHER)
+            return
         if rule is None:
             self._refuse(waiter, ErrorKind.NO_RULE)
             return
