--- a/chivespan/engineclient.py
+++ b/chivespan/engineclient.py
@@ -68,8 +68,8 @@
     ) -> AsyncGenerator[Token, None]:
         """Yield the tokens that follow ``request.resume_tokens``.
 
-        The stream has ended well only if a token with a finish reason and the end mark
-        came; every other end raises.
+        The stream has ended well only if a token with a finish reason came; every
+        other end raises. The end mark after that token may be lost: nothing is missing.
 
         :raises ChivespanError: ``target_unreachable``, ``target_failed``,
             ``target_timeout`` or ``stream_broken``.
@@ -115,30 +115,21 @@
         answer: OpenAnswer,
     ) -> AsyncGenerator[Token, None]:
         expected = len(request.resume_tokens)
-        finished = False
         timeout = limits.first_token
         lines = _event_lines(answer.chunks)
         while True:
-            try:
-                with anyio.fail_after(timeout.total_seconds()):
-                    line = await anext(lines, None)
-            except TimeoutError as error:
-                reason = f"target {address} gave no token in time"
-                raise ChivespanError(ErrorKind.TARGET_TIMEOUT, reason) from error
-            if line is None:
-                reason = f"the stream of target {address} ended without its end mark"
-                raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+            line = await _next_line(address, lines, timeout)
             if line == END_MARK:
-                break
+                raise _garbage(address, "an end mark without a finish reason")
             token = self._token(address, request, line)
-            if token.index != expected or finished:
+            if token.index != expected:
                 raise _garbage(address, f"token {token.index} instead of {expected}")
             expected += 1
-            finished = token.finish_reason is not None
             timeout = limits.token_gap
             yield token
-        if not finished:
-            raise _garbage(address, "an end mark without a finish reason")
+            if token.finish_reason is not None:
+                await _read_to_end(lines, limits.token_gap)
+                return
 
     def _token(self, address: str, request: EngineRequest, line: bytes) -> Token:
         try:
@@ -157,6 +148,34 @@
             return
 
 
+async def _next_line(
+    address: str, lines: AsyncIterator[bytes], timeout: timedelta
+) -> bytes:
+    try:
+        with anyio.fail_after(timeout.total_seconds()):
+            line = await anext(lines, None)
+    except TimeoutError as error:
+        reason = f"target {address} gave no token in time"
+        raise ChivespanError(ErrorKind.TARGET_TIMEOUT, reason) from error
+    if line is None:
+        reason = f"the stream of target {address} ended without its end mark"
+        raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+    return line
+
+
+async def _read_to_end(lines: AsyncIterator[bytes], patience: timedelta) -> None:
+    """Read what follows the last token, so that the connection can be used again.
+
+    The answer is whole without it; a connection that stays silent is closed.
+    """
+    with anyio.move_on_after(patience.total_seconds()):
+        try:
+            async for _ in lines:
+                continue
+        except ChivespanError:
+            return
+
+
 async def _event_lines(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Yield the data of each server-sent event."""
     rest = b""
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,125 @@
+"""A caller, as the oracle wants to hear of it."""
+
+import json
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass, field
+
+import anyio
+import httpcore
+import msgspec
+
+from tests.oracle import Called, Generated
+
+MODEL = "m"
+PATIENCE_S = 20.0
+
+
+@dataclass
+class Caller:
+    """Sends requests with one owner's key to one entry.
+
+    :param address: the entry's IP number and port.
+    """
+
+    address: str
+    key: str = "owner-key"
+    model: str = MODEL
+    on_token: anyio.Event = field(default_factory=anyio.Event)
+
+    async def stream(
+        self, prompt: str, max_tokens: int, *, across_shutdown: bool = False
+    ) -> Generated:
+        """Ask for a streamed answer."""
+        body = {"model": self.model, "prompt": prompt, "max_tokens": max_tokens}
+        texts: list[str] = []
+        ended, code, was_run = "cut", "", ""
+        try:
+            with anyio.fail_after(PATIENCE_S):
+                async for event in self._events(body | {"stream": True}):
+                    if event == "[DONE]":
+                        ended = "done"
+                        continue
+                    parsed = json.loads(event)
+                    if "error" in parsed:
+                        ended = "error"
+                        code = parsed["error"]["code"]
+                        was_run = parsed["error"]["was_run"]
+                    else:
+                        texts.append(parsed["choices"][0]["text"])
+                        self.on_token.set()
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            pass
+        text = "".join(texts)
+        return Generated(
+            prompt, max_tokens, text, ended, code, was_run, across_shutdown
+        )
+
+    async def whole(self, prompt: str, max_tokens: int) -> Generated:
+        """Ask for a whole answer."""
+        body = {"model": self.model, "prompt": prompt, "max_tokens": max_tokens}
+        answer = await self.send("POST", "/v1/completions", body)
+        if answer is None:
+            return Generated(prompt, max_tokens, "", "cut")
+        parsed = json.loads(answer.content)
+        if answer.status == 200:
+            text = parsed["choices"][0]["text"]
+            return Generated(prompt, max_tokens, text, "done")
+        error = parsed["error"]
+        return Generated(
+            prompt, max_tokens, "", "error", error["code"], error["was_run"]
+        )
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: str,
+        headers: Mapping[str, str] | None = None,
+    ) -> Called:
+        """Call a plain service; for a GET the body is only what the path asks for."""
+        sent = body.encode() if method != "GET" else b""
+        answer = await self.send(method, path, sent, headers)
+        if answer is None:
+            return Called(body, path, 0, "lost", "unknown")
+        code, was_run = "", ""
+        if answer.status >= 400:
+            error = json.loads(answer.content)["error"]
+            code, was_run = error["code"], error.get("was_run", "unknown")
+        return Called(body, path, answer.status, code, was_run, answer.content)
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        body: object = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> httpcore.Response | None:
+        """Send one request on its own connection; None when no answer came."""
+        content = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        sent = {"authorization": f"Bearer {self.key}", **(headers or {})}
+        url = f"http://{self.address}{path}"
+        try:
+            with anyio.fail_after(PATIENCE_S):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    return await pool.request(
+                        method, url, headers=sent, content=content
+                    )
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return None
+
+    async def _events(self, body: object) -> AsyncIterator[str]:
+        headers = {"authorization": f"Bearer {self.key}"}
+        url = f"http://{self.address}/v1/completions"
+        content = msgspec.json.encode(body)
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            pool.stream("POST", url, headers=headers, content=content) as answer,
+        ):
+            rest = b""
+            async for chunk in answer.aiter_stream():
+                *lines, rest = (rest + chunk).split(b"\n")
+                for line in lines:
+                    if line.startswith(b"data: "):
+                        yield line[6:].decode()
+            if rest:
+                yield rest.decode()
--- /dev/null
+++ b/tests/faults/rig.py
@@ -0,0 +1,295 @@
+"""One entry's product objects in this process, before stand-ins behind relays."""
+
+import random
+from collections.abc import AsyncIterator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import anyio
+from starlette.types import ASGIApp
+
+from chivespan.addressbook import AddressBook
+from chivespan.auth import key_hash
+from chivespan.clock import SystemClock
+from chivespan.configuration import (
+    Configuration,
+    Document,
+    DocumentId,
+    StoredDocument,
+)
+from chivespan.documents import (
+    DataCentre,
+    DocumentKind,
+    Model,
+    Owner,
+    PlainCall,
+    Region,
+    Rule,
+    Runner,
+    Service,
+    ServiceKind,
+    WorkClassRule,
+)
+from chivespan.engineclient import EngineClient
+from chivespan.entrycontext import EntryContext
+from chivespan.httpapi import HttpApi, application
+from chivespan.messages import (
+    Grant,
+    GrantRelease,
+    GrantRequest,
+    Outcome,
+    VmState,
+    VmView,
+)
+from chivespan.metrics import Metrics
+from chivespan.online import OnlineService
+from chivespan.plainclient import PlainClient
+from chivespan.policies import Policies
+from chivespan.scheduler import SliceScheduler
+from chivespan.settings import NodeSettings
+from chivespan.slices import slices_of
+from chivespan.targethttp import TargetHttp
+from standins.engine import EngineFaults, EngineStandIn
+from standins.enginebatch import EngineOptions
+from standins.plainservice import PlainOptions, PlainStandIn
+from standins.serving import serving
+from tests.callers import MODEL, Caller
+from tests.oracle import Witness, violations
+from tests.relay import Relay, relaying
+
+OWNER_KEY = "owner-key"
+ENGINES = 3
+DEADLINE_MS = 3000
+QUICK_ENGINE = EngineOptions(slots=4, step_ms=2, step_ms_per_request=0.1)
+
+
+def configuration_of(
+    engines: Sequence[str], plains: Sequence[str], *, deadline_ms: int = DEADLINE_MS
+) -> Configuration:
+    """Return the configuration of a small site with these targets."""
+    service = Service(
+        name="lm",
+        kind=ServiceKind.model,
+        models=[MODEL],
+        deadline_ms=deadline_ms,
+        first_token_ms=50,
+        token_gap_ms=5,
+    )
+    calls = [
+        PlainCall(method="POST", path="/bookings", idempotent=False),
+        PlainCall(method="GET", path="/permits/*", idempotent=True),
+    ]
+    plain = Service(
+        name="desk", kind=ServiceKind.plain, calls=calls, deadline_ms=deadline_ms // 3
+    )
+    documents: list[tuple[DocumentKind, Document]] = [
+        (DocumentKind.region, Region(name="r")),
+        (DocumentKind.data_centre, DataCentre(name="a", region="r")),
+        (DocumentKind.model, Model(name=MODEL, version="1")),
+        (DocumentKind.service, service),
+        (DocumentKind.service, plain),
+        (DocumentKind.owner, Owner(name="o", key_sha256=[key_hash(OWNER_KEY)])),
+    ]
+    for name in ("lm", "desk"):
+        rule = Rule(name=name, owner="o", service=name, work_class=WorkClassRule.online)
+        documents.append((DocumentKind.rule, rule))
+    batch = Rule(name="b", owner="o", service="lm", work_class=WorkClassRule.batch)
+    documents.append((DocumentKind.rule, batch))
+    for index, address in enumerate(engines):
+        documents.append((DocumentKind.runner, _runner("lm", index, address)))
+    for index, address in enumerate(plains):
+        documents.append((DocumentKind.runner, _runner("desk", index, address)))
+    configuration = Configuration()
+    for offset, (kind, document) in enumerate(documents):
+        stored = StoredDocument(document, 1, offset)
+        configuration.put(DocumentId(kind, document.name), stored)
+        configuration.offset = offset
+    return configuration
+
+
+def _runner(service: str, index: int, address: str) -> Runner:
+    return Runner(
+        name=f"{service}-{index}",
+        service=service,
+        address=address,
+        data_centre="a",
+        slots=4,
+        model=MODEL if service == "lm" else "",
+        version="1",
+    )
+
+
+@dataclass
+class LocalSlot:
+    """A slot granted by a scheduler in this process."""
+
+    grant: Grant
+    scheduler: SliceScheduler
+
+    def release(
+        self,
+        outcome: Outcome,
+        first_token: timedelta | None = None,
+        token_gap: timedelta | None = None,
+        tokens: int = 0,
+    ) -> None:
+        """Give it back."""
+        release = GrantRelease(
+            grant_id=self.grant.grant_id, outcome=outcome, tokens=tokens
+        )
+        self.scheduler.release(release)
+
+
+class LocalSlots:
+    """Grants from schedulers in this process, one for each service's slice."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.schedulers = {
+            part.service: SliceScheduler(
+                part,
+                configuration,
+                SystemClock(),
+                Policies(),
+                lambda _holder, _grant: None,
+            )
+            for part in slices_of(configuration).values()
+        }
+        for scheduler in self.schedulers.values():
+            scheduler.expect_reports([])
+
+    async def acquire(self, request: GrantRequest) -> LocalSlot:
+        """Wait for a slot."""
+        scheduler = self.schedulers[request.service]
+        return LocalSlot(await scheduler.acquire(request, "here"), scheduler)
+
+    async def run(self) -> None:
+        """Run the schedulers."""
+        async with anyio.create_task_group() as tasks:
+            for scheduler in self.schedulers.values():
+                tasks.start_soon(scheduler.run)
+
+
+class FreeRetries:
+    """Permits every retry."""
+
+    def record_success(self) -> None:
+        """Count nothing."""
+
+    def try_spend(self) -> bool:
+        """Permit it."""
+        return True
+
+
+@dataclass
+class LocalView:
+    """A fixed view of configuration and VMs."""
+
+    configuration: Configuration
+    vms: tuple[VmView, ...] = (
+        VmView(vm="127.0.0.1", data_centre="a", region="r", state=VmState.live),
+    )
+
+
+@dataclass
+class _Entry:
+    app: ASGIApp
+
+    async def run(self) -> None:
+        """Nothing goes on between requests."""
+
+
+SETTINGS = NodeSettings(
+    vm="127.0.0.1",
+    data_centre="a",
+    region="r",
+    log_url="",
+    vm_list_url="",
+    peer_key="k",
+)
+
+
+@dataclass
+class OnlineRig:
+    """What a scenario steers and looks at."""
+
+    engines: list[EngineStandIn]
+    plain: PlainStandIn
+    relays: list[Relay]
+    plain_relay: Relay
+    slots: LocalSlots
+    context: EntryContext
+    caller: Caller
+    witness: Witness = field(default_factory=Witness)
+
+    def fault_first(self, faults: EngineFaults) -> None:
+        """Let whichever engine comes first meet the faults, as often as they say."""
+        for engine in self.engines:
+            engine.faults = faults
+
+    async def ask(self, prompt: str = "Is pickup 7 confirmed?", tokens: int = 8) -> str:
+        """Ask for a streamed answer, note it, and return how it ended."""
+        got = await self.caller.stream(prompt, tokens)
+        self.witness.generated.append(got)
+        return got.ended
+
+    async def book(self, body: str = "12 pigs, gate 2") -> int:
+        """Place a booking, note it, and return its status."""
+        got = await self.caller.call("POST", "/services/desk/bookings", body)
+        self.witness.called.append(got)
+        self.witness.once.append(body)
+        return got.status
+
+    async def permit(self, number: str) -> int:
+        """Ask for a permit, note it, and return the answer's status."""
+        got = await self.caller.call("GET", f"/services/desk/permits/{number}", number)
+        self.witness.called.append(got)
+        return got.status
+
+    def check(self) -> None:
+        """Compare what the caller was told with what the targets did."""
+        journals = [*self.engines, self.plain]
+        self.witness.journals = {
+            str(index): each.journal.entries for index, each in enumerate(journals)
+        }
+        assert violations(self.witness) == []
+
+
+@asynccontextmanager
+async def online_rig(*, deadline_ms: int = DEADLINE_MS) -> AsyncIterator[OnlineRig]:
+    """Run an entry with its schedulers before engines and a plain service."""
+    engines = [EngineStandIn(QUICK_ENGINE) for _ in range(ENGINES)]
+    plain = PlainStandIn(PlainOptions(call_ms=1))
+    async with AsyncExitStack() as stack:
+        *behind, plain_address = await stack.enter_async_context(
+            serving(*engines, plain)
+        )
+        relays = [
+            await stack.enter_async_context(relaying(address)) for address in behind
+        ]
+        plain_relay, plain_at = await stack.enter_async_context(relaying(plain_address))
+        addresses = [address for _, address in relays]
+        configuration = configuration_of(addresses, [plain_at], deadline_ms=deadline_ms)
+        slots = LocalSlots(configuration)
+        http = await stack.enter_async_context(TargetHttp())
+        clock = SystemClock()
+        online = OnlineService(
+            slots, EngineClient(http), PlainClient(http), FreeRetries(), clock
+        )
+        book = AddressBook(8080, timedelta(seconds=10), random.Random(1))
+        view = LocalView(configuration)
+        context = EntryContext(SETTINGS, view, online, book, Metrics(), clock)
+        entry = _Entry(application(context, HttpApi(context).routes()))
+        [address] = await stack.enter_async_context(serving(entry))
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        tasks.start_soon(slots.run)
+        yield OnlineRig(
+            engines,
+            plain,
+            [relay for relay, _ in relays],
+            plain_relay,
+            slots,
+            context,
+            Caller(address, OWNER_KEY),
+        )
+        tasks.cancel_scope.cancel()
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -48,6 +48,11 @@
         self._target = target
         self._links: set[_Link] = set()
 
+    @property
+    def open(self) -> int:
+        """Connections open now."""
+        return len(self._links)
+
     def hold_open_ones(self) -> None:
         """Make the open connections silent for good; new ones work."""
         for link in self._links:
