--- a/tests/callers.py
+++ b/tests/callers.py
@@ -96,7 +96,7 @@
     ) -> httpcore.Response | None:
         """Send one request on its own connection; None when no answer came."""
         content = body if isinstance(body, bytes) else msgspec.json.encode(body)
-        sent = {"authorization": f"Bearer {self.key}", **(headers or {})}
+        sent = [*self._headers(), *(headers or {}).items()]
         url = f"http://{self.address}{path}"
         try:
             with anyio.fail_after(PATIENCE_S):
@@ -108,7 +108,7 @@
             return None
 
     async def _events(self, body: object) -> AsyncIterator[str]:
-        headers = {"authorization": f"Bearer {self.key}"}
+        headers = self._headers()
         url = f"http://{self.address}/v1/completions"
         content = msgspec.json.encode(body)
         async with (
@@ -123,3 +123,6 @@
                         yield line[6:].decode()
             if rest:
                 yield rest.decode()
+
+    def _headers(self) -> list[tuple[bytes | str, bytes | str]]:
+        return [("authorization", f"Bearer {self.key}")]
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -248,9 +248,9 @@
 
     def check(self) -> None:
         """Compare what the caller was told with what the targets did."""
-        journals = [*self.engines, self.plain]
+        journals = [engine.journal for engine in self.engines] + [self.plain.journal]
         self.witness.journals = {
-            str(index): each.journal.entries for index, each in enumerate(journals)
+            str(index): journal.entries for index, journal in enumerate(journals)
         }
         assert violations(self.witness) == []
 
