--- a/bench/bench_policy.py
+++ b/bench/bench_policy.py
@@ -190,7 +190,8 @@
     print(f"{base['deployment']}  killed={base['dispatcher_killed']}")
     print(
         f"{'policy':34} {'p50':>6} {'p95':>6} {'p99':>6} ratio  burst steady "
-        f"{'gr95':>6} {'gr99':>6} {'gap99':>6} ref   items/s  ratio  revokes reread  cpu"
+        f"{'gr95':>6} {'gr99':>6} {'gap99':>6} ref   items/s  ratio  revokes reread "
+        f" cpu"
     )
     for policy, result in by_policy.items():
         first = _of(result, "first_token_ms")
--- a/chivespan/entry_main.py
+++ b/chivespan/entry_main.py
@@ -7,6 +7,10 @@
 import anyio
 
 from chivespan.addressbook import AddressBook
+from chivespan.batchapi import BatchApi
+from chivespan.batchlinks import BatchLinks
+from chivespan.claimclient import ClaimClient
+from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import Clock, SystemClock
 from chivespan.drain import leave_on_signal
 from chivespan.engineclient import EngineClient
@@ -15,6 +19,7 @@
 from chivespan.httpapi import HttpApi, application
 from chivespan.httpserver import HttpServer
 from chivespan.httpvmlist import HttpVmList
+from chivespan.jobclient import JobClient
 from chivespan.logs import configure_logging, logger
 from chivespan.messages import Program
 from chivespan.metrics import Metrics
@@ -45,6 +50,7 @@
     end = _link_end(settings, clock, metrics)
     view = NodeView(end, settings, HttpVmList(settings.vm_list_url))
     grants = GrantClient(end, settings, view)
+    links = BatchLinks(end, settings, view)
     async with TargetHttp() as http:
         online = OnlineService(
             grants, EngineClient(http), PlainClient(http), ShareBudget(), clock
@@ -53,6 +59,7 @@
             settings=settings,
             view=view,
             online=online,
+            claimed=ClaimedCalls(ClaimClient(links), online, metrics),
             addresses=AddressBook(
                 settings.entry_port,
                 timedelta(milliseconds=settings.address_lifetime_ms),
@@ -61,13 +68,19 @@
             metrics=metrics,
             clock=clock,
         )
-        routes = [*HttpApi(context).routes(), *OperatorApi(context, end).routes()]
+        jobs = JobClient(links, settings.partitions)
+        routes = [
+            *HttpApi(context).routes(),
+            *BatchApi(context, jobs).routes(),
+            *OperatorApi(context, end).routes(),
+        ]
         server = HttpServer(
             application(context, routes), settings.vm, settings.entry_port
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(view.run)
             tasks.start_soon(grants.run)
+            tasks.start_soon(links.run)
             tasks.start_soon(leave_on_signal, context, server, tasks)
             _log.notice("serving", port=settings.entry_port)
             await server.run()
--- a/chivespan/entrycontext.py
+++ b/chivespan/entrycontext.py
@@ -8,6 +8,7 @@
 
 from chivespan.addressbook import AddressBook
 from chivespan.auth import Authenticator
+from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import Clock
 from chivespan.configuration import Configuration
 from chivespan.documents import Operator, Owner
@@ -47,6 +48,7 @@
     settings: NodeSettings
     view: View
     online: OnlineService
+    claimed: ClaimedCalls
     addresses: AddressBook
     metrics: Metrics
     clock: Clock
--- a/chivespan/httpapi.py
+++ b/chivespan/httpapi.py
@@ -21,6 +21,7 @@
     ModelEntry,
     ModelList,
 )
+from chivespan.claimedcall import MAX_KEY_CHARACTERS
 from chivespan.completions import (
     AnswerHead,
     chat_prompt,
@@ -160,13 +161,12 @@
             body=await self._context.read_body(request),
             idempotent=may_repeat(service, request.method, path),
         )
-        work = self._context.online.call(online, plain)
-        answer = await self._answer_of(request, plain, work)
+        answer = await self._answer_of(request, online, plain)
         media_type = answer.content_type or None
         return Response(answer.body, answer.status, media_type=media_type)
 
     async def _answer_of(
-        self, request: Request, plain: PlainRequest, work: Awaitable[HttpAnswer]
+        self, request: Request, online: OnlineRequest, plain: PlainRequest
     ) -> HttpAnswer:
         """Return a plain call's answer.
 
@@ -174,8 +174,15 @@
         so that its outcome is known.
         """
         if plain.idempotent:
+            work = self._context.online.call(online, plain)
             return await until_disconnect(request, work)
-        return await work
+        key = request.headers.get("idempotency-key", "")
+        if not key:
+            return await self._context.online.call(online, plain)
+        if len(key) > MAX_KEY_CHARACTERS:
+            reason = f"Idempotency-Key is over {MAX_KEY_CHARACTERS} characters"
+            raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
+        return await self._context.claimed.call(online, plain, key)
 
     async def _health(self, request: Request) -> Response:
         context = self._context
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -11,6 +11,8 @@
 
 from chivespan.addressbook import AddressBook
 from chivespan.auth import key_hash
+from chivespan.claimclient import GrantedClaim, RecordedAnswer
+from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import SystemClock
 from chivespan.configuration import (
     Configuration,
@@ -33,6 +35,7 @@
 )
 from chivespan.engineclient import EngineClient
 from chivespan.entrycontext import EntryContext
+from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.httpapi import HttpApi, application
 from chivespan.messages import (
     Grant,
@@ -49,7 +52,7 @@
 from chivespan.scheduler import SliceScheduler
 from chivespan.settings import NodeSettings
 from chivespan.slices import slices_of
-from chivespan.targethttp import TargetHttp
+from chivespan.targethttp import HttpAnswer, TargetHttp
 from standins.engine import EngineFaults, EngineStandIn
 from standins.enginebatch import EngineOptions
 from standins.plainservice import PlainOptions, PlainStandIn
@@ -181,6 +184,25 @@
         return True
 
 
+class NoLog:
+    """Claims while the log is away: every one is refused."""
+
+    async def claim(
+        self, owner: str, key: str, digest: str, service: str, path: str
+    ) -> GrantedClaim | RecordedAnswer:
+        """Refuse the claim."""
+        raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, "the log is away")
+
+    async def record_answer(self, claim: GrantedClaim, answer: HttpAnswer) -> None:
+        """Record nothing."""
+
+    async def record_unknown(self, claim: GrantedClaim) -> None:
+        """Record nothing."""
+
+    async def record_not_run(self, claim: GrantedClaim) -> None:
+        """Record nothing."""
+
+
 @dataclass
 class LocalView:
     """A fixed view of configuration and VMs."""
@@ -278,7 +300,16 @@
         )
         book = AddressBook(8080, timedelta(seconds=10), random.Random(1))
         view = LocalView(configuration)
-        context = EntryContext(SETTINGS, view, online, book, Metrics(), clock)
+        metrics = Metrics()
+        context = EntryContext(
+            settings=SETTINGS,
+            view=view,
+            online=online,
+            claimed=ClaimedCalls(NoLog(), online, metrics),
+            addresses=book,
+            metrics=metrics,
+            clock=clock,
+        )
         entry = _Entry(application(context, HttpApi(context).routes()))
         [address] = await stack.enter_async_context(serving(entry))
         tasks = await stack.enter_async_context(anyio.create_task_group())
