Add the cells between VMs: grants, slices, the VM list, configuration pushes

Three control programs and an entry run in one process; every path between two VMs and to the log goes through a relay of its own.

Found, in configfeed.py: a node that can't reach the log and lost a push never asked its peer for the change.

--- a/chivespan/configfeed.py
+++ b/chivespan/configfeed.py
@@ -64,6 +64,7 @@
         self._confirmed_at = clock.monotonic()
         self._asked_at: timedelta | None = None
         self._behind_since: timedelta | None = None
+        self._ahead_offset = -1
         self._known = anyio.Event()
 
     @property
@@ -132,11 +133,11 @@
     def heard_offset(self, link: PeerLink, offset: int) -> None:
         """Ask a peer that has been ahead for longer than a push takes."""
         if offset <= self._copy.offset:
-            self._behind_since = None
             return
         now = self._clock.monotonic()
-        if self._behind_since is None:
+        if self._behind_since is None or self._ahead_offset <= self._copy.offset:
             self._behind_since = now
+            self._ahead_offset = offset
         if not self.is_known or now - self._behind_since > PUSH_PATIENCE:
             self._ask(link)
 
--- /dev/null
+++ b/tests/faults/node_cells.py
@@ -0,0 +1,181 @@
+"""Faults between VMs: grants, slices and their owners, configuration, the VM list."""
+
+import anyio
+
+from standins.logservice import LogFaults
+from standins.vmlist import VmListFaults
+from tests.faults.matrix import Cell, Fault, Row, proves
+from tests.faults.noderig import Node, NodeRig, node_rig
+from tests.relay import Treatment
+
+QUICK_S = 2.0
+
+
+async def _break(rig: NodeRig, node: Node, fault: Fault) -> None:
+    """Bring a fault about between a node and everybody else."""
+    for relay in rig.paths_to(node):
+        match fault:
+            case Fault.CUT:
+                await relay.cut_open_ones()
+            case Fault.SILENT:
+                relay.hold_open_ones()
+            case Fault.ANSWER_LOST:
+                relay.drop_next_answers()
+            case Fault.ANSWER_LATE:
+                relay.delay_s = 0.05
+            case _:
+                raise AssertionError(fault)
+
+
+@proves(
+    (Row.ADMISSION, Row.GRANT),
+    (Fault.CUT, Fault.SILENT, Fault.ANSWER_LOST, Fault.ANSWER_LATE),
+)
+async def path_to_the_owner_breaks(cell: Cell) -> None:
+    async with node_rig() as rig:
+        owner = rig.owner_of()
+        assert await rig.ask("before") == "done"
+        assert any(relay.open for relay in rig.paths_to(owner))
+        if cell.row is Row.ADMISSION:
+            await _break(rig, owner, cell.fault)
+            with anyio.fail_after(QUICK_S):
+                assert await rig.ask("after") == "done"
+        else:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.ask, "holds a grant", 60)
+                await rig.caller.on_token.wait()
+                await _break(rig, owner, cell.fault)
+            with anyio.fail_after(QUICK_S):
+                assert await rig.ask("after") == "done"
+        assert {got.ended for got in rig.witness.generated} == {"done"}
+        await rig.all_slots_come_free()
+        rig.check()
+
+
+@proves((Row.GRANT, Row.SLICE_TAKEOVER), Fault.KILLED)
+async def owner_is_killed(cell: Cell) -> None:
+    async with node_rig() as rig:
+        owner = rig.owner_of()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(rig.ask, "runs on", 80)
+            await rig.caller.on_token.wait()
+            rig.kill(owner)
+            with anyio.fail_after(QUICK_S):
+                assert await rig.ask("right after the kill") == "done"
+        assert {got.ended for got in rig.witness.generated} == {"done"}
+        await rig.wait("taken over", lambda: rig.owner_of() is not owner)
+        await rig.all_slots_come_free()
+        rig.check()
+
+
+@proves((Row.ADMISSION, Row.SLICE_TAKEOVER), Fault.TWICE)
+async def two_owners_are_killed_in_turn(cell: Cell) -> None:
+    async with node_rig() as rig:
+        for number in range(2):
+            owner = rig.owner_of()
+            rig.kill(owner)
+            with anyio.fail_after(QUICK_S):
+                assert await rig.ask(f"kill {number}") == "done"
+            await rig.wait("taken over", lambda: rig.free_slots() > 0)
+        await rig.all_slots_come_free()
+        rig.check()
+
+
+@proves(Row.ADMISSION, Fault.TWO)
+async def all_control_is_gone(cell: Cell) -> None:
+    """Cut off from all dispatchers, online work goes on within a fixed share."""
+    async with node_rig() as rig:
+        for node in tuple(rig.nodes):
+            rig.kill(node)
+        assert await rig.ask("nobody grants") == "done"
+        rig.check()
+
+
+@proves(
+    (Row.ADDRESS, Row.ADMISSION, Row.SLICE_TAKEOVER),
+    (Fault.LIST_DOWN, Fault.LIST_STALE),
+)
+async def list_is_of_no_use(cell: Cell) -> None:
+    """A VM that died is left out although the list is down or shows it as live."""
+    async with node_rig() as rig:
+        down = cell.fault is Fault.LIST_DOWN
+        rig.vm_list.faults = VmListFaults(down=down, stale=not down)
+        killed = next(node for node in rig.nodes[1:])
+        rig.kill(killed)
+        await rig.wait("left out", lambda: killed.vm not in rig.view.live_vms())
+        answer = await rig.caller.send("GET", "/v1/addresses")
+        assert answer is not None
+        assert killed.vm.encode() not in answer.content
+        with anyio.fail_after(QUICK_S):
+            assert await rig.ask("with one VM less") == "done"
+        await rig.all_slots_come_free()
+        rig.check()
+
+
+@proves(
+    (Row.CONFIG_PUSH,),
+    (Fault.CUT, Fault.SILENT, Fault.ANSWER_LATE, Fault.TWICE),
+)
+async def push_is_lost_on_the_way(cell: Cell) -> None:
+    """Only one node reads the log; the others depend on its pushes."""
+    async with node_rig() as rig:
+        for relay in rig.log_paths[1:]:
+            relay.new = Treatment.CUT
+            await relay.cut_open_ones()
+        repeats = 2 if cell.fault is Fault.TWICE else 1
+        fault = Fault.SILENT if cell.fault is Fault.TWICE else cell.fault
+        for _ in range(repeats):
+            for node in rig.nodes:
+                await _break(rig, node, fault)
+            await _change_reaches_all(rig)
+        rig.check()
+
+
+@proves((Row.CONFIG_PUSH, Row.ADMISSION, Row.ADDRESS), (Fault.LOG_DOWN, Fault.LOG_SLOW))
+async def log_is_away(cell: Cell) -> None:
+    """Online work goes on with the configuration in force; the change comes after."""
+    async with node_rig() as rig:
+        down = cell.fault is Fault.LOG_DOWN
+        rig.log.faults = LogFaults(down=down, slow_ms=0 if down else 400)
+        for relay in rig.log_paths:
+            await relay.cut_open_ones()
+        assert await rig.ask("log is away") == "done"
+        addresses = await rig.caller.send("GET", "/v1/addresses")
+        assert addresses is not None
+        assert addresses.status == 200
+        if down:
+            rig.log.faults = LogFaults()
+        await _change_reaches_all(rig)
+        rig.check()
+
+
+@proves(Row.CONFIG_PUSH, Fault.TWO)
+async def one_node_is_cut_off_from_the_log_and_a_peer(cell: Cell) -> None:
+    async with node_rig() as rig:
+        apart, *others = rig.nodes
+        rig.log_paths[0].new = Treatment.CUT
+        await rig.log_paths[0].cut_open_ones()
+        for relay in (apart.paths[others[0].vm], others[0].paths[apart.vm]):
+            relay.new = Treatment.CUT
+            await relay.cut_open_ones()
+        await _change_reaches_all(rig)
+        rig.check()
+
+
+@proves(Row.CONFIG_PUSH, Fault.KILLED)
+async def first_reader_is_killed(cell: Cell) -> None:
+    async with node_rig() as rig:
+        reader = next(node for node in rig.nodes if node.dispatcher.feed.is_reader)
+        rig.kill(reader)
+        await _change_reaches_all(rig)
+        rig.check()
+
+
+async def _change_reaches_all(rig: NodeRig) -> None:
+    rig.note_versions()
+    node = rig.running[0]
+    owner = next(iter(node.dispatcher.copy.configuration.owners.values()))
+    change = rig.operator.reweigh(node.dispatcher.copy.configuration, owner.name)
+    offset = rig.operator.write(change)
+    await rig.wait("change in force everywhere", lambda: rig.in_force(offset))
+    rig.note_versions()
--- /dev/null
+++ b/tests/faults/noderig.py
@@ -0,0 +1,351 @@
+"""Several VMs' control programs and one entry in this process, on real connections.
+
+Every path between two VMs, and from each to the log and the VM list, runs through a
+relay of its own, so that a scenario can break one path and leave the others alone.
+"""
+
+import random
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+from datetime import UTC, datetime, timedelta
+from itertools import count
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.addressbook import AddressBook
+from chivespan.clock import SystemClock
+from chivespan.codec import encode
+from chivespan.configfold import CONFIG_STREAM
+from chivespan.configuration import Configuration, DocumentId
+from chivespan.dispatcher import Dispatcher
+from chivespan.documents import DocumentKind
+from chivespan.engineclient import EngineClient
+from chivespan.entrycontext import EntryContext
+from chivespan.envelope import encode_record
+from chivespan.grantclient import GrantClient
+from chivespan.httpapi import HttpApi, application
+from chivespan.httplog import HttpLog
+from chivespan.httpvmlist import HttpVmList
+from chivespan.messages import Program
+from chivespan.metrics import Metrics
+from chivespan.nodeview import NodeView
+from chivespan.online import OnlineService
+from chivespan.peerlink import LinkEnd, LinkOptions, new_hello
+from chivespan.plainclient import PlainClient
+from chivespan.policies import Policies
+from chivespan.records import ConfigChange, DocumentChange, RecordId
+from chivespan.settings import NodeSettings
+from chivespan.slices import slice_owner
+from chivespan.targethttp import TargetHttp
+from standins.engine import EngineStandIn
+from standins.enginebatch import EngineOptions
+from standins.logservice import LogStandIn
+from standins.plainservice import PlainOptions, PlainStandIn
+from standins.serving import serving
+from standins.vmlist import VmEntry, VmListStandIn
+from tests.callers import Caller
+from tests.faults.rig import OWNER_KEY, FreeRetries, ServedApp, configuration_of
+from tests.oracle import Witness, violations
+from tests.relay import Relay, relaying
+from tools.cluster import free_block
+
+DATA_CENTRE = "a"
+REGION = "r"
+VMS = 3
+FIRST_DIAL_PORT = 8000
+HEARTBEAT_MS = 50
+SILENCE_MS = 250
+GRANT_LIFETIME = timedelta(milliseconds=300)
+SETTLE = timedelta(seconds=8)
+POLL_S = 0.01
+ENGINE = EngineOptions(slots=4, step_ms=4, step_ms_per_request=0.1, load_lag_ms=20)
+
+
+class ChangeWriter:
+    """Writes configuration changes straight to the log, as an operator's command."""
+
+    def __init__(self, log: LogStandIn, operator: str = "op") -> None:
+        self._log = log
+        self._operator = operator
+        self._sequence = count(1)
+
+    def write(self, change: ConfigChange) -> int:
+        """Append a change; return its offset."""
+        record_id = RecordId(writer=self._operator, sequence=next(self._sequence))
+        payload = encode_record(change, record_id, datetime.now(UTC))
+        return self._log.append(CONFIG_STREAM, [payload])
+
+    def reweigh(self, configuration: Configuration, owner: str) -> ConfigChange:
+        """Return a change of one owner's first rule."""
+        rule = next(r for r in configuration.rules.values() if r.owner == owner)
+        document_id = DocumentId(DocumentKind.rule, rule.name)
+        change = DocumentChange(
+            kind=document_id.kind.value,
+            name=rule.name,
+            base_version=configuration.version(document_id),
+            document=encode(replace(rule, weight=rule.weight + 1)),
+        )
+        return ConfigChange(operator=self._operator, reason="test", changes=[change])
+
+    def change(
+        self, configuration: Configuration, base: Callable[[DocumentId], int]
+    ) -> ConfigChange:
+        """Return the change that puts all documents of a configuration in force."""
+        changes = [
+            DocumentChange(
+                kind=each.kind.value,
+                name=each.name,
+                base_version=base(each),
+                document=encode(stored.document),
+            )
+            for each, stored in configuration.stored.items()
+        ]
+        return ConfigChange(operator=self._operator, reason="test", changes=changes)
+
+
+@dataclass
+class Node:
+    """One VM's control program.
+
+    :param paths: relays of connections to this VM, by who dials.
+    """
+
+    settings: NodeSettings
+    dispatcher: Dispatcher
+    scope: anyio.CancelScope
+    paths: dict[str, Relay] = field(default_factory=dict)
+
+    @property
+    def vm(self) -> str:
+        """The VM's IP number."""
+        return self.settings.vm
+
+
+@dataclass
+class NodeRig:
+    """What a scenario steers and looks at."""
+
+    tasks: TaskGroup
+    nodes: list[Node]
+    log: LogStandIn
+    vm_list: VmListStandIn
+    engines: list[EngineStandIn]
+    plain: PlainStandIn
+    view: NodeView
+    grants: GrantClient
+    context: EntryContext
+    caller: Caller
+    operator: ChangeWriter
+    log_paths: list[Relay]
+    entry_counters: Metrics
+    witness: Witness = field(default_factory=Witness)
+
+    def owner_of(self, service: str = "lm") -> Node:
+        """Return the node that owns the service's slice."""
+        for node in self.running:
+            slices = {status.slice_id for status in node.dispatcher.status("").targets}
+            if any(name.startswith(f"{service}/") for name in slices):
+                return node
+        raise LookupError(f"nobody owns {service}")
+
+    @property
+    def running(self) -> list[Node]:
+        """The nodes that weren't killed."""
+        return [node for node in self.nodes if not node.scope.cancel_called]
+
+    def kill(self, node: Node) -> None:
+        """End a control program without notice."""
+        node.scope.cancel()
+
+    def paths_to(self, node: Node) -> Iterable[Relay]:
+        """Return the relays of everybody's connections to a node."""
+        return node.paths.values()
+
+    async def ask(self, prompt: str, tokens: int = 6) -> str:
+        """Ask for a streamed answer, note it, and return how it ended."""
+        got = await self.caller.stream(prompt, tokens)
+        self.witness.generated.append(got)
+        return got.ended
+
+    async def wait(self, what: str, met: Callable[[], bool]) -> None:
+        """Wait until a condition holds.
+
+        :raises TimeoutError: naming it when it doesn't in ``SETTLE``.
+        """
+        with anyio.move_on_after(SETTLE.total_seconds()):
+            while True:
+                if met():
+                    return
+                await anyio.sleep(POLL_S)
+        raise TimeoutError(f"not within {SETTLE.total_seconds():.0f} s: {what}")
+
+    def in_force(self, offset: int, nodes: Iterable[Node] | None = None) -> bool:
+        """Whether nodes have a configuration of at least an offset in force."""
+        chosen = self.running if nodes is None else nodes
+        return all(node.dispatcher.copy.offset >= offset for node in chosen)
+
+    def free_slots(self) -> int:
+        """Return the engines' slots that their owner counts as free."""
+        loads = [
+            load
+            for node in self.running
+            for load in node.dispatcher.membership.views[node.vm].slices
+        ]
+        return sum(each.free_slots for each in loads if each.slice_id.startswith("lm"))
+
+    async def all_slots_come_free(self) -> None:
+        """Wait until no slot is counted as used any more."""
+        total = len(self.engines) * ENGINE.slots
+        await self.wait("all slots free", lambda: self.free_slots() == total)
+
+    def note_versions(self) -> None:
+        """Note the configuration in force on every running node."""
+        for node in self.running:
+            seen = self.witness.versions.setdefault(node.vm, [])
+            seen.append(node.dispatcher.copy.offset)
+
+    def check(self) -> None:
+        """Compare what the caller was told with what the targets did."""
+        journals = [engine.journal for engine in self.engines] + [self.plain.journal]
+        self.witness.journals = {
+            str(index): journal.entries for index, journal in enumerate(journals)
+        }
+        assert violations(self.witness) == []
+
+
+def _settings(block: str, number: int, log_url: str, list_url: str) -> NodeSettings:
+    return NodeSettings(
+        vm=f"{block}.{number + 1}",
+        data_centre=DATA_CENTRE,
+        region=REGION,
+        log_url=log_url,
+        vm_list_url=list_url,
+        peer_key="peer-key",
+        dispatch_port=FIRST_DIAL_PORT + number,
+        heartbeat_ms=HEARTBEAT_MS,
+        peer_silence_ms=SILENCE_MS,
+        address_lifetime_ms=500,
+    )
+
+
+async def _start_node(settings: NodeSettings, tasks: TaskGroup) -> Node:
+    clock = SystemClock()
+    dispatcher = Dispatcher(
+        settings,
+        HttpLog(settings.log_url),
+        HttpVmList(settings.vm_list_url),
+        clock,
+        Metrics(),
+        Policies(grant_lifetime=GRANT_LIFETIME),
+    )
+    node = Node(settings, dispatcher, anyio.CancelScope())
+
+    async def run() -> None:
+        with node.scope:
+            await dispatcher.run()
+
+    tasks.start_soon(run)
+    return node
+
+
+@asynccontextmanager
+async def node_rig(vms: int = VMS) -> AsyncIterator[NodeRig]:
+    """Run the control programs of some VMs and an entry on the first."""
+    block = free_block()
+    log, vm_list = LogStandIn(), VmListStandIn()
+    engines = [EngineStandIn(ENGINE) for _ in range(2)]
+    plain = PlainStandIn(PlainOptions(call_ms=1))
+    async with AsyncExitStack() as stack:
+        addresses = await stack.enter_async_context(
+            serving(log, vm_list, *engines, plain)
+        )
+        log_at, list_at, *targets = addresses
+        log_paths = [
+            await stack.enter_async_context(relaying(log_at)) for _ in range(vms)
+        ]
+        settings = [
+            _settings(block, number, f"http://{path}", f"http://{list_at}")
+            for number, (_, path) in enumerate(log_paths)
+        ]
+        vm_list.set(tuple(VmEntry(s.vm, DATA_CENTRE, REGION) for s in settings))
+        operator = ChangeWriter(log)
+        configuration = configuration_of(targets[:-1], targets[-1:])
+        first = operator.write(operator.change(configuration, lambda _: 0))
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(tasks.cancel_scope.cancel)
+        nodes = [await _start_node(each, tasks) for each in settings]
+        await _lay_paths(nodes, stack)
+        entry = await _start_entry(_away_from_owner(settings), tasks, stack)
+        context, view, grants, metrics, address = entry
+        rig = NodeRig(
+            tasks,
+            nodes,
+            log,
+            vm_list,
+            engines,
+            plain,
+            view,
+            grants,
+            context,
+            Caller(address, OWNER_KEY),
+            operator,
+            [relay for relay, _ in log_paths],
+            metrics,
+        )
+        await rig.wait("configuration in force", lambda: rig.in_force(first))
+        await rig.wait("all VMs seen", lambda: len(view.live_vms()) == vms)
+        await rig.wait("slices owned", lambda: rig.free_slots() > 0)
+        yield rig
+
+
+async def _lay_paths(nodes: list[Node], stack: AsyncExitStack) -> None:
+    """Relay each VM's connections to each other: the dialler's port tells who."""
+    for node in nodes:
+        for dialler in nodes:
+            if dialler is node:
+                continue
+            relay, _ = await stack.enter_async_context(
+                relaying(
+                    f"{node.vm}:{node.settings.dispatch_port}",
+                    node.vm,
+                    dialler.settings.dispatch_port,
+                )
+            )
+            node.paths[dialler.vm] = relay
+
+
+def _away_from_owner(settings: list[NodeSettings]) -> NodeSettings:
+    """Return a VM that doesn't own the engines' slice, so that grants use a path."""
+    owner = slice_owner("lm/a/0", [each.vm for each in settings])
+    return next(each for each in settings if each.vm != owner)
+
+
+Entry = tuple[EntryContext, NodeView, GrantClient, Metrics, str]
+
+
+async def _start_entry(
+    settings: NodeSettings, tasks: TaskGroup, stack: AsyncExitStack
+) -> Entry:
+    clock, metrics = SystemClock(), Metrics()
+    end = LinkEnd(
+        new_hello(settings, Program.entry),
+        LinkOptions.from_settings(settings),
+        clock,
+        metrics,
+    )
+    view = NodeView(end, settings, HttpVmList(settings.vm_list_url))
+    grants = GrantClient(end, settings, view)
+    http = await stack.enter_async_context(TargetHttp())
+    online = OnlineService(
+        grants, EngineClient(http), PlainClient(http), FreeRetries(), clock
+    )
+    lifetime = timedelta(milliseconds=settings.address_lifetime_ms)
+    book = AddressBook(settings.entry_port, lifetime, random.Random(1))
+    context = EntryContext(settings, view, online, book, metrics, clock)
+    app = ServedApp(application(context, HttpApi(context).routes()))
+    [address] = await stack.enter_async_context(serving(app))
+    tasks.start_soon(view.run)
+    tasks.start_soon(grants.run)
+    return context, view, grants, metrics, address
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -192,7 +192,9 @@
 
 
 @dataclass
-class _Entry:
+class ServedApp:
+    """An ASGI application with no background work."""
+
     app: ASGIApp
 
     async def run(self) -> None:
@@ -279,7 +281,7 @@
         book = AddressBook(8080, timedelta(seconds=10), random.Random(1))
         view = LocalView(configuration)
         context = EntryContext(SETTINGS, view, online, book, Metrics(), clock)
-        entry = _Entry(application(context, HttpApi(context).routes()))
+        entry = ServedApp(application(context, HttpApi(context).routes()))
         [address] = await stack.enter_async_context(serving(entry))
         tasks = await stack.enter_async_context(anyio.create_task_group())
         tasks.start_soon(slots.run)
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -144,15 +144,15 @@
 
 @asynccontextmanager
 async def relaying(
-    target: str, host: str = "127.0.0.1"
+    target: str, host: str = "127.0.0.1", port: int = 0
 ) -> AsyncIterator[tuple[Relay, str]]:
     """Run a relay to ``target``; give it and its address."""
     relay = Relay(target)
-    listener = await anyio.create_tcp_listener(local_host=host)
-    port = listener.extra(SocketAttribute.local_port)
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    bound = listener.extra(SocketAttribute.local_port)
     async with listener, anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, relay.serve)
         try:
-            yield relay, f"{host}:{port}"
+            yield relay, f"{host}:{bound}"
         finally:
             tasks.cancel_scope.cancel()
