--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -214,7 +214,9 @@
 
 
 @dataclass
-class _Entry:
+class ServedApp:
+    """An ASGI application with no background work."""
+
     app: ASGIApp
 
     async def run(self) -> None:
@@ -310,7 +312,7 @@
             metrics=metrics,
             clock=clock,
         )
-        entry = _Entry(application(context, HttpApi(context).routes()))
+        entry = ServedApp(application(context, HttpApi(context).routes()))
         [address] = await stack.enter_async_context(serving(entry))
         tasks = await stack.enter_async_context(anyio.create_task_group())
         tasks.start_soon(slots.run)
