--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: setup generate check-generated format lint types test faults demo
+.PHONY: setup generate check-generated format lint types test faults demo site
 
 setup: .venv/.locked
 
@@ -34,3 +34,6 @@
 
 demo: setup
 	$(PYTHON) -m tools.demo
+
+site: setup
+	$(PYTHON) -m tools.demo --keep
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,6 +1,17 @@
+import re
+from dataclasses import fields
+from pathlib import Path
+
+from chivespan.auth import key_hash
+from chivespan.documents import Operator, Owner
 from chivespan.errors import ANSWERS, ErrorKind
+from chivespan.inventory import read_files
+from chivespan.operator_main import Commands
+from chivespan.settings import NodeSettings, OperatorSettings
 from tools.errortable import MEANINGS, PAGE, with_table
 
+ROOT = Path(__file__).resolve().parent.parent
+
 
 def test_every_error_kind_has_an_answer_and_a_meaning() -> None:
     assert set(ANSWERS) == set(MEANINGS) == set(ErrorKind)
@@ -9,3 +20,44 @@
 def test_the_table_of_errors_is_current() -> None:
     page = PAGE.read_text()
     assert with_table(page) == page
+
+
+def _page(name: str) -> str:
+    return (ROOT / "docs" / name).read_text()
+
+
+def test_every_setting_is_on_the_operators_page() -> None:
+    page = _page("OPERATING.md")
+    for cls in (NodeSettings, OperatorSettings):
+        for field in fields(cls):
+            assert f"`{field.name}`" in page
+
+
+def test_every_counter_is_on_the_operators_page() -> None:
+    page = _page("OPERATING.md")
+    named = re.compile(r"\.(?:incr|gauge|timing)\(\s*f?\"([a-z_.]+)")
+    for path in sorted((ROOT / "chivespan").glob("*.py")):
+        if path.name == "metrics.py":
+            continue
+        for counter in named.findall(path.read_text()):
+            assert f"`{counter}" in page, f"{counter} of {path.name}"
+
+
+def test_commands_on_the_pages_exist() -> None:
+    commands = {name for name in vars(Commands) if not name.startswith("_")}
+    written = re.compile(r"`chivespan ([a-z]+)")
+    pages = [_page("OPERATING.md"), _page("design/operators.md")]
+    found = {command for page in pages for command in written.findall(page)}
+    assert found <= commands
+    assert commands - found <= {"show"}
+
+
+def test_the_example_keys_are_those_of_the_readme() -> None:
+    readme = (ROOT / "README.md").read_text()
+    rules = read_files(
+        [ROOT / "examples" / name / "rules.toml" for name in ("livestock", "skywatch")]
+    )
+    hashes = {key_hash(key) for key in re.findall(r"`(demo-[a-z-]+)`", readme)}
+    for document in rules.documents.values():
+        if isinstance(document, Owner | Operator):
+            assert set(document.key_sha256) <= hashes
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -5,16 +5,19 @@
 """
 
 import os
+import signal
 import subprocess
 import sys
 import tempfile
 import time
 from collections.abc import Iterator, Mapping
+from contextlib import suppress
 from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 from typing import TypeVar
 
+import fire
 import httpcore
 import msgspec
 
@@ -31,6 +34,7 @@
 MODEL = "booking-lm"
 OPERATOR = "ana"
 OPERATOR_KEY = "demo-operator-ana"
+KEPT_BLOCK = "127.7.7"
 OWNER_KEY = "demo-owner-baranja"
 READY_TIMEOUT = timedelta(seconds=20)
 
@@ -55,6 +59,24 @@
         self._mistakes()
         self._operators()
 
+    def keep(self) -> None:
+        """Put the example in force and wait for the interrupt key."""
+        self._apply()
+        print("\nReady; stop with the interrupt key (Ctrl-C). For the command line:")
+        for name, value in self._settings().items():
+            print(f"export {name}={value}")
+        sys.stdout.flush()
+        with suppress(KeyboardInterrupt):
+            signal.pause()
+
+    def _settings(self) -> dict[str, str]:
+        return {
+            "CHIVESPAN_LOG_URL": self._cluster.site.log_url,
+            "CHIVESPAN_OPERATOR": OPERATOR,
+            "CHIVESPAN_OPERATOR_KEY": OPERATOR_KEY,
+            "CHIVESPAN_ENTRY": self._address,
+        }
+
     def _apply(self) -> None:
         self._say("An operator checks the example and puts it in force")
         files = [str(path) for path in self._write_files()]
@@ -150,13 +172,7 @@
 
     def _chivespan(self, *arguments: str) -> None:
         print(f"$ chivespan {' '.join(arguments)}", flush=True)
-        environment = {
-            **os.environ,
-            "CHIVESPAN_LOG_URL": self._cluster.site.log_url,
-            "CHIVESPAN_OPERATOR": OPERATOR,
-            "CHIVESPAN_OPERATOR_KEY": OPERATOR_KEY,
-            "CHIVESPAN_ENTRY": self._address,
-        }
+        environment = {**os.environ, **self._settings()}
         command = [sys.executable, "-m", "chivespan.operator_main", *arguments]
         subprocess.run(command, env=environment, check=True)
 
@@ -195,22 +211,30 @@
         raise SystemExit(f"FAILED: {what}")
 
 
-def main() -> None:
-    """Run the demo; ends with code 0 when every step had the result it should."""
+def main(keep: bool = False) -> None:
+    """Run the demo; ends with code 0 when every step had the result it should.
+
+    :param keep: instead of the steps, put the example in force and wait for the
+        interrupt key, for requests by hand.
+    """
     started = time.monotonic()
     site = Site(
         data_centres=DATA_CENTRES,
         region=REGION,
-        block=free_block(),
+        block=KEPT_BLOCK if keep else free_block(),
         engines=6,
         plains=3,
         programs=("dispatch", "entry"),
     )
     print(f"Starting {len(DATA_CENTRES)} VMs and the stand-ins on {site.block}.x")
     with Cluster(site) as cluster, tempfile.TemporaryDirectory() as folder:
-        Demo(cluster, Path(folder)).run()
+        demo = Demo(cluster, Path(folder))
+        if keep:
+            demo.keep()
+        else:
+            demo.run()
     print(f"\nAll done in {time.monotonic() - started:.1f} s; everything is stopped.")
 
 
 if __name__ == "__main__":
-    main()
+    fire.Fire(main)
