--- a/chivespan/operator_main.py
+++ b/chivespan/operator_main.py
@@ -160,19 +160,21 @@
         return self._with_entry(OperatorEntry.usage)
 
     @as_text()
-    def jobs(self, action: str = "list", job: str = "") -> object:
-        """List batch jobs, show one or cancel one.
+    def jobs(self, action: str, owner: str, job: str = "") -> object:
+        """List an owner's batch jobs, show one or cancel one.
 
         :param action: list, show or cancel.
+        :param owner: the owner's name in the rules.
         :param job: the job's id, for show and cancel.
         """
         actions: dict[str, Callable[[OperatorEntry], Awaitable[object]]] = {
-            "list": OperatorEntry.jobs,
-            "show": bind(OperatorEntry.job, job_id=job),
-            "cancel": bind(OperatorEntry.cancel, job_id=job),
+            "list": bind(OperatorEntry.jobs, owner=owner),
+            "show": bind(OperatorEntry.job, owner=owner, job_id=job),
+            "cancel": bind(OperatorEntry.cancel, owner=owner, job_id=job),
         }
         if action not in actions or bool(job) == (action == "list"):
-            raise fire.core.FireError("jobs [list], jobs show JOB, jobs cancel JOB")
+            usage = "jobs list OWNER, jobs show OWNER JOB, jobs cancel OWNER JOB"
+            raise fire.core.FireError(usage)
         return self._with_entry(actions[action])
 
     @as_text()
--- a/chivespan/operatorentry.py
+++ b/chivespan/operatorentry.py
@@ -3,9 +3,9 @@
 from urllib.parse import quote
 
 from chivespan.addresses import is_ip_number, parse_address
+from chivespan.callerapi import BatchJob, BatchJobList
 from chivespan.entryclient import EntryClient
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.jobmessages import JobState
 from chivespan.messages import FleetStatus, FleetUsage, StatusReply
 from chivespan.operatorresults import (
     DrainResult,
@@ -31,19 +31,20 @@
         fleet = await self._client.get("/operator/usage", FleetUsage)
         return UsageResult(tuple(fleet.counts), tuple(fleet.missing))
 
-    async def jobs(self) -> JobsResult:
-        """Return all batch jobs."""
-        return JobsResult(tuple(await self._client.get("/v1/batches", list[JobState])))
+    async def jobs(self, owner: str) -> JobsResult:
+        """Return an owner's batch jobs."""
+        found = await self._client.get(_jobs_path(owner), BatchJobList)
+        return JobsResult(tuple(found.data))
 
-    async def job(self, job_id: str) -> JobsResult:
+    async def job(self, owner: str, job_id: str) -> JobsResult:
         """Return one batch job."""
-        path = f"/v1/batches/{quote(job_id, safe='')}"
-        return JobsResult((await self._client.get(path, JobState),))
+        path = f"{_jobs_path(owner)}/{quote(job_id, safe='')}"
+        return JobsResult((await self._client.get(path, BatchJob),))
 
-    async def cancel(self, job_id: str) -> JobsResult:
+    async def cancel(self, owner: str, job_id: str) -> JobsResult:
         """Cancel a batch job and return its state."""
-        path = f"/v1/batches/{quote(job_id, safe='')}/cancel"
-        return JobsResult((await self._client.post(path, JobState),))
+        path = f"{_jobs_path(owner)}/{quote(job_id, safe='')}/cancel"
+        return JobsResult((await self._client.post(path, BatchJob),))
 
     async def drain(self, vm: str) -> DrainResult:
         """Tell a VM to leave."""
@@ -63,3 +64,7 @@
         host = f"[{vm}]" if ":" in vm else vm
         port = parse_address(self._address).port
         return EntryClient(f"{host}:{port}", self._key)
+
+
+def _jobs_path(owner: str) -> str:
+    return f"/operator/jobs/{quote(owner, safe='')}"
--- a/chivespan/operatorlog.py
+++ b/chivespan/operatorlog.py
@@ -22,6 +22,7 @@
     RecordId,
     VoidRecord,
 )
+from chivespan.snapshots import SnapshotStore
 
 READ_LIMIT = 1000
 NO_WAIT = timedelta(0)
@@ -70,6 +71,7 @@
     def __init__(self, log: LogService, appender: Appender, writer: str) -> None:
         self._log = log
         self._appender = appender
+        self._snapshots = SnapshotStore(log, CONFIG_STREAM, writer)
         self._writer = writer
         self._published = 0
         self._fold = ConfigFold()
@@ -106,6 +108,10 @@
 
         :raises ChivespanError: ``log_unavailable`` when the log gives no answer.
         """
+        if self._fold.offset < 0:
+            self._fold = await self._snapshots.load(
+                ConfigFold, ConfigFold.from_snapshot
+            )
         while True:
             start = self._fold.offset + 1
             page = await self._log.read(CONFIG_STREAM, start, READ_LIMIT, NO_WAIT)
--- a/chivespan/operatorresults.py
+++ b/chivespan/operatorresults.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from chivespan.callerapi import BatchJob
 from chivespan.configchanges import Delta
 from chivespan.inventory import Fault
-from chivespan.jobmessages import JobState
 from chivespan.messages import StatusReply, UsageCount
 from chivespan.records import AuditEntry
 
@@ -185,7 +185,7 @@
 class JobsResult:
     """Batch jobs with their states."""
 
-    jobs: tuple[JobState, ...]
+    jobs: tuple[BatchJob, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/chivespan/operatortext.py
+++ b/chivespan/operatortext.py
@@ -209,19 +209,10 @@
 @renders(JobsResult)
 def _job_lines(result: JobsResult) -> Iterator[str]:
     rows = (
-        (
-            one.job_id,
-            one.owner,
-            one.service,
-            one.phase.value,
-            one.items,
-            one.done,
-            one.failed,
-        )
+        (one.id, one.service, one.status, one.items, one.done, one.failed)
         for one in result.jobs
     )
-    titles = "JOB", "OWNER", "SERVICE", "STATE", "ITEMS", "DONE", "FAILED"
-    yield from table(rows, *titles)
+    yield from table(rows, "JOB", "SERVICE", "STATE", "ITEMS", "DONE", "FAILED")
 
 
 @renders(StatusResult)
--- a/chivespan/options.py
+++ b/chivespan/options.py
@@ -25,6 +25,9 @@
 MAX_INTERVAL_MS = 3_600_000
 MAX_BODY_BYTES = 1 << 30
 MAX_PARTITIONS = 1024
+MAX_BATCH_ITEMS = 65_536
+MAX_LOG_APPENDS_PER_S = 100_000
+MAX_LOG_KEEP_MINUTES = 10 * 365 * 24 * 60
 _SECRETS = frozenset({"peer_key", "operator_key"})
 
 Check: TypeAlias = Callable[[Any], str]
@@ -176,6 +179,9 @@
 )
 check("body_limit_bytes")(_check_bounds(1, MAX_BODY_BYTES))
 check("partitions")(_check_bounds(1, MAX_PARTITIONS))
+check("batch_items")(_check_bounds(1, MAX_BATCH_ITEMS))
+check("log_appends_per_s")(_check_bounds(1, MAX_LOG_APPENDS_PER_S))
+check("log_keep_minutes")(_check_bounds(1, MAX_LOG_KEEP_MINUTES))
 
 
 def _fields(cls: type[Any]) -> tuple[Field[Any], ...]:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -16,6 +16,7 @@
 from chivespan.operatorlog import OperatorLog, parse_change_id
 from chivespan.operatorresults import ApplyOutcome, ApplyResult
 from chivespan.operatortext import lines
+from chivespan.snapshots import SnapshotStore
 from tests.fakelog import FakeLog
 
 LIVESTOCK = Path(__file__).resolve().parent.parent / "examples" / "livestock"
@@ -188,6 +189,21 @@
     assert await _slots(log) == 8
 
 
+@pytest.mark.anyio
+async def test_what_the_log_dropped_comes_from_a_snapshot() -> None:
+    log = FakeLog()
+    await _apply(log, _files())
+    async with OperatorLog.opened(log, "ana", SystemClock()) as opened:
+        fold = await opened.read()
+        store = SnapshotStore(log, CONFIG_STREAM, "writer")
+        await store.write(fold, SystemClock().now())
+    await _apply(log, _with_slots(5))
+    log.expire(CONFIG_STREAM, 1)
+    assert await _slots(log) == 5
+    assert (await _apply(log, _with_slots(6))).outcome is ApplyOutcome.ACCEPTED
+    assert await _slots(log) == 6
+
+
 @pytest.mark.anyio
 async def test_without_the_log_nothing_is_accepted() -> None:
     log = FakeLog()
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -1,4 +1,5 @@
 from collections.abc import Sequence
+from dataclasses import fields
 
 import pytest
 
@@ -76,3 +77,12 @@
 def test_a_wrong_key_is_not_shown() -> None:
     assert "one setting is wrong" in _fault_of([*RIGHT, "--peer_key= "])
     assert '" "' not in _fault_of([*RIGHT, "--peer_key= "])
+
+
+def test_every_number_has_bounds() -> None:
+    numbers = [field.name for field in fields(NodeSettings) if field.type == "int"]
+    assert len(numbers) > 5
+    wrong = [f"--{name}=-1" for name in numbers]
+    message = _fault_of([*RIGHT, "--peer_key=key", *wrong])
+    for name in numbers:
+        assert f"invalid_setting --{name} " in message
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -21,7 +21,15 @@
 import httpcore
 import msgspec
 
-from chivespan.callerapi import AddressAnswer, ChatChunk, CompletionAnswer, ErrorAnswer
+from chivespan.callerapi import (
+    AddressAnswer,
+    BatchJob,
+    BatchModelItem,
+    BatchResult,
+    ChatChunk,
+    CompletionAnswer,
+    ErrorAnswer,
+)
 from chivespan.documents import Runner
 from chivespan.inventory import read_files, write_text
 from tools.cluster import Cluster, Site, free_block, wait_until
@@ -35,7 +43,15 @@
 OPERATOR = "ana"
 OPERATOR_KEY = "demo-operator-ana"
 KEPT_BLOCK = "127.7.7"
+OWNER = "baranja-haulage"
 OWNER_KEY = "demo-owner-baranja"
+JOB_ITEMS = 40
+LONG_JOB_ITEMS = 400
+LONG_TOKENS = 64
+FINISHED = "finished"
+CANCELLED = "cancelled"
+SETTLE = timedelta(seconds=1)
+JOB_TIMEOUT = timedelta(seconds=60)
 READY_TIMEOUT = timedelta(seconds=20)
 
 
@@ -57,6 +73,9 @@
         self._streamed()
         self._plain()
         self._mistakes()
+        job = self._job()
+        self._results(job)
+        self._cancelled_job()
         self._operators()
 
     def keep(self) -> None:
@@ -160,8 +179,65 @@
         print(f"{answer.status} {error.code}: {error.message}; run: {error.was_run}")
         _require(error.was_run == "no", "it was not run")
 
+    def _job(self) -> str:
+        self._say("A batch job, sent twice with the same key: one job")
+        body = _items("Route summary", JOB_ITEMS)
+        first = self._submit(body, "evening-1")
+        print(f"job {first.id}: {first.status}, {first.items} items")
+        again = self._submit(body, "evening-1")
+        print(f"sent again: job {again.id}, {again.items} items")
+        _require(first.id == again.id, "a job sent again is the same job")
+        return first.id
+
+    def _results(self, job: str) -> None:
+        self._say("Its state until it is finished, and its results")
+        shown = ""
+        for _ in wait_until("the job's end", JOB_TIMEOUT):
+            state = self._state(job)
+            line = f"{state.status}, {state.done} of {state.items} done"
+            if line != shown:
+                print(line)
+            shown = line
+            if state.status == FINISHED:
+                break
+        answer = self._request("GET", f"/v1/batches/{job}/results")
+        results = [
+            msgspec.json.decode(line, type=BatchResult)
+            for line in answer.content.splitlines()
+        ]
+        for result in results[:2]:
+            print(f"{result.id}: {result.text!r}")
+        print(f"... {len(results)} results")
+        good = sorted(result.id for result in results if result.ok)
+        wanted = sorted(f"route-{number}" for number in range(JOB_ITEMS))
+        _require(good == wanted, "every item has one good result")
+
+    def _cancelled_job(self) -> None:
+        self._say("Another job, cancelled")
+        body = _items("Loading plan", LONG_JOB_ITEMS, LONG_TOKENS)
+        job = self._submit(body, "evening-2").id
+        answer = self._request("POST", f"/v1/batches/{job}/cancel")
+        state = _decode(answer, BatchJob)
+        print(f"job {job}: {state.status}, {state.done} of {state.items} done")
+        _require(state.status == CANCELLED, "the job is cancelled")
+        time.sleep(SETTLE.total_seconds())
+        later = self._state(job)
+        print(f"{SETTLE.total_seconds():g} s later: {later.done} done")
+        _require(later.done == state.done, "a cancelled job stays stopped")
+
+    def _submit(self, body: bytes, key: str) -> BatchJob:
+        answer = self._request(
+            "POST", f"/v1/batches?service={MODEL}", body, idempotency_key=key
+        )
+        _require(answer.status == 202, f"accepted: {answer.content.decode()}")
+        return _decode(answer, BatchJob)
+
+    def _state(self, job: str) -> BatchJob:
+        return _decode(self._request("GET", f"/v1/batches/{job}"), BatchJob)
+
     def _operators(self) -> None:
         self._say("Operators look at what happened")
+        self._chivespan("jobs", "list", OWNER)
         self._chivespan("history")
         self._chivespan("usage")
         self._chivespan("status")
@@ -180,20 +256,29 @@
         self,
         method: str,
         path: str,
-        body: object = None,
+        body: object = b"",
         *,
         key: str = OWNER_KEY,
         address: str = "",
+        idempotency_key: str = "",
     ) -> httpcore.Response:
-        return httpcore.request(
-            method,
-            f"http://{address or self._address}{path}",
-            headers={
-                "Authorization": f"Bearer {key}",
-                "Content-Type": "application/json",
-            },
-            content=b"" if body is None else msgspec.json.encode(body),
+        headers = [("Authorization", f"Bearer {key}")]
+        if idempotency_key:
+            headers.append(("Idempotency-Key", idempotency_key))
+        content = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        url = f"http://{address or self._address}{path}"
+        return httpcore.request(method, url, headers=headers, content=content)
+
+
+def _items(prompt: str, count: int, max_tokens: int = 12) -> bytes:
+    """Return a job's items as JSON lines."""
+    items = [
+        BatchModelItem(
+            id=f"route-{number}", prompt=f"{prompt} {number}", max_tokens=max_tokens
         )
+        for number in range(count)
+    ]
+    return b"".join(msgspec.json.encode(item) + b"\n" for item in items)
 
 
 def _events(content: bytes) -> list[bytes]:
@@ -224,7 +309,6 @@
         block=KEPT_BLOCK if keep else free_block(),
         engines=6,
         plains=3,
-        programs=("dispatch", "entry"),
     )
     print(f"Starting {len(DATA_CENTRES)} VMs and the stand-ins on {site.block}.x")
     with Cluster(site) as cluster, tempfile.TemporaryDirectory() as folder:
