--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: setup generate check-generated format lint types test faults demo bench-policy
+.PHONY: setup generate check-generated format lint types test faults demo site bench-policy
 
 setup: .venv/.locked
 
@@ -35,6 +35,9 @@
 demo: setup
 	$(PYTHON) -m tools.demo
 
+site: setup
+	$(PYTHON) -m tools.demo --keep
+
 bench-policy: setup
 	$(PYTHON) -m bench.bench_policy compare
 	$(PYTHON) -m bench.bench_policy compare --kill=True --name=bench_policy_killed
