--- a/chivespan/dispatch_main.py
+++ b/chivespan/dispatch_main.py
@@ -9,12 +9,14 @@
 
 from chivespan.clock import SystemClock
 from chivespan.dispatcher import Dispatcher
+from chivespan.engineclient import EngineClient
 from chivespan.httplog import HttpLog
 from chivespan.httpvmlist import HttpVmList
 from chivespan.logs import configure_logging
 from chivespan.metrics import Metrics
 from chivespan.options import start
 from chivespan.settings import NodeSettings
+from chivespan.targethttp import TargetHttp
 
 PROGRAM = "chivespan-dispatch"
 METRICS_PREFIX = "chivespan.dispatch"
@@ -22,14 +24,15 @@
 
 async def serve(settings: NodeSettings) -> None:
     """Run a dispatcher until it is told to leave and has done so."""
-    dispatcher = Dispatcher(
-        settings,
-        HttpLog(settings.log_url),
-        HttpVmList(settings.vm_list_url),
-        SystemClock(),
-        Metrics(settings.statsd_address, METRICS_PREFIX),
-    )
-    async with anyio.create_task_group() as tasks:
+    async with TargetHttp() as http, anyio.create_task_group() as tasks:
+        dispatcher = Dispatcher(
+            settings,
+            HttpLog(settings.log_url),
+            HttpVmList(settings.vm_list_url),
+            SystemClock(),
+            Metrics(settings.statsd_address, METRICS_PREFIX),
+            probe=EngineClient(http),
+        )
         tasks.start_soon(_leave_on_signal, dispatcher, tasks)
         await dispatcher.run()
         tasks.cancel_scope.cancel()
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -24,6 +24,7 @@
     GrantRevoke,
     Heartbeat,
     HeldGrants,
+    HeldGrantsRequest,
     Hello,
     MembershipUpdate,
     Program,
@@ -45,6 +46,7 @@
 )
 from chivespan.platform import LogService, VmList
 from chivespan.policies import Policies
+from chivespan.scheduler import LoadProbe
 from chivespan.settings import NodeSettings
 from chivespan.sliceowner import SliceOwner
 from chivespan.usage import UsageKey, UsageLedger, key_of
@@ -67,6 +69,7 @@
     """One node's control program.
 
     :param snapshots: gives the newest usable configuration snapshot from the log.
+    :param probe: asks model engines for their load.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         metrics: Metrics,
         policies: Policies | None = None,
         snapshots: SnapshotSource | None = None,
+        probe: LoadProbe | None = None,
     ) -> None:
         self._settings = settings
         self._vm_list = vm_list
@@ -109,7 +113,9 @@
             clock,
             metrics,
             self._revoke,
+            self._ask_held,
             policies or Policies(),
+            probe,
         )
         self._usage = UsageLedger()
         self._reported: dict[UsageKey, UsageCount] = {}
@@ -291,6 +297,12 @@
         for link in self._holders.get(holder, ()):
             link.send(GrantRevoke(grant_id=grant_id))
 
+    def _ask_held(self, slice_id: str) -> None:
+        frame = encode_message(HeldGrantsRequest(slice_id=slice_id))
+        for links in self._holders.values():
+            if links[-1].remote.program in (Program.entry, Program.batch):
+                links[-1].send_frame(frame)
+
     def _follow(self, link: PeerLink, request: ConfigRequest, tasks: TaskGroup) -> None:
         """Answer a request for configuration; local programs follow from then on."""
         self._feed.answer(link, request)
--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -26,6 +26,7 @@
     GrantRequest,
     GrantRevoke,
     HeldGrants,
+    HeldGrantsRequest,
     Outcome,
     Refusal,
     WorkClass,
@@ -75,10 +76,13 @@
 
 @dataclass(slots=True)
 class _Holding:
-    """A slot in use, and the dispatcher that counts it."""
+    """A slot in use, and the dispatchers that count it.
+
+    There can be two while views of the live VMs differ.
+    """
 
     slot: HeldSlot
-    vm: str
+    vms: set[str]
 
 
 class GrantClient:
@@ -99,6 +103,7 @@
         self._waiters: dict[str, _Waiter] = {}
         self._held: dict[str, _Holding] = {}
         self._owners: dict[str, str] = {}
+        self._reported: dict[str, set[str]] = {}
         self._shared: Counter[str] = Counter()
         self._tasks: TaskGroup | None = None
         self._started = anyio.Event()
@@ -212,19 +217,19 @@
 
     def _hold(self, grant: Grant, request: GrantRequest, vm: str) -> HeldSlot:
         slot = HeldSlot(grant, request, self._release)
-        self._held[grant.grant_id] = _Holding(slot, vm)
+        self._held[grant.grant_id] = _Holding(slot, {vm})
         return slot
 
     def _release(self, release: GrantRelease) -> None:
         holding = self._held.pop(release.grant_id, None)
         if holding is None:
             return
-        dispatcher = self._dispatchers.get(holding.vm)
-        link = dispatcher.open_link if dispatcher else None
-        if link is None:
+        reachable = (self._dispatchers.get(vm) for vm in holding.vms)
+        links = [each.open_link for each in reachable if each and each.open_link]
+        for link in links:
+            link.send(release)
+        if not links:
             self._end.counters.incr("grants.releases_unsent")
-            return
-        link.send(release)
 
     def _no_dispatcher(self, request: GrantRequest) -> ChivespanError:
         reason = f"no dispatcher of service {request.service} can be reached"
@@ -313,6 +318,8 @@
         match message:
             case Grant() | Refusal():
                 self._take_answer(link, message)
+            case HeldGrantsRequest():
+                self._report_slice(message.slice_id, link.remote.vm, link)
             case GrantRevoke():
                 holding = self._held.get(message.grant_id)
                 if holding is not None:
@@ -346,10 +353,10 @@
                 yield slice_id, vm
 
     def _report_held(self, vm: str, link: PeerLink) -> None:
-        """Tell a dispatcher what is held on each slice that it owns."""
-        for slice_id, owner in self._owners_that_matter():
-            if owner == vm:
-                self._report_slice(slice_id, vm, link)
+        """Tell a dispatcher what is held on each slice that it owns, or owned."""
+        owned = {each for each, owner in self._owners_that_matter() if owner == vm}
+        for slice_id in owned | self._reported.pop(vm, set()):
+            self._report_slice(slice_id, vm, link)
 
     def _report_slice(self, slice_id: str, vm: str, link: PeerLink) -> None:
         holdings = [
@@ -358,7 +365,8 @@
             if each.slot.request.slice_id == slice_id
         ]
         for holding in holdings:
-            holding.vm = vm
+            holding.vms.add(vm)
+        self._reported.setdefault(vm, set()).add(slice_id)
         reports = [holding.slot.report() for holding in holdings]
         link.send(HeldGrants(slice_id=slice_id, grants=reports))
 
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -406,3 +406,12 @@
     """
 
     request_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldGrantsRequest:
+    """
+    A slice's new owner asks what the receiver holds on it.
+    """
+
+    slice_id: str
--- a/chivespan/sliceowner.py
+++ b/chivespan/sliceowner.py
@@ -13,7 +13,7 @@
 
 from chivespan.clock import Clock
 from chivespan.configuration import Configuration
-from chivespan.documents import Runner
+from chivespan.documents import Runner, ServiceKind
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.logs import logger
 from chivespan.membership import Membership
@@ -29,7 +29,7 @@
 )
 from chivespan.peerlink import Counters
 from chivespan.policies import Policies
-from chivespan.scheduler import SliceScheduler
+from chivespan.scheduler import LoadProbe, SliceScheduler
 from chivespan.settings import NodeSettings
 from chivespan.slices import Slice, slice_owner, slices_of
 from chivespan.usage import summed
@@ -54,6 +54,8 @@
     """Grants slots on the slices that this node owns.
 
     :param revoke: tells a holder that a grant is taken back.
+    :param ask_held: asks all holders what they hold on a slice taken over.
+    :param probe: asks model engines for their load.
     """
 
     def __init__(
@@ -63,14 +65,18 @@
         clock: Clock,
         counters: Counters,
         revoke: Callable[[str, str], None],
+        ask_held: Callable[[str], None],
         policies: Policies,
+        probe: LoadProbe | None = None,
     ) -> None:
         self._settings = settings
         self._membership = membership
         self._clock = clock
         self._counters = counters
         self._revoke = revoke
+        self._ask_held = ask_held
         self._policies = policies
+        self._probe = probe
         self._owned: dict[str, _Owned] = {}
         self._slices: dict[str, Slice] = {}
         self._runners: dict[str, Runner] = {}
@@ -168,14 +174,22 @@
     def _take_over(
         self, part: Slice, configuration: Configuration, tasks: TaskGroup
     ) -> None:
+        service = configuration.services.get(part.service)
+        is_model = service is not None and service.kind is ServiceKind.model
         scheduler = SliceScheduler(
-            part, configuration, self._clock, self._policies, self._revoke
+            part,
+            configuration,
+            self._clock,
+            self._policies,
+            self._revoke,
+            self._probe if is_model else None,
         )
         scope = anyio.CancelScope()
         self._owned[part.slice_id] = _Owned(part, scheduler, scope)
         tasks.start_soon(_run_in, scope, scheduler)
         self._counters.incr("dispatch.slices_taken")
         _log.notice("slice taken over", slice=part.slice_id)
+        self._ask_held(part.slice_id)
 
     def _hand_over(self, slice_id: str) -> None:
         owned = self._owned.pop(slice_id)
--- a/tests/controlnodes.py
+++ b/tests/controlnodes.py
@@ -107,6 +107,7 @@
     dispatcher: Dispatcher
     metrics: Metrics
     scope: anyio.CancelScope
+    ended: anyio.Event = field(default_factory=anyio.Event)
 
     @property
     def vm(self) -> str:
@@ -155,6 +156,7 @@
 async def _run_node(node: ControlNode) -> None:
     with node.scope:
         await node.dispatcher.run()
+    node.ended.set()
 
 
 @asynccontextmanager
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,283 @@
+"""The view of live VMs: a list that lags, is down or is stale, and peers that go."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from chivespan.clock import ManualClock
+from chivespan.membership import FORGET_AFTER, REJOIN_GRACE, Membership
+from chivespan.messages import (
+    Heartbeat,
+    Hello,
+    MembershipUpdate,
+    Program,
+    VmState,
+    VmView,
+)
+from chivespan.peerlink import listen
+from chivespan.platform import ListedVm
+from tests.controlnodes import (
+    CENTRE,
+    REGION,
+    ControlNode,
+    FakeVmList,
+    Platform,
+    control_nodes,
+    inventory,
+    settings_of,
+    start_node,
+    until,
+)
+from tests.test_peerlink import Recorder, end_of
+
+OWN, PEER, THIRD = "127.44.0.1", "127.44.0.2", "127.44.0.3"
+FAR = "127.44.1.1"
+LIVE, LEAVING, SILENT = VmState.live, VmState.leaving, VmState.silent
+
+
+def membership() -> tuple[Membership, ManualClock]:
+    clock = ManualClock()
+    return Membership(settings_of(OWN, 1), clock), clock
+
+
+def listed(vm: str, state: VmState = LIVE, centre: str = CENTRE) -> ListedVm:
+    return ListedVm(vm, centre, REGION, state)
+
+
+def hello(vm: str, centre: str = CENTRE) -> Hello:
+    return Hello(
+        vm=vm,
+        program=Program.dispatch,
+        data_centre=centre,
+        region=REGION,
+        incarnation="i",
+    )
+
+
+def test_peer_unknown_to_the_list_is_live_while_linked() -> None:
+    view, clock = membership()
+    view.linked(hello(PEER))
+    assert view.views[PEER].state is LIVE
+    view.take_list([listed(OWN)])
+    assert view.views[PEER].state is LIVE
+    view.unlinked(hello(PEER))
+    view.tick()
+    assert view.views[PEER].state is LIVE
+    clock.advance(REJOIN_GRACE + timedelta(milliseconds=1))
+    view.tick()
+    assert view.views[PEER].state is SILENT
+    clock.advance(FORGET_AFTER)
+    view.refresh()
+    assert PEER not in view.views
+
+
+def test_stale_list_does_not_make_a_lost_peer_live() -> None:
+    view, clock = membership()
+    entries = [listed(OWN), listed(PEER)]
+    view.take_list(entries)
+    view.linked(hello(PEER))
+    view.unlinked(hello(PEER))
+    view.unreachable(PEER)
+    assert view.views[PEER].state is SILENT
+    view.take_list([*entries, listed(THIRD)])
+    clock.advance(10 * FORGET_AFTER)
+    view.refresh()
+    assert view.views[PEER].state is SILENT
+    view.linked(hello(PEER))
+    assert view.views[PEER].state is LIVE
+
+
+def test_link_renewed_within_the_grace_is_no_change() -> None:
+    view, clock = membership()
+    view.linked(hello(PEER))
+    before = view.sequence
+    view.unlinked(hello(PEER))
+    clock.advance(REJOIN_GRACE / 2)
+    view.tick()
+    view.linked(hello(PEER))
+    clock.advance(10 * REJOIN_GRACE)
+    view.tick()
+    assert view.sequence == before
+
+
+def test_listed_vm_that_never_answers_becomes_silent() -> None:
+    view, clock = membership()
+    view.take_list([listed(OWN), listed(PEER), listed(FAR, centre="far")])
+    assert view.views[PEER].state is LIVE
+    clock.advance(timedelta(seconds=3))
+    view.tick()
+    assert view.views[PEER].state is SILENT
+    assert view.views[FAR].state is LIVE
+
+
+def test_leaving_is_believed_from_either_source() -> None:
+    view, _ = membership()
+    view.take_list([listed(OWN), listed(PEER), listed(THIRD, LEAVING)])
+    view.linked(hello(PEER))
+    view.linked(hello(THIRD))
+    view.heard(PEER, Heartbeat(config_offset=3, leaving=True, slices=[]))
+    assert view.views[PEER].state is LEAVING
+    assert view.views[THIRD].state is LEAVING
+    assert view.live_vms(CENTRE) == [OWN]
+    assert not view.leaving
+    view.take_list([listed(OWN, LEAVING)])
+    assert view.leaving
+
+
+def test_targets_on_the_list_are_no_vms_but_their_leaving_is_known() -> None:
+    view, _ = membership()
+    view.set_targets(["10.0.0.9"])
+    view.take_list([listed(OWN), listed("10.0.0.9", LEAVING)])
+    assert list(view.views) == [OWN]
+    assert view.leaving_addresses == {"10.0.0.9"}
+
+
+def test_changes_name_only_what_changed() -> None:
+    view, _ = membership()
+    view.take_list([listed(OWN), listed(PEER), listed(FAR, centre="far")])
+    first = view.changes_since(0)
+    assert first is not None
+    assert first.whole
+    assert {each.vm for each in first.vms} == {OWN, PEER, FAR}
+    sequence = view.sequence
+    assert view.changes_since(sequence) is None
+    report = VmView(
+        vm=FAR, data_centre="far", region=REGION, state=SILENT, config_offset=7
+    )
+    view.take_report("far", MembershipUpdate(vms=[report], whole=False))
+    change = view.changes_since(sequence)
+    assert change == MembershipUpdate(vms=[report], whole=False)
+    assert view.changes_since(sequence, CENTRE) is None
+
+
+def test_peers_to_link_are_all_here_and_few_elsewhere_in_the_region() -> None:
+    view, _ = membership()
+    here = [listed(f"127.44.0.{n}") for n in range(1, 31)]
+    near = [listed(f"127.44.1.{n}", centre="near") for n in range(1, 31)]
+    other = [ListedVm(f"127.44.2.{n}", "other", "other", LIVE) for n in range(30)]
+    view.take_list([*here, *near, *other])
+    chosen = view.peers_to_link()
+    assert {each.vm for each in here} - {OWN} <= set(chosen)
+    assert len(chosen) == 29 + 2
+
+
+pytestmark = pytest.mark.anyio
+
+
+def live_everywhere(nodes: Sequence[ControlNode]) -> bool:
+    vms = {node.vm for node in nodes}
+    return all({*node.dispatcher.membership.live_vms()} == vms for node in nodes)
+
+
+def owners(nodes: Sequence[ControlNode]) -> dict[str, list[str]]:
+    found: dict[str, list[str]] = {}
+    for node in nodes:
+        for target in node.dispatcher.status("").targets:
+            found.setdefault(target.slice_id, []).append(node.vm)
+    return {slice_id: sorted(set(vms)) for slice_id, vms in found.items()}
+
+
+def each_slice_once(nodes: Sequence[ControlNode], count: int) -> bool:
+    by_slice = owners(nodes)
+    return len(by_slice) == count and all(len(vms) == 1 for vms in by_slice.values())
+
+
+def take_an_owner(nodes: list[ControlNode]) -> ControlNode:
+    """Remove a node that owns a slice from the list, and return it."""
+    node = next(node for node in nodes if node.dispatcher.status("").targets)
+    nodes.remove(node)
+    return node
+
+
+async def test_node_that_starts_while_the_list_is_down_is_found_by_peers() -> None:
+    platform = Platform(port=23111)
+    platform.publish(*inventory(targets=40))
+    blind = replace(platform, vm_list=FakeVmList(down=True))
+    async with control_nodes(platform, [OWN, PEER]) as nodes:
+        platform.list_vms(THIRD)
+        async with anyio.create_task_group() as tasks:
+            nodes.append(start_node(tasks, blind, THIRD))
+            await until(lambda: live_everywhere(nodes))
+            await until(lambda: each_slice_once(nodes, 3))
+            tasks.cancel_scope.cancel()
+
+
+async def test_node_missing_from_a_lagging_list_joins_by_itself() -> None:
+    platform = Platform(port=23112)
+    fresh = replace(platform, vm_list=FakeVmList())
+    async with control_nodes(platform, [OWN, PEER]) as nodes:
+        fresh.list_vms(OWN, PEER, THIRD)
+        async with anyio.create_task_group() as tasks:
+            nodes.append(start_node(tasks, fresh, THIRD))
+            await until(lambda: live_everywhere(nodes))
+            tasks.cancel_scope.cancel()
+
+
+async def test_lost_node_is_silent_in_time_though_the_list_shows_it_live() -> None:
+    platform = Platform(port=23113)
+    platform.publish(*inventory(targets=40))
+    async with control_nodes(platform, [OWN, PEER, THIRD]) as nodes:
+        await until(lambda: live_everywhere(nodes) and each_slice_once(nodes, 3))
+        lost = take_an_owner(nodes)
+        lost.stop()
+        await until(lambda: all(n.state_of(lost.vm) is SILENT for n in nodes), 3)
+        await until(lambda: each_slice_once(nodes, 3), 3)
+
+
+async def test_frozen_peer_is_silent_in_time() -> None:
+    platform = Platform(port=23114)
+    frozen_end = end_of(PEER)
+    frozen = Recorder(
+        replace(
+            frozen_end,
+            hello=replace(frozen_end.hello, program=Program.dispatch),
+            options=replace(frozen_end.options, heartbeat=timedelta(hours=1)),
+        )
+    )
+    platform.list_vms(PEER)
+    async with control_nodes(platform, [OWN]) as nodes:
+        async with listen(PEER, platform.port, frozen.end, frozen.handle):
+            await until(lambda: nodes[0].state_of(PEER) is LIVE and bool(frozen.links))
+            opened = anyio.current_time()
+            await until(lambda: nodes[0].metrics.counters.get("peer.silent", 0) == 1)
+            assert anyio.current_time() - opened < 1
+        await until(lambda: nodes[0].state_of(PEER) is SILENT, 3)
+
+
+async def test_leaving_node_hands_over_and_ends() -> None:
+    platform = Platform(port=23115)
+    platform.publish(*inventory(targets=40))
+    async with control_nodes(platform, [OWN, PEER, THIRD]) as nodes:
+        await until(lambda: live_everywhere(nodes) and each_slice_once(nodes, 3))
+        leaving = take_an_owner(nodes)
+        leaving.dispatcher.announce_leaving()
+        await until(lambda: all(n.state_of(leaving.vm) is LEAVING for n in nodes), 1)
+        await until(lambda: each_slice_once(nodes, 3) and not owners([leaving]), 1)
+        await leaving.dispatcher.drain()
+        await until(lambda: all(n.state_of(leaving.vm) is not LIVE for n in nodes))
+
+
+async def test_node_that_the_list_shows_as_leaving_owns_nothing() -> None:
+    platform = Platform(port=23116)
+    platform.publish(*inventory(targets=40))
+    async with control_nodes(platform, [OWN, PEER]) as nodes:
+        await until(lambda: live_everywhere(nodes) and each_slice_once(nodes, 3))
+        leaving = take_an_owner(nodes)
+        platform.vm_list.mark(leaving.vm, LEAVING)
+        await until(lambda: each_slice_once(nodes, 3) and not owners([leaving]), 3)
+
+
+async def test_leaving_target_is_taken_from_its_slice() -> None:
+    platform = Platform(port=23117)
+    platform.publish(*inventory(targets=2))
+    async with control_nodes(platform, [OWN]) as nodes:
+        status = nodes[0].dispatcher.status
+        await until(lambda: len(status("").targets) == 2)
+        platform.list_vms("127.9.0.1", centre=CENTRE)
+        platform.vm_list.mark("127.9.0.1", LEAVING)
+        await until(
+            lambda: [each.target for each in status("").targets] == ["runner-1"], 3
+        )
--- /dev/null
+++ b/tests/test_peerlink.py
@@ -0,0 +1,169 @@
+"""Links that go silent, that lack the key, or that carry garbage."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+import anyio
+import pytest
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed, InvalidStatus
+
+from chivespan.clock import SystemClock
+from chivespan.codec import encode_message
+from chivespan.messages import (
+    GrantAbandon,
+    Heartbeat,
+    Program,
+    StatusRequest,
+)
+from chivespan.metrics import Metrics
+from chivespan.peerlink import (
+    LinkEnd,
+    LinkOptions,
+    PeerLink,
+    dial,
+    listen,
+    new_hello,
+)
+from tests.controlnodes import settings_of, until
+from tests.relay import relaying
+
+pytestmark = pytest.mark.anyio
+HOST = "127.43.0.1"
+ABANDON = GrantAbandon(request_id="r")
+
+
+def end_of(vm: str) -> LinkEnd:
+    settings = settings_of(vm, 0)
+    hello = new_hello(settings, Program.entry)
+    return LinkEnd(hello, LinkOptions.from_settings(settings), SystemClock(), Metrics())
+
+
+@dataclass
+class Recorder:
+    """Keeps the links of one side and the messages that came, without heartbeats."""
+
+    end: LinkEnd
+    links: list[PeerLink] = field(default_factory=list)
+    messages: list[object] = field(default_factory=list)
+
+    @property
+    def counters(self) -> dict[str, int]:
+        assert isinstance(self.end.counters, Metrics)
+        return dict(self.end.counters.counters)
+
+    async def handle(self, link: PeerLink) -> None:
+        self.links.append(link)
+        async for message in link:
+            if not isinstance(message, Heartbeat):
+                self.messages.append(message)
+
+
+@asynccontextmanager
+async def recording_server() -> AsyncIterator[tuple[Recorder, str]]:
+    server = Recorder(end_of(HOST))
+    async with listen(HOST, 0, server.end, server.handle) as port:
+        yield server, f"{HOST}:{port}"
+
+
+def headers(key: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {key}"}
+
+
+async def test_silent_connection_is_noticed_and_replaced() -> None:
+    client = Recorder(end_of("127.43.0.2"))
+    async with (
+        recording_server() as (server, address),
+        relaying(address) as (relay, through),
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(dial, through, client.end, client.handle)
+        await until(lambda: len(client.links) == 1 and len(server.links) == 1)
+        relay.hold_open_ones()
+        client.links[0].send(ABANDON)
+        silence = client.end.options.silence + 4 * client.end.options.heartbeat
+        with anyio.fail_after(silence.total_seconds()):
+            await until(lambda: len(client.links) == 2)
+        assert not client.links[0].is_open
+        assert client.counters["peer.silent"] == 1
+        await until(lambda: not server.links[0].is_open)
+        client.links[1].send(StatusRequest(request_id="s"))
+        await until(lambda: bool(server.messages))
+        assert server.messages == [StatusRequest(request_id="s")]
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("given", [{}, headers("wrong"), headers("peer-ke\xff")])
+async def test_wrong_key_gets_401_and_is_counted(given: dict[str, str]) -> None:
+    async with recording_server() as (server, address):
+        with pytest.raises(InvalidStatus) as refused:
+            await connect(f"ws://{address}", additional_headers=given)
+        assert refused.value.response.status_code == 401
+        assert server.counters == {"peer.unauthenticated": 1}
+        assert server.links == []
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        b"\xff",
+        b"",
+        "text",
+        encode_message(ABANDON)[:-1],
+        b"\x82gNothing\xa0",
+        b"\x82lGrantAbandon\xa1jrequest_id\x01",
+    ],
+)
+async def test_garbage_frame_ends_only_its_link(garbage: bytes | str) -> None:
+    async with recording_server() as (server, address):
+        hello = encode_message(new_hello(settings_of(HOST, 0), Program.batch))
+        for first in ([hello, garbage], [garbage]):
+            async with connect(
+                f"ws://{address}", additional_headers=headers("peer-key")
+            ) as bad:
+                for frame in first:
+                    await bad.send(frame)
+                with pytest.raises(ConnectionClosed):
+                    await drain(bad)
+        assert server.counters["peer.protocol_errors"] == 2
+        good = Recorder(end_of("127.43.0.2"))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(dial, address, good.end, good.handle)
+            await until(lambda: bool(good.links))
+            good.links[0].send(ABANDON)
+            await until(lambda: server.messages == [ABANDON])
+            tasks.cancel_scope.cancel()
+
+
+async def drain(websocket: object) -> None:
+    with anyio.fail_after(2):
+        while True:
+            await websocket.recv()  # type: ignore[attr-defined]
+
+
+async def test_reader_that_falls_behind_is_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("chivespan.peerlink.SEND_BUFFER_LIMIT_BYTES", 64 * 1024)
+    client = Recorder(end_of("127.43.0.2"))
+    patient = replace(client.end.options, silence=10 * client.end.options.silence)
+    client.end = replace(client.end, options=patient)
+    large = GrantAbandon(request_id="x" * 32 * 1024)
+    async with (
+        recording_server() as (_, address),
+        relaying(address) as (relay, through),
+        anyio.create_task_group() as tasks,
+    ):
+        relay.delay_s = 0.05
+        tasks.start_soon(dial, through, client.end, client.handle)
+        await until(lambda: bool(client.links))
+        link = client.links[0]
+        sent = 0
+        while link.send(large) and sent < 1000:
+            sent += 1
+        assert 0 < sent < 1000
+        assert not link.is_open
+        assert client.counters["peer.overflows"] == 1
+        assert not link.send(ABANDON)
+        tasks.cancel_scope.cancel()
