--- a/tests/faults/noderig.py
+++ b/tests/faults/noderig.py
@@ -15,6 +15,9 @@
 from anyio.abc import TaskGroup
 
 from chivespan.addressbook import AddressBook
+from chivespan.batchlinks import BatchLinks
+from chivespan.claimclient import ClaimClient
+from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import SystemClock
 from chivespan.codec import encode
 from chivespan.configfold import CONFIG_STREAM
@@ -343,9 +346,19 @@
     )
     lifetime = timedelta(milliseconds=settings.address_lifetime_ms)
     book = AddressBook(settings.entry_port, lifetime, random.Random(1))
-    context = EntryContext(settings, view, online, book, metrics, clock)
+    links = BatchLinks(end, settings, view)
+    context = EntryContext(
+        settings=settings,
+        view=view,
+        online=online,
+        claimed=ClaimedCalls(ClaimClient(links), online, metrics),
+        addresses=book,
+        metrics=metrics,
+        clock=clock,
+    )
     app = ServedApp(application(context, HttpApi(context).routes()))
     [address] = await stack.enter_async_context(serving(app))
     tasks.start_soon(view.run)
     tasks.start_soon(grants.run)
+    tasks.start_soon(links.run)
     return context, view, grants, metrics, address
