--- a/chivespan/options.py
+++ b/chivespan/options.py
@@ -18,12 +18,16 @@
 from chivespan.errors import ChivespanError, ErrorKind
 
 T = TypeVar("T")
+Function = TypeVar("Function", bound=Callable[..., Any])
 
 ENVIRONMENT_PREFIX = "CHIVESPAN_"
 LOG_LEVELS = ("debug", "info", "notice", "warning", "error")
 MAX_INTERVAL_MS = 3_600_000
 MAX_BODY_BYTES = 1 << 30
 MAX_PARTITIONS = 1024
+MAX_BATCH_ITEMS = 65_536
+MAX_LOG_APPENDS_PER_S = 100_000
+MAX_LOG_KEEP_MINUTES = 10 * 365 * 24 * 60
 _SECRETS = frozenset({"peer_key", "operator_key"})
 
 Check: TypeAlias = Callable[[Any], str]
@@ -86,6 +90,15 @@
         raise SystemExit(2) from None
 
 
+def as_text(*names: str) -> Callable[[Function], Function]:
+    """Keep arguments of a command as text, so that fire reads no numbers into them.
+
+    :param names: the arguments; all when none is named.
+    """
+    keep: Callable[[Function], Function] = fire.decorators.SetParseFn(str, *names)
+    return keep
+
+
 def variable(name: str) -> str:
     """Return the environment variable of a setting.
 
@@ -166,6 +179,9 @@
 )
 check("body_limit_bytes")(_check_bounds(1, MAX_BODY_BYTES))
 check("partitions")(_check_bounds(1, MAX_PARTITIONS))
+check("batch_items")(_check_bounds(1, MAX_BATCH_ITEMS))
+check("log_appends_per_s")(_check_bounds(1, MAX_LOG_APPENDS_PER_S))
+check("log_keep_minutes")(_check_bounds(1, MAX_LOG_KEEP_MINUTES))
 
 
 def _fields(cls: type[Any]) -> tuple[Field[Any], ...]:
@@ -180,7 +196,7 @@
 def _parse_flags(arguments: Sequence[str]) -> _Flags:
     collected: list[_Flags] = []
 
-    @fire.decorators.SetParseFn(str)  # type: ignore[untyped-decorator, unused-ignore]
+    @as_text()
     def collect(*words: str, **named: str) -> None:
         collected.append(_Flags(named, words))
 
