Let an asker try other slices before it queues; settle lanes at their heads

A request may name the longest wait it accepts (max_wait_ms); a longer one is refused at once. Before, requests queued at a full slice while others of the region had free slots, since loads are spread every 500 ms.

--- a/bench/bench_policy.py
+++ b/bench/bench_policy.py
@@ -162,6 +162,7 @@
         """Run policies (separated by ``;`` or ``,``) on the same arrivals."""
         OUT.mkdir(exist_ok=True)
         split = ";" if ";" in str(policies) else ","
+        print(LoadOptions(seconds=seconds, burst_per_s=burst_per_s))
         names = policies.split(split) if isinstance(policies, str) else list(policies)
         places = (
             deployments.split(",")
@@ -190,7 +191,7 @@
     print(f"{base['deployment']}  killed={base['dispatcher_killed']}")
     print(
         f"{'policy':34} {'p50':>6} {'p95':>6} {'p99':>6} ratio  burst steady "
-        f"{'gr95':>6} {'gr99':>6} {'gap99':>6} ref   items/s  ratio  revokes reread  cpu"
+        f"{'gr95':>6} {'gr99':>6} {'gap99':>6} ref  items/s  ratio  revokes reread cpu"
     )
     for policy, result in by_policy.items():
         first = _of(result, "first_token_ms")
--- a/bench/policysite.py
+++ b/bench/policysite.py
@@ -172,16 +172,14 @@
             loads=self._loads,
             distances={},
         )
-        error: ChivespanError | None = None
-        for part in SPILL_ORDERS["nearest_with_room"](view):
+        parts = list(SPILL_ORDERS["nearest_with_room"](view))
+        for part in parts:
             try:
-                return await self.acquire_of(request, part)
+                return await self.acquire_of(replace(request, max_wait_ms=0), part)
             except ChivespanError as refusal:
                 if refusal.kind not in SPILL_KINDS:
                     raise
-                error = error or refusal
-        assert error is not None
-        raise error
+        return await self.acquire_of(request, parts[0])
 
     async def acquire_of(self, request: GrantRequest, part: Slice) -> Held:
         """Ask one slice's owner."""
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -122,6 +122,10 @@
     Targets that failed this request before.
     """
     attempt: int = 1
+    max_wait_ms: int = -1
+    """
+    A grant that would take longer is refused at once, so that another slice can be asked; -1 to wait until the deadline.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/queueorder.py
+++ b/chivespan/queueorder.py
@@ -30,6 +30,10 @@
     held: int = 0
     waiters: list[Waiter] = field(default_factory=list)
 
+    def drop_settled_head(self) -> None:
+        """Forget the settled requests before the first one still waiting."""
+        del self.waiters[: self.first_from(0)]
+
     def first_from(self, place: int) -> int:
         """Return the place of the first request still waiting, from ``place`` on."""
         while place < len(self.waiters) and self.waiters[place].settled:
@@ -120,6 +124,10 @@
         self._waiting -= 1
         self._settled += 1
 
+    def overdue(self, now: timedelta) -> list[Waiter]:
+        """Return the requests whose deadline has passed."""
+        return [waiter for waiter in self._up_to(now) if not waiter.settled]
+
     def in_order(
         self, held: Callable[[str], int], total_slots: int
     ) -> Iterator[Waiter]:
@@ -127,9 +135,11 @@
 
         :param held: slots that an owner holds now.
         """
-        lanes = [lane for lane in self._lanes.values() if lane.waiters]
+        lanes = list(self._lanes.values())
         for lane in lanes:
+            lane.drop_settled_head()
             lane.held = held(lane.owner)
+        lanes = [lane for lane in lanes if lane.waiters]
         view = FairView(total_slots, sum(lane.weight for lane in lanes))
         heads = [self._next(lanes, view, index, 0, 0) for index in range(len(lanes))]
         heap = [head for head in heads if head is not None]
@@ -143,6 +153,13 @@
             if follower is not None:
                 heapq.heappush(heap, follower)
 
+    def _up_to(self, now: timedelta) -> Iterator[Waiter]:
+        for lane in self._lanes.values():
+            for waiter in lane.waiters:
+                if waiter.deadline > now:
+                    break
+                yield waiter
+
     def _next(
         self, lanes: Sequence[Lane], view: FairView, index: int, place: int, taken: int
     ) -> _Next | None:
--- a/chivespan/refusal.py
+++ b/chivespan/refusal.py
@@ -41,6 +41,7 @@
     :param wait: until it gets a slot.
     :param hold: usual time from slot to whole answer.
     :param remaining: until its deadline.
+    :param patience: longest wait for which its asker doesn't rather ask elsewhere.
     :param ahead: requests that go before it.
     :param slots: slots of the slice.
     """
@@ -48,6 +49,7 @@
     wait: timedelta
     hold: timedelta
     remaining: timedelta
+    patience: timedelta
     ahead: int
     slots: int
 
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -187,9 +187,8 @@
         """Do all that is due by now."""
         now = self._clock.monotonic()
         self._pool.lapse()
-        for waiter in self._waiting():
-            if waiter.deadline <= now:
-                self._refuse(waiter, ErrorKind.DEADLINE_PASSED)
+        for waiter in [*self._online.overdue(now), *self._batch.overdue(now)]:
+            self._refuse(waiter, ErrorKind.DEADLINE_PASSED)
         self._schedule()
         self._refuse_hopeless()
 
@@ -350,10 +349,11 @@
                 wait=self._drain.wait(place, revocable, slots),
                 hold=self._drain.mean_hold,
                 remaining=waiter.deadline - now,
+                patience=waiter.patience,
                 ahead=place,
                 slots=slots,
             )
-            if self._refuses(prospect):
+            if prospect.wait > prospect.patience or self._refuses(prospect):
                 self._refuse(waiter, ErrorKind.NO_CAPACITY)
 
     def _refuse(
--- a/chivespan/waiting.py
+++ b/chivespan/waiting.py
@@ -14,6 +14,7 @@
     """A request that waits for a slot, until it gets a grant or a refusal.
 
     :param deadline: monotonic time after which a grant is of no use.
+    :param settled: whether the wait is over.
     """
 
     request: GrantRequest
@@ -21,30 +22,36 @@
     deadline: timedelta
     grant: Grant | None = None
     error: ChivespanError | None = None
-    _settled: anyio.Event = field(default_factory=anyio.Event)
+    settled: bool = False
+    _ended: anyio.Event = field(default_factory=anyio.Event)
 
     @property
-    def settled(self) -> bool:
-        """Whether the wait is over."""
-        return self._settled.is_set()
+    def patience(self) -> timedelta:
+        """Longest wait that its asker accepts."""
+        max_wait_ms = self.request.max_wait_ms
+        return timedelta.max if max_wait_ms < 0 else timedelta(milliseconds=max_wait_ms)
 
     def give(self, grant: Grant) -> None:
         """End the wait with a grant."""
         self.grant = grant
-        self._settled.set()
+        self._end()
 
     def refuse(self, error: ChivespanError) -> None:
         """End the wait with a refusal."""
         self.error = error
-        self._settled.set()
+        self._end()
 
     async def result(self) -> Grant:
         """Wait for the end.
 
         :raises ChivespanError: the refusal.
         """
-        await self._settled.wait()
+        await self._ended.wait()
         if self.grant is not None:
             return self.grant
         assert self.error is not None
         raise self.error
+
+    def _end(self) -> None:
+        self.settled = True
+        self._ended.set()
