--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -41,7 +41,9 @@
 from chivespan.targetstate import TargetState
 from chivespan.waiting import Waiter
 
-TICK = timedelta(milliseconds=20)
+ONLINE_TICK = timedelta(milliseconds=20)
+BATCH_TICK = timedelta(milliseconds=50)
+IDLE_TICK = timedelta(milliseconds=500)
 PROBE_INTERVAL = timedelta(seconds=2)
 MICROSECOND = timedelta(microseconds=1)
 
@@ -87,6 +89,7 @@
         self._hints = PrefixHints()
         self._drain = DrainRate()
         self._closed = False
+        self._queued = anyio.Event()
         self.reconfigure(part, configuration)
 
     def reconfigure(self, part: Slice, configuration: Configuration) -> None:
@@ -176,20 +179,35 @@
                 if self._probe is not None:
                     tasks.start_soon(self._probe_targets, self._probe)
                 while True:
-                    await anyio.sleep(TICK.total_seconds())
+                    await self._pause()
                     self.expire()
         finally:
             self._closed = True
             for waiter in self._waiting():
                 self._refuse(waiter, ErrorKind.NO_DISPATCHER)
 
+    async def _pause(self) -> None:
+        """Wait for the next moment at which something may be due.
+
+        A request that comes to an idle slice ends the pause, so that its own deadline
+        is kept as closely as any other.
+        """
+        tick = IDLE_TICK
+        if len(self._online):
+            tick = ONLINE_TICK
+        elif len(self._batch):
+            tick = BATCH_TICK
+        self._queued = anyio.Event()
+        with anyio.move_on_after(tick.total_seconds()):
+            await self._queued.wait()
+            await anyio.sleep(ONLINE_TICK.total_seconds())
+
     def expire(self) -> None:
         """Do all that is due by now."""
         now = self._clock.monotonic()
         self._pool.lapse()
-        for waiter in self._waiting():
-            if waiter.deadline <= now:
-                self._refuse(waiter, ErrorKind.DEADLINE_PASSED)
+        for waiter in [*self._online.overdue(now), *self._batch.overdue(now)]:
+            self._refuse(waiter, ErrorKind.DEADLINE_PASSED)
         self._schedule()
         self._refuse_hopeless()
 
@@ -198,6 +216,7 @@
         request = waiter.request
         rule = self._limits.rule(request)
         self._queue(request.work_class).push(waiter, rule.weight if rule else 1)
+        self._queued.set()
         if self._closed:
             self._refuse(waiter, ErrorKind.NO_DISPATCHER)
             return
@@ -350,10 +369,11 @@
                 wait=self._drain.wait(place, revocable, slots),
                 hold=self._drain.mean_hold,
                 remaining=waiter.deadline - now,
+                patience=waiter.patience,
                 ahead=place,
                 slots=slots,
             )
-            if self._refuses(prospect):
+            if prospect.wait > prospect.patience or self._refuses(prospect):
                 self._refuse(waiter, ErrorKind.NO_CAPACITY)
 
     def _refuse(
