--- a/chivespan/jobstore.py
+++ b/chivespan/jobstore.py
@@ -174,6 +174,12 @@
             raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
 
 
+def submission_records(plan: JobPlan) -> Iterator[object]:
+    """Yield the records of a submission in order."""
+    for unit in _units(plan):
+        yield from unit
+
+
 def _units(plan: JobPlan) -> Iterator[list[object]]:
     """Yield the records of a submission in runs that are appended as one unit."""
     unit: list[object] = [
--- a/chivespan/partitions.py
+++ b/chivespan/partitions.py
@@ -113,6 +113,11 @@
             metrics,
         )
 
+    @property
+    def appends(self) -> int:
+        """Appends to the stream so far."""
+        return self._parts.appender.appends
+
     @property
     def unwritten(self) -> int:
         """Results that are not in the log yet."""
