--- a/chivespan/appender.py
+++ b/chivespan/appender.py
@@ -22,6 +22,7 @@
 MAX_GROUP_RECORDS = 1024
 MAX_GROUP_BYTES = 4 * 1024 * 1024
 SCAN_LIMIT = 512
+SLOW_APPEND = timedelta(seconds=1.5)
 NO_WAIT = timedelta(0)
 
 
@@ -122,6 +123,7 @@
         self._up = anyio.Event()
         self._latency = NO_WAIT
         self._last_append: timedelta | None = None
+        self._append_began: timedelta | None = None
         self.appends = 0
 
     @property
@@ -129,6 +131,13 @@
         """Whether the log answered last; when not, appends are refused at once."""
         return not self._down
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether an append has been on its way for long."""
+        if self._append_began is None:
+            return False
+        return self._clock.monotonic() - self._append_began > SLOW_APPEND
+
     @property
     def latency(self) -> timedelta:
         """Smoothed time of one append with its reading back."""
@@ -140,6 +149,18 @@
         adapted = self._latency * self._options.latency_factor
         return min(self._options.max_interval, max(self._options.interval, adapted))
 
+    def require_ready(self) -> None:
+        """Refuse what a caller waits for while the log is away or slow.
+
+        :raises ChivespanError: ``log_unavailable``; nothing was appended.
+        """
+        if self._down:
+            reason = "not accepted: the log is away"
+            raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
+        if self.is_slow:
+            reason = "not accepted: the log is slow"
+            raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
+
     async def wait_available(self) -> None:
         """Return when the log answers again."""
         await self._up.wait()
@@ -186,7 +207,9 @@
             await self._wait_for_turn()
             group = self._take_group()
             if group:
+                self._append_began = self._clock.monotonic()
                 await self._commit(group)
+                self._append_began = None
 
     def _forget(self, pending: _Pending) -> None:
         if pending in self._waiting:
--- a/chivespan/claimstore.py
+++ b/chivespan/claimstore.py
@@ -44,6 +44,7 @@
         await self._follower.reach_current()
         held = self.fold.claim(request.owner, request.key)
         if held is None:
+            self._appender.require_ready()
             offset = await self._appender.append(_claim(request))
             await self._follower.wait_applied(offset)
             held = self.fold.claim(request.owner, request.key)
--- a/chivespan/jobstore.py
+++ b/chivespan/jobstore.py
@@ -59,7 +59,7 @@
         :raises ChivespanError: ``key_reused``; ``log_unavailable`` when it is not
             accepted; ``acceptance_unknown`` when the same key must be sent again.
         """
-        self._require_log()
+        self._appender.require_ready()
         await self._follower.reach_current()
         known = self.fold.job(plan.job_id)
         if known is None or known.phase is JobPhase.submitting:
@@ -168,11 +168,6 @@
             raise ChivespanError(ErrorKind.ACCEPTANCE_UNKNOWN, reason)
         return job.state()
 
-    def _require_log(self) -> None:
-        if not self._appender.available:
-            reason = "not accepted: the log is away"
-            raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
-
 
 def submission_records(plan: JobPlan) -> Iterator[object]:
     """Yield the records of a submission in order."""
--- a/tests/fakelog.py
+++ b/tests/fakelog.py
@@ -37,6 +37,7 @@
     :ivar lost_answers: so many next appends take effect but are not answered.
     :ivar late_effects: so many next appends are not answered, and take effect when
         :meth:`release_late` is called.
+    :ivar slow_appends: so many next appends wait for :attr:`quick`.
     :ivar dropped: so many next appends are not answered and never take effect.
     """
 
@@ -47,6 +48,8 @@
         self.lost_answers = 0
         self.late_effects = 0
         self.dropped = 0
+        self.slow_appends = 0
+        self.quick = anyio.Event()
         self.appends = 0
         self._streams: defaultdict[str, _Stream] = defaultdict(_Stream)
         self._late: list[_LateAppend] = []
@@ -55,6 +58,9 @@
         await anyio.lowlevel.checkpoint()
         self._refuse_in_outage()
         self.appends += 1
+        if self.slow_appends:
+            self.slow_appends -= 1
+            await self.quick.wait()
         if self.late_effects:
             self.late_effects -= 1
             self._late.append(_LateAppend(stream, tuple(payloads)))
--- a/tests/test_appender.py
+++ b/tests/test_appender.py
@@ -1,17 +1,21 @@
 """Appends that are lost, late, doubled or refused end in a true answer."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
 import anyio.lowlevel
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from chivespan.appender import Appender, AppenderOptions
 from chivespan.clock import SystemClock
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.platform import LogNotReached
 from chivespan.records import JobCancel
 from tests.fakelog import FakeLog
 
@@ -154,3 +158,69 @@
             with pytest.raises(ChivespanError) as unknown:
                 await appender.append(cancel("b"))
     assert unknown.value.kind is ErrorKind.ACCEPTANCE_UNKNOWN
+
+
+class ScriptedLog(FakeLog):
+    """A log whose every append meets the next fault of a script."""
+
+    def __init__(self, script: Sequence[str]) -> None:
+        super().__init__()
+        self._script = iter(script)
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
+        fault = next(self._script, "none")
+        if fault == "release":
+            self.release_late()
+        elif fault == "unreachable":
+            raise LogNotReached("connection refused")
+        elif fault != "none":
+            setattr(self, fault, 1)
+        return await super().append(stream, payloads)
+
+
+FAULTS = ("none", "lost_answers", "late_effects", "dropped", "release", "unreachable")
+OPTIONS = (PATIENT, VOID_AT_ONCE, UNKNOWN_AT_ONCE)
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    st.lists(st.sampled_from(FAULTS), max_size=30),
+    st.sampled_from(OPTIONS),
+    st.lists(st.integers(1, 3), min_size=1, max_size=8),
+)
+def test_every_answer_is_true_whatever_becomes_of_appends(
+    script: list[str], options: AppenderOptions, groups: list[int]
+) -> None:
+    accepted: dict[str, int] = {}
+    refused: set[str] = set()
+    log = ScriptedLog(script)
+
+    async def append(appender: Appender, names: list[str]) -> None:
+        try:
+            offsets = await appender.append_all([cancel(name) for name in names])
+        except ChivespanError as error:
+            if error.kind is ErrorKind.LOG_UNAVAILABLE:
+                refused.update(names)
+        else:
+            accepted.update(zip(names, offsets, strict=True))
+
+    async def run() -> None:
+        quick = replace(options, retry_delay=timedelta(0))
+        async with running(log, quick) as appender:
+            for number, size in enumerate(groups):
+                names = [f"{number}.{part}" for part in range(size)]
+                with anyio.fail_after(10):
+                    await append(appender, names)
+                    await appender.wait_available()
+        log.release_late()
+
+    anyio.run(run)
+    records = counted(log)
+    found = {
+        one.record.job_id: one.offset
+        for one in records
+        if isinstance(one.record, JobCancel)
+    }
+    assert len(found) == len(records)
+    assert accepted.items() <= found.items()
+    assert not refused & found.keys()
--- /dev/null
+++ b/tests/test_httplog.py
@@ -0,0 +1,43 @@
+"""The adapter against the log service's stand-in, over real connections."""
+
+from datetime import timedelta
+
+import pytest
+
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.httplog import HttpLog
+from chivespan.platform import LogNotReached, LogRecord
+from tools.cluster import Cluster, Site, free_block, put
+
+pytestmark = pytest.mark.anyio
+NO_WAIT = timedelta(0)
+
+
+async def test_calls_and_faults_of_the_log_service() -> None:
+    site = Site(
+        data_centres=(),
+        region="r",
+        block=free_block(),
+        engines=1,
+        log_flags={"retention": "3"},
+    )
+    with Cluster(site):
+        log = HttpLog(site.log_url)
+        assert await log.append("a.b", [b"0", b"1"]) == 0
+        assert await log.append("a.b", [b"2"]) == 2
+        page = await log.read("a.b", 1, 1, NO_WAIT)
+        assert page.records == (LogRecord(1, b"1"),)
+        assert (page.oldest, page.end) == (0, 3)
+        assert (await log.read("unknown", 0, 1, timedelta(milliseconds=10))).end == 0
+        assert await log.append("a.b", [b"3"]) == 3
+        with pytest.raises(ChivespanError) as expired:
+            await log.read("a.b", 0, 1, NO_WAIT)
+        assert expired.value.kind is ErrorKind.LOG_EXPIRED
+        put(f"{site.log_url}/faults", {"down": True})
+        with pytest.raises(ChivespanError) as away:
+            await log.bounds("a.b")
+        assert away.value.kind is ErrorKind.LOG_UNAVAILABLE
+        assert not isinstance(away.value, LogNotReached)
+        await log.aclose()
+    with pytest.raises(LogNotReached):
+        await HttpLog(site.log_url).append("a.b", [b"4"])
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -10,7 +10,7 @@
 from chivespan.callerapi import BatchResult
 from chivespan.clock import ManualClock
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.jobfold import jobs_stream
+from chivespan.jobfold import ENDED, jobs_stream
 from chivespan.jobmessages import JobPhase
 from chivespan.jobplan import JobPlan
 from chivespan.partitions import JobPartition
@@ -32,11 +32,16 @@
     """Wait until a job has ended and return its results."""
     with anyio.fail_after(20):
         await worker.follower.wait_current()
-        while worker.store.job(OWNER, plan.job_id).phase is JobPhase.accepted:
+        while not _has_ended(worker, plan):
             await worker.follower.wait_changed()
     return await results(worker, plan)
 
 
+def _has_ended(worker: JobPartition, plan: JobPlan) -> bool:
+    job = worker.store.fold.job(plan.job_id)
+    return job is not None and job.phase in ENDED
+
+
 async def results(worker: JobPartition, plan: JobPlan) -> list[BatchResult]:
     chunks = len(worker.store.job(OWNER, plan.job_id).chunks)
     found = [
@@ -165,6 +170,23 @@
     assert set(site.engines.streams.values()) == {1}
 
 
+async def test_slow_log_refuses_submissions_at_once() -> None:
+    clock = ManualClock()
+    site, plan = Site(clock=clock), model_plan(PROMPTS)
+    async with site.worker() as worker, anyio.create_task_group() as tasks:
+        await worker.follower.wait_current()
+        site.log.slow_appends = 1
+        tasks.start_soon(worker.store.submit, plan)
+        while site.log.slow_appends:
+            await anyio.sleep(0.001)
+        clock.advance(timedelta(seconds=2))
+        with pytest.raises(ChivespanError, match="slow") as refused:
+            await worker.store.submit(model_plan(["x"], key="later"))
+        assert refused.value.kind is ErrorKind.LOG_UNAVAILABLE
+        site.log.quick.set()
+        assert len(await finished(worker, plan)) == 40
+
+
 async def test_item_that_may_not_be_repeated_runs_at_most_once() -> None:
     bodies = [f"booking {number}" for number in range(10)] + ["lost 1", "lost 2"]
     site, plan = Site(), plain_plan(bodies)
