Add the cells of batch jobs

Found, in itemrunner.py: Item holds a Service with lists and was hashed by the limiter of running items; the first item of any job ended the batch program (every batch cell failed first). Items now compare by identity. A stream revoked between its last token and its end mark was resumed past its end and the item ended as failed; a token with a finish reason now finishes it.

--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -101,7 +101,7 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, eq=False, slots=True)
 class Item:
     """One item to run.
 
@@ -238,7 +238,7 @@
         async with aclosing(stream):
             async for token in stream:
                 progress.tokens.append(token.text)
-        progress.finished = True
+                progress.finished = token.finish_reason is not None
 
     async def _call(self, item: Item, progress: _Progress) -> ItemAnswer | None:
         """Call a plain service once; None when another worker has started the item.
--- a/tests/faults/noderig.py
+++ b/tests/faults/noderig.py
@@ -14,7 +14,10 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from chivespan import batch_main
 from chivespan.addressbook import AddressBook
+from chivespan.batchapi import BatchApi
+from chivespan.batchlinks import BatchLinks
 from chivespan.clock import SystemClock
 from chivespan.codec import encode
 from chivespan.configfold import CONFIG_STREAM
@@ -28,6 +31,7 @@
 from chivespan.httpapi import HttpApi, application
 from chivespan.httplog import HttpLog
 from chivespan.httpvmlist import HttpVmList
+from chivespan.jobclient import JobClient
 from chivespan.messages import Program
 from chivespan.metrics import Metrics
 from chivespan.nodeview import NodeView
@@ -55,6 +59,8 @@
 REGION = "r"
 VMS = 3
 FIRST_DIAL_PORT = 8000
+FIRST_BATCH_PORT = 8100
+PARTITIONS = 2
 HEARTBEAT_MS = 50
 SILENCE_MS = 250
 GRANT_LIFETIME = timedelta(milliseconds=300)
@@ -107,15 +113,18 @@
 
 @dataclass
 class Node:
-    """One VM's control program.
+    """One VM's control and batch programs.
 
-    :param paths: relays of connections to this VM, by who dials.
+    :param paths: relays of connections to its control program, by who dials.
+    :param batch_paths: the same of its batch program.
     """
 
     settings: NodeSettings
     dispatcher: Dispatcher
     scope: anyio.CancelScope
+    batch_scope: anyio.CancelScope
     paths: dict[str, Relay] = field(default_factory=dict)
+    batch_paths: dict[str, Relay] = field(default_factory=dict)
 
     @property
     def vm(self) -> str:
@@ -155,6 +164,10 @@
         """The nodes that weren't killed."""
         return [node for node in self.nodes if not node.scope.cancel_called]
 
+    def kill_batch(self, node: Node) -> None:
+        """End a batch program without notice."""
+        node.batch_scope.cancel()
+
     def kill(self, node: Node) -> None:
         """End a control program without notice."""
         node.scope.cancel()
@@ -200,6 +213,16 @@
         total = len(self.engines) * ENGINE.slots
         await self.wait("all slots free", lambda: self.free_slots() == total)
 
+    def batch_starts(self) -> list[str]:
+        """Return the prompts that engines began to run."""
+        entries = [each for e in self.engines for each in e.journal.entries]
+        return [each.detail for each in entries if each.event == "start"]
+
+    def batch_ended(self) -> int:
+        """Return how many streams the engines ended whole."""
+        entries = [each for e in self.engines for each in e.journal.entries]
+        return sum(each.event == "end" for each in entries)
+
     def note_versions(self) -> None:
         """Note the configuration in force on every running node."""
         for node in self.running:
@@ -224,13 +247,17 @@
         vm_list_url=list_url,
         peer_key="peer-key",
         dispatch_port=FIRST_DIAL_PORT + number,
+        batch_port=FIRST_BATCH_PORT + number,
+        partitions=PARTITIONS,
         heartbeat_ms=HEARTBEAT_MS,
         peer_silence_ms=SILENCE_MS,
         address_lifetime_ms=500,
     )
 
 
-async def _start_node(settings: NodeSettings, tasks: TaskGroup) -> Node:
+async def _start_node(
+    settings: NodeSettings, tasks: TaskGroup, *, with_batch: bool
+) -> Node:
     clock = SystemClock()
     dispatcher = Dispatcher(
         settings,
@@ -240,18 +267,24 @@
         Metrics(),
         Policies(grant_lifetime=GRANT_LIFETIME),
     )
-    node = Node(settings, dispatcher, anyio.CancelScope())
+    node = Node(settings, dispatcher, anyio.CancelScope(), anyio.CancelScope())
 
-    async def run() -> None:
+    async def control() -> None:
         with node.scope:
             await dispatcher.run()
 
-    tasks.start_soon(run)
+    async def batch() -> None:
+        with node.batch_scope:
+            await batch_main.serve(settings)
+
+    tasks.start_soon(control)
+    if with_batch:
+        tasks.start_soon(batch)
     return node
 
 
 @asynccontextmanager
-async def node_rig(vms: int = VMS) -> AsyncIterator[NodeRig]:
+async def node_rig(vms: int = VMS, *, batch: bool = False) -> AsyncIterator[NodeRig]:
     """Run the control programs of some VMs and an entry on the first."""
     block = free_block()
     log, vm_list = LogStandIn(), VmListStandIn()
@@ -275,7 +308,7 @@
         first = operator.write(operator.change(configuration, lambda _: 0))
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
-        nodes = [await _start_node(each, tasks) for each in settings]
+        nodes = [await _start_node(each, tasks, with_batch=batch) for each in settings]
         await _lay_paths(nodes, stack)
         entry = await _start_entry(_away_from_owner(settings), tasks, stack)
         context, view, grants, metrics, address = entry
@@ -306,14 +339,18 @@
         for dialler in nodes:
             if dialler is node:
                 continue
-            relay, _ = await stack.enter_async_context(
-                relaying(
-                    f"{node.vm}:{node.settings.dispatch_port}",
-                    node.vm,
-                    dialler.settings.dispatch_port,
-                )
+            dialled = dialler.settings
+            node.paths[dialler.vm] = await _relay(
+                node.vm, node.settings.dispatch_port, dialled.dispatch_port, stack
             )
-            node.paths[dialler.vm] = relay
+            node.batch_paths[dialler.vm] = await _relay(
+                node.vm, node.settings.batch_port, dialled.batch_port, stack
+            )
+
+
+async def _relay(vm: str, to: int, at: int, stack: AsyncExitStack) -> Relay:
+    relay, _ = await stack.enter_async_context(relaying(f"{vm}:{to}", vm, at))
+    return relay
 
 
 def _away_from_owner(settings: list[NodeSettings]) -> NodeSettings:
@@ -344,8 +381,12 @@
     lifetime = timedelta(milliseconds=settings.address_lifetime_ms)
     book = AddressBook(settings.entry_port, lifetime, random.Random(1))
     context = EntryContext(settings, view, online, book, metrics, clock)
-    app = ServedApp(application(context, HttpApi(context).routes()))
+    links = BatchLinks(end, settings, view)
+    jobs = JobClient(links, settings.partitions)
+    routes = [*HttpApi(context).routes(), *BatchApi(context, jobs).routes()]
+    app = ServedApp(application(context, routes))
     [address] = await stack.enter_async_context(serving(app))
     tasks.start_soon(view.run)
     tasks.start_soon(grants.run)
+    tasks.start_soon(links.run)
     return context, view, grants, metrics, address
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,10 +3,10 @@
 import pytest
 from _pytest.mark import ParameterSet
 
-from tests.faults import node_cells, online_cells
+from tests.faults import batch_cells, node_cells, online_cells
 from tests.faults.matrix import CANNOT_HAPPEN, PROOFS, Proof
 
-SCENARIOS = (online_cells, node_cells)
+SCENARIOS = (online_cells, node_cells, batch_cells)
 
 
 def _parameter(proof: Proof) -> ParameterSet:
