Follow a request, a job and a change through the modules by file name

The tables of errors and modules are written from the code by make generate; check-generated fails when they are old.

--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,11 @@
 
 generate: setup
 	$(PYTHON) -m tools.generate
-	$(PYTHON) -m tools.errortable
+	$(PYTHON) -m tools.pages
 
 check-generated: setup
 	$(PYTHON) -m tools.generate --check
-	$(PYTHON) -m tools.errortable --check
+	$(PYTHON) -m tools.pages --check
 
 format: setup
 	.venv/bin/ruff format .
--- a/chivespan/entry_main.py
+++ b/chivespan/entry_main.py
@@ -26,6 +26,7 @@
 from chivespan.nodeview import NodeView
 from chivespan.online import OnlineService
 from chivespan.operatorapi import OperatorApi
+from chivespan.operatorjobs import OperatorJobs
 from chivespan.options import start
 from chivespan.peerlink import LinkEnd, LinkOptions, new_hello
 from chivespan.plainclient import PlainClient
@@ -73,6 +74,7 @@
             *HttpApi(context).routes(),
             *BatchApi(context, jobs).routes(),
             *OperatorApi(context, end).routes(),
+            *OperatorJobs(context, jobs).routes(),
         ]
         server = HttpServer(
             application(context, routes), settings.vm, settings.entry_port
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,7 +8,7 @@
 from chivespan.inventory import read_files
 from chivespan.operator_main import Commands
 from chivespan.settings import NodeSettings, OperatorSettings
-from tools.errortable import MEANINGS, PAGE, with_table
+from tools.pages import ERRORS, MEANINGS
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -18,8 +18,7 @@
 
 
 def test_the_table_of_errors_is_current() -> None:
-    page = PAGE.read_text()
-    assert with_table(page) == page
+    assert ERRORS.is_current
 
 
 def _page(name: str) -> str:
@@ -61,3 +60,13 @@
     for document in rules.documents.values():
         if isinstance(document, Owner | Operator):
             assert set(document.key_sha256) <= hashes
+
+
+def test_files_named_on_the_architecture_page_exist() -> None:
+    named = set(
+        re.findall(r"`((?:[a-z]+/)*[a-z_]+\.(?:py|yaml))`", _page("ARCHITECTURE.md"))
+    )
+    present = {path.name for path in (ROOT / "chivespan").glob("*.py")}
+    assert len(named) > 20
+    for name in named:
+        assert name in present or (ROOT / name).exists(), name
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -216,6 +216,9 @@
         self._say("Another job, cancelled")
         body = _items("Loading plan", LONG_JOB_ITEMS, LONG_TOKENS)
         job = self._submit(body, "evening-2").id
+        for _ in wait_until("its first result", JOB_TIMEOUT):
+            if self._state(job).done:
+                break
         answer = self._request("POST", f"/v1/batches/{job}/cancel")
         state = _decode(answer, BatchJob)
         print(f"job {job}: {state.status}, {state.done} of {state.items} done")
--- a/tools/errortable.py
+++ b/tools/pages.py
@@ -1,17 +1,22 @@
-"""Write the table of errors in docs/API.md from the closed list in chivespan.errors.
+"""Write the tables on the pages that follow from the code.
 
-``--check`` fails when the page differs from what the list gives.
+The errors in ``docs/API.md`` come from the closed list in ``chivespan.errors``, the
+modules in ``docs/ARCHITECTURE.md`` from their first lines. ``--check`` fails when a
+page differs from what the code gives.
 """
 
+import ast
 import sys
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 
 from chivespan.errors import ANSWERS, Answer, ErrorKind
 
-PAGE = Path(__file__).resolve().parent.parent / "docs" / "API.md"
-BEGIN = "<!-- errors: written by tools/errortable.py -->\n"
-END = "<!-- end of errors -->\n"
+ROOT = Path(__file__).resolve().parent.parent
+BEGIN = "<!-- written by tools/pages.py -->\n"
+END = "<!-- end of what is written -->\n"
+GENERATED = "Data classes generated from"
 
 MEANINGS: Mapping[ErrorKind, str] = {
     ErrorKind.BAD_REQUEST: "The request can't be read; the message names the place.",
@@ -51,12 +56,28 @@
 }
 
 
-def table() -> str:
-    """Return the table of all errors."""
-    return "\n".join(_lines()) + "\n"
+@dataclass(frozen=True, slots=True)
+class Page:
+    """A page with one table that follows from the code."""
 
+    path: Path
+    rows: Callable[[], Iterator[str]]
 
-def _lines() -> Iterator[str]:
+    def current(self) -> str:
+        """Return the page with its table as the code gives it now."""
+        head, rest = self.path.read_text().split(BEGIN)
+        _, tail = rest.split(END)
+        table = "".join(f"{row}\n" for row in self.rows())
+        return f"{head}{BEGIN}{table}{END}{tail}"
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the page is as the code gives it."""
+        return self.path.read_text() == self.current()
+
+
+def error_rows() -> Iterator[str]:
+    """Yield the table of all errors."""
     yield "| code | HTTP | was it run | come back | what it means |"
     yield "|---|---|---|---|---|"
     for kind, answer in ANSWERS.items():
@@ -73,23 +94,30 @@
     return f"after {answer.retry_after.total_seconds():g} s"
 
 
-def with_table(page: str) -> str:
-    """Return a page with the table as it is now between its two marks."""
-    head, rest = page.split(BEGIN)
-    _, tail = rest.split(END)
-    return f"{head}{BEGIN}{table()}{END}{tail}"
+def module_rows() -> Iterator[str]:
+    """Yield the table of all modules that are written by hand."""
+    yield "| module | what it is |"
+    yield "|---|---|"
+    for path in sorted((ROOT / "chivespan").glob("*.py")):
+        first = (ast.get_docstring(ast.parse(path.read_text())) or "").split("\n")[0]
+        if path.stem != "__init__" and not first.startswith(GENERATED):
+            yield f"| `{path.name}` | {first} |"
+
+
+ERRORS = Page(ROOT / "docs" / "API.md", error_rows)
+MODULES = Page(ROOT / "docs" / "ARCHITECTURE.md", module_rows)
 
 
 def main() -> int:
-    """Write or check the page; return the exit code."""
-    page = PAGE.read_text()
-    fresh = with_table(page)
+    """Write or check the pages; return the exit code."""
+    stale = [page for page in (ERRORS, MODULES) if not page.is_current]
     if "--check" not in sys.argv[1:]:
-        PAGE.write_text(fresh)
+        for page in stale:
+            page.path.write_text(page.current())
         return 0
-    if page != fresh:
-        print("docs/API.md has an old table; run 'make generate'")
-    return int(page != fresh)
+    for page in stale:
+        print(f"docs/{page.path.name} has an old table; run 'make generate'")
+    return 1 if stale else 0
 
 
 if __name__ == "__main__":
