--- a/bench/bench_policy.py
+++ b/bench/bench_policy.py
@@ -24,7 +24,7 @@
     online_arrivals,
 )
 from bench.policyplot import plot
-from bench.policyrun import Result, Run, quantiles
+from bench.policyrun import Quantiles, Result, Run, encoded, merged, quantiles
 from bench.policysite import Deployment, Site
 from chivespan.policies import Policies
 from standins.enginebatch import EngineOptions
@@ -87,9 +87,9 @@
         batch_tokens_per_s=tokens / batch_s,
         batch_revokes=measures.revokes,
         batch_tokens_reread=measures.tokens_reread,
-        batch_tokens_lost=measures.tokens_lost,
         processor_share=busy / load.seconds,
         samples=measures.samples,
+        histograms=encoded(measures),
     )
 
 
@@ -110,7 +110,7 @@
         return [sys.executable, "-m", "bench.bench_policy", "one", *flags]
 
 
-def run_cases(cases: Sequence[Case]) -> Iterator[dict[str, object]]:
+def run_cases(cases: Sequence[Case]) -> Iterator[Result]:
     """Run all cases, a few at a time; yield their results in order."""
     waiting = list(cases)
     running: list[subprocess.Popen[str]] = []
@@ -128,7 +128,8 @@
     for number, process in enumerate(started):
         if process.returncode != 0:
             raise SystemExit(f"run {number} failed: {cases[number]}")
-        yield json.loads((OUT / f"run-{number}.json").read_text())
+        text = (OUT / f"run-{number}.json").read_text()
+        yield msgspec.json.decode(text, type=Result)
 
 
 class Commands:
@@ -146,7 +147,15 @@
         """Make one run and print its result as a JSON line."""
         name = policy if isinstance(policy, str) else ",".join(policy)
         load = LoadOptions(seconds=seconds, burst_per_s=burst_per_s)
-        result = anyio.run(run_once, deployment, name, seed, kill, load)
+        result = anyio.run(
+            run_once,
+            deployment,
+            name,
+            seed,
+            kill,
+            load,
+            backend_options={"use_uvloop": False},
+        )
         print(json.dumps(result.as_json()))
 
     def compare(
@@ -154,7 +163,7 @@
         policies: str = "none,unlimited,fixed-2,fixed-4,fixed-6,idle,steered",
         deployments: str = "osijek,darkmoor",
         kill: bool = False,
-        seed: int = 1,
+        seeds: int = 2,
         seconds: float = 60.0,
         burst_per_s: float = 6.0,
         name: str = "bench_policy",
@@ -173,60 +182,49 @@
             Case(place, policy, kill, seed, seconds, burst_per_s)
             for place in places
             for policy in names
+            for seed in range(1, seeds + 1)
         ]
-        results = list(run_cases(cases))
+        runs = list(run_cases(cases))
         with (OUT / f"{name}.jsonl").open("a") as lines:
-            for result in results:
-                lines.write(json.dumps(result) + "\n")
+            for run in runs:
+                lines.write(json.dumps(run.as_json()) + "\n")
+        results = [
+            merged(runs[first : first + seeds]) for first in range(0, len(runs), seeds)
+        ]
         for place in places:
-            report([each for each in results if each["deployment"] == place])
+            report([each for each in results if each.deployment == place])
         plot(results, OUT / f"{name}.png")
 
 
-def report(results: Sequence[dict[str, object]]) -> None:
+def report(results: Sequence[Result]) -> None:
     """Print a table with the ratios to the two ends."""
-    by_policy = {str(result["policy"]): result for result in results}
+    by_policy = {result.policy: result for result in results}
     base = by_policy.get("none", results[0])
     most = by_policy.get("unlimited", results[0])
-    print(f"{base['deployment']}  killed={base['dispatcher_killed']}")
+    print(f"{base.deployment}  killed={base.dispatcher_killed}")
     print(
         f"{'policy':34} {'p50':>6} {'p95':>6} {'p99':>6} ratio  burst steady "
         f"{'gr95':>6} {'gr99':>6} {'gap99':>6} ref  items/s  ratio  revokes reread cpu"
     )
     for policy, result in by_policy.items():
-        first = _of(result, "first_token_ms")
-        ratio = first["p99"] / _of(base, "first_token_ms")["p99"]
-        burst = _p99_ratio(result, base, "first_token_burst_ms")
-        steady = _p99_ratio(result, base, "first_token_steady_ms")
-        gap = _of(result, "token_gap_ms")["p99"]
-        tokens = _number(result, "batch_tokens_per_s")
-        share = tokens / (_number(most, "batch_tokens_per_s") or 1.0)
+        first = result.first_token_ms
+        ratio = first.p99 / base.first_token_ms.p99
+        burst = _ratio(result.first_token_burst_ms, base.first_token_burst_ms)
+        steady = _ratio(result.first_token_steady_ms, base.first_token_steady_ms)
+        share = result.batch_tokens_per_s / (most.batch_tokens_per_s or 1.0)
         print(
-            f"{policy:34} {first['p50']:6.1f} {first['p95']:6.1f} {first['p99']:6.1f} "
+            f"{policy:34} {first.p50:6.1f} {first.p95:6.1f} {first.p99:6.1f} "
             f"{ratio:5.3f}  {burst:5.3f} {steady:5.3f} "
-            f"{_of(result, 'grant_ms')['p95']:6.1f} "
-            f"{_of(result, 'grant_ms')['p99']:6.1f} {gap:6.1f} "
-            f"{result['online_refused']!s:>3} "
-            f"{_number(result, 'batch_items_per_s'):9.2f}  {share:5.3f} "
-            f"{result['batch_revokes']!s:>8} {result['batch_tokens_reread']!s:>6} "
-            f"{_number(result, 'processor_share'):5.2f}"
+            f"{result.grant_ms.p95:6.1f} {result.grant_ms.p99:6.1f} "
+            f"{result.token_gap_ms.p99:6.1f} {result.online_refused:3} "
+            f"{result.batch_items_per_s:8.2f}  {share:5.3f} "
+            f"{result.batch_revokes:8} {result.batch_tokens_reread:6} "
+            f"{result.processor_share:5.2f}"
         )
 
 
-def _of(result: dict[str, object], key: str) -> dict[str, float]:
-    value = result[key]
-    assert isinstance(value, dict)
-    return value
-
-
-def _number(result: dict[str, object], key: str) -> float:
-    value = result[key]
-    assert isinstance(value, int | float)
-    return float(value)
-
-
-def _p99_ratio(result: dict[str, object], base: dict[str, object], key: str) -> float:
-    return _of(result, key)["p99"] / (_of(base, key)["p99"] or 1.0)
+def _ratio(measured: Quantiles, base: Quantiles) -> float:
+    return measured.p99 / base.p99
 
 
 if __name__ == "__main__":
--- a/bench/policyplot.py
+++ b/bench/policyplot.py
@@ -10,15 +10,17 @@
 
 from matplotlib import pyplot
 
+from bench.policyrun import Result
 
-def plot(results: Sequence[dict[str, Any]], path: Path) -> None:
+
+def plot(results: Sequence[Result], path: Path) -> None:
     """Write one picture of all results."""
-    places = sorted({result["deployment"] for result in results})
+    places = sorted({result.deployment for result in results})
     figure, axes = pyplot.subplots(
         2, len(places), figsize=(8 * len(places), 9), squeeze=False
     )
     for column, place in enumerate(places):
-        own = [result for result in results if result["deployment"] == place]
+        own = [result for result in results if result.deployment == place]
         _plot_tradeoff(axes[0][column], own, place)
         _plot_slots(axes[1][column], own[-1])
     figure.tight_layout()
@@ -26,22 +28,22 @@
     pyplot.close(figure)
 
 
-def _plot_tradeoff(axis: Any, results: Sequence[dict[str, Any]], place: str) -> None:
+def _plot_tradeoff(axis: Any, results: Sequence[Result], place: str) -> None:
     for result in results:
-        x = result["batch_tokens_per_s"]
-        y = result["first_token_ms"]["p99"]
+        x = result.batch_tokens_per_s
+        y = result.first_token_ms.p99
         axis.scatter(x, y)
-        axis.annotate(result["policy"], (x, y))
+        axis.annotate(result.policy, (x, y))
     axis.set_title(place)
     axis.set_xlabel("batch tokens a second")
     axis.set_ylabel("online p99 first token, ms")
 
 
-def _plot_slots(axis: Any, result: dict[str, Any]) -> None:
-    samples = result["samples"]
-    times = [sample["at"] for sample in samples]
+def _plot_slots(axis: Any, result: Result) -> None:
+    samples = result.samples
+    times = [sample.at for sample in samples]
     for key in ("online", "batch", "queued"):
-        axis.plot(times, [sample[key] for sample in samples], label=key)
-    axis.set_title(f"slots under {result['policy']}")
+        axis.plot(times, [getattr(sample, key) for sample in samples], label=key)
+    axis.set_title(f"slots under {result.policy}")
     axis.set_xlabel("seconds")
     axis.legend()
--- a/bench/policyrun.py
+++ b/bench/policyrun.py
@@ -1,8 +1,9 @@
 """One run of the policy bench: one policy under one load, and what was measured."""
 
 import time
-from collections.abc import Iterable
-from dataclasses import asdict, dataclass, field
+from collections.abc import Iterable, Sequence
+from dataclasses import asdict, dataclass, field, replace
+from statistics import fmean
 
 import anyio
 from anyio.abc import TaskGroup
@@ -43,6 +44,57 @@
     return Quantiles(p50, p95, p99, measured.get_total_count())
 
 
+@dataclass(frozen=True)
+class Histograms:
+    """The histograms behind a result's quantiles, encoded."""
+
+    first_token_ms: str
+    first_token_steady_ms: str
+    first_token_burst_ms: str
+    grant_ms: str
+    token_gap_ms: str
+
+
+def encoded(measures: "Measures") -> Histograms:
+    """Return a run's histograms, to be merged with those of other seeds."""
+    return Histograms(
+        first_token_ms=measures.first_token.encode().decode(),
+        first_token_steady_ms=measures.first_token_steady.encode().decode(),
+        first_token_burst_ms=measures.first_token_burst.encode().decode(),
+        grant_ms=measures.grant.encode().decode(),
+        token_gap_ms=measures.gap.encode().decode(),
+    )
+
+
+def merged(results: Sequence["Result"]) -> "Result":
+    """Return the results of several seeds as one; rates are means."""
+    if len(results) == 1:
+        return results[0]
+    first = results[0]
+    return replace(
+        first,
+        first_token_ms=_merged(results, "first_token_ms"),
+        first_token_steady_ms=_merged(results, "first_token_steady_ms"),
+        first_token_burst_ms=_merged(results, "first_token_burst_ms"),
+        grant_ms=_merged(results, "grant_ms"),
+        token_gap_ms=_merged(results, "token_gap_ms"),
+        online_done=sum(each.online_done for each in results),
+        online_refused=sum(each.online_refused for each in results),
+        batch_items_per_s=fmean(each.batch_items_per_s for each in results),
+        batch_tokens_per_s=fmean(each.batch_tokens_per_s for each in results),
+        batch_revokes=sum(each.batch_revokes for each in results),
+        batch_tokens_reread=sum(each.batch_tokens_reread for each in results),
+        processor_share=fmean(each.processor_share for each in results),
+    )
+
+
+def _merged(results: Sequence["Result"], key: str) -> Quantiles:
+    total = histogram()
+    for result in results:
+        total.decode_and_add(getattr(result.histograms, key))
+    return quantiles(total)
+
+
 @dataclass(frozen=True)
 class Sample:
     """Slots in use at one moment."""
@@ -68,7 +120,6 @@
     batch_tokens: int = 0
     revokes: int = 0
     tokens_reread: int = 0
-    tokens_lost: int = 0
     samples: list[Sample] = field(default_factory=list)
 
 
@@ -246,9 +297,9 @@
     batch_tokens_per_s: float
     batch_revokes: int
     batch_tokens_reread: int
-    batch_tokens_lost: int
     processor_share: float
     samples: list[Sample]
+    histograms: Histograms
 
     def as_json(self) -> dict[str, object]:
         """Return what goes into a JSON line."""
--- a/chivespan/batchcontrol.py
+++ b/chivespan/batchcontrol.py
@@ -128,7 +128,10 @@
         self, group: ModelGroup, target: TargetState, now: timedelta
     ) -> int:
         counts = TargetCounts(
-            target.name, target.open_slots, target.counts[WorkClass.batch]
+            target.name,
+            target.open_slots,
+            target.counts[WorkClass.online],
+            target.counts[WorkClass.batch],
         )
         return group.level.target_limit(counts, now)
 
--- a/chivespan/batchlevel.py
+++ b/chivespan/batchlevel.py
@@ -40,6 +40,7 @@
 
     name: str
     slots: int
+    online: int
     batch: int
 
 
@@ -238,7 +239,9 @@
         if due and counts.batch >= int(min(state.level, counts.slots)):
             state.level = min(counts.slots, state.level + 1)
             state.raised_at = now
-        return int(min(state.level, counts.slots))
+        reserve = self.policies.target_reserve if counts.online else 0
+        idle = counts.slots - counts.online - reserve
+        return max(0, int(min(state.level, idle)))
 
     def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
         """Cut the level when too many of the latest requests missed their bound."""
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -248,7 +248,7 @@
 
     def _take_back_for_waiting(self) -> None:
         """See that each waiting online request has a batch grant taken back for it."""
-        unclaimed = {target.name: target.revoking for target in self._pool.serving}
+        unclaimed = {target.name: target.promised for target in self._pool.serving}
         for waiter in self._in_order(WorkClass.online):
             targets = list(self._suitable(waiter.request))
             promised = [target for target in targets if unclaimed[target.name] > 0]
--- a/chivespan/targetstate.py
+++ b/chivespan/targetstate.py
@@ -50,6 +50,11 @@
         """Slots that may be used and that no grant holds; negative when over."""
         return self.open_slots - self.used
 
+    @property
+    def promised(self) -> int:
+        """Slots that come free once all batch taken back has gone."""
+        return max(0, self.free + self.revoking)
+
     @property
     def standing_batch(self) -> int:
         """Batch grants that have not been taken back."""
