--- a/chivespan/claimfold.py
+++ b/chivespan/claimfold.py
@@ -22,6 +22,7 @@
     ClaimsExpire,
     ClaimsState,
 )
+from chivespan.snapshots import digest_of
 
 CLAIM_PARTITIONS = 4
 
@@ -86,7 +87,7 @@
     @property
     def digest(self) -> str:
         """Hash of the whole state; equal for all readers at the same offset."""
-        return xxhash.xxh3_128_hexdigest(self.snapshot())
+        return digest_of(self.snapshot())
 
     def claim(self, owner: str, key: str) -> HeldClaim | None:
         """Return the claim that holds a key, or None."""
--- a/chivespan/configfold.py
+++ b/chivespan/configfold.py
@@ -8,8 +8,6 @@
 from collections import deque
 from datetime import datetime
 
-import xxhash
-
 from chivespan.codec import decode, encode
 from chivespan.configuration import (
     DOCUMENT_CLASSES,
@@ -30,6 +28,7 @@
     DocumentChange,
     StoredState,
 )
+from chivespan.snapshots import digest_of
 
 __all__ = ["CONFIG_STREAM", "AuditEntry", "ConfigFold"]
 
@@ -68,7 +67,7 @@
     @property
     def digest(self) -> str:
         """Hash of the whole state; equal for all readers at the same offset."""
-        return xxhash.xxh3_128_hexdigest(self.snapshot())
+        return digest_of(self.snapshot())
 
     def apply(self, record: LogRecord) -> AuditEntry | None:
         """Apply the next record of the stream.
--- a/chivespan/jobfold.py
+++ b/chivespan/jobfold.py
@@ -9,8 +9,6 @@
 from datetime import datetime
 from typing import Any
 
-import xxhash
-
 from chivespan.codec import decode, encode
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.jobmessages import JobPhase, JobState
@@ -30,6 +28,7 @@
     JobsState,
     StartState,
 )
+from chivespan.snapshots import digest_of
 
 ENDED = (JobPhase.finished, JobPhase.cancelled)
 
@@ -149,7 +148,7 @@
     @property
     def digest(self) -> str:
         """Hash of the whole state; equal for all readers at the same offset."""
-        return xxhash.xxh3_128_hexdigest(self.snapshot())
+        return digest_of(self.snapshot())
 
     def job(self, job_id: str) -> Job | None:
         """Return a job, or None when there is none with this id."""
--- a/chivespan/snapshots.py
+++ b/chivespan/snapshots.py
@@ -48,6 +48,11 @@
 F = TypeVar("F", bound=Fold)
 
 
+def digest_of(state: bytes) -> str:
+    """Return the hash of a fold's whole state."""
+    return xxhash.xxh3_128_hexdigest(state)
+
+
 def snapshots_stream(stream: str) -> str:
     """Return the name of the stream that holds a stream's snapshots."""
     return f"{stream}.snapshots"
@@ -70,8 +75,7 @@
         if len(self.found) < snapshot.parts:
             return None
         state = b"".join(self.found[part] for part in range(snapshot.parts))
-        right = xxhash.xxh3_128_hexdigest(state) == snapshot.digest
-        return state if right else None
+        return state if digest_of(state) == snapshot.digest else None
 
 
 class SnapshotStore:
@@ -86,12 +90,20 @@
     async def write(self, fold: Fold, written_at: datetime) -> int:
         """Append a snapshot of a fold; return the offset that it is as of.
 
+        :raises ChivespanError: ``log_unavailable``.
+        """
+        state, as_of = fold.snapshot(), fold.offset
+        await self.write_state(state, as_of, written_at)
+        return as_of
+
+    async def write_state(self, state: bytes, as_of: int, written_at: datetime) -> None:
+        """Append a whole state as of an offset.
+
         A part that was lost leaves a snapshot that readers pass over.
 
         :raises ChivespanError: ``log_unavailable``.
         """
-        state, as_of = fold.snapshot(), fold.offset
-        digest = xxhash.xxh3_128_hexdigest(state)
+        digest = digest_of(state)
         parts = max(1, -(-len(state) // PART_BYTES))
         for part in range(parts):
             self._sequence += 1
@@ -105,7 +117,6 @@
             record_id = RecordId(writer=self._writer, sequence=self._sequence)
             payload = encode_record(record, record_id, written_at)
             await self._log.append(snapshots_stream(self._stream), [payload])
-        return as_of
 
     async def newest_state(self) -> bytes | None:
         """Return the newest whole snapshot that can be replayed from.
--- a/chivespan/upkeep.py
+++ b/chivespan/upkeep.py
@@ -32,7 +32,7 @@
     ClaimsExpire,
     JobExpire,
 )
-from chivespan.snapshots import Fold, SnapshotStore, replay
+from chivespan.snapshots import Fold, SnapshotStore, digest_of, replay
 
 INTERVAL = timedelta(seconds=30)
 SNAPSHOT_RECORDS = 5000
@@ -127,10 +127,11 @@
 
     async def _write_snapshot(self) -> None:
         fold = self._parts.follower.fold
-        await self._compare_with_last(fold.offset, fold.digest)
+        state, as_of = fold.snapshot(), fold.offset
+        await self._compare_with_last(as_of, digest_of(state))
         now = self._clock.now()
-        self._snapshot_as_of = await self._parts.snapshots.write(fold, now)
-        self._snapshot_at = now
+        await self._parts.snapshots.write_state(state, as_of, now)
+        self._snapshot_as_of, self._snapshot_at = as_of, now
         self._counters.incr("upkeep.snapshots")
 
     async def _compare_with_last(self, offset: int, digest: str) -> None:
--- a/tests/batchfakes.py
+++ b/tests/batchfakes.py
@@ -120,7 +120,8 @@
                 await anyio.lowlevel.checkpoint()
                 if index == 1 and self.gated:
                     await self.gate.wait()
-                yield Token(index, words[index])
+                last = index == len(words) - 1
+                yield Token(index, words[index], "stop" if last else None)
                 self._revoke(request)
         finally:
             self.running -= 1
