--- a/chivespan/configcopy.py
+++ b/chivespan/configcopy.py
@@ -27,6 +27,11 @@
         """The documents in force."""
         return self._fold.configuration
 
+    @property
+    def fold(self) -> ConfigFold:
+        """The fold itself, for a snapshot of it."""
+        return self._fold
+
     @property
     def offset(self) -> int:
         """Offset of the last record applied, -1 for none."""
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -8,7 +8,8 @@
 from chivespan.clock import Clock
 from chivespan.codec import encode_message
 from chivespan.configcopy import ConfigCopy
-from chivespan.configfeed import ConfigFeed, SnapshotSource
+from chivespan.configfeed import ConfigFeed
+from chivespan.configsnapshots import ConfigSnapshots
 from chivespan.errors import ChivespanError
 from chivespan.logs import logger
 from chivespan.membership import Membership
@@ -68,7 +69,6 @@
 class Dispatcher:
     """One node's control program.
 
-    :param snapshots: gives the newest usable configuration snapshot from the log.
     :param probe: asks model engines for their load.
     """
 
@@ -80,7 +80,6 @@
         clock: Clock,
         metrics: Metrics,
         policies: Policies | None = None,
-        snapshots: SnapshotSource | None = None,
         probe: LoadProbe | None = None,
     ) -> None:
         self._settings = settings
@@ -97,6 +96,15 @@
             self._heartbeat_for,
         )
         self._mesh = Mesh(settings, self._end, self._membership, self._read_link)
+        self._snapshots = ConfigSnapshots(
+            settings,
+            log,
+            self._copy,
+            self._membership,
+            clock,
+            metrics,
+            self._end.hello.incarnation,
+        )
         self._feed = ConfigFeed(
             settings,
             log,
@@ -105,7 +113,7 @@
             clock,
             metrics,
             self._push_configuration,
-            snapshots,
+            self._snapshots.newest,
         )
         self._slices = SliceOwner(
             settings,
@@ -136,6 +144,11 @@
         """Where the configuration comes from."""
         return self._feed
 
+    @property
+    def snapshots(self) -> ConfigSnapshots:
+        """Snapshots of the configuration in the log."""
+        return self._snapshots
+
     @property
     def copy(self) -> ConfigCopy:
         """The configuration in force here."""
@@ -151,6 +164,7 @@
             _log.notice("started", port=settings.dispatch_port)
             tasks.start_soon(self._mesh.run)
             tasks.start_soon(self._feed.run)
+            tasks.start_soon(self._snapshots.run)
             tasks.start_soon(self._poll_list)
             tasks.start_soon(self._follow_configuration, tasks)
             tasks.start_soon(self._follow_membership, tasks)
--- /dev/null
+++ b/tests/test_configfeed.py
@@ -0,0 +1,173 @@
+"""The configuration reaches every node: by push, by poll, and past the log's faults."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from chivespan import configfeed
+from chivespan.codec import encode
+from chivespan.configcopy import ConfigCopy, config_records
+from chivespan.configfold import CONFIG_STREAM
+from chivespan.configuration import DocumentId
+from chivespan.documents import DocumentKind, Region
+from chivespan.messages import ConfigRequest, ConfigSnapshot
+from chivespan.records import DocumentChange
+from tests.controlnodes import (
+    ControlNode,
+    Platform,
+    asker,
+    control_nodes,
+    inventory,
+    start_node,
+    until,
+)
+from tests.fakelog import FakeLog
+
+pytestmark = pytest.mark.anyio
+
+VMS = tuple(f"127.45.0.{number}" for number in range(1, 7))
+NEW_VM = "127.45.0.9"
+
+
+def new_region(number: int) -> DocumentChange:
+    name = f"region-{number}"
+    return DocumentChange(
+        kind="region", name=name, base_version=0, document=encode(Region(name=name))
+    )
+
+
+def in_force(nodes: Sequence[ControlNode], offset: int) -> bool:
+    return all(node.offset == offset for node in nodes)
+
+
+async def test_change_is_pushed_to_all_nodes_and_their_programs() -> None:
+    platform = Platform(port=23121)
+    platform.publish(*inventory(2))
+    async with control_nodes(platform, VMS) as nodes, asker(platform, VMS[0]) as entry:
+        await until(lambda: in_force(nodes, 0))
+        readers = [node for node in nodes if node.dispatcher.feed.is_reader]
+        assert len(readers) == configfeed.READERS
+        offset = platform.publish(new_region(1))
+        await until(lambda: in_force(nodes, offset), 2)
+        await until(lambda: entry.view.configuration.offset == offset, 2)
+        assert all(node.dispatcher.feed.age < timedelta(seconds=5) for node in nodes)
+
+
+async def test_lost_readers_are_replaced() -> None:
+    platform = Platform(port=23122)
+    platform.publish(*inventory(2))
+    async with control_nodes(platform, VMS) as nodes:
+        await until(lambda: in_force(nodes, 0))
+        readers = [node for node in nodes if node.dispatcher.feed.is_reader]
+        left = [node for node in nodes if node not in readers]
+        for reader in readers:
+            reader.stop()
+        offset = platform.publish(new_region(1))
+        await until(lambda: in_force(left, offset), 8)
+
+
+async def test_node_that_missed_every_push_polls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(configfeed, "POLL_INTERVAL", timedelta(milliseconds=200))
+    monkeypatch.setattr(configfeed, "READERS", 0)
+    platform = Platform(port=23123)
+    platform.publish(*inventory(2))
+    async with control_nodes(platform, VMS[:1]) as nodes:
+        await until(lambda: in_force(nodes, 0))
+        offset = platform.publish(new_region(1))
+        await until(lambda: in_force(nodes, offset), 2)
+
+
+async def test_node_that_starts_in_an_outage_gets_all_from_its_peers() -> None:
+    platform = Platform(port=23124)
+    platform.publish(*inventory(2))
+    async with control_nodes(platform, VMS[:2]) as nodes:
+        await until(lambda: in_force(nodes, 0))
+        platform.log.outage = True
+        platform.list_vms(NEW_VM)
+        async with anyio.create_task_group() as tasks:
+            newcomer = start_node(tasks, platform, NEW_VM)
+            async with asker(platform, NEW_VM) as entry:
+                await until(lambda: in_force([newcomer], 0), 3)
+                assert entry.view.configuration.offset == 0
+            tasks.cancel_scope.cancel()
+
+
+async def test_alone_in_an_outage_a_node_is_not_ready() -> None:
+    platform = Platform(port=23125)
+    platform.publish(*inventory(2))
+    platform.log.outage = True
+    async with control_nodes(platform, VMS[:1]) as nodes:
+        await until(lambda: "config.log_failures" in nodes[0].metrics.counters)
+        assert not nodes[0].dispatcher.feed.is_known
+        assert nodes[0].dispatcher.status("").targets == []
+        platform.log.outage = False
+        await until(lambda: in_force(nodes, 0))
+
+
+async def test_node_behind_retention_starts_from_a_snapshot() -> None:
+    platform = Platform(port=23126)
+    platform.publish(*inventory(2))
+    async with control_nodes(platform, VMS[:1]) as nodes:
+        await until(lambda: in_force(nodes, 0))
+        platform.publish(new_region(1))
+        await until(lambda: in_force(nodes, 1))
+        await nodes[0].dispatcher.snapshots.write()
+    offset = platform.publish(new_region(2))
+    platform.log.expire(CONFIG_STREAM, 2)
+    async with control_nodes(platform, VMS[1:2]) as nodes:
+        await until(lambda: in_force(nodes, offset))
+        assert nodes[0].metrics.counters["config.behind_retention"] == 1
+        configuration = nodes[0].dispatcher.copy.configuration
+        assert {"region", "region-1", "region-2"} <= set(configuration.regions)
+        assert configuration.version(region_id(2)) == offset + 1
+
+
+async def test_peer_with_an_older_configuration_turns_nothing_back() -> None:
+    """An old node takes the newer state, though the log no longer tells it."""
+    platform = Platform(port=23127)
+    platform.publish(*inventory(2))
+    old_log = FakeLog()
+    old_log.put(CONFIG_STREAM, [platform.log.records(CONFIG_STREAM)[0].payload])
+    old = replace(platform, log=old_log)
+    offset = platform.publish(new_region(1))
+    async with control_nodes(platform, VMS[:1]) as nodes:
+        await until(lambda: in_force(nodes, offset))
+        platform.list_vms(VMS[1])
+        async with anyio.create_task_group() as tasks:
+            nodes.append(start_node(tasks, old, VMS[1]))
+            await until(lambda: in_force(nodes, offset))
+            tasks.cancel_scope.cancel()
+
+
+def region_id(number: int) -> DocumentId:
+    return DocumentId(DocumentKind.region, f"region-{number}")
+
+
+def test_copy_ignores_what_is_older_and_stops_at_holes() -> None:
+    platform = Platform(port=0)
+    for number in range(4):
+        platform.publish(new_region(number))
+    records = platform.log.records(CONFIG_STREAM)
+    ahead, behind = ConfigCopy(), ConfigCopy()
+    ahead.apply(records)
+    behind.apply(records[:2])
+    old = ConfigSnapshot(as_of=1, snapshot=behind.fold.snapshot())
+    assert not ahead.take_snapshot(old)
+    assert not ahead.take_snapshot(replace(old, as_of=9))
+    assert ahead.take_records(config_records(-1, records[:3])) == ()
+    assert ahead.offset == 3
+    assert behind.take_records(config_records(2, records[3:])) == ()
+    assert behind.offset == 1
+    answer = ahead.answer(ConfigRequest(have_offset=behind.offset))
+    assert answer == config_records(1, records[2:])
+    assert len(behind.take_records(config_records(1, records[2:]))) == 2
+    fresh = ConfigCopy()
+    whole = ConfigSnapshot(as_of=3, snapshot=ahead.fold.snapshot())
+    assert fresh.take_snapshot(whole)
+    assert fresh.fold.digest == ahead.fold.digest == behind.fold.digest
+    assert fresh.answer(ConfigRequest(have_offset=-1)) == whole
