--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: setup generate check-generated format lint types test faults demo site bench-policy
+.PHONY: setup generate check-generated format lint types test faults demo site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -41,3 +41,6 @@
 bench-policy: setup
 	$(PYTHON) -m bench.bench_policy compare
 	$(PYTHON) -m bench.bench_policy compare --kill=True --name=bench_policy_killed
+
+bench-capacity: setup
+	$(PYTHON) -m bench.bench_capacity all
--- /dev/null
+++ b/bench/capacitydocs.py
@@ -0,0 +1,117 @@
+"""Inventories of any size, and a stream of small changes to them."""
+
+from collections.abc import Iterator
+from datetime import UTC, datetime
+
+from chivespan.codec import encode
+from chivespan.documents import (
+    DataCentre,
+    DocumentKind,
+    Model,
+    Owner,
+    Region,
+    Rule,
+    Runner,
+    Service,
+    ServiceKind,
+    WorkClassRule,
+)
+from chivespan.envelope import encode_record
+from chivespan.records import ConfigChange, DocumentChange, RecordId
+
+DOCUMENTS_A_CHANGE = 100
+SERVICE = "booking-lm"
+MODEL = "booking-1"
+SLOTS = 8
+
+
+class Documents:
+    """Writes records of the configuration stream, starting with an empty one."""
+
+    def __init__(self) -> None:
+        self.end = 0
+        self.count = 0
+        self._versions: dict[str, int] = {}
+
+    def inventory(self, targets: int, far_targets: int, owners: int) -> Iterator[bytes]:
+        """Yield the records that build an inventory."""
+        documents = list(_documents(targets, far_targets, owners))
+        self.count = len(documents)
+        for start in range(0, len(documents), DOCUMENTS_A_CHANGE):
+            part = documents[start : start + DOCUMENTS_A_CHANGE]
+            yield self._record([_added(kind, each) for kind, each in part])
+
+    def change(self, written_at: datetime) -> bytes:
+        """Return a record that changes one rule."""
+        rule = Rule(
+            name="spare",
+            owner="owner-0",
+            service=SERVICE,
+            work_class=WorkClassRule.batch,
+            weight=self.end + 1,
+        )
+        base = self._versions.get("spare", 0)
+        self._versions["spare"] = self.end + 1
+        change = DocumentChange(
+            kind="rule", name="spare", base_version=base, document=encode(rule)
+        )
+        return self._record([change], written_at)
+
+    def _record(
+        self, changes: list[DocumentChange], written_at: datetime | None = None
+    ) -> bytes:
+        self.end += 1
+        change = ConfigChange(operator="op", reason="bench", changes=changes)
+        record_id = RecordId(writer="bench", sequence=self.end)
+        return encode_record(change, record_id, written_at or datetime.now(UTC))
+
+
+def _documents(
+    targets: int, far_targets: int, owners: int
+) -> Iterator[tuple[DocumentKind, object]]:
+    yield DocumentKind.region, Region(name="region-0")
+    for number in range(13):
+        centre = DataCentre(name=f"centre-{number}", region="region-0")
+        yield DocumentKind.data_centre, centre
+    yield DocumentKind.model, Model(name=MODEL, version="1")
+    service = Service(name=SERVICE, kind=ServiceKind.model, models=[MODEL])
+    yield DocumentKind.service, service
+    for number in range(targets):
+        yield DocumentKind.runner, _runner(number, "centre-0")
+    for number in range(far_targets):
+        centre_name = f"centre-{number % 12 + 1}"
+        yield DocumentKind.runner, _runner(targets + number, centre_name)
+    yield from _owners(max(1, owners))
+
+
+def _owners(count: int) -> Iterator[tuple[DocumentKind, object]]:
+    for number in range(count):
+        name = f"owner-{number}"
+        yield DocumentKind.owner, Owner(name=name, key_sha256=[f"{number:064x}"])
+        for work in WorkClassRule:
+            rule = Rule(
+                name=f"{name}-{work.value}",
+                owner=name,
+                service=SERVICE,
+                work_class=work,
+            )
+            yield DocumentKind.rule, rule
+
+
+def _runner(number: int, centre: str) -> Runner:
+    return Runner(
+        name=f"runner-{number}",
+        service=SERVICE,
+        address=f"127.10.{number // 250}.{number % 250 + 1}:9",
+        data_centre=centre,
+        slots=SLOTS,
+        model=MODEL,
+        version="1",
+    )
+
+
+def _added(kind: DocumentKind, document: object) -> DocumentChange:
+    name = getattr(document, "name")  # noqa: B009
+    return DocumentChange(
+        kind=kind.value, name=name, base_version=0, document=encode(document)
+    )
--- /dev/null
+++ b/bench/capacityrig.py
@@ -0,0 +1,440 @@
+"""One real dispatcher before fakes: peers, programs, a log and a VM list.
+
+All fakes live in this process; the program measured runs in its own. Processor time is
+read from the kernel, bytes from its sockets, each with 52 bytes a segment for the
+headers of TCP and IP.
+"""
+
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+from datetime import UTC, datetime
+from functools import partial
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bench.capacitydocs import Documents
+from chivespan.clock import SystemClock
+from chivespan.codec import encode_message
+from chivespan.configfold import CONFIG_STREAM
+from chivespan.dispatchquery import ask_status
+from chivespan.messages import (
+    ConfigRequest,
+    Grant,
+    GrantRelease,
+    GrantRequest,
+    Heartbeat,
+    Hello,
+    MembershipUpdate,
+    Outcome,
+    Program,
+    SliceLoad,
+    StatusReply,
+    VmState,
+    VmView,
+    WorkClass,
+)
+from chivespan.metrics import Metrics
+from chivespan.peerlink import LinkEnd, LinkOptions, PeerLink, dial, listen, new_hello
+from chivespan.settings import NodeSettings
+from standins.logservice import LogStandIn
+from standins.serving import serving
+from standins.vmlist import VmEntry, VmListStandIn
+
+CENTRE = "centre-0"
+NEAR = ("centre-1", "centre-2")
+REGION = "region-0"
+PORT = 8081
+SEGMENT_HEADER_BYTES = 52
+REMOTE_REPORT_S = 2.0
+PEERS_OF_A_CENTRE = 30
+TOKENS = 400
+
+
+@dataclass(frozen=True)
+class Load:
+    """What stands around the node.
+
+    :param peers: other dispatchers of the data centre.
+    :param remote: peers in each other data centre of the region, both ways.
+    :param clients: linked programs that ask for grants.
+    :param followers: linked programs that follow configuration and membership.
+    :param targets: targets of the data centre.
+    :param far_targets: targets elsewhere, of which the node knows only the documents.
+    :param owners: owners, each with two rules.
+    :param listed: other VMs on the list.
+    """
+
+    peers: int = 0
+    remote: int = 0
+    clients: int = 0
+    followers: int = 0
+    targets: int = 0
+    far_targets: int = 0
+    owners: int = 0
+    listed: int = 0
+    changes_per_s: float = 0
+    grants_per_s: float = 0
+    seconds: float = 8.0
+    settle_s: float = 4.0
+
+
+@dataclass(frozen=True)
+class Usage:
+    """What a process has used so far."""
+
+    cpu_s: float
+    sent: int
+    received: int
+    segments: int
+    at: float
+
+    @property
+    def wire(self) -> int:
+        return self.sent + self.received + self.segments * SEGMENT_HEADER_BYTES
+
+
+@dataclass(frozen=True)
+class Measured:
+    """One point, with rates over the time measured."""
+
+    load: Load
+    cpu_percent: float
+    rss_mb: float
+    start_s: float
+    payload_bytes_s: float
+    wire_bytes_s: float
+    own_targets: int
+    grants_s: float
+    changes_s: float
+
+
+@dataclass
+class Rig:
+    """A node and its fakes while they run."""
+
+    network: str
+    load: Load
+    log: LogStandIn
+    vm_list: VmListStandIn
+    documents: Documents
+    process: subprocess.Popen[bytes] | None = None
+    grants: int = 0
+    changes: int = 0
+    links: list[PeerLink] = field(default_factory=list)
+
+    @property
+    def vm(self) -> str:
+        return f"{self.network}.1.200"
+
+    @property
+    def address(self) -> str:
+        return f"{self.vm}:{PORT}"
+
+    @property
+    def pid(self) -> int:
+        assert self.process is not None
+        return self.process.pid
+
+    def end(
+        self, vm: str, program: Program, centre: str = CENTRE, load: bool = False
+    ) -> LinkEnd:
+        settings = NodeSettings(
+            vm=vm,
+            data_centre=centre,
+            region=REGION,
+            log_url="",
+            vm_list_url="",
+            peer_key="key",
+        )
+        end = LinkEnd(
+            new_hello(settings, program),
+            LinkOptions.from_settings(settings),
+            SystemClock(),
+            Metrics(),
+        )
+        return replace(end, heartbeat=changing_load(vm)) if load else end
+
+    async def status(self) -> StatusReply:
+        return await ask_status(self.end(self.vm, Program.operator), self.address)
+
+
+def changing_load(vm: str) -> Callable[[Hello], bytes]:
+    """Return heartbeats whose slice load differs each time, as under traffic."""
+    beats = 0
+
+    def heartbeat(_remote: Hello) -> bytes:
+        nonlocal beats
+        beats += 1
+        load = SliceLoad(
+            slice_id=f"booking-lm/{CENTRE}/{vm}",
+            free_slots=beats % 64,
+            total_slots=128,
+            queued_online=0,
+            batch_running=beats % 40,
+        )
+        return encode_message(Heartbeat(config_offset=-1, leaving=False, slices=[load]))
+
+    return heartbeat
+
+
+def usage_of(pid: int) -> Usage:
+    """Return the processor time and the bytes of a process and its sockets."""
+    with open(f"/proc/{pid}/schedstat") as source:
+        cpu_s = int(source.read().split()[0]) / 1e9
+    text = subprocess.run(
+        ["ss", "-tnpiHO"], capture_output=True, text=True, check=True
+    ).stdout
+    own = [line for line in text.splitlines() if f"pid={pid}," in line]
+    return Usage(
+        cpu_s,
+        _sum(own, "bytes_sent"),
+        _sum(own, "bytes_received"),
+        _sum(own, "segs_out") + _sum(own, "segs_in"),
+        time.monotonic(),
+    )
+
+
+def _sum(lines: Sequence[str], name: str) -> int:
+    found = (re.search(rf"\b{name}:(\d+)", line) for line in lines)
+    return sum(int(match.group(1)) for match in found if match)
+
+
+def rss_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    with open(f"/proc/{pid}/status") as source:
+        line = next(line for line in source if line.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
+async def measure(number: int, load: Load) -> Measured:
+    """Run a node under a load and return what it used.
+
+    :param number: picks addresses that no other run uses.
+    """
+    async with running(f"127.{100 + number}", load) as (rig, start_s):
+        await anyio.sleep(load.settle_s)
+        status = await rig.status()
+        grants, changes = rig.grants, rig.changes
+        before = usage_of(rig.pid)
+        await anyio.sleep(load.seconds)
+        after = usage_of(rig.pid)
+        passed = after.at - before.at
+        return Measured(
+            load=load,
+            cpu_percent=100 * (after.cpu_s - before.cpu_s) / passed,
+            rss_mb=rss_mb(rig.pid),
+            start_s=start_s,
+            payload_bytes_s=(
+                after.sent + after.received - before.sent - before.received
+            )
+            / passed,
+            wire_bytes_s=(after.wire - before.wire) / passed,
+            own_targets=len(status.targets),
+            grants_s=(rig.grants - grants) / passed,
+            changes_s=(rig.changes - changes) / passed,
+        )
+
+
+@asynccontextmanager
+async def running(network: str, load: Load) -> AsyncIterator[tuple[Rig, float]]:
+    """Run a node and its fakes; give the time until its configuration was whole."""
+    log, documents = LogStandIn(), Documents()
+    vm_list = VmListStandIn(vms=tuple(_listed(network, load)))
+    for payload in documents.inventory(load.targets, load.far_targets, load.owners):
+        log.append(CONFIG_STREAM, [payload])
+    rig = Rig(network, load, log, vm_list, documents)
+    async with AsyncExitStack() as stack:
+        urls = await stack.enter_async_context(serving(log, vm_list))
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        if load.remote:
+            await _listen_remote(stack, rig)
+        began = time.monotonic()
+        rig.process = _start(rig, *urls)
+        try:
+            await _until_whole(rig, documents.end - 1)
+            start_s = time.monotonic() - began
+            await _surround(rig, tasks)
+            yield rig, start_s
+        finally:
+            rig.process.send_signal(signal.SIGKILL)
+            rig.process.wait()
+            tasks.cancel_scope.cancel()
+
+
+def _start(rig: Rig, log: str, vm_list: str) -> subprocess.Popen[bytes]:
+    flags = {
+        "vm": rig.vm,
+        "data_centre": CENTRE,
+        "region": REGION,
+        "log_url": f"http://{log}",
+        "vm_list_url": f"http://{vm_list}",
+        "peer_key": "key",
+        "log_level": "error",
+    }
+    command = [sys.executable, "-m", "chivespan.dispatch_main"]
+    command += [f"--{name}={value}" for name, value in flags.items()]
+    return subprocess.Popen(command, env={"PATH": os.environ["PATH"]})
+
+
+async def _until_whole(rig: Rig, offset: int) -> None:
+    with anyio.fail_after(60):
+        while True:
+            try:
+                if (await rig.status()).config_offset >= offset:
+                    return
+            except Exception:
+                await anyio.sleep(0.05)
+
+
+def _listed(network: str, load: Load) -> list[VmEntry]:
+    here = [VmEntry(f"{network}.0.{n + 1}", CENTRE, REGION) for n in range(load.peers)]
+    near = [
+        VmEntry(f"{network}.{index + 2}.{n + 1}", centre, REGION)
+        for index, centre in enumerate(NEAR)
+        for n in range(load.remote)
+    ]
+    far = [
+        VmEntry(f"10.{n // 250}.0.{n % 250}", f"far-{n % 10}", f"region-{n % 3 + 1}")
+        for n in range(load.listed)
+    ]
+    return [VmEntry(f"{network}.1.200", CENTRE, REGION), *here, *near, *far]
+
+
+async def _surround(rig: Rig, tasks: TaskGroup) -> None:
+    """Start the fakes that dial the node."""
+    load = rig.load
+    for n in range(load.peers):
+        end = rig.end(f"{rig.network}.0.{n + 1}", Program.dispatch, load=True)
+        tasks.start_soon(dial, rig.address, end, partial(_listen, rig))
+    for index, centre in enumerate(NEAR):
+        for n in range(load.remote):
+            vm = f"{rig.network}.{index + 2}.{n + 1}"
+            end = rig.end(vm, Program.dispatch, centre, load=True)
+            tasks.start_soon(dial, rig.address, end, partial(_listen, rig))
+    for _ in range(load.followers):
+        end = rig.end(rig.vm, Program.entry)
+        tasks.start_soon(dial, rig.address, end, _follow)
+    for n in range(load.clients):
+        program = (Program.entry, Program.batch)[n % 2]
+        end = rig.end(f"{rig.network}.0.{n // 2 + 1}", program)
+        tasks.start_soon(dial, rig.address, end, partial(_ask_grants, rig))
+    tasks.start_soon(_change, rig)
+
+
+async def _listen(rig: Rig, link: PeerLink) -> None:
+    rig.links.append(link)
+    async for _ in link:
+        pass
+
+
+async def _follow(link: PeerLink) -> None:
+    link.send(ConfigRequest(have_offset=-1))
+    async for _ in link:
+        pass
+
+
+async def _ask_grants(rig: Rig, link: PeerLink) -> None:
+    """Ask at a steady rate and give each slot back a little later."""
+    async with anyio.create_task_group() as tasks:
+        if rig.load.grants_per_s:
+            tasks.start_soon(_send_requests, rig, link)
+        async for message in link:
+            if isinstance(message, Grant):
+                rig.grants += 1
+                tasks.start_soon(_release, link, message)
+
+
+async def _send_requests(rig: Rig, link: PeerLink) -> None:
+    await anyio.sleep(rig.load.settle_s / 2)
+    targets = (await rig.status()).targets
+    slice_ids = sorted({target.slice_id for target in targets})
+    interval = rig.load.clients / rig.load.grants_per_s
+    number = 0
+    while slice_ids:
+        number += 1
+        link.send(
+            GrantRequest(
+                request_id=f"{link.remote.incarnation}-{id(link)}-{number}",
+                slice_id=slice_ids[number % len(slice_ids)],
+                service="booking-lm",
+                model="booking-1",
+                owner="owner-0",
+                work_class=WorkClass.online,
+                deadline_ms=30_000,
+                tokens=TOKENS,
+            )
+        )
+        await anyio.sleep(interval)
+
+
+async def _release(link: PeerLink, grant: Grant) -> None:
+    await anyio.sleep(0.2)
+    link.send(
+        GrantRelease(
+            grant_id=grant.grant_id,
+            outcome=Outcome.done,
+            first_token_us=200_000,
+            token_gap_us=20_000,
+            tokens=TOKENS,
+        )
+    )
+
+
+async def _change(rig: Rig) -> None:
+    """Change the configuration at a steady rate."""
+    while rig.load.changes_per_s:
+        await anyio.sleep(1 / rig.load.changes_per_s)
+        rig.log.append(CONFIG_STREAM, [rig.documents.change(datetime.now(UTC))])
+        rig.changes += 1
+
+
+async def _listen_remote(stack: AsyncExitStack, rig: Rig) -> None:
+    """Stand for the near data centres' VMs that the node dials."""
+    for index, centre in enumerate(NEAR):
+        for n in range(rig.load.remote):
+            vm = f"{rig.network}.{index + 2}.{n + 1}"
+            end = rig.end(vm, Program.dispatch, centre, load=True)
+            handler = partial(_report_centre, centre)
+            await stack.enter_async_context(listen(vm, PORT, end, handler))
+
+
+async def _report_centre(centre: str, link: PeerLink) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_send_reports, centre, link)
+        async for _ in link:
+            pass
+        tasks.cancel_scope.cancel()
+
+
+async def _send_reports(centre: str, link: PeerLink) -> None:
+    beat = 0
+    while link.is_open:
+        beat += 1
+        views = [_remote_view(centre, n, beat) for n in range(PEERS_OF_A_CENTRE)]
+        link.send(MembershipUpdate(vms=views, whole=False))
+        await anyio.sleep(REMOTE_REPORT_S)
+
+
+def _remote_view(centre: str, number: int, beat: int) -> VmView:
+    load = SliceLoad(
+        slice_id=f"booking-lm/{centre}/{number}",
+        free_slots=(beat + number) % 64,
+        total_slots=128,
+        queued_online=0,
+    )
+    return VmView(
+        vm=f"10.200.{centre[-1]}.{number + 1}",
+        data_centre=centre,
+        region=REGION,
+        state=VmState.live,
+        config_offset=1,
+        slices=[load],
+    )
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -45,7 +45,7 @@
     listen,
     new_hello,
 )
-from chivespan.platform import LogService, VmList
+from chivespan.platform import ListedVm, LogService, VmList
 from chivespan.policies import Policies
 from chivespan.scheduler import LoadProbe
 from chivespan.settings import NodeSettings
@@ -53,8 +53,7 @@
 from chivespan.usage import UsageKey, UsageLedger, key_of
 
 LIST_INTERVAL = timedelta(seconds=1)
-LIST_BYTES_SHARE_S = 4000
-LISTED_VM_BYTES = 90
+LISTED_VM_TIME = timedelta(milliseconds=22)
 LOAD_PUSH_INTERVAL = timedelta(milliseconds=500)
 REMOTE_PUSH_INTERVAL = timedelta(seconds=2)
 COALESCE = timedelta(milliseconds=20)
@@ -375,21 +374,25 @@
             self._slices.refresh(self._copy.configuration, tasks)
 
     async def _poll_list(self) -> None:
-        """Read the VM list; the larger it is, the more rarely."""
-        known = True
+        """Read the VM list; after a large answer that was new, wait for longer."""
+        last: tuple[ListedVm, ...] | None = None
+        answering = True
         while True:
-            count = 0
+            interval = LIST_INTERVAL
             try:
                 listed = await self._vm_list.fetch()
-                count = len(listed)
-                self._membership.take_list(listed)
             except ChivespanError as error:
                 self._metrics.incr("membership.list_failures")
-                if known:
+                if answering:
                     _log.warning("the VM list gives no answer", reason=error.message)
-            known = count > 0
-            share = timedelta(seconds=count * LISTED_VM_BYTES / LIST_BYTES_SHARE_S)
-            await anyio.sleep(max(LIST_INTERVAL, share).total_seconds())
+                answering = False
+            else:
+                answering = True
+                if listed is not last:
+                    self._membership.take_list(listed)
+                    interval = max(interval, len(listed) * LISTED_VM_TIME)
+                last = listed
+            await anyio.sleep(interval.total_seconds())
 
     async def _refresh_heartbeat(self) -> None:
         while True:
