Bound control's own cost: slower heartbeats among many peers, fewer links, bounded usage reports

Now heartbeats slow down with the number of links, silence is checked by its own time, peers to link are kept, schedulers are rebuilt only when something of theirs changed, and usage reports are paced by their size.

--- a/bench/capacitydocs.py
+++ b/bench/capacitydocs.py
@@ -23,19 +23,28 @@
 SERVICE = "booking-lm"
 MODEL = "booking-1"
 SLOTS = 8
+TARGET_PORT = 9000
 
 
 class Documents:
-    """Writes records of the configuration stream, starting with an empty one."""
+    """Writes records of the configuration stream, starting with an empty one.
 
-    def __init__(self) -> None:
+    :param network: the first two parts of the targets' IP numbers.
+    """
+
+    def __init__(self, network: str) -> None:
+        self._network = network
         self.end = 0
         self.count = 0
         self._versions: dict[str, int] = {}
 
+    def addresses(self, targets: int) -> list[str]:
+        """Return the addresses of the data centre's own targets."""
+        return [_address(self._network, number) for number in range(targets)]
+
     def inventory(self, targets: int, far_targets: int, owners: int) -> Iterator[bytes]:
         """Yield the records that build an inventory."""
-        documents = list(_documents(targets, far_targets, owners))
+        documents = list(_documents(self._network, targets, far_targets, owners))
         self.count = len(documents)
         for start in range(0, len(documents), DOCUMENTS_A_CHANGE):
             part = documents[start : start + DOCUMENTS_A_CHANGE]
@@ -67,7 +76,7 @@
 
 
 def _documents(
-    targets: int, far_targets: int, owners: int
+    network: str, targets: int, far_targets: int, owners: int
 ) -> Iterator[tuple[DocumentKind, object]]:
     yield DocumentKind.region, Region(name="region-0")
     for number in range(13):
@@ -77,10 +86,10 @@
     service = Service(name=SERVICE, kind=ServiceKind.model, models=[MODEL])
     yield DocumentKind.service, service
     for number in range(targets):
-        yield DocumentKind.runner, _runner(number, "centre-0")
+        yield DocumentKind.runner, _runner(network, number, "centre-0")
     for number in range(far_targets):
         centre_name = f"centre-{number % 12 + 1}"
-        yield DocumentKind.runner, _runner(targets + number, centre_name)
+        yield DocumentKind.runner, _runner(network, targets + number, centre_name)
     yield from _owners(max(1, owners))
 
 
@@ -98,11 +107,11 @@
             yield DocumentKind.rule, rule
 
 
-def _runner(number: int, centre: str) -> Runner:
+def _runner(network: str, number: int, centre: str) -> Runner:
     return Runner(
         name=f"runner-{number}",
         service=SERVICE,
-        address=f"127.10.{number // 250}.{number % 250 + 1}:9",
+        address=_address(network, number),
         data_centre=centre,
         slots=SLOTS,
         model=MODEL,
@@ -110,6 +119,10 @@
     )
 
 
+def _address(network: str, number: int) -> str:
+    return f"{network}.{100 + number // 250}.{number % 250 + 1}:{TARGET_PORT}"
+
+
 def _added(kind: DocumentKind, document: object) -> DocumentChange:
     name = getattr(document, "name")  # noqa: B009
     return DocumentChange(
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -45,6 +45,7 @@
     listen,
     new_hello,
 )
+from chivespan.placement import ranked
 from chivespan.platform import ListedVm, LogService, VmList
 from chivespan.policies import Policies
 from chivespan.scheduler import LoadProbe
@@ -55,9 +56,12 @@
 LIST_INTERVAL = timedelta(seconds=1)
 LISTED_VM_TIME = timedelta(milliseconds=22)
 LOAD_PUSH_INTERVAL = timedelta(milliseconds=500)
-REMOTE_PUSH_INTERVAL = timedelta(seconds=2)
+REMOTE_PUSH_INTERVAL = timedelta(seconds=5)
+HEARTBEAT_TIME_A_LINK = timedelta(milliseconds=30)
 COALESCE = timedelta(milliseconds=20)
 USAGE_INTERVAL = timedelta(seconds=5)
+USAGE_BYTE_TIME = timedelta(microseconds=500)
+USAGE_GREETERS = 2
 DRAIN_TAIL = timedelta(seconds=3)
 DRAIN_LIMIT = timedelta(seconds=60)
 MILLISECOND = timedelta(milliseconds=1)
@@ -93,6 +97,7 @@
             clock,
             metrics,
             self._heartbeat_for,
+            self._heartbeat_interval,
         )
         self._mesh = Mesh(settings, self._end, self._membership, self._read_link)
         self._snapshots = ConfigSnapshots(
@@ -248,7 +253,11 @@
             self._slices.holder_lost(link.holder)
 
     def _greet_peer(self, link: PeerLink) -> None:
-        if link.remote.data_centre == self._settings.data_centre:
+        """Give a newcomer the usage so far, if this node is one of its greeters."""
+        here = self._settings.data_centre
+        others = [vm for vm in self._membership.live_vms(here) if vm != link.remote.vm]
+        greeters = ranked(link.remote.vm, others)[:USAGE_GREETERS]
+        if link.remote.data_centre == here and self._settings.vm in greeters:
             for report in self._usage.reports(self._settings.vm):
                 link.send(report)
 
@@ -408,6 +417,13 @@
         self._membership.set_own(heartbeat)
         self._heartbeat_frame = encode_message(heartbeat)
 
+    def _heartbeat_interval(self, remote: Hello) -> timedelta:
+        """Return a longer interval the more links there are, to bound the cost."""
+        options = self._end.options
+        if remote.program is not Program.dispatch:
+            return options.longest_interval
+        return max(options.heartbeat, self._mesh.count * HEARTBEAT_TIME_A_LINK)
+
     def _heartbeat_for(self, remote: Hello) -> bytes:
         if remote.program is Program.dispatch:
             return self._heartbeat_frame
@@ -425,16 +441,26 @@
         return self._usage.totals()
 
     async def _share_usage(self) -> None:
-        """Send the running totals that changed to the data centre's peers."""
+        """Send the running totals that changed to the data centre's peers.
+
+        What was sent sets when to send again, so that the rate stays bounded.
+        """
+        interval = USAGE_INTERVAL
         while True:
-            await anyio.sleep(USAGE_INTERVAL.total_seconds())
+            await anyio.sleep(interval.total_seconds())
             counts = self._slices.usage()
             changed = [c for c in counts if self._reported.get(key_of(c)) != c]
-            if not changed:
-                continue
-            self._reported.update((key_of(count), count) for count in changed)
-            report = self._own_usage(changed)
-            self._usage.take(report)
-            frame = encode_message(report)
-            for link in self._mesh.links_here():
-                link.send_frame(frame)
+            interval = max(USAGE_INTERVAL, self._send_usage(changed) * USAGE_BYTE_TIME)
+
+    def _send_usage(self, changed: list[UsageCount]) -> int:
+        """Send totals to all peers here; return the bytes that took."""
+        if not changed:
+            return 0
+        self._reported.update((key_of(count), count) for count in changed)
+        report = self._own_usage(changed)
+        self._usage.take(report)
+        frame = encode_message(report)
+        links = self._mesh.links_here()
+        for link in links:
+            link.send_frame(frame)
+        return len(frame) * len(links)
--- a/chivespan/membership.py
+++ b/chivespan/membership.py
@@ -5,7 +5,7 @@
 ones.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -24,7 +24,7 @@
 from chivespan.platform import ListedVm
 from chivespan.settings import NodeSettings
 
-REMOTE_PEERS = 2
+REMOTE_PEERS = 1
 REJOIN_GRACE = timedelta(milliseconds=300)
 FORGET_AFTER = timedelta(seconds=60)
 
@@ -75,6 +75,7 @@
         self._published = _Published()
         self._list: tuple[ListedVm, ...] = ()
         self._doubtful: set[str] = set()
+        self._peers: frozenset[str] | None = None
         self._state_changed = anyio.Event()
         self._own_heartbeat = Heartbeat(config_offset=-1, leaving=False, slices=[])
         self._leaving = False
@@ -105,17 +106,11 @@
             and data_centre in (None, entry.view.data_centre)
         ]
 
-    def peers_to_link(self) -> list[str]:
+    def peers_to_link(self) -> frozenset[str]:
         """Return the VMs to keep links with: its data centre, and a few near ones."""
-        own = self._settings
-        present = [each for each in self._vms.values() if each.vm != own.vm]
-        here = [each.vm for each in present if each.data_centre == own.data_centre]
-        near: dict[str, list[str]] = {}
-        for each in present:
-            if each.region == own.region and each.data_centre != own.data_centre:
-                near.setdefault(each.data_centre, []).append(each.vm)
-        chosen = [ranked(own.vm, vms)[:REMOTE_PEERS] for vms in near.values()]
-        return [*here, *(vm for vms in chosen for vm in vms)]
+        if self._peers is None:
+            self._peers = frozenset(self._choose_peers())
+        return self._peers
 
     async def wait_state_changed(self) -> None:
         """Wait until a VM came, went or changed its state."""
@@ -155,7 +150,7 @@
         """Note that a link to a VM opened."""
         vm = self._know(hello.vm, hello.data_centre, hello.region)
         vm.links += 1
-        vm.unreachable = False
+        self._set_unreachable(vm, False)
         self._publish(vm)
 
     def unlinked(self, hello: Hello) -> None:
@@ -170,7 +165,7 @@
         """Note that a new connection to a VM failed."""
         vm = self._vms.get(vm_name)
         if vm is not None and vm.links == 0:
-            vm.unreachable = True
+            self._set_unreachable(vm, True)
             vm.unlinked_at = vm.unlinked_at or self._clock.monotonic()
             self._publish(vm)
 
@@ -231,6 +226,21 @@
         """The present point in the order of changes."""
         return self._published.sequence
 
+    def _choose_peers(self) -> Iterator[str]:
+        own = self._settings
+        near: dict[str, list[str]] = {}
+        for each in self._vms.values():
+            if each.data_centre == own.data_centre and each.vm != own.vm:
+                yield each.vm
+            elif each.region == own.region and each.vm != own.vm:
+                near.setdefault(each.data_centre, []).append(each.vm)
+        for vms in near.values():
+            yield from ranked(own.vm, self._present(vms))[:REMOTE_PEERS]
+
+    def _present(self, vms: list[str]) -> list[str]:
+        """Return the VMs that can be reached, or all where none can."""
+        return [vm for vm in vms if not self._vms[vm].unreachable] or vms
+
     def _take_leaving(self, entries: Iterable[ListedVm]) -> None:
         leaving = frozenset(
             each.vm for each in entries if each.state is VmState.leaving
@@ -244,12 +254,19 @@
         if known is None:
             known = _Vm(vm, data_centre, region, self._clock.monotonic())
             self._vms[vm] = known
+            self._peers = None
             self._doubtful.add(vm)
             self._published.gone.pop(vm, None)
         return known
 
+    def _set_unreachable(self, vm: _Vm, unreachable: bool) -> None:
+        if vm.unreachable is not unreachable:
+            vm.unreachable = unreachable
+            self._peers = None
+
     def _forget(self, vm: _Vm) -> None:
         del self._vms[vm.vm]
+        self._peers = None
         self._published.entries.pop(vm.vm, None)
         self._published.sequence += 1
         self._published.gone[vm.vm] = self._published.sequence
--- a/chivespan/mesh.py
+++ b/chivespan/mesh.py
@@ -41,6 +41,11 @@
         self._dialling: set[str] = set()
         self._clock: Clock = end.clock
 
+    @property
+    def count(self) -> int:
+        """How many peers have a link."""
+        return len(self._links)
+
     @property
     def links(self) -> list[PeerLink]:
         """One open link for every peer that has one."""
--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -34,6 +34,7 @@
 FIRST_BACKOFF = timedelta(milliseconds=50)
 MAX_BACKOFF = timedelta(seconds=2)
 BACKOFF_FACTOR = 2
+HEARTBEAT_SHARE_OF_SILENCE = 0.45
 
 
 class Counters(Protocol):
@@ -48,7 +49,7 @@
 class LinkOptions:
     """How a process keeps its links.
 
-    :param heartbeat: interval of heartbeats.
+    :param heartbeat: interval of heartbeats between few peers.
     :param silence: a link without a frame for this long is left.
     """
 
@@ -56,6 +57,11 @@
     heartbeat: timedelta
     silence: timedelta
 
+    @property
+    def longest_interval(self) -> timedelta:
+        """The longest interval at which one late heartbeat isn't yet silence."""
+        return self.silence * HEARTBEAT_SHARE_OF_SILENCE
+
     @classmethod
     def from_settings(cls, settings: NodeSettings) -> "LinkOptions":
         """Return the options that a node's settings give."""
@@ -95,6 +101,7 @@
     """This process's side of all its links.
 
     :param heartbeat: gives the heartbeat frame for the process at the other end.
+    :param pace: gives the interval of heartbeats to it; None for as rare as may be.
     """
 
     hello: Hello
@@ -102,6 +109,13 @@
     clock: Clock
     counters: Counters
     heartbeat: Callable[[Hello], bytes] = idle_heartbeat
+    pace: Callable[[Hello], timedelta] | None = None
+
+    def interval(self, remote: Hello) -> timedelta:
+        """Return the interval of heartbeats to a process."""
+        if self.pace is None:
+            return self.options.longest_interval
+        return min(self.pace(remote), self.options.longest_interval)
 
 
 class PeerLink:
@@ -174,14 +188,19 @@
 
     async def keep_alive(self) -> None:
         """Send heartbeats, and leave the link when the other end has gone silent."""
-        options = self._end.options
+        clock = self._end.clock
+        due = clock.monotonic()
         while self._open:
-            self.send_frame(self._end.heartbeat(self.remote))
-            await anyio.sleep(options.heartbeat.total_seconds())
-            silent_for = self._end.clock.monotonic() - self._last_frame
-            if silent_for > options.silence:
+            now = clock.monotonic()
+            if now >= due:
+                self.send_frame(self._end.heartbeat(self.remote))
+                due = now + self._end.interval(self.remote)
+            patience = self._last_frame + self._end.options.silence - now
+            if patience <= timedelta(0):
                 self._end.counters.incr("peer.silent")
                 self.abort()
+                return
+            await anyio.sleep(min(due - now, patience).total_seconds())
 
 
 LinkHandler: TypeAlias = Callable[[PeerLink], Awaitable[None]]
--- a/chivespan/sliceowner.py
+++ b/chivespan/sliceowner.py
@@ -80,19 +80,23 @@
         self._owned: dict[str, _Owned] = {}
         self._slices: dict[str, Slice] = {}
         self._runners: dict[str, Runner] = {}
+        self._offset = -1
         self._retired: list[UsageCount] = []
 
     def refresh(self, configuration: Configuration, tasks: TaskGroup) -> None:
         """Take over and hand over slices as configuration and live VMs say."""
         self._refresh_slices(configuration)
+        unchanged = configuration.offset == self._offset
+        self._offset = configuration.offset
         wanted = {part.slice_id: part for part in self._wanted()}
         for slice_id in self._owned.keys() - wanted.keys():
             self._hand_over(slice_id)
         for slice_id, part in wanted.items():
-            if slice_id in self._owned:
-                self._reconfigure(part, configuration)
-            else:
+            owned = self._owned.get(slice_id)
+            if owned is None:
                 self._take_over(part, configuration, tasks)
+            elif owned.part != part or not unchanged:
+                self._reconfigure(part, configuration)
 
     async def answer(self, request: GrantRequest, holder: str) -> Grant | Refusal:
         """Return a grant or a refusal."""
--- a/chivespan/usage.py
+++ b/chivespan/usage.py
@@ -20,6 +20,7 @@
     work_class: WorkClass
 
 
+MAX_ROWS = 50_000
 _COUNTS = ("requests", "tokens", "slot_ms", "refusals")
 
 
@@ -53,13 +54,21 @@
 
     def __init__(self) -> None:
         self._by_incarnation: dict[str, dict[UsageKey, UsageCount]] = {}
+        self._forgotten = 0
+
+    @property
+    def forgotten(self) -> int:
+        """How many rows were given up to bound the memory."""
+        return self._forgotten
 
     def take(self, report: UsageReport) -> None:
         """Merge one process's running totals."""
-        known = self._by_incarnation.setdefault(report.incarnation, {})
+        known = self._by_incarnation.pop(report.incarnation, {})
+        self._by_incarnation[report.incarnation] = known
         for count in report.counts:
             key = key_of(count)
             known[key] = _highest(known[key], count) if key in known else count
+        self._bound()
 
     def totals(self) -> list[UsageCount]:
         """Return the sum over all incarnations."""
@@ -80,6 +89,14 @@
             for incarnation, by_key in self._by_incarnation.items()
         ]
 
+    def _bound(self) -> None:
+        """Give up the incarnation not heard of for longest, over the bound of rows."""
+        while len(self._by_incarnation) > 1:
+            if sum(map(len, self._by_incarnation.values())) <= MAX_ROWS:
+                return
+            oldest = next(iter(self._by_incarnation))
+            self._forgotten += len(self._by_incarnation.pop(oldest))
+
 
 def _added(one: UsageCount, other: UsageCount) -> UsageCount:
     return _combined(one, [getattr(one, n) + getattr(other, n) for n in _COUNTS])
