--- a/tests/controlnodes.py
+++ b/tests/controlnodes.py
@@ -1,5 +1,6 @@
 """Dispatchers and their neighbours in one process, on loopback addresses."""
 
+import socket
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -44,6 +45,14 @@
 PATIENCE_S = 10.0
 
 
+def free_port() -> int:
+    """Return a port that no other test run on this machine listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.44.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
 def settings_of(vm: str, port: int, centre: str = CENTRE) -> NodeSettings:
     return NodeSettings(
         vm=vm,
@@ -81,7 +90,7 @@
 class Platform:
     """What the nodes of one test share."""
 
-    port: int
+    port: int = field(default_factory=free_port)
     log: FakeLog = field(default_factory=FakeLog)
     vm_list: FakeVmList = field(default_factory=FakeVmList)
     sequence: int = 0
