--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: setup generate check-generated format lint types test faults demo bench-state site bench-policy
+.PHONY: setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -44,3 +44,6 @@
 
 bench-state: setup
 	$(PYTHON) -m bench.bench_state
+
+bench-capacity: setup
+	$(PYTHON) -m bench.bench_capacity all
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -8,7 +8,8 @@
 from chivespan.clock import Clock
 from chivespan.codec import encode_message
 from chivespan.configcopy import ConfigCopy
-from chivespan.configfeed import ConfigFeed, SnapshotSource
+from chivespan.configfeed import ConfigFeed
+from chivespan.configsnapshots import ConfigSnapshots
 from chivespan.errors import ChivespanError
 from chivespan.logs import logger
 from chivespan.membership import Membership
@@ -44,7 +45,8 @@
     listen,
     new_hello,
 )
-from chivespan.platform import LogService, VmList
+from chivespan.placement import ranked
+from chivespan.platform import ListedVm, LogService, VmList
 from chivespan.policies import Policies
 from chivespan.scheduler import LoadProbe
 from chivespan.settings import NodeSettings
@@ -52,12 +54,14 @@
 from chivespan.usage import UsageKey, UsageLedger, key_of
 
 LIST_INTERVAL = timedelta(seconds=1)
-LIST_BYTES_SHARE_S = 4000
-LISTED_VM_BYTES = 90
+LISTED_VM_TIME = timedelta(milliseconds=22)
 LOAD_PUSH_INTERVAL = timedelta(milliseconds=500)
-REMOTE_PUSH_INTERVAL = timedelta(seconds=2)
+REMOTE_PUSH_INTERVAL = timedelta(seconds=5)
+HEARTBEAT_TIME_A_LINK = timedelta(milliseconds=30)
 COALESCE = timedelta(milliseconds=20)
 USAGE_INTERVAL = timedelta(seconds=5)
+USAGE_BYTE_TIME = timedelta(microseconds=500)
+USAGE_GREETERS = 2
 DRAIN_TAIL = timedelta(seconds=3)
 DRAIN_LIMIT = timedelta(seconds=60)
 MILLISECOND = timedelta(milliseconds=1)
@@ -68,7 +72,6 @@
 class Dispatcher:
     """One node's control program.
 
-    :param snapshots: gives the newest usable configuration snapshot from the log.
     :param probe: asks model engines for their load.
     """
 
@@ -80,7 +83,6 @@
         clock: Clock,
         metrics: Metrics,
         policies: Policies | None = None,
-        snapshots: SnapshotSource | None = None,
         probe: LoadProbe | None = None,
     ) -> None:
         self._settings = settings
@@ -95,8 +97,18 @@
             clock,
             metrics,
             self._heartbeat_for,
+            self._heartbeat_interval,
         )
         self._mesh = Mesh(settings, self._end, self._membership, self._read_link)
+        self._snapshots = ConfigSnapshots(
+            settings,
+            log,
+            self._copy,
+            self._membership,
+            clock,
+            metrics,
+            self._end.hello.incarnation,
+        )
         self._feed = ConfigFeed(
             settings,
             log,
@@ -105,7 +117,7 @@
             clock,
             metrics,
             self._push_configuration,
-            snapshots,
+            self._snapshots.newest,
         )
         self._slices = SliceOwner(
             settings,
@@ -136,6 +148,11 @@
         """Where the configuration comes from."""
         return self._feed
 
+    @property
+    def snapshots(self) -> ConfigSnapshots:
+        """Snapshots of the configuration in the log."""
+        return self._snapshots
+
     @property
     def copy(self) -> ConfigCopy:
         """The configuration in force here."""
@@ -151,6 +168,7 @@
             _log.notice("started", port=settings.dispatch_port)
             tasks.start_soon(self._mesh.run)
             tasks.start_soon(self._feed.run)
+            tasks.start_soon(self._snapshots.run)
             tasks.start_soon(self._poll_list)
             tasks.start_soon(self._follow_configuration, tasks)
             tasks.start_soon(self._follow_membership, tasks)
@@ -235,7 +253,11 @@
             self._slices.holder_lost(link.holder)
 
     def _greet_peer(self, link: PeerLink) -> None:
-        if link.remote.data_centre == self._settings.data_centre:
+        """Give a newcomer the usage so far, if this node is one of its greeters."""
+        here = self._settings.data_centre
+        others = [vm for vm in self._membership.live_vms(here) if vm != link.remote.vm]
+        greeters = ranked(link.remote.vm, others)[:USAGE_GREETERS]
+        if link.remote.data_centre == here and self._settings.vm in greeters:
             for report in self._usage.reports(self._settings.vm):
                 link.send(report)
 
@@ -361,21 +383,25 @@
             self._slices.refresh(self._copy.configuration, tasks)
 
     async def _poll_list(self) -> None:
-        """Read the VM list; the larger it is, the more rarely."""
-        known = True
+        """Read the VM list; after a large answer that was new, wait for longer."""
+        last: tuple[ListedVm, ...] | None = None
+        answering = True
         while True:
-            count = 0
+            interval = LIST_INTERVAL
             try:
                 listed = await self._vm_list.fetch()
-                count = len(listed)
-                self._membership.take_list(listed)
             except ChivespanError as error:
                 self._metrics.incr("membership.list_failures")
-                if known:
+                if answering:
                     _log.warning("the VM list gives no answer", reason=error.message)
-            known = count > 0
-            share = timedelta(seconds=count * LISTED_VM_BYTES / LIST_BYTES_SHARE_S)
-            await anyio.sleep(max(LIST_INTERVAL, share).total_seconds())
+                answering = False
+            else:
+                answering = True
+                if listed is not last:
+                    self._membership.take_list(listed)
+                    interval = max(interval, len(listed) * LISTED_VM_TIME)
+                last = listed
+            await anyio.sleep(interval.total_seconds())
 
     async def _refresh_heartbeat(self) -> None:
         while True:
@@ -391,6 +417,13 @@
         self._membership.set_own(heartbeat)
         self._heartbeat_frame = encode_message(heartbeat)
 
+    def _heartbeat_interval(self, remote: Hello) -> timedelta:
+        """Return a longer interval the more links there are, to bound the cost."""
+        options = self._end.options
+        if remote.program is not Program.dispatch:
+            return options.longest_interval
+        return max(options.heartbeat, self._mesh.count * HEARTBEAT_TIME_A_LINK)
+
     def _heartbeat_for(self, remote: Hello) -> bytes:
         if remote.program is Program.dispatch:
             return self._heartbeat_frame
@@ -408,16 +441,26 @@
         return self._usage.totals()
 
     async def _share_usage(self) -> None:
-        """Send the running totals that changed to the data centre's peers."""
+        """Send the running totals that changed to the data centre's peers.
+
+        What was sent sets when to send again, so that the rate stays bounded.
+        """
+        interval = USAGE_INTERVAL
         while True:
-            await anyio.sleep(USAGE_INTERVAL.total_seconds())
+            await anyio.sleep(interval.total_seconds())
             counts = self._slices.usage()
             changed = [c for c in counts if self._reported.get(key_of(c)) != c]
-            if not changed:
-                continue
-            self._reported.update((key_of(count), count) for count in changed)
-            report = self._own_usage(changed)
-            self._usage.take(report)
-            frame = encode_message(report)
-            for link in self._mesh.links_here():
-                link.send_frame(frame)
+            interval = max(USAGE_INTERVAL, self._send_usage(changed) * USAGE_BYTE_TIME)
+
+    def _send_usage(self, changed: list[UsageCount]) -> int:
+        """Send totals to all peers here; return the bytes that took."""
+        if not changed:
+            return 0
+        self._reported.update((key_of(count), count) for count in changed)
+        report = self._own_usage(changed)
+        self._usage.take(report)
+        frame = encode_message(report)
+        links = self._mesh.links_here()
+        for link in links:
+            link.send_frame(frame)
+        return len(frame) * len(links)
