--- a/chivespan/jobrunner.py
+++ b/chivespan/jobrunner.py
@@ -6,6 +6,7 @@
 the log counts.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -26,7 +27,7 @@
 from chivespan.records import ItemStart, JobItem
 from chivespan.resultbuffer import ChunkId, ResultBuffer
 
-MAX_JOBS_AT_ONCE = 64
+MAX_JOBS_AT_ONCE = 32
 START_GRACE = timedelta(seconds=90)
 READ_AGAIN = timedelta(milliseconds=500)
 
@@ -94,10 +95,16 @@
                 self.stop_job(job_id)
 
     def _start_jobs(self, tasks: TaskGroup) -> None:
-        for job in self._parts.follower.fold.jobs():
-            if len(self._scopes) >= MAX_JOBS_AT_ONCE:
-                return
-            if job.runnable and job.job_id not in self._scopes:
+        """Start jobs up to the bound of each service, so that none blocks another."""
+        fold = self._parts.follower.fold
+        running = filter(None, map(fold.job, self._scopes))
+        active = Counter(job.begin.service for job in running)
+        for job in fold.jobs():
+            service = job.begin.service
+            if not job.runnable or job.job_id in self._scopes:
+                continue
+            if active[service] < MAX_JOBS_AT_ONCE:
+                active[service] += 1
                 self._scopes[job.job_id] = anyio.CancelScope()
                 tasks.start_soon(self._run_job, job.job_id)
 
