--- a/chivespan/follower.py
+++ b/chivespan/follower.py
@@ -14,6 +14,8 @@
 from chivespan.snapshots import Fold, SnapshotStore
 
 READ_WAIT = timedelta(seconds=5)
+NO_WAIT = timedelta(0)
+CURRENT_WAIT = timedelta(seconds=1)
 PAGE_RECORDS = 256
 
 _log = logger("follower")
@@ -62,6 +64,17 @@
         """Wait until the end of the stream was reached once."""
         await self._current.wait()
 
+    async def require_current(self) -> None:
+        """Wait a short time until the end of the stream was reached once.
+
+        :raises ChivespanError: ``not_ready`` when it wasn't.
+        """
+        with anyio.move_on_after(CURRENT_WAIT.total_seconds()):
+            await self._current.wait()
+        if not self.is_current:
+            reason = f"{self._stream} is still being read"
+            raise ChivespanError(ErrorKind.NOT_READY, reason)
+
     async def wait_changed(self) -> None:
         """Wait for the next records."""
         await self._changed.wait()
@@ -84,6 +97,7 @@
             except ChivespanError as error:
                 if error.kind is ErrorKind.LOG_EXPIRED:
                     loaded = False
+                    self._current = anyio.Event()
                     self._counters.incr("follower.started_anew")
                 self._note_answering(False, error.message)
                 await anyio.sleep(delays.next().total_seconds())
@@ -91,7 +105,8 @@
     async def _tail(self, delays: Backoff) -> None:
         while True:
             start = self._fold.offset + 1
-            page = await self._log.read(self._stream, start, PAGE_RECORDS, READ_WAIT)
+            wait = READ_WAIT if self.is_current else NO_WAIT
+            page = await self._log.read(self._stream, start, PAGE_RECORDS, wait)
             delays.reset()
             self._note_answering(True, "")
             self._apply(page)
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -122,6 +122,10 @@
     Targets that failed this request before.
     """
     attempt: int = 1
+    max_wait_ms: int = -1
+    """
+    A grant that would take longer is refused at once, so that another slice can be asked; -1 to wait until the deadline.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -408,6 +412,15 @@
     request_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldGrantsRequest:
+    """
+    A slice's new owner asks what the receiver holds on it.
+    """
+
+    slice_id: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FleetStatus:
     """
--- a/tests/faults/noderig.py
+++ b/tests/faults/noderig.py
@@ -18,6 +18,8 @@
 from chivespan.addressbook import AddressBook
 from chivespan.batchapi import BatchApi
 from chivespan.batchlinks import BatchLinks
+from chivespan.claimclient import ClaimClient
+from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import SystemClock
 from chivespan.codec import encode
 from chivespan.configfold import CONFIG_STREAM
@@ -380,8 +382,16 @@
     )
     lifetime = timedelta(milliseconds=settings.address_lifetime_ms)
     book = AddressBook(settings.entry_port, lifetime, random.Random(1))
-    context = EntryContext(settings, view, online, book, metrics, clock)
     links = BatchLinks(end, settings, view)
+    context = EntryContext(
+        settings=settings,
+        view=view,
+        online=online,
+        claimed=ClaimedCalls(ClaimClient(links), online, metrics),
+        addresses=book,
+        metrics=metrics,
+        clock=clock,
+    )
     jobs = JobClient(links, settings.partitions)
     routes = [*HttpApi(context).routes(), *BatchApi(context, jobs).routes()]
     app = ServedApp(application(context, routes))
