Name steps in the batch path; give each unit of a submission its own cells

Rows job begin, chunk and close now hit the first, second and third append of a job in three units; the acknowledgement is lost at a named step.

--- a/chivespan/batchserver.py
+++ b/chivespan/batchserver.py
@@ -31,6 +31,7 @@
 from chivespan.metrics import Metrics
 from chivespan.partitions import Partitions
 from chivespan.peerlink import PeerLink
+from chivespan.steps import Step, reach
 
 ANSWER_TIMEOUT = timedelta(seconds=10)
 MAX_SUBMISSION_BYTES = 64 * 1024 * 1024
@@ -136,6 +137,7 @@
         )
         partition = self._partitions.jobs(partition_of(message.job_id))
         state = await partition.store.submit(plan)
+        await reach(Step.JOB_ACKNOWLEDGE)
         return JobStateReply(request_id=message.request_id, state=state)
 
     @_handles(JobStateRequest)
@@ -169,6 +171,7 @@
     ) -> JobStateReply:
         store = self._partitions.jobs(partition_of(message.job_id)).store
         state = await store.cancel(message.owner, message.job_id, message.reason)
+        await reach(Step.JOB_CANCEL)
         return JobStateReply(request_id=message.request_id, state=state)
 
     @_handles(ClaimRequest)
--- a/chivespan/resultbuffer.py
+++ b/chivespan/resultbuffer.py
@@ -14,6 +14,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.peerlink import Counters
 from chivespan.records import ItemResult, ItemResults
+from chivespan.steps import Step, reach
 
 MAX_RESULTS = 4096
 MAX_BYTES = 16 * 1024 * 1024
@@ -101,6 +102,7 @@
                 await self._append(list(self._take()))
 
     async def _append(self, group: list[ItemResults]) -> None:
+        await reach(Step.RESULT_APPEND)
         while True:
             try:
                 offsets = await self._appender.append_all(group)
--- a/chivespan/steps.py
+++ b/chivespan/steps.py
@@ -13,19 +13,9 @@
 class Step(StrEnum):
     """Every step that can be named."""
 
-    GRANTED = "granted"
-    JOB_BEGIN = "job_begin"
-    JOB_CHUNK = "job_chunk"
-    JOB_CLOSE = "job_close"
     JOB_ACKNOWLEDGE = "job_acknowledge"
-    ITEM_CLAIM = "item_claim"
-    ITEM_RUN = "item_run"
     RESULT_APPEND = "result_append"
-    RESULT_READ = "result_read"
     JOB_CANCEL = "job_cancel"
-    CONFIG_READ_BACK = "config_read_back"
-    CONFIG_PUSH = "config_push"
-    CONFIG_SNAPSHOT = "config_snapshot"
 
 
 Hook: TypeAlias = Callable[[Step], Awaitable[None]]
--- a/standins/logservice.py
+++ b/standins/logservice.py
@@ -43,6 +43,7 @@
     :param slow_ms: every call takes this much longer.
     :param drop_answers: so many appends take effect and are not answered.
     :param delay_effects: so many appends get 503 and take effect ``delay_ms`` later.
+    :param spared: so many appends go well before any fault but ``down`` shows.
     """
 
     down: bool = False
@@ -50,6 +51,7 @@
     drop_answers: int = 0
     delay_effects: int = 0
     delay_ms: float = 0
+    spared: int = 0
 
 
 @dataclass
@@ -119,7 +121,7 @@
         self.append(stream, payloads)
 
     async def _faulted(self) -> bool:
-        if self.faults.slow_ms:
+        if self.faults.slow_ms and not self.faults.spared:
             await anyio.sleep(self.faults.slow_ms / 1000)
         return self.faults.down
 
@@ -137,13 +139,15 @@
         stream = request.path_params["stream"]
         if await self._faulted():
             return _answer({"error": "down"}, 503)
-        if self.faults.delay_effects > 0:
+        spared = self.faults.spared > 0
+        self.faults.spared -= spared
+        if self.faults.delay_effects > 0 and not spared:
             self.faults.delay_effects -= 1
             self._delayed[0].send_nowait((stream, payloads))
             return _answer({"error": "slow"}, 503)
         await self._wait_turn()
         first = self.append(stream, payloads)
-        if self.faults.drop_answers > 0:
+        if self.faults.drop_answers > 0 and not spared:
             self.faults.drop_answers -= 1
             return NoAnswer()
         return _answer({"offset": first})
--- a/tests/faults/batch_cells.py
+++ b/tests/faults/batch_cells.py
@@ -9,6 +9,7 @@
 from chivespan.jobfold import jobs_stream
 from chivespan.jobplan import partition_of
 from chivespan.placement import owner
+from chivespan.steps import Step, hooked
 from standins.engine import EngineFaults
 from standins.logservice import LogFaults
 from tests.faults.matrix import Cell, Fault, Row, proves
@@ -20,7 +21,9 @@
 ITEMS = 12
 TOKENS = 4
 DONE_S = 25.0
-SUBMIT_STEPS = (Row.JOB_BEGIN, Row.JOB_CHUNK, Row.JOB_CLOSE, Row.JOB_ACKNOWLEDGE)
+UNITS_BEFORE = {Row.JOB_BEGIN: 0, Row.JOB_CHUNK: 1, Row.JOB_CLOSE: 2}
+LARGE_PROMPT_CHARACTERS = 250_000
+LARGE_ITEMS = 22
 
 
 @dataclass
@@ -55,25 +58,35 @@
     return Submission(key=name, prompts=prompts, max_tokens=tokens)
 
 
+def _in_units(row: Row) -> Submission:
+    """Return a job that is appended as one unit, or as three for the later rows."""
+    if row is Row.JOB_BEGIN:
+        return submission("one unit")
+    filler = "loading plan " * (LARGE_PROMPT_CHARACTERS // 13)
+    prompts = {f"{n}": f"{n}: {filler}" for n in range(LARGE_ITEMS)}
+    return Submission(key="three units", prompts=prompts, max_tokens=TOKENS)
+
+
 async def _until(what: str, met: Callable[[], bool], rig: BatchRig) -> None:
     await rig.site.wait(what, met)
 
 
 @proves(
-    SUBMIT_STEPS,
+    UNITS_BEFORE,
     (Fault.ANSWER_LOST, Fault.ANSWER_LATE, Fault.TWICE, Fault.RESEND, Fault.LOG_SLOW),
 )
 async def append_of_a_submission_fails(cell: Cell) -> None:
-    """However the log's answer goes, a resend of the job leads to one job."""
+    """However the log answers a unit of a job, a resend leads to one whole job."""
+    spared = UNITS_BEFORE[cell.row]
     faults = {
-        Fault.ANSWER_LOST: LogFaults(drop_answers=1),
-        Fault.ANSWER_LATE: LogFaults(delay_effects=1, delay_ms=300),
-        Fault.TWICE: LogFaults(drop_answers=2),
+        Fault.ANSWER_LOST: LogFaults(drop_answers=1, spared=spared),
+        Fault.ANSWER_LATE: LogFaults(delay_effects=1, delay_ms=300, spared=spared),
+        Fault.TWICE: LogFaults(drop_answers=2, spared=spared),
         Fault.RESEND: LogFaults(),
-        Fault.LOG_SLOW: LogFaults(slow_ms=150),
+        Fault.LOG_SLOW: LogFaults(slow_ms=150, spared=spared),
     }
     async with batch_rig() as rig:
-        wanted = submission("lost answer")
+        wanted = _in_units(cell.row)
         rig.site.log.faults = faults[cell.fault]
         first = await rig.caller.submit(wanted)
         rig.site.log.faults = LogFaults()
@@ -82,11 +95,37 @@
         await rig.finish(wanted)
 
 
-@proves(SUBMIT_STEPS, Fault.LOG_DOWN)
+@proves(Row.JOB_ACKNOWLEDGE, (Fault.ANSWER_LOST, Fault.CUT, Fault.SILENT, Fault.TWICE))
+async def acknowledgement_is_lost(cell: Cell) -> None:
+    """The job is in the log, but the entry never hears of it from its owner."""
+    async with batch_rig() as rig:
+        lost = 2 if cell.fault is Fault.TWICE else 1
+
+        async def lose(step: Step) -> None:
+            nonlocal lost
+            if step is not Step.JOB_ACKNOWLEDGE or not lost:
+                return
+            lost -= 1
+            for node in rig.site.nodes:
+                for relay in node.batch_paths.values():
+                    if cell.fault is Fault.SILENT:
+                        relay.hold_open_ones()
+                    else:
+                        await relay.cut_open_ones()
+
+        wanted = submission("acknowledged")
+        with hooked(lose):
+            accepted = await rig.caller.submit_until_accepted(wanted)
+            again = await rig.caller.submit_until_accepted(wanted)
+        assert accepted == again
+        await rig.finish(wanted)
+
+
+@proves(UNITS_BEFORE, Fault.LOG_DOWN)
 async def log_is_down_at_a_submission(cell: Cell) -> None:
     """A refused job was not taken; nothing of it runs until it is sent again."""
     async with batch_rig() as rig:
-        wanted = submission("log down")
+        wanted = _in_units(cell.row)
         rig.site.log.faults = LogFaults(down=True)
         refused = await rig.caller.submit(wanted)
         assert refused.code in ("log_unavailable", "acceptance_unknown", "not_ready")
--- a/tests/faults/noderig.py
+++ b/tests/faults/noderig.py
@@ -68,7 +68,14 @@
 GRANT_LIFETIME = timedelta(milliseconds=300)
 SETTLE = timedelta(seconds=8)
 POLL_S = 0.01
-ENGINE = EngineOptions(slots=4, step_ms=4, step_ms_per_request=0.1, load_lag_ms=20)
+ENGINE = EngineOptions(
+    slots=4,
+    step_ms=4,
+    step_ms_per_request=0.1,
+    load_lag_ms=20,
+    prefill_tokens=100_000,
+    journal_tokens=False,
+)
 
 
 class ChangeWriter:
