--- a/chivespan/follower.py
+++ b/chivespan/follower.py
@@ -64,16 +64,22 @@
         """Wait until the end of the stream was reached once."""
         await self._current.wait()
 
-    async def require_current(self) -> None:
-        """Wait a short time until the end of the stream was reached once.
+    async def reach_current(self) -> None:
+        """Wait a short time for the end of the stream, for a caller who waits.
 
-        :raises ChivespanError: ``not_ready`` when it wasn't.
+        :raises ChivespanError: ``log_unavailable`` when the log is away; ``not_ready``
+            when there is more to read.
         """
         with anyio.move_on_after(CURRENT_WAIT.total_seconds()):
-            await self._current.wait()
-        if not self.is_current:
-            reason = f"{self._stream} is still being read"
-            raise ChivespanError(ErrorKind.NOT_READY, reason)
+            while self._answering and not self.is_current:
+                await self._changed.wait()
+        if self.is_current:
+            return
+        if not self._answering:
+            reason = f"not accepted: {self._stream} can't be read"
+            raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
+        reason = f"not accepted: {self._stream} is still being read"
+        raise ChivespanError(ErrorKind.NOT_READY, reason)
 
     async def wait_changed(self) -> None:
         """Wait for the next records."""
@@ -119,13 +125,17 @@
         if first_time:
             self._current.set()
         if page.records or first_time:
-            self._changed.set()
-            self._changed = anyio.Event()
+            self._announce()
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
 
     def _note_answering(self, answering: bool, reason: str) -> None:
         if answering is self._answering:
             return
         self._answering = answering
+        self._announce()
         if answering:
             _log.notice("log answers again", stream=self._stream)
         else:
