--- a/chivespan/batchlinks.py
+++ b/chivespan/batchlinks.py
@@ -190,4 +190,5 @@
     """Return what is true of a message whose first sending was left unanswered."""
     if not sent_before or error.kind is not ErrorKind.LOG_UNAVAILABLE:
         return error
-    return ChivespanError(ErrorKind.ACCEPTANCE_UNKNOWN, error.message)
+    reason = f"whether an earlier sending was accepted isn't known; {error.message}"
+    return ChivespanError(ErrorKind.ACCEPTANCE_UNKNOWN, reason)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -35,9 +35,18 @@
 )
 
 WEIGHT_RETRY_S = 0.2
+NEVER_DONE = "can never be done"
 
 EngineMode = Literal[
-    "", "error", "silent", "garbage", "break", "hang", "foreign", "no_end"
+    "",
+    "error",
+    "silent",
+    "garbage",
+    "break",
+    "hang",
+    "foreign",
+    "error_event",
+    "no_end",
 ]
 
 
@@ -95,8 +104,9 @@
     :param mode: ``error`` answers ``status`` at once; ``silent`` accepts and never
         answers; ``garbage`` streams nonsense after some tokens; ``break`` closes the
         connection after some tokens; ``hang`` sends nothing more after some tokens;
-        ``foreign`` sends a token of another request after some tokens; ``no_end``
-        closes the connection after the last token, without the end mark.
+        ``foreign`` sends a token of another request after some tokens; ``error_event``
+        ends the stream with an error after some tokens; ``no_end`` closes the
+        connection after the last token, without the end mark.
     :param after_tokens: tokens sent before the fault shows.
     :param times: requests that meet the fault; -1 for all.
     :param slow_ms: every answer begins this much later.
@@ -179,6 +189,8 @@
             return error_answer(503, "loading")
         if self._serves.model and wanted.model != self._serves.model:
             return error_answer(404, "unknown_model", wanted.model)
+        if NEVER_DONE in wanted.prompt:
+            return error_answer(422, "unprocessable", wanted.prompt)
         if len(wanted.resume_tokens) >= length(wanted.prompt, wanted.max_tokens):
             return error_answer(400, "nothing_to_resume")
         if len(self.batch.waiting) >= self.options.waiting:
@@ -313,6 +325,9 @@
         match self._mode:
             case "garbage":
                 await send(_chunk(b'data: {"id": "\xff\xfe[[\n\n', more=False))
+            case "error_event":
+                event = msgspec.json.encode({"error": {"code": "failed"}})
+                await send(_chunk(b"data: " + event + b"\n\n", more=False))
             case "hang":
                 await anyio.sleep_forever()
             case "foreign":
--- a/standins/logservice.py
+++ b/standins/logservice.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -54,6 +55,9 @@
     spared: int = 0
 
 
+AppendHook = Callable[[bool], Awaitable[None]]
+
+
 @dataclass
 class _Stream:
     records: deque[bytes] = field(default_factory=deque)
@@ -70,12 +74,16 @@
 
 
 class LogStandIn:
-    """The log: streams of records in memory."""
+    """The log: streams of records in memory.
+
+    :ivar on_append: told of every append, before its effect and, with True, after it.
+    """
 
     def __init__(self, options: LogOptions | None = None) -> None:
         self.options = options or LogOptions()
         self.faults = LogFaults()
         self.appends = 0
+        self.on_append: AppendHook | None = None
         self.app = Starlette(
             routes=[
                 Route("/streams/{stream:path}/append", self._append, methods=["POST"]),
@@ -146,7 +154,11 @@
             self._delayed[0].send_nowait((stream, payloads))
             return _answer({"error": "slow"}, 503)
         await self._wait_turn()
+        if self.on_append:
+            await self.on_append(False)
         first = self.append(stream, payloads)
+        if self.on_append:
+            await self.on_append(True)
         if self.faults.drop_answers > 0 and not spared:
             self.faults.drop_answers -= 1
             return NoAnswer()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,15 @@
 """Fixtures for all tests, and the reporting of known failures."""
 
+import json
 from collections.abc import Generator
 
 import pytest
 
 from tests import knownred
+from tests.faults.matrix import RESULTS
 
+FAULT_TEST = "test_faults.py::test_cell["
+ALL_MARKS = "slow or not slow"
 KNOWN_RED = pytest.StashKey[frozenset[str]]()
 
 
@@ -31,6 +35,22 @@
     return report
 
 
+def pytest_sessionfinish(session: pytest.Session) -> None:
+    """Leave the outcomes of the fault matrix for tools/faultpage.py."""
+    reporter = session.config.pluginmanager.get_plugin("terminalreporter")
+    if reporter is None:
+        return
+    outcomes = {
+        report.nodeid: outcome
+        for outcome in ("passed", "failed")
+        for report in reporter.stats.get(outcome, [])
+        if FAULT_TEST in report.nodeid and report.when == "call"
+    }
+    if outcomes and session.config.option.markexpr == ALL_MARKS:
+        RESULTS.parent.mkdir(exist_ok=True)
+        RESULTS.write_text(json.dumps(outcomes, indent=0, sort_keys=True))
+
+
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter, config: pytest.Config
 ) -> None:
--- a/tests/faults/batch_cells.py
+++ b/tests/faults/batch_cells.py
@@ -12,6 +12,7 @@
 from chivespan.steps import Step, hooked
 from standins.engine import EngineFaults
 from standins.logservice import LogFaults
+from standins.plainservice import PlainFaults
 from tests.faults.matrix import Cell, Fault, Row, proves
 from tests.faults.noderig import Node, NodeRig, node_rig
 from tests.jobs import JobCaller, Submission
@@ -218,6 +219,47 @@
         await rig.finish(wanted)
 
 
+@proves(
+    Row.ITEM_CLAIM,
+    (
+        Fault.ANSWER_LOST,
+        Fault.ANSWER_LATE,
+        Fault.TWICE,
+        Fault.LOG_SLOW,
+        Fault.LOG_DOWN,
+        Fault.TARGET_ERROR,
+    ),
+)
+async def items_not_to_be_repeated_meet_a_fault(cell: Cell) -> None:
+    """Each booking of a job runs once, and its item has one result."""
+    faults = {
+        Fault.ANSWER_LOST: LogFaults(drop_answers=1),
+        Fault.ANSWER_LATE: LogFaults(delay_effects=1, delay_ms=400),
+        Fault.TWICE: LogFaults(delay_effects=2, delay_ms=900),
+        Fault.LOG_SLOW: LogFaults(slow_ms=100),
+        Fault.LOG_DOWN: LogFaults(down=True),
+        Fault.TARGET_ERROR: LogFaults(),
+    }
+    bodies = {f"b{n}": f"booking {n}" for n in range(8)}
+    async with batch_rig() as rig:
+        site = rig.site
+        if cell.fault is Fault.TARGET_ERROR:
+            site.plain.faults = PlainFaults("drop", times=3)
+        wanted = Submission("bookings", bodies, 0, service="desk")
+        accepted = await rig.caller.submit_until_accepted(wanted)
+        site.log.faults = faults[cell.fault]
+        if cell.fault is Fault.LOG_DOWN:
+            await anyio.sleep(1)
+            site.log.faults = LogFaults()
+        assert await rig.caller.wait_ended(accepted.job_id, DONE_S) == "finished"
+        read = await rig.caller.results(accepted.job_id)
+        assert sorted(item.item_key for item in read) == sorted(bodies)
+        lost = 3 if cell.fault is Fault.TARGET_ERROR else 0
+        assert sum(not item.ok for item in read) == lost
+        site.witness.once = list(bodies.values())
+        site.check()
+
+
 @proves(Row.ITEM_RUN, Fault.TARGET_ERROR)
 async def items_that_never_work_end_as_failed(cell: Cell) -> None:
     async with batch_rig() as rig:
--- a/tests/faults/matrix.py
+++ b/tests/faults/matrix.py
@@ -8,8 +8,11 @@
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
+from pathlib import Path
 from typing import TypeVar
 
+RESULTS = Path(__file__).parent.parent.parent / "out" / "faults.json"
+
 
 class Row(StrEnum):
     """A step of a path."""
--- /dev/null
+++ b/tests/faults/process_cells.py
@@ -0,0 +1,324 @@
+"""Faults of whole processes: frozen past leases and thawed, killed, told to leave."""
+
+import json
+import time
+from collections.abc import AsyncIterator, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
+from datetime import UTC, datetime
+
+import anyio
+
+from chivespan.auth import key_hash
+from chivespan.codec import encode
+from chivespan.configfold import CONFIG_STREAM
+from chivespan.configuration import Configuration
+from chivespan.documents import DocumentKind, Operator
+from chivespan.envelope import encode_record
+from chivespan.httplog import HttpLog
+from chivespan.jobfold import jobs_stream
+from chivespan.jobplan import partition_of
+from chivespan.placement import owner
+from chivespan.records import ConfigChange, DocumentChange, RecordId
+from chivespan.slices import slice_owner
+from standins.logservice import LogFaults
+from standins.vmlist import VmEntry, VmListFaults
+from tests.callers import Caller
+from tests.faults.matrix import Cell, Fault, Row, proves
+from tests.faults.rig import DATA_CENTRE, OWNER_KEY, REGION, configuration_of
+from tests.jobs import JobCaller, Submission
+from tests.oracle import Left, Witness, violations
+from tools.cluster import Cluster, Process, Site, VmPlace, free_block
+
+VMS = 3
+OPERATOR_KEY = "operator-key"
+SETTINGS = {
+    "heartbeat_ms": "100",
+    "peer_silence_ms": "500",
+    "address_lifetime_ms": "1000",
+    "partitions": "2",
+}
+PAST_LEASES_S = 3.5
+QUICK_S = 3.0
+READY_S = 20.0
+LEAVING_BOUND_S = 3.0
+
+
+class ProcessRig:
+    """A running site, and what callers of its entries saw."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.witness = Witness()
+        self.vms = [place.vm for place in cluster.site.vms]
+
+    def caller(self, away_from: str) -> Caller:
+        """Return a caller of an entry on another VM."""
+        vm = next(vm for vm in self.vms if vm != away_from)
+        return Caller(f"{vm}:8080", OWNER_KEY)
+
+    def process(self, vm: str, program: str) -> Process:
+        """Return one program's process."""
+        return self.cluster.process(f"{vm}/{program}")
+
+    @property
+    def slice_owner(self) -> str:
+        """The VM that owns the engines' slice."""
+        chosen = slice_owner("lm/a/0", self.vms)
+        assert chosen is not None
+        return chosen
+
+    def job_owner(self, job_id: str) -> str:
+        """Return the VM that runs a job."""
+        chosen = owner(jobs_stream(partition_of(job_id)), self.vms)
+        assert chosen is not None
+        return chosen
+
+    async def ask(self, caller: Caller, prompt: str, tokens: int = 6) -> None:
+        """Ask for a streamed answer and note it."""
+        self.witness.generated.append(await caller.stream(prompt, tokens))
+
+    async def offsets(self, vm: str) -> list[int]:
+        """Return the configuration in force on each VM, as one entry hears it."""
+        caller = Caller(f"{vm}:8080", OPERATOR_KEY)
+        answer = await caller.send("GET", "/operator/status")
+        assert answer is not None
+        return _offsets(answer.content)
+
+    def check(self) -> None:
+        """Compare what callers were told with what the targets did."""
+        site = self.cluster.site
+        self.witness.journals = {
+            address: self.cluster.journal(address)
+            for address in (*site.engine_addresses, *site.plain_addresses)
+        }
+        assert violations(self.witness) == []
+        assert [got for got in self.witness.generated if got.ended != "done"] == []
+
+
+def _offsets(status: bytes) -> list[int]:
+    return [int(reply["config_offset"]) for reply in json.loads(status)["vms"]]
+
+
+@asynccontextmanager
+async def process_rig() -> AsyncIterator[ProcessRig]:
+    site = Site(
+        data_centres=(DATA_CENTRE,) * VMS,
+        region=REGION,
+        block=free_block(),
+        engines=2,
+        plains=1,
+        settings=SETTINGS,
+        engine_flags={"slots": "4", "step_ms": "10", "load_lag_ms": "50"},
+    )
+    with Cluster(site) as cluster:
+        rig = ProcessRig(cluster)
+        await publish(cluster, _change(_configuration(site), base=0))
+        for vm in rig.vms:
+            await _wait_for_addresses(vm, VMS)
+        yield rig
+
+
+def _configuration(site: Site) -> Configuration:
+    return configuration_of(
+        site.engine_addresses, site.plain_addresses, deadline_ms=20_000
+    )
+
+
+def _change(configuration: Configuration, base: int) -> ConfigChange:
+    changes = [
+        DocumentChange(
+            kind=each.kind.value,
+            name=each.name,
+            base_version=base,
+            document=encode(stored.document),
+        )
+        for each, stored in configuration.stored.items()
+    ]
+    operator = Operator(name="op", key_sha256=[key_hash(OPERATOR_KEY)])
+    changes.append(
+        DocumentChange(
+            kind=DocumentKind.operator.value,
+            name="op",
+            base_version=base,
+            document=encode(operator),
+        )
+    )
+    return ConfigChange(operator="op", reason="test", changes=changes)
+
+
+async def publish(cluster: Cluster, change: ConfigChange, sequence: int = 1) -> int:
+    """Append a change to the log and return its offset."""
+    log = HttpLog(cluster.site.log_url)
+    record_id = RecordId(writer="test", sequence=sequence)
+    payload = encode_record(change, record_id, datetime.now(UTC))
+    try:
+        return await log.append(CONFIG_STREAM, [payload])
+    finally:
+        await log.aclose()
+
+
+async def _wait_for_addresses(vm: str, count: int) -> None:
+    """Wait until an entry names so many addresses."""
+    caller = Caller(f"{vm}:8080", OWNER_KEY)
+    with anyio.fail_after(READY_S):
+        while True:
+            answer = await caller.send("GET", "/v1/addresses")
+            if (
+                answer
+                and answer.status == 200
+                and answer.content.count(b":80") == count
+            ):
+                return
+            await anyio.sleep(0.05)
+
+
+@contextmanager
+def _frozen(processes: Sequence[Process]) -> Iterator[None]:
+    for process in processes:
+        process.freeze()
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.thaw()
+
+
+@proves(
+    (Row.ADDRESS, Row.ADMISSION, Row.GRANT, Row.SLICE_TAKEOVER), Fault.FROZEN, slow=True
+)
+async def control_is_frozen_past_its_leases(cell: Cell) -> None:
+    """The thawed owner's grants don't count twice, and no answer is lost."""
+    async with process_rig() as rig:
+        frozen = rig.slice_owner
+        caller = rig.caller(away_from=frozen)
+        async with anyio.create_task_group() as tasks:
+            if cell.row is Row.GRANT:
+                tasks.start_soon(rig.ask, caller, "holds a grant", 300)
+                await caller.on_token.wait()
+            with _frozen([rig.process(frozen, "dispatch")]):
+                with anyio.fail_after(QUICK_S):
+                    await rig.ask(caller, "while frozen")
+                await _wait_for_addresses(caller.address.split(":")[0], VMS - 1)
+                await anyio.sleep(PAST_LEASES_S)
+            for number in range(10):
+                await rig.ask(caller, f"after the thaw {number}")
+        await _wait_for_addresses(caller.address.split(":")[0], VMS)
+        rig.check()
+
+
+@proves((Row.ITEM_RUN, Row.PARTITION_TAKEOVER), Fault.FROZEN, slow=True)
+async def worker_is_frozen_past_its_leases(cell: Cell) -> None:
+    """Two owners run the same items for a while; each item has one result."""
+    async with process_rig() as rig:
+        caller = JobCaller(rig.caller(away_from=""))
+        prompts = {f"i{n}": f"route summary {n}" for n in range(120)}
+        job = Submission("frozen", prompts, 10)
+        accepted = await caller.submit_until_accepted(job)
+        frozen = rig.job_owner(accepted.job_id)
+        with _frozen(rig.cluster.vm_processes(frozen)):
+            away = JobCaller(rig.caller(away_from=frozen), caller.ids)
+            await anyio.sleep(PAST_LEASES_S)
+        rig.witness.jobs.append(await away.finish(job, 60))
+        rig.check()
+
+
+@proves(Row.CONFIG_PUSH, Fault.FROZEN, slow=True)
+async def follower_is_frozen_during_changes(cell: Cell) -> None:
+    async with process_rig() as rig:
+        frozen, watcher = rig.vms[0], rig.vms[1]
+        with _frozen([rig.process(frozen, "dispatch")]):
+            again = _change(_configuration(rig.cluster.site), base=1)
+            offset = await publish(rig.cluster, again, sequence=2)
+            await anyio.sleep(PAST_LEASES_S)
+        with anyio.fail_after(8):
+            while True:
+                seen = await rig.offsets(watcher)
+                if len(seen) == VMS and min(seen) >= offset:
+                    break
+                await anyio.sleep(0.1)
+        rig.check()
+
+
+@proves(
+    Row.SHUTDOWN,
+    (Fault.RESEND, Fault.LIST_STALE, Fault.LIST_DOWN, Fault.LOG_DOWN, Fault.KILLED),
+    slow=True,
+)
+async def vm_leaves_while_it_serves(cell: Cell) -> None:
+    """A graceful shutdown cuts nothing, whatever else goes wrong meanwhile."""
+    async with process_rig() as rig:
+        leaving, other, third = rig.vms
+        site = rig.cluster.site
+        match cell.fault:
+            case Fault.LIST_STALE:
+                rig.cluster.set_faults(site.vm_list_url, VmListFaults(stale=True))
+            case Fault.LIST_DOWN:
+                rig.cluster.set_faults(site.vm_list_url, VmListFaults(down=True))
+            case Fault.LOG_DOWN:
+                rig.cluster.set_faults(site.log_url, LogFaults(down=True))
+        caller = Caller(f"{leaving}:8080", OWNER_KEY)
+        async with anyio.create_task_group() as tasks:
+
+            async def long_answer() -> None:
+                got = await caller.stream("long", 400, across_shutdown=True)
+                rig.witness.generated.append(got)
+
+            tasks.start_soon(long_answer)
+            await caller.on_token.wait()
+            for process in rig.cluster.vm_processes(leaving):
+                process.terminate()
+            if cell.fault is Fault.KILLED:
+                for process in rig.cluster.vm_processes(third):
+                    process.kill()
+            await rig.ask(Caller(f"{leaving}:8080", OWNER_KEY), "with an old answer")
+            left = 1 if cell.fault is Fault.KILLED else 2
+            await _wait_for_addresses(other, left)
+        codes = [
+            await anyio.to_thread.run_sync(process.wait)
+            for process in rig.cluster.vm_processes(leaving)
+        ]
+        assert codes == [0, 0, 0]
+        await rig.ask(Caller(f"{other}:8080", OWNER_KEY), "after the leave")
+        rig.check()
+
+
+@proves(Row.SHUTDOWN, Fault.TARGET_ERROR, slow=True)
+@proves(Row.ADMISSION, Fault.TWO, slow=True)
+async def target_leaves_under_load(cell: Cell) -> None:
+    """A target that the list shows as leaving gets nothing new after the bound."""
+    async with process_rig() as rig:
+        site = rig.cluster.site
+        gone = site.engine_addresses[0]
+        listed = [VmEntry(p.vm, p.data_centre, p.region) for p in site.vms]
+        leaving = VmEntry(gone.split(":")[0], DATA_CENTRE, REGION, "leaving")
+        rig.cluster.list_vms([*listed, leaving])
+        rig.witness.left.append(Left(gone, time.time() + LEAVING_BOUND_S))
+        caller = rig.caller(away_from="")
+        until = time.monotonic() + LEAVING_BOUND_S + 2
+        number = 0
+        while time.monotonic() < until:
+            await rig.ask(caller, f"request {number}", 2)
+            number += 1
+        rig.check()
+
+
+@proves(Row.ADDRESS, Fault.KILLED, slow=True)
+async def vm_is_killed(cell: Cell) -> None:
+    """A VM killed whole is soon named no more; others answer everything."""
+    async with process_rig() as rig:
+        killed = rig.slice_owner
+        for process in rig.cluster.vm_processes(killed):
+            process.kill()
+        caller = rig.caller(away_from=killed)
+        with anyio.fail_after(QUICK_S):
+            await rig.ask(caller, "right after")
+        await _wait_for_addresses(caller.address.split(":")[0], VMS - 1)
+        place = next(p for p in rig.cluster.site.vms if p.vm == killed)
+        _start_again(rig.cluster, place)
+        await _wait_for_addresses(caller.address.split(":")[0], VMS)
+        rig.check()
+
+
+def _start_again(cluster: Cluster, place: VmPlace) -> None:
+    cluster.start_vm(place)
+    cluster.wait_ready()
