--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -41,7 +41,7 @@
 OWNERS_ASKED = 2
 SLICES_ASKED = 4
 CONNECT_WAIT = timedelta(milliseconds=500)
-NO_OWNER_WAIT = timedelta(seconds=1)
+TAKEOVER_WAIT = timedelta(seconds=1)
 NO_OWNER_PAUSE = timedelta(milliseconds=50)
 SHARE_LIFETIME = timedelta(seconds=1)
 MILLISECOND = timedelta(milliseconds=1)
@@ -128,7 +128,7 @@
         clock = self._end.clock
         began = clock.monotonic()
         deadline = began + request.deadline_ms * MILLISECOND
-        patience = min(deadline, began + NO_OWNER_WAIT)
+        patience = min(deadline, began + self._end.options.silence + TAKEOVER_WAIT)
         while True:
             try:
                 return await self._ask_slices(request, deadline)
