--- a/standins/engine.py
+++ b/standins/engine.py
@@ -343,7 +343,8 @@
         wanted = self._wanted
         name = request_id or wanted.request_id
         event: dict[str, object] = {"id": name, "token_index": token.index}
-        choice: dict[str, object] = {"index": 0, "text": token.text}
+        text = f" of {request_id}" if request_id else token.text
+        choice: dict[str, object] = {"index": 0, "text": text}
         choice["finish_reason"] = None
         event["choices"] = [choice]
         if token.last:
--- a/tests/faults/noderig.py
+++ b/tests/faults/noderig.py
@@ -240,11 +240,15 @@
 
     def check(self) -> None:
         """Compare what the caller was told with what the targets did."""
+        assert self.violations() == []
+
+    def violations(self) -> list[str]:
+        """Return in what the caller was told otherwise than the targets did."""
         journals = [engine.journal for engine in self.engines] + [self.plain.journal]
         self.witness.journals = {
             str(index): journal.entries for index, journal in enumerate(journals)
         }
-        assert violations(self.witness) == []
+        return violations(self.witness)
 
 
 def _settings(block: str, number: int, log_url: str, list_url: str) -> NodeSettings:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -274,16 +274,25 @@
 
     def check(self) -> None:
         """Compare what the caller was told with what the targets did."""
+        assert self.violations() == []
+
+    def violations(self) -> list[str]:
+        """Return in what the caller was told otherwise than the targets did."""
         journals = [engine.journal for engine in self.engines] + [self.plain.journal]
         self.witness.journals = {
             str(index): journal.entries for index, journal in enumerate(journals)
         }
-        assert violations(self.witness) == []
+        return violations(self.witness)
 
 
 @asynccontextmanager
-async def online_rig(*, deadline_ms: int = DEADLINE_MS) -> AsyncIterator[OnlineRig]:
-    """Run an entry with its schedulers before engines and a plain service."""
+async def online_rig(
+    *, deadline_ms: int = DEADLINE_MS, plains: int = 1
+) -> AsyncIterator[OnlineRig]:
+    """Run an entry with its schedulers before engines and a plain service.
+
+    :param plains: under how many names the inventory lists the plain service.
+    """
     engines = [EngineStandIn(QUICK_ENGINE) for _ in range(ENGINES)]
     plain = PlainStandIn(PlainOptions(call_ms=1))
     async with AsyncExitStack() as stack:
@@ -295,7 +304,9 @@
         ]
         plain_relay, plain_at = await stack.enter_async_context(relaying(plain_address))
         addresses = [address for _, address in relays]
-        configuration = configuration_of(addresses, [plain_at], deadline_ms=deadline_ms)
+        configuration = configuration_of(
+            addresses, [plain_at] * plains, deadline_ms=deadline_ms
+        )
         slots = LocalSlots(configuration)
         http = await stack.enter_async_context(TargetHttp())
         clock = SystemClock()
--- /dev/null
+++ b/tests/test_broken_variants.py
@@ -0,0 +1,127 @@
+"""The oracle catches the product with one mechanism at a time switched off."""
+
+import time
+from collections.abc import Iterable
+from typing import Any
+
+import pytest
+
+from chivespan import httpapi, jobfold, online
+from chivespan.claimedcall import ClaimedCalls
+from chivespan.configcopy import ConfigCopy
+from chivespan.configfold import ConfigFold
+from chivespan.engineapi import EngineRequest
+from chivespan.engineclient import EngineClient, Token
+from chivespan.errors import ANSWERS, Answer, ErrorKind
+from chivespan.messages import ConfigSnapshot
+from chivespan.records import JobCancel
+from chivespan.targethttp import HttpAnswer
+from standins.engine import EngineFaults
+from standins.plainservice import PlainFaults
+from tests.faults.batch_cells import batch_rig, submission
+from tests.faults.claim_cells import KEY, PATH
+from tests.faults.noderig import node_rig
+from tests.faults.rig import online_rig
+from tests.oracle import JobSeen
+
+pytestmark = pytest.mark.anyio
+
+Patch = pytest.MonkeyPatch
+
+
+def _names(violations: Iterable[str]) -> set[str]:
+    return {violation.split(":")[0] for violation in violations}
+
+
+async def test_tokens_are_not_checked_for_their_request(monkeypatch: Patch) -> None:
+    def unchecked(self: EngineClient, _: str, __: object, line: bytes) -> Token:
+        event = self._event_decoder.decode(line)
+        choice = event.choices[0]
+        return Token(event.token_index, choice.text, choice.finish_reason)
+
+    monkeypatch.setattr(EngineClient, "_token", unchecked)
+    async with online_rig() as rig:
+        rig.fault_first(EngineFaults("foreign", after_tokens=2, times=1))
+        await rig.ask()
+        assert _names(rig.violations()) == {"whole_and_own"}
+
+
+async def test_resumed_streams_start_again(monkeypatch: Patch) -> None:
+
+    def forgetful(**fields: Any) -> EngineRequest:
+        return EngineRequest(**(fields | {"resume_tokens": []}))
+
+    monkeypatch.setattr(online, "EngineRequest", forgetful)
+    async with online_rig() as rig:
+        rig.fault_first(EngineFaults("break", after_tokens=3, times=1))
+        await rig.ask()
+        assert _names(rig.violations()) == {"whole_and_own"}
+
+
+async def test_all_calls_are_taken_for_repeatable(monkeypatch: Patch) -> None:
+    monkeypatch.setattr(httpapi, "may_repeat", lambda *_: True)
+    async with online_rig(plains=2) as rig:
+        rig.plain.faults = PlainFaults("drop", times=3)
+        await rig.book()
+        assert "at_most_once" in _names(rig.violations())
+
+
+async def test_lost_answers_are_called_not_run(monkeypatch: Patch) -> None:
+    for kind in (ErrorKind.TARGET_FAILED, ErrorKind.STREAM_BROKEN):
+        monkeypatch.setitem(ANSWERS, kind, Answer(502, False))
+    async with online_rig() as rig:
+        rig.plain.faults = PlainFaults("drop")
+        await rig.book()
+        assert "refused_was_not_run" in _names(rig.violations())
+
+
+async def test_keyed_calls_run_without_a_claim(monkeypatch: Patch) -> None:
+    async def unclaimed(
+        self: ClaimedCalls, request: Any, plain: Any, _: str
+    ) -> HttpAnswer:
+        return await self._online.call(request, plain)
+
+    monkeypatch.setattr(ClaimedCalls, "call", unclaimed)
+    async with node_rig(batch=True) as rig:
+        rig.witness.once.append("12 pigs")
+        for _ in range(2):
+            got = await rig.caller.call("POST", PATH, "12 pigs", KEY)
+            rig.witness.called.append(got)
+        assert "at_most_once" in _names(rig.violations())
+
+
+async def test_a_cancel_is_answered_and_not_applied(monkeypatch: Patch) -> None:
+    handlers = dict(jobfold._HANDLERS)
+    del handlers[JobCancel]
+    monkeypatch.setattr(jobfold, "_HANDLERS", handlers)
+    async with batch_rig() as rig:
+        wanted = submission("not cancelled", items=200, tokens=20)
+        accepted = await rig.caller.submit_until_accepted(wanted)
+        path = f"/v1/batches/{accepted.job_id}/cancel"
+        await rig.caller.caller.send("POST", path)
+        seen = JobSeen(
+            accepted.job_id, wanted.prompts, 20, [], False, time.time() + 0.3
+        )
+        await rig.caller.wait_ended(accepted.job_id, 30)
+        rig.site.witness.jobs.append(seen)
+        assert _names(rig.site.violations()) == {"cancelled_job_stops"}
+
+
+async def test_an_older_snapshot_replaces_a_newer_configuration(
+    monkeypatch: Patch,
+) -> None:
+    def careless(self: ConfigCopy, message: ConfigSnapshot) -> bool:
+        self._fold = ConfigFold.from_snapshot(message.snapshot)
+        return True
+
+    async with node_rig() as rig:
+        feed = rig.nodes[0].dispatcher.feed
+        old = ConfigSnapshot(as_of=-1, snapshot=ConfigFold().snapshot())
+        rig.note_versions()
+        feed.take_snapshot(old)
+        rig.note_versions()
+        assert rig.violations() == []
+        monkeypatch.setattr(ConfigCopy, "take_snapshot", careless)
+        feed.take_snapshot(old)
+        rig.note_versions()
+        assert _names(rig.violations()) == {"versions_only_rise"}
