Add cells: a VM dies within a submission, jobs without a VM list

Found and not mended: a batch program that dies alone on a VM whose control program lives keeps its partitions, and its jobs wait until it is started again (partition-take-over/process-killed/batch_program_alone_is_killed, listed in KNOWN-RED.txt). Ownership follows the control programs' view; mending it needs the batch program's state in heartbeats.

--- a/tests/faults/batch_cells.py
+++ b/tests/faults/batch_cells.py
@@ -7,14 +7,15 @@
 import anyio
 
 from chivespan.jobfold import jobs_stream
-from chivespan.jobplan import partition_of
+from chivespan.jobplan import new_job_id, partition_of
 from chivespan.placement import owner
 from chivespan.steps import Step, hooked
 from standins.engine import EngineFaults
 from standins.logservice import LogFaults
 from standins.plainservice import PlainFaults
+from standins.vmlist import VmListFaults
 from tests.faults.matrix import Cell, Fault, Row, proves
-from tests.faults.noderig import Node, NodeRig, node_rig
+from tests.faults.noderig import PARTITIONS, Node, NodeRig, node_rig
 from tests.jobs import JobCaller, Submission
 from tests.oracle import JobSeen
 from tests.relay import Treatment
@@ -336,3 +337,59 @@
                 )
                 rig.site.log.faults = LogFaults()
         await rig.finish(wanted)
+
+
+@proves(UNITS_BEFORE, Fault.KILLED)
+async def owner_is_killed_during_a_submission(cell: Cell) -> None:
+    """The VM dies after a unit is in the log; a resend makes one job."""
+    async with batch_rig() as rig:
+        wanted = _in_units(cell.row)
+        left = UNITS_BEFORE[cell.row] + 1
+        killed: list[Node] = []
+
+        async def kill(has_effect: bool) -> None:
+            nonlocal left
+            left -= has_effect
+            if left or killed:
+                return
+            holder = rig.owner_of(new_job_id("o", wanted.key, PARTITIONS))
+            killed.append(holder)
+            rig.site.kill_batch(holder)
+            rig.site.kill(holder)
+
+        rig.site.log.on_append = kill
+        await rig.caller.submit_until_accepted(wanted)
+        assert killed
+        await rig.finish(wanted)
+
+
+@proves(
+    (Row.JOB_ACKNOWLEDGE, Row.ITEM_RUN, Row.RESULT_READ, Row.PARTITION_TAKEOVER),
+    (Fault.LIST_DOWN, Fault.LIST_STALE),
+)
+async def list_is_of_no_use_to_a_job(cell: Cell) -> None:
+    """A job's owner dies while the list is down, or shows it as live."""
+    async with batch_rig() as rig:
+        down = cell.fault is Fault.LIST_DOWN
+        rig.site.vm_list.faults = VmListFaults(down=down, stale=not down)
+        wanted = submission("no list", items=30, tokens=10)
+        accepted = await rig.caller.submit_until_accepted(wanted)
+        if cell.row is Row.RESULT_READ:
+            await rig.caller.wait_ended(accepted.job_id, DONE_S)
+        elif cell.row is not Row.JOB_ACKNOWLEDGE:
+            await _until("items run", lambda: len(rig.site.batch_starts()) > 4, rig)
+        killed = rig.owner_of(accepted.job_id)
+        rig.site.kill_batch(killed)
+        rig.site.kill(killed)
+        await rig.finish(wanted)
+
+
+@proves(Row.PARTITION_TAKEOVER, Fault.KILLED, slow=True)
+async def batch_program_alone_is_killed(cell: Cell) -> None:
+    """The VM's control program lives on, and its batch program isn't started again."""
+    async with batch_rig() as rig:
+        wanted = submission("alone", items=40, tokens=20)
+        accepted = await rig.caller.submit_until_accepted(wanted)
+        await _until("items run", lambda: len(rig.site.batch_starts()) > 4, rig)
+        rig.site.kill_batch(rig.owner_of(accepted.job_id))
+        await rig.finish(wanted)
