--- a/standins/logservice.py
+++ b/standins/logservice.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -43,6 +44,7 @@
     :param slow_ms: every call takes this much longer.
     :param drop_answers: so many appends take effect and are not answered.
     :param delay_effects: so many appends get 503 and take effect ``delay_ms`` later.
+    :param spared: so many appends go well before any fault but ``down`` shows.
     """
 
     down: bool = False
@@ -50,6 +52,10 @@
     drop_answers: int = 0
     delay_effects: int = 0
     delay_ms: float = 0
+    spared: int = 0
+
+
+AppendHook = Callable[[bool], Awaitable[None]]
 
 
 @dataclass
@@ -68,12 +74,16 @@
 
 
 class LogStandIn:
-    """The log: streams of records in memory."""
+    """The log: streams of records in memory.
+
+    :ivar on_append: told of every append, before its effect and, with True, after it.
+    """
 
     def __init__(self, options: LogOptions | None = None) -> None:
         self.options = options or LogOptions()
         self.faults = LogFaults()
         self.appends = 0
+        self.on_append: AppendHook | None = None
         self.app = Starlette(
             routes=[
                 Route("/streams/{stream:path}/append", self._append, methods=["POST"]),
@@ -119,7 +129,7 @@
         self.append(stream, payloads)
 
     async def _faulted(self) -> bool:
-        if self.faults.slow_ms:
+        if self.faults.slow_ms and not self.faults.spared:
             await anyio.sleep(self.faults.slow_ms / 1000)
         return self.faults.down
 
@@ -137,13 +147,19 @@
         stream = request.path_params["stream"]
         if await self._faulted():
             return _answer({"error": "down"}, 503)
-        if self.faults.delay_effects > 0:
+        spared = self.faults.spared > 0
+        self.faults.spared -= spared
+        if self.faults.delay_effects > 0 and not spared:
             self.faults.delay_effects -= 1
             self._delayed[0].send_nowait((stream, payloads))
             return _answer({"error": "slow"}, 503)
         await self._wait_turn()
+        if self.on_append:
+            await self.on_append(False)
         first = self.append(stream, payloads)
-        if self.faults.drop_answers > 0:
+        if self.on_append:
+            await self.on_append(True)
+        if self.faults.drop_answers > 0 and not spared:
             self.faults.drop_answers -= 1
             return NoAnswer()
         return _answer({"offset": first})
