Check a change's operator in the fold; break line 37 in the demo

An operator removed by another while their change was on its way is now refused at the record's place in the log; before, the command's own check could be overtaken. A change that would leave no operator is refused too.

--- a/chivespan/configfold.py
+++ b/chivespan/configfold.py
@@ -2,7 +2,8 @@
 
 A change is in force only if every document still has the version it was made against;
 otherwise nothing of it is. A version is the offset of the record that set it, plus one,
-so versions rise also when a document is removed and added again.
+so versions rise also when a document is removed and added again. Once operators are in
+force, a change must name one of them, and must leave one.
 """
 
 from collections import deque
@@ -121,7 +122,9 @@
 
     def _decide(self, opened: OpenedRecord, change: ConfigChange) -> AuditEntry:
         try:
+            self._require_operator(change.operator)
             documents = self._checked(change.changes)
+            self._require_remaining_operator(documents)
         except ChivespanError as error:
             return self._entry(opened, change, error)
         for document_id, document in documents.items():
@@ -132,6 +135,28 @@
                 self._configuration.put(document_id, stored)
         return self._entry(opened, change, None)
 
+    def _require_operator(self, name: str) -> None:
+        """Refuse operators that aren't in force, once there are any."""
+        operators = self._configuration.operators
+        if operators and name not in operators:
+            raise ChivespanError(ErrorKind.FORBIDDEN, f"no operator {name} is in force")
+
+    def _require_remaining_operator(
+        self, documents: dict[DocumentId, Document | None]
+    ) -> None:
+        """Refuse to remove all operators, since nobody could change anything then."""
+        remaining = set(self._configuration.operators)
+        for document_id, document in documents.items():
+            if document_id.kind is not DocumentKind.operator:
+                continue
+            if document is None:
+                remaining.discard(document_id.name)
+            else:
+                remaining.add(document_id.name)
+        if self._configuration.operators and not remaining:
+            reason = "the change leaves no operator in force"
+            raise ChivespanError(ErrorKind.FORBIDDEN, reason)
+
     def _checked(
         self, changes: list[DocumentChange]
     ) -> dict[DocumentId, Document | None]:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -110,6 +110,26 @@
     ]
 
 
+@pytest.mark.anyio
+async def test_an_operator_removed_by_another_changes_nothing_any_more() -> None:
+    log = _RacedLog()
+    await _apply(log, _files())
+    without_ana = _files()
+    del without_ana.documents[DocumentId(DocumentKind.operator, "ana")]
+    log.rival = partial(_apply, log, without_ana, MARKO)
+    refused = await _apply(log, _with_slots(6), ANA)
+    assert refused.outcome is ApplyOutcome.REFUSED
+    assert refused.parts[0].message == "no operator ana is in force"
+    assert await _slots(log) == 8
+
+    nobody = read_files([LIVESTOCK / "rules.toml"])
+    for name in ("ana", "marko"):
+        del nobody.documents[DocumentId(DocumentKind.operator, name)]
+    last = await _apply(log, nobody, MARKO)
+    assert last.outcome is ApplyOutcome.REFUSED
+    assert last.parts[0].message == "the change leaves no operator in force"
+
+
 @pytest.mark.anyio
 async def test_files_made_from_an_older_configuration_undo_nothing() -> None:
     log = FakeLog()
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -4,7 +4,7 @@
 import pytest
 
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.options import load_settings
+from chivespan.options import load_settings, start
 from chivespan.settings import NodeSettings
 
 RIGHT = (
@@ -86,3 +86,13 @@
     message = _fault_of([*RIGHT, "--peer_key=key", *wrong])
     for name in numbers:
         assert f"invalid_setting --{name} " in message
+
+
+def test_a_program_with_wrong_settings_ends_with_code_2(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr("sys.argv", ["chivespan-entry", *RIGHT])
+    with pytest.raises(SystemExit) as caught:
+        start(NodeSettings, {})
+    assert caught.value.code == 2
+    assert "--peer_key (CHIVESPAN_PEER_KEY): missing" in capsys.readouterr().err
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -173,8 +173,15 @@
         self._mistake({"model": "no-such-model", "prompt": "x"})
         self._mistake({"model": MODEL, "prompt": "x"}, key="nobody's")
 
+        lines = _items("Route summary", 40).split(b"\n")
+        lines[36] = b'{"id": "route-36", "promt": "x"}'
+        path = f"/v1/batches?service={MODEL}"
+        self._refused(self._request("POST", path, b"\n".join(lines)))
+
     def _mistake(self, body: Mapping[str, object], key: str = OWNER_KEY) -> None:
-        answer = self._request("POST", "/v1/completions", body, key=key)
+        self._refused(self._request("POST", "/v1/completions", body, key=key))
+
+    def _refused(self, answer: httpcore.Response) -> None:
         error = _decode(answer, ErrorAnswer).error
         print(f"{answer.status} {error.code}: {error.message}; run: {error.was_run}")
         _require(error.was_run == "no", "it was not run")
