--- a/bench/capacityrig.py
+++ b/bench/capacityrig.py
@@ -293,9 +293,9 @@
         began = time.monotonic()
         rig.process = _start(rig, *urls)
         try:
+            await _surround(rig, tasks)
             await _until_whole(rig, documents.end - 1)
             start_s = time.monotonic() - began
-            await _surround(rig, tasks)
             yield rig, start_s
         finally:
             rig.process.send_signal(signal.SIGKILL)
--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -35,6 +35,7 @@
 MAX_BACKOFF = timedelta(seconds=2)
 BACKOFF_FACTOR = 2
 HEARTBEAT_SHARE_OF_SILENCE = 0.45
+ANSWER_PATIENCE = 1.25
 
 
 class Counters(Protocol):
@@ -127,7 +128,8 @@
     def __init__(self, websocket: Connection, end: LinkEnd, remote: Hello) -> None:
         self._websocket = websocket
         self._end = end
-        self._last_frame = end.clock.monotonic()
+        self._last_frame = self._beat_due = end.clock.monotonic()
+        self._answers = isinstance(websocket, ServerConnection)
         self._open = True
         self.remote = remote
 
@@ -178,7 +180,10 @@
         try:
             async for frame in self._websocket:
                 self._last_frame = self._end.clock.monotonic()
-                yield _decoded(frame)
+                message = _decoded(frame)
+                if self._answers and isinstance(message, Heartbeat):
+                    self._beat()
+                yield message
         except ConnectionClosed:
             self._end.counters.incr("peer.links_broken")
         except ChivespanError:
@@ -189,18 +194,24 @@
     async def keep_alive(self) -> None:
         """Send heartbeats, and leave the link when the other end has gone silent."""
         clock = self._end.clock
-        due = clock.monotonic()
         while self._open:
             now = clock.monotonic()
-            if now >= due:
-                self.send_frame(self._end.heartbeat(self.remote))
-                due = now + self._end.interval(self.remote)
+            if now >= self._beat_due:
+                self._beat()
             patience = self._last_frame + self._end.options.silence - now
             if patience <= timedelta(0):
                 self._end.counters.incr("peer.silent")
                 self.abort()
                 return
-            await anyio.sleep(min(due - now, patience).total_seconds())
+            await anyio.sleep(min(self._beat_due - now, patience).total_seconds())
+
+    def _beat(self) -> None:
+        """Send a heartbeat; the end that was dialled mostly answers the other's."""
+        self.send_frame(self._end.heartbeat(self.remote))
+        interval = self._end.interval(self.remote)
+        if self._answers:
+            interval *= ANSWER_PATIENCE
+        self._beat_due = self._end.clock.monotonic() + interval
 
 
 LinkHandler: TypeAlias = Callable[[PeerLink], Awaitable[None]]
