--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,104 @@
+"""Usage merges without loss from processes that come, go and repeat themselves."""
+
+from datetime import timedelta
+from random import Random
+
+import anyio
+import pytest
+
+from chivespan import dispatcher, usage
+from chivespan.dispatchquery import ask_usage
+from chivespan.messages import Outcome, UsageCount, UsageReport, WorkClass
+from tests.controlnodes import (
+    PATIENCE_S,
+    ControlNode,
+    Platform,
+    asker,
+    control_nodes,
+    inventory,
+    request,
+)
+from tests.test_peerlink import end_of
+
+VMS = ("127.46.0.1", "127.46.0.2", "127.46.0.3")
+
+
+def count(owner: str, requests: int) -> UsageCount:
+    return UsageCount(
+        owner=owner,
+        service="lm",
+        work_class=WorkClass.online,
+        requests=requests,
+        tokens=10 * requests,
+    )
+
+
+def report(incarnation: str, *counts: UsageCount) -> UsageReport:
+    return UsageReport(vm="10.0.0.1", incarnation=incarnation, counts=list(counts))
+
+
+def requests_of(ledger: usage.UsageLedger) -> dict[str, int]:
+    return {total.owner: total.requests for total in ledger.totals()}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_order_and_copies_of_reports_do_not_matter(seed: int) -> None:
+    random = Random(seed)
+    reports = [
+        report(incarnation, count(owner, number))
+        for incarnation in ("a", "b", "c")
+        for owner in ("x", "y")
+        for number in range(1, 5)
+    ]
+    delivered = [*reports, *random.choices(reports, k=10)]
+    random.shuffle(delivered)
+    ledger = usage.UsageLedger()
+    for each in delivered:
+        ledger.take(each)
+    assert requests_of(ledger) == {"x": 12, "y": 12}
+    newcomer = usage.UsageLedger()
+    for each in ledger.reports("10.0.0.2"):
+        newcomer.take(each)
+    assert requests_of(newcomer) == requests_of(ledger)
+
+
+def test_rows_are_bounded_and_the_loss_is_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(usage, "MAX_ROWS", 4)
+    ledger = usage.UsageLedger()
+    for incarnation in ("old", "middle", "new"):
+        ledger.take(report(incarnation, count("x", 1), count("y", 1)))
+    assert requests_of(ledger) == {"x": 2, "y": 2}
+    assert ledger.forgotten == 2
+
+
+@pytest.mark.anyio
+async def test_usage_outlives_the_dispatcher_that_counted_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(dispatcher, "USAGE_INTERVAL", timedelta(milliseconds=50))
+    monkeypatch.setattr(dispatcher, "USAGE_BYTE_TIME", timedelta(0))
+    platform = Platform(port=23131)
+    platform.publish(*inventory(2))
+    async with control_nodes(platform, VMS) as nodes, asker(platform, VMS[0]) as entry:
+        for number in range(5):
+            slot = await entry.client.acquire(request(number))
+            slot.release(Outcome.done, tokens=7)
+        counting = next(node for node in nodes if node.dispatcher.status("").targets)
+        others = [node for node in nodes if node is not counting]
+        await until_all_know(others, tokens=35)
+        counting.stop()
+        await counting.ended.wait()
+        await until_all_know(others, tokens=35)
+
+
+async def until_all_know(nodes: list[ControlNode], tokens: int) -> None:
+    end = end_of(VMS[0])
+    for node in nodes:
+        address = f"{node.vm}:{node.settings.dispatch_port}"
+        with anyio.fail_after(PATIENCE_S):
+            while sum(each.tokens for each in await ask_usage(end, address)) != tokens:
+                await anyio.sleep(0.02)
+        [total] = await ask_usage(end, address)
+        assert (total.owner, total.requests) == ("owner", 5)
