--- a/chivespan/dispatch_main.py
+++ b/chivespan/dispatch_main.py
@@ -8,7 +8,6 @@
 from anyio.abc import TaskGroup
 
 from chivespan.clock import SystemClock
-from chivespan.configsnapshots import ConfigSnapshots
 from chivespan.dispatcher import Dispatcher
 from chivespan.engineclient import EngineClient
 from chivespan.httplog import HttpLog
@@ -25,15 +24,13 @@
 
 async def serve(settings: NodeSettings) -> None:
     """Run a dispatcher until it is told to leave and has done so."""
-    log = HttpLog(settings.log_url)
     async with TargetHttp() as http, anyio.create_task_group() as tasks:
         dispatcher = Dispatcher(
             settings,
-            log,
+            HttpLog(settings.log_url),
             HttpVmList(settings.vm_list_url),
             SystemClock(),
             Metrics(settings.statsd_address, METRICS_PREFIX),
-            snapshots=ConfigSnapshots(log),
             probe=EngineClient(http),
         )
         tasks.start_soon(_leave_on_signal, dispatcher, tasks)
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -246,7 +246,9 @@
             self._forget_holder(link)
 
     def _forget_holder(self, link: PeerLink) -> None:
-        links = self._holders[link.holder]
+        links = self._holders.get(link.holder, [])
+        if link not in links:
+            return
         links.remove(link)
         if not links:
             del self._holders[link.holder]
@@ -331,6 +333,7 @@
         if link.remote.program is Program.dispatch or link in self._followers:
             return
         self._followers.add(link)
+        self._forget_holder(link)
         tasks.start_soon(self._push_membership, link, None, LOAD_PUSH_INTERVAL)
         if not self._feed.is_known:
             tasks.start_soon(self._answer_when_known, link, request)
--- a/chivespan/partitions.py
+++ b/chivespan/partitions.py
@@ -13,7 +13,6 @@
 from chivespan.claimfold import CLAIM_PARTITIONS, ClaimFold, claims_stream
 from chivespan.claimstore import ClaimStore
 from chivespan.clock import Clock
-from chivespan.configfold import CONFIG_STREAM, ConfigFold
 from chivespan.configuration import Configuration
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.follower import Follower
@@ -29,7 +28,6 @@
 from chivespan.upkeep import (
     ClaimCarrier,
     JobCarrier,
-    NothingCarried,
     StreamParts,
     Upkeep,
 )
@@ -182,41 +180,6 @@
         await self.upkeep.run()
 
 
-class ConfigStream:
-    """The configuration stream, whose snapshots one VM of all writes."""
-
-    def __init__(self, context: PartitionContext) -> None:
-        snapshots = SnapshotStore(context.log, CONFIG_STREAM, context.writer)
-        self.follower = Follower(
-            context.log,
-            CONFIG_STREAM,
-            snapshots,
-            ConfigFold,
-            ConfigFold.from_snapshot,
-            context.metrics,
-        )
-        self.upkeep = Upkeep(
-            StreamParts(
-                context.log,
-                CONFIG_STREAM,
-                self.follower,
-                snapshots,
-                ConfigFold,
-                ConfigFold.from_snapshot,
-            ),
-            NothingCarried(),
-            context.clock,
-            context.log_keeps,
-            context.metrics,
-        )
-
-    async def own(self) -> None:
-        """Follow the stream and write its snapshots until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.follower.run)
-            tasks.start_soon(self.upkeep.run)
-
-
 class Partitions:
     """All partitions that this process has met; each is followed from then on."""
 
@@ -276,14 +239,11 @@
         for number in range(CLAIM_PARTITIONS):
             if claims_stream(number) in streams:
                 self._take_over(claims_stream(number), self.claims(number).own)
-        if CONFIG_STREAM in streams:
-            self._take_over(CONFIG_STREAM, ConfigStream(self._context).own)
 
     def all_streams(self) -> list[str]:
         """Return the names of all streams that some process should own."""
         jobs = map(jobs_stream, range(self._context.settings.partitions))
-        claims = map(claims_stream, range(CLAIM_PARTITIONS))
-        return [*jobs, *claims, CONFIG_STREAM]
+        return [*jobs, *map(claims_stream, range(CLAIM_PARTITIONS))]
 
     async def wait_written(self) -> None:
         """Wait until all results are in the log."""
--- a/chivespan/upkeep.py
+++ b/chivespan/upkeep.py
@@ -171,17 +171,6 @@
     return decode_envelope(payload).written_at
 
 
-class NothingCarried:
-    """For streams whose snapshots hold everything that must last."""
-
-    async def carry(self, before: int) -> int:
-        """Carry nothing."""
-        return 0
-
-    async def expire(self, now: datetime) -> None:
-        """End nothing."""
-
-
 class JobCarrier:
     """Carries chunks with open items, results, and ends jobs."""
 
--- a/tests/test_configsnapshots.py
+++ b/tests/test_configsnapshots.py
@@ -1,6 +1,7 @@
 """The configuration outlives the log's retention, and its versions never fall."""
 
-import anyio
+from dataclasses import dataclass
+
 import pytest
 
 from chivespan.codec import encode
@@ -10,9 +11,12 @@
 from chivespan.configuration import DocumentId
 from chivespan.documents import DocumentKind, Region
 from chivespan.envelope import encode_record
+from chivespan.membership import Membership
+from chivespan.metrics import Metrics
 from chivespan.records import ConfigChange, DocumentChange, RecordId
-from chivespan.snapshots import SnapshotStore, snapshots_stream
+from chivespan.snapshots import SnapshotStore
 from tests.batchfakes import Site
+from tests.controlnodes import settings_of
 
 pytestmark = pytest.mark.anyio
 
@@ -29,6 +33,24 @@
     site.log.put(CONFIG_STREAM, [payload])
 
 
+@dataclass
+class Holder:
+    """A copy of the configuration and its snapshots in the log."""
+
+    copy: ConfigCopy
+    snapshots: ConfigSnapshots
+
+
+def snapshots_of(site: Site) -> Holder:
+    copy = ConfigCopy()
+    settings = settings_of("127.44.0.1", 1)
+    membership = Membership(settings, site.clock)
+    snapshots = ConfigSnapshots(
+        settings, site.log, copy, membership, site.clock, Metrics(), "w"
+    )
+    return Holder(copy, snapshots)
+
+
 async def test_newcomer_after_retention_gets_the_newest_configuration() -> None:
     site = Site()
     change(site, "north", 0)
@@ -36,17 +58,16 @@
     old.apply(site.log.records(CONFIG_STREAM)[0])
     for base in (1, 2, 3):
         change(site, "north", base)
-    async with site.partitions() as partitions:
-        partitions.own(frozenset({CONFIG_STREAM}))
-        with anyio.fail_after(5):
-            while not site.log.records(snapshots_stream(CONFIG_STREAM)):
-                await anyio.sleep(0.001)
+    writer, reader = snapshots_of(site), snapshots_of(site)
+    for record in site.log.records(CONFIG_STREAM):
+        writer.copy.fold.apply(record)
+    await writer.snapshots.write()
     await SnapshotStore(site.log, CONFIG_STREAM, "paused").write(old, site.clock.now())
     site.log.expire(CONFIG_STREAM, 4)
-    snapshot = await ConfigSnapshots(site.log)()
+    snapshot = await reader.snapshots.newest()
     assert snapshot is not None
     copy = ConfigCopy()
     assert copy.take_snapshot(snapshot)
     assert copy.configuration.version(DocumentId(DocumentKind.region, "north")) == 4
     site.log.outage = True
-    assert await ConfigSnapshots(site.log)() is None
+    assert await reader.snapshots.newest() is None
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -180,7 +180,7 @@
             await until(lambda: any(slot.revoked.is_set() for slot in slots))
             for slot in slots:
                 slot.release(Outcome.cancelled)
-        assert running(nodes) == 1
+        await until(lambda: running(nodes) == 1)
 
 
 async def test_cut_off_from_all_uses_a_fixed_share_for_online_only() -> None:
