--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -59,7 +59,7 @@
     Series(
         "peers",
         "peer of the data centre",
-        [Load(peers=n, targets=16) for n in (0, 6, 12, 20, 29)],
+        [Load(peers=n) for n in (0, 6, 12, 20, 29)],
         lambda point: point.load.peers,
         29,
     ),
--- /dev/null
+++ b/bench/capacityfakes.py
@@ -0,0 +1,115 @@
+"""Fakes that a capacity run puts around a dispatcher."""
+
+from collections.abc import Callable
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from bench.capacitydocs import SLOTS
+from chivespan.codec import encode_message
+from chivespan.dispatcher import REMOTE_PUSH_INTERVAL
+from chivespan.engineapi import EngineLoad
+from chivespan.messages import (
+    Heartbeat,
+    Hello,
+    MembershipUpdate,
+    SliceLoad,
+    VmState,
+    VmView,
+)
+from chivespan.peerlink import PeerLink
+from standins.vmlist import VmEntry, VmListStandIn
+
+REGION = "region-0"
+REMOTE_REPORT_S = REMOTE_PUSH_INTERVAL.total_seconds()
+PEERS_OF_A_CENTRE = 30
+ENTITY_TAG = b'"1"'
+
+
+def changing_load(vm: str) -> Callable[[Hello], bytes]:
+    """Return heartbeats whose slice load differs each time, as under traffic."""
+    beats = 0
+
+    def heartbeat(_remote: Hello) -> bytes:
+        nonlocal beats
+        beats += 1
+        load = SliceLoad(
+            slice_id=f"booking-lm/centre-0/{vm}",
+            free_slots=beats % 64,
+            total_slots=128,
+            queued_online=0,
+            batch_running=beats % 40,
+        )
+        return encode_message(Heartbeat(config_offset=-1, leaving=False, slices=[load]))
+
+    return heartbeat
+
+
+class TaggedVmList(VmListStandIn):
+    """A VM list that answers 304 while it is unchanged, as HTTP allows."""
+
+    def __init__(self, vms: tuple[VmEntry, ...]) -> None:
+        super().__init__(vms=vms)
+        self._plain = self.app
+        self.app = Starlette(routes=[Route("/vms", self._get_tagged)])
+
+    async def _get_tagged(self, request: Request) -> Response:
+        if request.headers.get("If-None-Match") == ENTITY_TAG.decode():
+            return Response(status_code=304)
+        response = await self._get(request)
+        response.headers["ETag"] = ENTITY_TAG.decode()
+        return response
+
+
+class LoadReports:
+    """Answers the load probes of all targets."""
+
+    def __init__(self) -> None:
+        self.app = Starlette(routes=[Route("/load", self._load)])
+        self._body = msgspec.json.encode(
+            EngineLoad(slots=SLOTS, running=2, waiting=0, kv_used=0.5, state="ready")
+        )
+
+    async def run(self) -> None:
+        """Nothing goes on between requests."""
+
+    async def _load(self, request: Request) -> Response:
+        return Response(self._body, media_type="application/json")
+
+
+async def report_centre(centre: str, link: PeerLink) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_send_reports, centre, link)
+        async for _ in link:
+            pass
+        tasks.cancel_scope.cancel()
+
+
+async def _send_reports(centre: str, link: PeerLink) -> None:
+    beat = 0
+    while link.is_open:
+        beat += 1
+        views = [_remote_view(centre, n, beat) for n in range(PEERS_OF_A_CENTRE)]
+        link.send(MembershipUpdate(vms=views, whole=False))
+        await anyio.sleep(REMOTE_REPORT_S)
+
+
+def _remote_view(centre: str, number: int, beat: int) -> VmView:
+    load = SliceLoad(
+        slice_id=f"booking-lm/{centre}/{number}",
+        free_slots=(beat + number) % 64,
+        total_slots=128,
+        queued_online=0,
+    )
+    return VmView(
+        vm=f"10.200.{centre[-1]}.{number + 1}",
+        data_centre=centre,
+        region=REGION,
+        state=VmState.live,
+        config_offset=1,
+        slices=[load],
+    )
--- a/bench/capacityrig.py
+++ b/bench/capacityrig.py
@@ -11,41 +11,35 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, replace
 from datetime import UTC, datetime, timedelta
 from functools import partial
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
 
-from bench.capacitydocs import SLOTS, Documents
+from bench.capacitydocs import Documents
+from bench.capacityfakes import (
+    REGION,
+    LoadReports,
+    TaggedVmList,
+    changing_load,
+    report_centre,
+)
 from chivespan.clock import SystemClock
-from chivespan.codec import encode_message
 from chivespan.configfold import CONFIG_STREAM
-from chivespan.dispatcher import HEARTBEAT_TIME_A_LINK, REMOTE_PUSH_INTERVAL
+from chivespan.dispatcher import HEARTBEAT_TIME_A_LINK
 from chivespan.dispatchquery import ask_status
-from chivespan.engineapi import EngineLoad
 from chivespan.messages import (
     ConfigRequest,
     Grant,
     GrantRelease,
     GrantRequest,
-    Heartbeat,
-    Hello,
-    MembershipUpdate,
     Outcome,
     Program,
-    SliceLoad,
     StatusReply,
-    VmState,
-    VmView,
     WorkClass,
 )
 from chivespan.metrics import Metrics
@@ -57,14 +51,10 @@
 
 CENTRE = "centre-0"
 NEAR = ("centre-1", "centre-2")
-REGION = "region-0"
 PORT = 8081
 SEGMENT_HEADER_BYTES = 52
-REMOTE_REPORT_S = REMOTE_PUSH_INTERVAL.total_seconds()
 HEARTBEAT = timedelta(milliseconds=500)
-PEERS_OF_A_CENTRE = 30
 TOKENS = 400
-ENTITY_TAG = b'"1"'
 
 
 @dataclass(frozen=True)
@@ -197,25 +187,6 @@
         return await ask_status(self.end(self.vm, Program.operator), self.address)
 
 
-def changing_load(vm: str) -> Callable[[Hello], bytes]:
-    """Return heartbeats whose slice load differs each time, as under traffic."""
-    beats = 0
-
-    def heartbeat(_remote: Hello) -> bytes:
-        nonlocal beats
-        beats += 1
-        load = SliceLoad(
-            slice_id=f"booking-lm/{CENTRE}/{vm}",
-            free_slots=beats % 64,
-            total_slots=128,
-            queued_online=0,
-            batch_running=beats % 40,
-        )
-        return encode_message(Heartbeat(config_offset=-1, leaving=False, slices=[load]))
-
-    return heartbeat
-
-
 def usage_of(pid: int) -> Usage:
     """Return the processor time and the bytes of a process and its sockets."""
     with open(f"/proc/{pid}/schedstat") as source:
@@ -303,38 +274,6 @@
             tasks.cancel_scope.cancel()
 
 
-class TaggedVmList(VmListStandIn):
-    """A VM list that answers 304 while it is unchanged, as HTTP allows."""
-
-    def __init__(self, vms: tuple[VmEntry, ...]) -> None:
-        super().__init__(vms=vms)
-        self._plain = self.app
-        self.app = Starlette(routes=[Route("/vms", self._get_tagged)])
-
-    async def _get_tagged(self, request: Request) -> Response:
-        if request.headers.get("If-None-Match") == ENTITY_TAG.decode():
-            return Response(status_code=304)
-        response = await self._get(request)
-        response.headers["ETag"] = ENTITY_TAG.decode()
-        return response
-
-
-class LoadReports:
-    """Answers the load probes of all targets."""
-
-    def __init__(self) -> None:
-        self.app = Starlette(routes=[Route("/load", self._load)])
-        self._body = msgspec.json.encode(
-            EngineLoad(slots=SLOTS, running=2, waiting=0, kv_used=0.5, state="ready")
-        )
-
-    async def run(self) -> None:
-        """Nothing goes on between requests."""
-
-    async def _load(self, request: Request) -> Response:
-        return Response(self._body, media_type="application/json")
-
-
 def _start(rig: Rig, log: str, vm_list: str) -> subprocess.Popen[bytes]:
     flags = {
         "vm": rig.vm,
@@ -467,39 +406,5 @@
         for n in range(rig.load.remote):
             vm = f"{rig.network}.{index + 2}.{n + 1}"
             end = rig.end(vm, Program.dispatch, centre, load=True)
-            handler = partial(_report_centre, centre)
+            handler = partial(report_centre, centre)
             await stack.enter_async_context(listen(vm, PORT, end, handler))
-
-
-async def _report_centre(centre: str, link: PeerLink) -> None:
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_send_reports, centre, link)
-        async for _ in link:
-            pass
-        tasks.cancel_scope.cancel()
-
-
-async def _send_reports(centre: str, link: PeerLink) -> None:
-    beat = 0
-    while link.is_open:
-        beat += 1
-        views = [_remote_view(centre, n, beat) for n in range(PEERS_OF_A_CENTRE)]
-        link.send(MembershipUpdate(vms=views, whole=False))
-        await anyio.sleep(REMOTE_REPORT_S)
-
-
-def _remote_view(centre: str, number: int, beat: int) -> VmView:
-    load = SliceLoad(
-        slice_id=f"booking-lm/{centre}/{number}",
-        free_slots=(beat + number) % 64,
-        total_slots=128,
-        queued_online=0,
-    )
-    return VmView(
-        vm=f"10.200.{centre[-1]}.{number + 1}",
-        data_centre=centre,
-        region=REGION,
-        state=VmState.live,
-        config_offset=1,
-        slices=[load],
-    )
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -11,6 +11,7 @@
 from chivespan.configfeed import ConfigFeed
 from chivespan.configsnapshots import ConfigSnapshots
 from chivespan.errors import ChivespanError
+from chivespan.listpoll import ListPoll
 from chivespan.logs import logger
 from chivespan.membership import Membership
 from chivespan.mesh import Mesh
@@ -31,7 +32,6 @@
     Program,
     StatusReply,
     StatusRequest,
-    UsageCount,
     UsageReply,
     UsageReport,
     UsageRequest,
@@ -45,23 +45,17 @@
     listen,
     new_hello,
 )
-from chivespan.placement import ranked
-from chivespan.platform import ListedVm, LogService, VmList
+from chivespan.platform import LogService, VmList
 from chivespan.policies import Policies
 from chivespan.scheduler import LoadProbe
 from chivespan.settings import NodeSettings
 from chivespan.sliceowner import SliceOwner
-from chivespan.usage import UsageKey, UsageLedger, key_of
+from chivespan.usageshare import UsageShare
 
-LIST_INTERVAL = timedelta(seconds=1)
-LISTED_VM_TIME = timedelta(milliseconds=22)
 LOAD_PUSH_INTERVAL = timedelta(milliseconds=500)
 REMOTE_PUSH_INTERVAL = timedelta(seconds=5)
 HEARTBEAT_TIME_A_LINK = timedelta(milliseconds=30)
 COALESCE = timedelta(milliseconds=20)
-USAGE_INTERVAL = timedelta(seconds=5)
-USAGE_BYTE_TIME = timedelta(microseconds=500)
-USAGE_GREETERS = 2
 DRAIN_TAIL = timedelta(seconds=3)
 DRAIN_LIMIT = timedelta(seconds=60)
 MILLISECOND = timedelta(milliseconds=1)
@@ -86,7 +80,6 @@
         probe: LoadProbe | None = None,
     ) -> None:
         self._settings = settings
-        self._vm_list = vm_list
         self._clock = clock
         self._metrics = metrics
         self._copy = ConfigCopy()
@@ -129,8 +122,10 @@
             policies or Policies(),
             probe,
         )
-        self._usage = UsageLedger()
-        self._reported: dict[UsageKey, UsageCount] = {}
+        self._list = ListPoll(vm_list, self._membership, metrics)
+        self._usage = UsageShare(
+            self._end.hello, self._mesh, self._membership, self._slices.usage
+        )
         self._holders: dict[str, list[PeerLink]] = {}
         self._followers: set[PeerLink] = set()
         self._heartbeat_frame = IDLE_HEARTBEAT
@@ -169,11 +164,11 @@
             tasks.start_soon(self._mesh.run)
             tasks.start_soon(self._feed.run)
             tasks.start_soon(self._snapshots.run)
-            tasks.start_soon(self._poll_list)
+            tasks.start_soon(self._list.run)
             tasks.start_soon(self._follow_configuration, tasks)
             tasks.start_soon(self._follow_membership, tasks)
             tasks.start_soon(self._refresh_heartbeat)
-            tasks.start_soon(self._share_usage)
+            tasks.start_soon(self._usage.run)
             await self._drained.wait()
             tasks.cancel_scope.cancel()
         _log.notice("ended")
@@ -234,7 +229,7 @@
         """Take a link's messages until it ends."""
         self._holders.setdefault(link.holder, []).append(link)
         if link.remote.program is Program.dispatch:
-            self._greet_peer(link)
+            self._usage.greet(link)
         try:
             async with anyio.create_task_group() as tasks:
                 async for message in link:
@@ -254,15 +249,6 @@
             del self._holders[link.holder]
             self._slices.holder_lost(link.holder)
 
-    def _greet_peer(self, link: PeerLink) -> None:
-        """Give a newcomer the usage so far, if this node is one of its greeters."""
-        here = self._settings.data_centre
-        others = [vm for vm in self._membership.live_vms(here) if vm != link.remote.vm]
-        greeters = ranked(link.remote.vm, others)[:USAGE_GREETERS]
-        if link.remote.data_centre == here and self._settings.vm in greeters:
-            for report in self._usage.reports(self._settings.vm):
-                link.send(report)
-
     def _take_checked(self, link: PeerLink, message: object, tasks: TaskGroup) -> None:
         try:
             self._take(link, message, tasks)
@@ -300,7 +286,7 @@
             case StatusRequest():
                 link.send(self.status(message.request_id))
             case UsageRequest():
-                totals = self._merged_usage()
+                totals = self._usage.totals()
                 link.send(UsageReply(request_id=message.request_id, counts=totals))
             case DrainRequest():
                 self.announce_leaving()
@@ -385,27 +371,6 @@
             await self._membership.wait_state_changed()
             self._slices.refresh(self._copy.configuration, tasks)
 
-    async def _poll_list(self) -> None:
-        """Read the VM list; after a large answer that was new, wait for longer."""
-        last: tuple[ListedVm, ...] | None = None
-        answering = True
-        while True:
-            interval = LIST_INTERVAL
-            try:
-                listed = await self._vm_list.fetch()
-            except ChivespanError as error:
-                self._metrics.incr("membership.list_failures")
-                if answering:
-                    _log.warning("the VM list gives no answer", reason=error.message)
-                answering = False
-            else:
-                answering = True
-                if listed is not last:
-                    self._membership.take_list(listed)
-                    interval = max(interval, len(listed) * LISTED_VM_TIME)
-                last = listed
-            await anyio.sleep(interval.total_seconds())
-
     async def _refresh_heartbeat(self) -> None:
         while True:
             self._make_heartbeat()
@@ -431,39 +396,3 @@
         if remote.program is Program.dispatch:
             return self._heartbeat_frame
         return IDLE_HEARTBEAT
-
-    def _own_usage(self, counts: list[UsageCount]) -> UsageReport:
-        return UsageReport(
-            vm=self._settings.vm,
-            incarnation=self._end.hello.incarnation,
-            counts=counts,
-        )
-
-    def _merged_usage(self) -> list[UsageCount]:
-        self._usage.take(self._own_usage(self._slices.usage()))
-        return self._usage.totals()
-
-    async def _share_usage(self) -> None:
-        """Send the running totals that changed to the data centre's peers.
-
-        What was sent sets when to send again, so that the rate stays bounded.
-        """
-        interval = USAGE_INTERVAL
-        while True:
-            await anyio.sleep(interval.total_seconds())
-            counts = self._slices.usage()
-            changed = [c for c in counts if self._reported.get(key_of(c)) != c]
-            interval = max(USAGE_INTERVAL, self._send_usage(changed) * USAGE_BYTE_TIME)
-
-    def _send_usage(self, changed: list[UsageCount]) -> int:
-        """Send totals to all peers here; return the bytes that took."""
-        if not changed:
-            return 0
-        self._reported.update((key_of(count), count) for count in changed)
-        report = self._own_usage(changed)
-        self._usage.take(report)
-        frame = encode_message(report)
-        links = self._mesh.links_here()
-        for link in links:
-            link.send_frame(frame)
-        return len(frame) * len(links)
