--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -31,6 +31,7 @@
     far_targets=4430,
     owners=1600,
     listed=270,
+    slices=1,
     changes_per_s=0.185,
     grants_per_s=24,
     settle_s=10,
@@ -72,8 +73,8 @@
     ),
     Series(
         "targets_centre",
-        "target of the data centre, of 29 VMs that share them",
-        [Load(peers=29, targets=n) for n in (16, 90, 180, 370)],
+        "target of the data centre, none of them in an own slice",
+        [Load(peers=29, targets=n, slices=0) for n in (16, 90, 180, 370)],
         lambda point: point.load.targets,
         370,
     ),
@@ -95,7 +96,7 @@
         "changes",
         "configuration change a second, read and pushed to 29 peers",
         [
-            Load(peers=29, targets=16, owners=400, changes_per_s=n)
+            Load(peers=29, owners=400, changes_per_s=n, reader=True)
             for n in (0, 2, 5, 10, 20)
         ],
         lambda point: point.changes_s,
@@ -158,10 +159,9 @@
     variants = {
         "whole": whole,
         "without_grants": without,
-        "no_slice": replace(without, targets=0, far_targets=4800),
-        "no_slice_with_own_programs": replace(
-            without, targets=0, far_targets=4800, followers=2
-        ),
+        "no_slice": replace(without, slices=0),
+        "with_own_programs": replace(without, followers=2),
+        "reader": replace(without, reader=True),
     }
     measured = _measure_all(list(variants.values()))
     for name, result in zip(variants, measured, strict=True):
--- a/bench/capacityrig.py
+++ b/bench/capacityrig.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, replace
 from datetime import UTC, datetime, timedelta
 from functools import partial
+from math import ceil
 
 import anyio
 from anyio.abc import TaskGroup
@@ -29,6 +30,7 @@
     report_centre,
 )
 from chivespan.clock import SystemClock
+from chivespan.configfeed import READERS
 from chivespan.configfold import CONFIG_STREAM
 from chivespan.dispatcher import HEARTBEAT_TIME_A_LINK
 from chivespan.dispatchquery import ask_status
@@ -44,6 +46,7 @@
 )
 from chivespan.metrics import Metrics
 from chivespan.peerlink import LinkEnd, LinkOptions, PeerLink, dial, listen, new_hello
+from chivespan.placement import owner, ranked
 from chivespan.settings import NodeSettings
 from standins.logservice import LogStandIn
 from standins.serving import StandIn, serving, serving_at
@@ -69,6 +72,8 @@
     :param far_targets: targets elsewhere, of which the node knows only the documents.
     :param owners: owners, each with two rules.
     :param listed: other VMs on the list.
+    :param slices: so many slices are the node's own; -1 for as many as there may be.
+    :param reader: whether the node is one of the data centre's readers of the log.
     """
 
     peers: int = 0
@@ -81,6 +86,8 @@
     listed: int = 0
     changes_per_s: float = 0
     grants_per_s: float = 0
+    slices: int = -1
+    reader: bool = False
     seconds: float = 8.0
     settle_s: float = 4.0
 
@@ -140,6 +147,7 @@
     """A node and its fakes while they run."""
 
     network: str
+    vm: str
     load: Load
     log: LogStandIn
     vm_list: VmListStandIn
@@ -148,10 +156,6 @@
     grants: int = 0
     changes: int = 0
 
-    @property
-    def vm(self) -> str:
-        return f"{self.network}.1.200"
-
     @property
     def address(self) -> str:
         return f"{self.vm}:{PORT}"
@@ -247,10 +251,11 @@
 async def running(network: str, load: Load) -> AsyncIterator[tuple[Rig, float]]:
     """Run a node and its fakes; give the time until its configuration was whole."""
     log, documents = LogStandIn(), Documents(network)
-    vm_list = TaggedVmList(tuple(_listed(network, load)))
+    vm = _suitable_vm(network, load)
+    vm_list = TaggedVmList(tuple(_listed(network, vm, load)))
     for payload in documents.inventory(load.targets, load.far_targets, load.owners):
         log.append(CONFIG_STREAM, [payload])
-    rig = Rig(network, load, log, vm_list, documents)
+    rig = Rig(network, vm, load, log, vm_list, documents)
     async with AsyncExitStack() as stack:
         urls = await stack.enter_async_context(serving(log, vm_list))
         reports = LoadReports()
@@ -299,7 +304,21 @@
                 await anyio.sleep(0.05)
 
 
-def _listed(network: str, load: Load) -> list[VmEntry]:
+def _suitable_vm(network: str, load: Load) -> str:
+    """Return an address whose place in rendezvous order is as the load wants."""
+    peers = [f"{network}.0.{n + 1}" for n in range(load.peers)]
+    slice_ids = [f"booking-lm/{CENTRE}/{n}" for n in range(ceil(load.targets / 16))]
+    for number in range(1, 255):
+        vm = f"{network}.1.{number}"
+        vms = [vm, *peers]
+        owned = sum(owner(slice_id, vms) == vm for slice_id in slice_ids)
+        reader = vm in ranked(f"config/{CENTRE}", vms)[:READERS]
+        if (reader is load.reader or not peers) and load.slices in (-1, owned):
+            return vm
+    raise LookupError("no address of the network fits")
+
+
+def _listed(network: str, vm: str, load: Load) -> list[VmEntry]:
     here = [VmEntry(f"{network}.0.{n + 1}", CENTRE, REGION) for n in range(load.peers)]
     near = [
         VmEntry(f"{network}.{index + 2}.{n + 1}", centre, REGION)
@@ -310,7 +329,7 @@
         VmEntry(f"10.{n // 250}.0.{n % 250}", f"far-{n % 10}", f"region-{n % 3 + 1}")
         for n in range(load.listed)
     ]
-    return [VmEntry(f"{network}.1.200", CENTRE, REGION), *here, *near, *far]
+    return [VmEntry(vm, CENTRE, REGION), *here, *near, *far]
 
 
 async def _surround(rig: Rig, tasks: TaskGroup) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -193,7 +193,7 @@
 
 
 async def test_node_that_starts_while_the_list_is_down_is_found_by_peers() -> None:
-    platform = Platform(port=23111)
+    platform = Platform()
     platform.publish(*inventory(targets=40))
     blind = replace(platform, vm_list=FakeVmList(down=True))
     async with control_nodes(platform, [OWN, PEER]) as nodes:
@@ -206,7 +206,7 @@
 
 
 async def test_node_missing_from_a_lagging_list_joins_by_itself() -> None:
-    platform = Platform(port=23112)
+    platform = Platform()
     fresh = replace(platform, vm_list=FakeVmList())
     async with control_nodes(platform, [OWN, PEER]) as nodes:
         fresh.list_vms(OWN, PEER, THIRD)
@@ -217,7 +217,7 @@
 
 
 async def test_lost_node_is_silent_in_time_though_the_list_shows_it_live() -> None:
-    platform = Platform(port=23113)
+    platform = Platform()
     platform.publish(*inventory(targets=40))
     async with control_nodes(platform, [OWN, PEER, THIRD]) as nodes:
         await until(lambda: live_everywhere(nodes) and each_slice_once(nodes, 3))
@@ -228,7 +228,7 @@
 
 
 async def test_frozen_peer_is_silent_in_time() -> None:
-    platform = Platform(port=23114)
+    platform = Platform()
     platform.list_vms(PEER)
     opened = anyio.Event()
 
@@ -247,7 +247,7 @@
 
 
 async def test_leaving_node_hands_over_and_ends() -> None:
-    platform = Platform(port=23115)
+    platform = Platform()
     platform.publish(*inventory(targets=40))
     async with control_nodes(platform, [OWN, PEER, THIRD]) as nodes:
         await until(lambda: live_everywhere(nodes) and each_slice_once(nodes, 3))
@@ -260,7 +260,7 @@
 
 
 async def test_node_that_the_list_shows_as_leaving_owns_nothing() -> None:
-    platform = Platform(port=23116)
+    platform = Platform()
     platform.publish(*inventory(targets=40))
     async with control_nodes(platform, [OWN, PEER]) as nodes:
         await until(lambda: live_everywhere(nodes) and each_slice_once(nodes, 3))
@@ -270,7 +270,7 @@
 
 
 async def test_leaving_target_is_taken_from_its_slice() -> None:
-    platform = Platform(port=23117)
+    platform = Platform()
     platform.publish(*inventory(targets=2))
     async with control_nodes(platform, [OWN]) as nodes:
         status = nodes[0].dispatcher.status
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -79,7 +79,7 @@
 ) -> None:
     monkeypatch.setattr(usageshare, "USAGE_INTERVAL", timedelta(milliseconds=50))
     monkeypatch.setattr(usageshare, "USAGE_BYTE_TIME", timedelta(0))
-    platform = Platform(port=23131)
+    platform = Platform()
     platform.publish(*inventory(2))
     async with control_nodes(platform, VMS) as nodes, asker(platform, VMS[0]) as entry:
         for number in range(5):
