Look at targets less often for each grant; measure what a grant costs

The whole slice was worked out anew, and every grant listed, twice a grant. Target health is now refreshed on the tick and when it changes, and grants are listed only when some must go.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	$(PYTHON) -m tools.demo --keep
 
 bench-policy: setup
+	$(PYTHON) -m bench.bench_grants
 	$(PYTHON) -m bench.bench_policy compare
 	$(PYTHON) -m bench.bench_policy compare --kill=True --name=bench_policy_killed
 
--- a/chivespan/batchcontrol.py
+++ b/chivespan/batchcontrol.py
@@ -11,7 +11,7 @@
     SliceCounts,
     TargetCounts,
 )
-from chivespan.grantbook import LiveGrant
+from chivespan.grantbook import GrantBook, LiveGrant
 from chivespan.messages import WorkClass
 from chivespan.policies import Policies
 from chivespan.targetstate import TargetState
@@ -95,17 +95,17 @@
             return target.free
         return target.open_slots + queue - target.counts[WorkClass.online]
 
-    def excess(
-        self, standing: Sequence[LiveGrant], now: timedelta
-    ) -> Iterator[LiveGrant]:
-        """Yield the batch grants that are over a limit.
+    def excess(self, grants: GrantBook, now: timedelta) -> Iterator[LiveGrant]:
+        """Yield the batch grants that are over a limit, the youngest first.
 
-        :param standing: batch grants that were not taken back, the youngest first; the
-            youngest lose least, since resuming reads the prompt and all tokens again.
+        The youngest lose least, since resuming reads the prompt and all tokens again.
         """
         for group in self._groups.values():
-            if group.level.yields:
-                yield from _excess_of(group, standing, self._cuts(group, now))
+            if not group.level.yields or group.standing_batch == 0:
+                continue
+            cuts = self._cuts(group, now)
+            if cuts or group.standing_batch > group.limit:
+                yield from _excess_of(group, grants.standing_batch(), cuts)
 
     def record(self, target: TargetState, sample: OnlineSample, now: timedelta) -> None:
         """Take in a measure of an online request."""
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -206,6 +206,7 @@
         """Do all that is due by now."""
         now = self._clock.monotonic()
         self._pool.lapse()
+        self._pool.refresh()
         for waiter in [*self._online.overdue(now), *self._batch.overdue(now)]:
             self._refuse(waiter, ErrorKind.DEADLINE_PASSED)
         self._schedule()
@@ -243,18 +244,19 @@
     def _schedule(self) -> None:
         """Give all slots that may be given, and take back what batch must yield."""
         now = self._clock.monotonic()
-        self._pool.refresh()
         self._give_to_online()
         queued = [waiter.request.model for waiter in self._online]
         self._control.update(queued, now)
         if self._control.yields:
             self._take_back_for_waiting()
-            for grant in self._control.excess(self._pool.grants.standing_batch(), now):
+            for grant in self._control.excess(self._pool.grants, now):
                 self._pool.revoke(grant)
         if len(self._batch):
             self._give_to_batch(now)
 
     def _give_to_online(self) -> None:
+        if not len(self._online):
+            return
         if not any(self._control.online_room(each) > 0 for each in self._pool.serving):
             return
         for waiter in self._in_order(WorkClass.online):
@@ -268,6 +270,8 @@
 
     def _take_back_for_waiting(self) -> None:
         """See that each waiting online request has a batch grant taken back for it."""
+        if not len(self._online):
+            return
         unclaimed = {target.name: target.promised for target in self._pool.serving}
         for waiter in self._in_order(WorkClass.online):
             targets = list(self._suitable(waiter.request))
@@ -343,8 +347,10 @@
             return
         if release.outcome in FAILED_OUTCOMES:
             target.health.record_failure(now)
+            target.refresh(now)
         elif release.outcome is Outcome.done:
             target.health.record_success()
+            target.refresh(now)
             if grant.work_class is WorkClass.online:
                 self._drain.record(now - grant.granted_at)
                 sample = self._sample(grant, release)
