Give the log's waiting reads connections of their own

With 40 streams followed, an append found no free connection in the pool of 32 and was taken for an unreachable log; the new test fails on that and passes now.

--- a/chivespan/httplog.py
+++ b/chivespan/httplog.py
@@ -16,6 +16,7 @@
 READ_TIMEOUT = timedelta(seconds=3)
 CONNECT_TIMEOUT = timedelta(seconds=1)
 MAX_CONNECTIONS = 32
+KEEPALIVE_S = 10.0
 _STATUS_OK = 200
 _STATUS_GONE = 410
 
@@ -37,7 +38,11 @@
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, keepalive_expiry=10.0
+            max_connections=MAX_CONNECTIONS, keepalive_expiry=KEEPALIVE_S
+        )
+        # Reads that wait must not hold up appends, however many streams are followed.
+        self._waiting_pool = httpcore.AsyncConnectionPool(
+            max_connections=None, keepalive_expiry=KEEPALIVE_S
         )
 
     async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
@@ -54,7 +59,9 @@
         wait_ms = wait // timedelta(milliseconds=1)
         path = f"/streams/{quote(stream, safe='')}/records"
         query = f"?start={start}&limit={limit}&wait_ms={wait_ms}"
-        return _page(await self._call("GET", path + query, READ_TIMEOUT + wait))
+        pool = self._waiting_pool if wait else self._pool
+        answer = await self._call("GET", path + query, READ_TIMEOUT + wait, pool=pool)
+        return _page(answer)
 
     async def bounds(self, stream: str) -> LogPage:
         """Return a page without records, for its bounds."""
@@ -64,9 +71,15 @@
     async def aclose(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
+        await self._waiting_pool.aclose()
 
     async def _call(
-        self, method: str, path: str, timeout: timedelta, body: bytes = b""
+        self,
+        method: str,
+        path: str,
+        timeout: timedelta,
+        body: bytes = b"",
+        pool: httpcore.AsyncConnectionPool | None = None,
     ) -> _Answer:
         seconds = timeout.total_seconds()
         timeouts = {
@@ -76,7 +89,7 @@
             "write": seconds,
         }
         try:
-            response = await self._pool.request(
+            response = await (pool or self._pool).request(
                 method,
                 self._base_url + path,
                 headers=[(b"Content-Type", b"application/cbor")],
--- a/tests/test_httplog.py
+++ b/tests/test_httplog.py
@@ -2,10 +2,11 @@
 
 from datetime import timedelta
 
+import anyio
 import pytest
 
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.httplog import HttpLog
+from chivespan.httplog import MAX_CONNECTIONS, HttpLog
 from chivespan.platform import LogNotReached, LogRecord
 from tools.cluster import Cluster, Site, free_block, put
 
@@ -41,3 +42,17 @@
         await log.aclose()
     with pytest.raises(LogNotReached):
         await HttpLog(site.log_url).append("a.b", [b"4"])
+
+
+async def test_many_waiting_reads_do_not_hold_up_an_append() -> None:
+    site = Site(data_centres=(), region="r", block=free_block(), engines=1)
+    with Cluster(site):
+        log = HttpLog(site.log_url)
+        async with anyio.create_task_group() as tasks:
+            for number in range(MAX_CONNECTIONS + 8):
+                tasks.start_soon(log.read, f"s{number}", 0, 1, timedelta(seconds=5))
+            await anyio.sleep(0.3)
+            with anyio.fail_after(2):
+                assert await log.append("s0", [b"0"]) == 0
+            tasks.cancel_scope.cancel()
+        await log.aclose()
