--- a/chivespan/batchserver.py
+++ b/chivespan/batchserver.py
@@ -32,6 +32,7 @@
 from chivespan.metrics import Metrics
 from chivespan.partitions import Partitions
 from chivespan.peerlink import PeerLink
+from chivespan.steps import Step, reach
 
 ANSWER_TIMEOUT = timedelta(seconds=10)
 MAX_SUBMISSION_BYTES = 64 * 1024 * 1024
@@ -146,6 +147,7 @@
         )
         store = await self._store(partition_of(message.job_id))
         state = await store.submit(plan)
+        await reach(Step.JOB_ACKNOWLEDGE)
         return JobStateReply(request_id=message.request_id, state=state)
 
     @_handles(JobStateRequest)
@@ -179,6 +181,7 @@
     ) -> JobStateReply:
         store = await self._store(partition_of(message.job_id))
         state = await store.cancel(message.owner, message.job_id, message.reason)
+        await reach(Step.JOB_CANCEL)
         return JobStateReply(request_id=message.request_id, state=state)
 
     @_handles(ClaimRequest)
