--- a/bench/bench_state.py
+++ b/bench/bench_state.py
@@ -18,7 +18,8 @@
         yield throughput(workers)
     yield in_force(kill_readers=False)
     yield in_force(kill_readers=True)
-    yield takeover()
+    yield takeover(alone=False)
+    yield takeover(alone=True)
 
 
 def main(only: str = "") -> None:
@@ -32,7 +33,7 @@
         "memory": open_items_memory,
         "throughput": lambda: map(throughput, WORKERS),
         "spread": lambda: map(in_force, (False, True)),
-        "takeover": lambda: iter([takeover()]),
+        "takeover": lambda: map(takeover, (False, True)),
     }
     for result in chosen[only]():
         print(json.dumps(result), flush=True)
--- a/bench/statecluster.py
+++ b/bench/statecluster.py
@@ -260,8 +260,11 @@
     return ConfigChange(operator="bench", reason="bench", changes=changes)
 
 
-def takeover() -> dict[str, object]:
-    """Return the time until a job goes on after its worker was killed."""
+def takeover(alone: bool) -> dict[str, object]:
+    """Return the time until a job goes on after its worker was killed.
+
+    :param alone: kill the batch program and leave the VM's others running.
+    """
     site = Site(
         data_centres=(CENTRES[0],) * 3,
         region="r",
@@ -276,7 +279,8 @@
         lost = owner(jobs_stream(partition_of(job.id)), vms) or vms[0]
         asked = next(vm for vm in vms if vm != lost)
         _wait_done(asked, job.id, job.items // 10)
-        for process in cluster.vm_processes(lost):
+        batch = cluster.process(f"{lost}/batch")
+        for process in [batch] if alone else cluster.vm_processes(lost):
             process.kill()
         began = time.monotonic()
         time.sleep(FLUSH.total_seconds())
@@ -289,6 +293,7 @@
         resident_mb = _resident_mb(worker)
     return {
         "measure": "job_goes_on_after_worker_killed",
+        "killed": "batch program" if alone else "VM",
         "seconds": round(gap, 2),
         "status": finished.status,
         "items": job.items,
