--- a/chivespan/batch_main.py
+++ b/chivespan/batch_main.py
@@ -2,15 +2,12 @@
 
 import os
 import signal
-from collections.abc import Iterable
 from datetime import timedelta
-from itertools import chain
 
 import anyio
 from anyio.abc import TaskGroup
 
 from chivespan.batchserver import BatchServer
-from chivespan.batchwatch import BatchWatch
 from chivespan.clock import SystemClock
 from chivespan.engineclient import EngineClient
 from chivespan.grantclient import GrantClient
@@ -24,14 +21,12 @@
 from chivespan.options import start
 from chivespan.partitions import PartitionContext, Partitions
 from chivespan.peerlink import LinkEnd, LinkOptions, holder_name, listen, new_hello
-from chivespan.placement import ranked
+from chivespan.placement import owner
 from chivespan.plainclient import PlainClient
 from chivespan.settings import NodeSettings
 from chivespan.targethttp import TargetHttp
 
 LEAVE_TIMEOUT = timedelta(seconds=60)
-OWNERSHIP_INTERVAL = timedelta(seconds=1)
-OWNERS_IN_LINE = 3
 
 _log = logger("batch")
 
@@ -64,16 +59,14 @@
             configuration=lambda: view.configuration,
         )
         partitions = Partitions(context)
-        watch = BatchWatch(end, settings.batch_port)
         server = BatchServer(partitions, metrics)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(view.run)
             tasks.start_soon(grants.run)
             tasks.start_soon(partitions.run)
-            tasks.start_soon(watch.run)
             await partitions.wait_started()
             owning = anyio.CancelScope()
-            tasks.start_soon(_keep_ownership, owning, settings, view, watch, partitions)
+            tasks.start_soon(_keep_ownership, owning, settings, view, partitions)
             async with listen(
                 settings.vm, settings.batch_port, end, server.handle
             ) as port:
@@ -89,38 +82,19 @@
     scope: anyio.CancelScope,
     settings: NodeSettings,
     view: NodeView,
-    watch: BatchWatch,
     partitions: Partitions,
 ) -> None:
-    """Own the streams for which no other VM with a batch program comes first."""
-    streams = partitions.all_streams()
-    orders: dict[str, list[str]] = {}
-    ordered: list[str] = []
+    """Own the streams for which this VM is first among the live ones."""
     with scope:
         await view.wait_ready()
         while True:
-            live = sorted(view.live_vms())
-            if live != ordered:
-                ordered = live
-                orders = {one: ranked(one, live)[:OWNERS_IN_LINE] for one in streams}
-                watch.watch(_ahead(settings.vm, orders.values()))
-            silent = watch.silent
-            mine = frozenset(
-                stream
-                for stream, order in orders.items()
-                if next((vm for vm in order if vm not in silent), "") == settings.vm
-            )
+            live = view.live_vms()
+            streams = partitions.all_streams()
+            mine = frozenset(one for one in streams if owner(one, live) == settings.vm)
             if mine != partitions.owned:
                 _log.notice("owned", streams=",".join(sorted(mine)))
                 partitions.own(mine)
-            with anyio.move_on_after(OWNERSHIP_INTERVAL.total_seconds()):
-                await view.wait_changed()
-
-
-def _ahead(vm: str, orders: Iterable[list[str]]) -> frozenset[str]:
-    """Return the VMs that come before one in any of the orders."""
-    lines = (order[: order.index(vm)] for order in orders if vm in order)
-    return frozenset(chain.from_iterable(lines))
+            await view.wait_changed()
 
 
 async def _wait_for_signal(tasks: TaskGroup) -> None:
