Give a batch process's partitions to another VM when it alone is away

Found by killing one chivespan-batch under a running job: its VM's dispatcher lived on, so the VM stayed live, kept its partitions, and the job stood still at 16 of 60 items for as long as was watched (24 s). A restart of the process was needed. Only silence of the whole VM moved partitions before; probing the batch ports of other VMs was not taken, since it costs each node a connection to every other.

--- a/chivespan/batch_main.py
+++ b/chivespan/batch_main.py
@@ -84,11 +84,11 @@
     view: NodeView,
     partitions: Partitions,
 ) -> None:
-    """Own the streams for which this VM is first among the live ones."""
+    """Own the streams for which this VM is first among those that run batch."""
     with scope:
         await view.wait_ready()
         while True:
-            live = view.live_vms()
+            live = view.batch_vms()
             streams = partitions.all_streams()
             mine = frozenset(one for one in streams if owner(one, live) == settings.vm)
             if mine != partitions.owned:
--- a/chivespan/batchlinks.py
+++ b/chivespan/batchlinks.py
@@ -68,7 +68,7 @@
 
     def vms_for(self, stream: str) -> list[str]:
         """Return whom to ask about a stream: its owner, the next, this VM."""
-        live = ranked(stream, self._view.live_vms())[:OWNERS_ASKED]
+        live = ranked(stream, self._view.batch_vms())[:OWNERS_ASKED]
         own = self._settings.vm
         return live if own in live else [*live, own]
 
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -376,11 +376,20 @@
             self._make_heartbeat()
             await anyio.sleep(self._end.options.heartbeat.total_seconds())
 
+    def _runs_batch(self) -> bool:
+        """Whether this VM's batch process is linked; else others own its partitions."""
+        own = self._settings.vm
+        return any(
+            link.remote.vm == own and link.remote.program is Program.batch
+            for link in self._followers
+        )
+
     def _make_heartbeat(self) -> None:
         heartbeat = Heartbeat(
             config_offset=self._copy.offset,
             leaving=self._membership.leaving,
             slices=self._slices.loads(),
+            runs_batch=self._runs_batch(),
         )
         self._membership.set_own(heartbeat)
         self._heartbeat_frame = encode_message(heartbeat)
--- a/chivespan/membership.py
+++ b/chivespan/membership.py
@@ -299,8 +299,10 @@
         heartbeat = self._heartbeat(vm)
         slices: list[SliceLoad] = []
         offset = -1
+        runs_batch = True
         if heartbeat is not None:
             slices = heartbeat.slices
+            runs_batch = heartbeat.runs_batch
             offset = heartbeat.config_offset
         elif vm.reported is not None:
             return replace(vm.reported, state=self._state(vm))
@@ -311,6 +313,7 @@
             state=self._state(vm),
             config_offset=offset,
             slices=slices,
+            runs_batch=runs_batch,
         )
 
     def _heartbeat(self, vm: _Vm) -> Heartbeat | None:
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -88,6 +88,10 @@
     """
     leaving: bool
     slices: list[SliceLoad]
+    runs_batch: bool = True
+    """
+    Whether the VM's batch process is there.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -257,6 +261,10 @@
     state: VmState
     config_offset: int = -1
     slices: list[SliceLoad] = field(default_factory=list)
+    runs_batch: bool = True
+    """
+    Whether the VM's batch process is there.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/nodeview.py
+++ b/chivespan/nodeview.py
@@ -81,6 +81,18 @@
             if view.state is VmState.live and data_centre in (None, view.data_centre)
         ]
 
+    def batch_vms(self) -> list[str]:
+        """Return the live VMs whose batch process is there, or all when none is known.
+
+        A batch process can end or hang while the rest of its VM goes on.
+        """
+        running = [
+            view.vm
+            for view in self._vms.values()
+            if view.state is VmState.live and view.runs_batch
+        ]
+        return running or self.live_vms()
+
     async def wait_ready(self) -> None:
         """Wait until configuration and membership were heard once."""
         await self._ready.wait()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -113,6 +113,22 @@
     assert view.views[FAR].state is LIVE
 
 
+def test_a_batch_process_that_is_away_is_told_to_all() -> None:
+    view, _ = membership()
+    view.take_list([listed(OWN), listed(PEER)])
+    view.linked(hello(PEER))
+    view.heard(PEER, Heartbeat(config_offset=3, leaving=False, slices=[]))
+    before = view.sequence
+    view.heard(
+        PEER, Heartbeat(config_offset=3, leaving=False, slices=[], runs_batch=False)
+    )
+    update = view.changes_since(before)
+    assert update is not None
+    assert [(one.vm, one.state, one.runs_batch) for one in update.vms] == [
+        (PEER, LIVE, False)
+    ]
+
+
 def test_leaving_is_believed_from_either_source() -> None:
     view, _ = membership()
     view.take_list([listed(OWN), listed(PEER), listed(THIRD, LEAVING)])
