--- a/chivespan/follower.py
+++ b/chivespan/follower.py
@@ -14,9 +14,9 @@
 from chivespan.snapshots import Fold, SnapshotStore
 
 READ_WAIT = timedelta(seconds=5)
-PAGE_RECORDS = 256
 NO_WAIT = timedelta(0)
 CURRENT_WAIT = timedelta(seconds=1)
+PAGE_RECORDS = 256
 
 _log = logger("follower")
 
@@ -103,6 +103,7 @@
             except ChivespanError as error:
                 if error.kind is ErrorKind.LOG_EXPIRED:
                     loaded = False
+                    self._current = anyio.Event()
                     self._counters.incr("follower.started_anew")
                 self._note_answering(False, error.message)
                 await anyio.sleep(delays.next().total_seconds())
