--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,59 @@
+from collections.abc import Iterator
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from tools.cluster import Cluster, Process, Site, free_block, wait_until
+from tools.demo import DATA_CENTRES, REGION, Demo, job_items
+
+ITEMS = 40
+SETTINGS = {"heartbeat_ms": "200", "peer_silence_ms": "1000"}
+TAKEN_OVER_WITHIN = timedelta(seconds=20)
+
+
+@pytest.fixture
+def cluster() -> Iterator[Cluster]:
+    site = Site(
+        data_centres=DATA_CENTRES,
+        region=REGION,
+        block=free_block(),
+        engines=6,
+        plains=3,
+        settings=SETTINGS,
+    )
+    with Cluster(site) as running:
+        yield running
+
+
+def _owner_of(job: str, cluster: Cluster) -> Process:
+    stream = f"jobs.{job.split('-')[1]}"
+    batches = [cluster.process(f"{place.vm}/batch") for place in cluster.site.vms]
+    (owner,) = [
+        process
+        for process in batches
+        if stream in process.tail().rsplit("event=owned", 1)[-1]
+    ]
+    return owner
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+def test_a_job_goes_on_when_only_its_batch_process_is_away(
+    cluster: Cluster, fault: str, tmp_path: Path
+) -> None:
+    demo = Demo(cluster, tmp_path)
+    demo.apply()
+    job = demo.submit(job_items("Route summary", ITEMS, max_tokens=24), "key").id
+    for _ in wait_until("a first result"):
+        if demo.state(job).done:
+            break
+    owner = _owner_of(job, cluster)
+    if fault == "kill":
+        owner.kill()
+    else:
+        owner.freeze()
+    for _ in wait_until("the job's end", TAKEN_OVER_WITHIN):
+        if demo.state(job).status == "finished":
+            break
+    state = demo.state(job)
+    assert (state.done, state.failed) == (ITEMS, 0)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -67,7 +67,7 @@
 
     def run(self) -> None:
         """Take all steps."""
-        self._apply()
+        self.apply()
         self._addresses()
         self._whole()
         self._streamed()
@@ -80,7 +80,7 @@
 
     def keep(self) -> None:
         """Put the example in force and wait for the interrupt key."""
-        self._apply()
+        self.apply()
         print("\nReady; stop with the interrupt key (Ctrl-C). For the command line:")
         for name, value in self._settings().items():
             print(f"export {name}={value}")
@@ -96,7 +96,8 @@
             "CHIVESPAN_ENTRY": self._address,
         }
 
-    def _apply(self) -> None:
+    def apply(self) -> None:
+        """Put the example in force on every VM."""
         self._say("An operator checks the example and puts it in force")
         files = [str(path) for path in self._write_files()]
         self._chivespan("validate", *files)
@@ -173,7 +174,7 @@
         self._mistake({"model": "no-such-model", "prompt": "x"})
         self._mistake({"model": MODEL, "prompt": "x"}, key="nobody's")
 
-        lines = _items("Route summary", 40).split(b"\n")
+        lines = job_items("Route summary", 40).split(b"\n")
         lines[36] = b'{"id": "route-36", "promt": "x"}'
         path = f"/v1/batches?service={MODEL}"
         self._refused(self._request("POST", path, b"\n".join(lines)))
@@ -188,10 +189,10 @@
 
     def _job(self) -> str:
         self._say("A batch job, sent twice with the same key: one job")
-        body = _items("Route summary", JOB_ITEMS)
-        first = self._submit(body, "evening-1")
+        body = job_items("Route summary", JOB_ITEMS)
+        first = self.submit(body, "evening-1")
         print(f"job {first.id}: {first.status}, {first.items} items")
-        again = self._submit(body, "evening-1")
+        again = self.submit(body, "evening-1")
         print(f"sent again: job {again.id}, {again.items} items")
         _require(first.id == again.id, "a job sent again is the same job")
         return first.id
@@ -200,7 +201,7 @@
         self._say("Its state until it is finished, and its results")
         shown = ""
         for _ in wait_until("the job's end", JOB_TIMEOUT):
-            state = self._state(job)
+            state = self.state(job)
             line = f"{state.status}, {state.done} of {state.items} done"
             if line != shown:
                 print(line)
@@ -221,28 +222,30 @@
 
     def _cancelled_job(self) -> None:
         self._say("Another job, cancelled")
-        body = _items("Loading plan", LONG_JOB_ITEMS, LONG_TOKENS)
-        job = self._submit(body, "evening-2").id
+        body = job_items("Loading plan", LONG_JOB_ITEMS, LONG_TOKENS)
+        job = self.submit(body, "evening-2").id
         for _ in wait_until("its first result", JOB_TIMEOUT):
-            if self._state(job).done:
+            if self.state(job).done:
                 break
         answer = self._request("POST", f"/v1/batches/{job}/cancel")
         state = _decode(answer, BatchJob)
         print(f"job {job}: {state.status}, {state.done} of {state.items} done")
         _require(state.status == CANCELLED, "the job is cancelled")
         time.sleep(SETTLE.total_seconds())
-        later = self._state(job)
+        later = self.state(job)
         print(f"{SETTLE.total_seconds():g} s later: {later.done} done")
         _require(later.done == state.done, "a cancelled job stays stopped")
 
-    def _submit(self, body: bytes, key: str) -> BatchJob:
+    def submit(self, body: bytes, key: str) -> BatchJob:
+        """Submit a batch job and return it once it is accepted."""
         answer = self._request(
             "POST", f"/v1/batches?service={MODEL}", body, idempotency_key=key
         )
         _require(answer.status == 202, f"accepted: {answer.content.decode()}")
         return _decode(answer, BatchJob)
 
-    def _state(self, job: str) -> BatchJob:
+    def state(self, job: str) -> BatchJob:
+        """Return a batch job's state."""
         return _decode(self._request("GET", f"/v1/batches/{job}"), BatchJob)
 
     def _operators(self) -> None:
@@ -280,7 +283,7 @@
         return httpcore.request(method, url, headers=headers, content=content)
 
 
-def _items(prompt: str, count: int, max_tokens: int = 12) -> bytes:
+def job_items(prompt: str, count: int, max_tokens: int = 12) -> bytes:
     """Return a job's items as JSON lines."""
     items = [
         BatchModelItem(
