Measure what the path adds to a direct request; a pool for each target; rarer load probes

Load probes: one pool for all targets looked through all its connections for each request; each target now has its own.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
+.PHONY: bench-path setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -47,6 +47,9 @@
 	$(PYTHON) -m bench.bench_policy compare
 	$(PYTHON) -m bench.bench_policy compare --kill=True --name=bench_policy_killed
 
+bench-path: setup
+	$(PYTHON) -m bench.bench_path
+
 bench-state: setup
 	$(PYTHON) -m bench.bench_state
 
--- /dev/null
+++ b/bench/bench_path.py
@@ -0,0 +1,130 @@
+"""``make bench-path``: what the path through an entry adds to a direct request.
+
+Direct and entry requests alternate in one run, so that both meet the same machine; the
+processes' idle cost is read afterwards. Prints JSON lines.
+"""
+
+import json
+import os
+import sys
+import tempfile
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+
+import fire
+import httpcore
+from hdrh.histogram import HdrHistogram
+
+from tools.cluster import Cluster, Process, free_block
+from tools.demo import MODEL, OWNER_KEY, Demo, demo_site
+
+IDLE_TIME = timedelta(seconds=10)
+HIGHEST_US = 60_000_000
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True)
+class Way:
+    """One way to the engine."""
+
+    name: str
+    url: str
+    headers: list[tuple[str, str]]
+    extra: Callable[[], dict[str, object]]
+
+
+def main(requests: int = 300, tokens: int = 8) -> None:
+    """Measure on the livestock example.
+
+    :param requests: requests of each kind.
+    :param tokens: tokens of each answer.
+    """
+    site = demo_site(free_block(), {"step_ms": "2", "step_ms_per_request": "0.1"})
+    with tempfile.TemporaryDirectory() as folder, Cluster(site) as cluster:
+        Demo(cluster, Path(folder)).apply()
+        _latency(cluster, requests, tokens)
+        _idle(cluster)
+
+
+def _latency(cluster: Cluster, requests: int, tokens: int) -> None:
+    entry = f"{cluster.site.vms[0].vm}:8080"
+    ways = [
+        Way("direct", cluster.site.engine_addresses[0], [], _engine_fields),
+        Way("entry", entry, [("authorization", f"Bearer {OWNER_KEY}")], dict),
+    ]
+    histograms = {way.name: HdrHistogram(1, HIGHEST_US, 3) for way in ways}
+    with httpcore.ConnectionPool() as pool:
+        for number in range(requests):
+            for way in ways:
+                elapsed = _request(pool, way, f"slot {number}", tokens)
+                histograms[way.name].record_value(round(elapsed * 1e6))
+    for name, histogram in histograms.items():
+        _print(
+            measure="whole_answer_ms",
+            path=name,
+            requests=requests,
+            tokens=tokens,
+            p50=histogram.get_value_at_percentile(50) / 1000,
+            p99=histogram.get_value_at_percentile(99) / 1000,
+        )
+
+
+def _engine_fields() -> dict[str, object]:
+    return {"request_id": uuid.uuid4().hex, "resume_tokens": []}
+
+
+def _request(
+    pool: httpcore.ConnectionPool, way: Way, prompt: str, tokens: int
+) -> float:
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens, "stream": True}
+    content = json.dumps(body | way.extra()).encode()
+    started = time.perf_counter()
+    answer = pool.request(
+        "POST",
+        f"http://{way.url}/v1/completions",
+        headers=way.headers,
+        content=content,
+    )
+    if answer.status != 200:
+        raise RuntimeError(f"{way.name}: {answer.status} {answer.content!r}")
+    return time.perf_counter() - started
+
+
+def _idle(cluster: Cluster) -> None:
+    vm = cluster.site.vms[0].vm
+    programs = {
+        name: cluster.process(f"{vm}/{name}") for name in ("entry", "dispatch", "batch")
+    }
+    before = {name: _cpu_seconds(process) for name, process in programs.items()}
+    time.sleep(IDLE_TIME.total_seconds())
+    for name, process in programs.items():
+        used = _cpu_seconds(process) - before[name]
+        _print(
+            measure="idle",
+            program=name,
+            core_percent=round(100 * used / IDLE_TIME.total_seconds(), 2),
+            resident_mb=round(_resident_bytes(process) / 1e6, 1),
+        )
+
+
+def _cpu_seconds(process: Process) -> float:
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def _resident_bytes(process: Process) -> int:
+    pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def _print(**fields: object) -> None:
+    print(json.dumps(fields))
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -44,7 +44,7 @@
 ONLINE_TICK = timedelta(milliseconds=20)
 BATCH_TICK = timedelta(milliseconds=50)
 IDLE_TICK = timedelta(milliseconds=500)
-PROBE_INTERVAL = timedelta(seconds=2)
+PROBE_INTERVAL = timedelta(seconds=10)
 MICROSECOND = timedelta(microseconds=1)
 
 
--- a/chivespan/targethttp.py
+++ b/chivespan/targethttp.py
@@ -19,7 +19,8 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 WRITE_TIMEOUT = timedelta(seconds=2)
 KEEPALIVE = timedelta(seconds=5)
-MAX_IDLE_CONNECTIONS = 64
+MAX_IDLE_CONNECTIONS = 16
+MAX_POOLS = 512
 
 Header = tuple[bytes, bytes]
 
@@ -63,18 +64,16 @@
 
 
 class TargetHttp:
-    """Connections to targets; an async context manager."""
+    """Connections to targets; an async context manager.
+
+    Every target has a pool of its own, since a pool looks through all its connections
+    for each request.
+    """
 
     def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=None,
-            network_backend=LimitedBackend(),
-            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
-            keepalive_expiry=KEEPALIVE.total_seconds(),
-        )
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def __aenter__(self) -> "TargetHttp":
-        await self._pool.__aenter__()
         return self
 
     async def __aexit__(
@@ -83,7 +82,8 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        await self._pool.__aexit__(kind, error, trace)
+        for pool in self._pools.values():
+            await pool.aclose()
 
     @asynccontextmanager
     async def open(
@@ -102,7 +102,8 @@
             ):
                 yield answer
         else:
-            async with self._open_on(self._pool, request, first_byte) as answer:
+            pool = self._pool(request.address)
+            async with self._open_on(pool, request, first_byte) as answer:
                 yield answer
 
     async def call(self, request: HttpRequest, timeout: timedelta) -> HttpAnswer:
@@ -118,6 +119,26 @@
             raise _timeout(request, "answer") from error
         return HttpAnswer(answer.status, answer.content_type, body)
 
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            self._drop_unused_pools()
+            pool = self._pools[address] = httpcore.AsyncConnectionPool(
+                max_connections=None,
+                max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+                keepalive_expiry=KEEPALIVE.total_seconds(),
+                network_backend=LimitedBackend(),
+            )
+        return pool
+
+    def _drop_unused_pools(self) -> None:
+        """Forget the pools of targets that are no longer spoken to."""
+        if len(self._pools) < MAX_POOLS:
+            return
+        unused = [name for name, pool in self._pools.items() if not pool.connections]
+        for name in unused:
+            del self._pools[name]
+
     def _own_connection(self) -> httpcore.AsyncConnectionPool:
         return httpcore.AsyncConnectionPool(
             max_connections=1, network_backend=LimitedBackend()
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -309,20 +309,29 @@
         raise SystemExit(f"FAILED: {what}")
 
 
-def main(keep: bool = False) -> None:
-    """Run the demo; ends with code 0 when every step had the result it should.
+def demo_site(block: str, engine_flags: Mapping[str, str] | None = None) -> Site:
+    """Return three VMs and the targets of the livestock example.
 
-    :param keep: instead of the steps, put the example in force and wait for the
-        interrupt key, for requests by hand.
+    :param block: first three numbers of all addresses.
     """
-    started = time.monotonic()
-    site = Site(
+    return Site(
         data_centres=DATA_CENTRES,
         region=REGION,
-        block=KEPT_BLOCK if keep else free_block(),
+        block=block,
         engines=6,
         plains=3,
+        engine_flags=engine_flags or {},
     )
+
+
+def main(keep: bool = False) -> None:
+    """Run the demo; ends with code 0 when every step had the result it should.
+
+    :param keep: instead of the steps, put the example in force and wait for the
+        interrupt key, for requests by hand.
+    """
+    started = time.monotonic()
+    site = demo_site(KEPT_BLOCK if keep else free_block())
     print(f"Starting {len(DATA_CENTRES)} VMs and the stand-ins on {site.block}.x")
     with Cluster(site) as cluster, tempfile.TemporaryDirectory() as folder:
         demo = Demo(cluster, Path(folder))
