--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: setup generate check-generated format lint types test faults demo site bench-policy bench-capacity
+.PHONY: bench-path setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -43,8 +43,15 @@
 	$(PYTHON) -m tools.demo --keep
 
 bench-policy: setup
+	$(PYTHON) -m bench.bench_grants
 	$(PYTHON) -m bench.bench_policy compare
 	$(PYTHON) -m bench.bench_policy compare --kill=True --name=bench_policy_killed
 
+bench-path: setup
+	$(PYTHON) -m bench.bench_path
+
+bench-state: setup
+	$(PYTHON) -m bench.bench_state
+
 bench-capacity: setup
 	$(PYTHON) -m bench.bench_capacity all
--- a/bench/capacityrig.py
+++ b/bench/capacityrig.py
@@ -11,45 +11,42 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, replace
 from datetime import UTC, datetime, timedelta
 from functools import partial
+from math import ceil
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
 
-from bench.capacitydocs import SLOTS, Documents
+from bench.capacitydocs import Documents
+from bench.capacityfakes import (
+    REGION,
+    LoadReports,
+    TaggedVmList,
+    changing_load,
+    report_centre,
+)
 from chivespan.clock import SystemClock
-from chivespan.codec import encode_message
+from chivespan.configfeed import READERS
 from chivespan.configfold import CONFIG_STREAM
-from chivespan.dispatcher import HEARTBEAT_TIME_A_LINK, REMOTE_PUSH_INTERVAL
+from chivespan.dispatcher import HEARTBEAT_TIME_A_LINK
 from chivespan.dispatchquery import ask_status
-from chivespan.engineapi import EngineLoad
 from chivespan.messages import (
     ConfigRequest,
     Grant,
     GrantRelease,
     GrantRequest,
-    Heartbeat,
-    Hello,
-    MembershipUpdate,
     Outcome,
     Program,
-    SliceLoad,
     StatusReply,
-    VmState,
-    VmView,
     WorkClass,
 )
 from chivespan.metrics import Metrics
 from chivespan.peerlink import LinkEnd, LinkOptions, PeerLink, dial, listen, new_hello
+from chivespan.placement import owner, ranked
 from chivespan.settings import NodeSettings
 from standins.logservice import LogStandIn
 from standins.serving import StandIn, serving, serving_at
@@ -57,14 +54,10 @@
 
 CENTRE = "centre-0"
 NEAR = ("centre-1", "centre-2")
-REGION = "region-0"
 PORT = 8081
 SEGMENT_HEADER_BYTES = 52
-REMOTE_REPORT_S = REMOTE_PUSH_INTERVAL.total_seconds()
 HEARTBEAT = timedelta(milliseconds=500)
-PEERS_OF_A_CENTRE = 30
 TOKENS = 400
-ENTITY_TAG = b'"1"'
 
 
 @dataclass(frozen=True)
@@ -79,6 +72,8 @@
     :param far_targets: targets elsewhere, of which the node knows only the documents.
     :param owners: owners, each with two rules.
     :param listed: other VMs on the list.
+    :param slices: so many slices are the node's own; -1 for as many as there may be.
+    :param reader: whether the node is one of the data centre's readers of the log.
     """
 
     peers: int = 0
@@ -91,6 +86,8 @@
     listed: int = 0
     changes_per_s: float = 0
     grants_per_s: float = 0
+    slices: int = -1
+    reader: bool = False
     seconds: float = 8.0
     settle_s: float = 4.0
 
@@ -150,6 +147,7 @@
     """A node and its fakes while they run."""
 
     network: str
+    vm: str
     load: Load
     log: LogStandIn
     vm_list: VmListStandIn
@@ -158,10 +156,6 @@
     grants: int = 0
     changes: int = 0
 
-    @property
-    def vm(self) -> str:
-        return f"{self.network}.1.200"
-
     @property
     def address(self) -> str:
         return f"{self.vm}:{PORT}"
@@ -197,25 +191,6 @@
         return await ask_status(self.end(self.vm, Program.operator), self.address)
 
 
-def changing_load(vm: str) -> Callable[[Hello], bytes]:
-    """Return heartbeats whose slice load differs each time, as under traffic."""
-    beats = 0
-
-    def heartbeat(_remote: Hello) -> bytes:
-        nonlocal beats
-        beats += 1
-        load = SliceLoad(
-            slice_id=f"booking-lm/{CENTRE}/{vm}",
-            free_slots=beats % 64,
-            total_slots=128,
-            queued_online=0,
-            batch_running=beats % 40,
-        )
-        return encode_message(Heartbeat(config_offset=-1, leaving=False, slices=[load]))
-
-    return heartbeat
-
-
 def usage_of(pid: int) -> Usage:
     """Return the processor time and the bytes of a process and its sockets."""
     with open(f"/proc/{pid}/schedstat") as source:
@@ -276,10 +251,11 @@
 async def running(network: str, load: Load) -> AsyncIterator[tuple[Rig, float]]:
     """Run a node and its fakes; give the time until its configuration was whole."""
     log, documents = LogStandIn(), Documents(network)
-    vm_list = TaggedVmList(tuple(_listed(network, load)))
+    vm = _suitable_vm(network, load)
+    vm_list = TaggedVmList(tuple(_listed(network, vm, load)))
     for payload in documents.inventory(load.targets, load.far_targets, load.owners):
         log.append(CONFIG_STREAM, [payload])
-    rig = Rig(network, load, log, vm_list, documents)
+    rig = Rig(network, vm, load, log, vm_list, documents)
     async with AsyncExitStack() as stack:
         urls = await stack.enter_async_context(serving(log, vm_list))
         reports = LoadReports()
@@ -293,9 +269,9 @@
         began = time.monotonic()
         rig.process = _start(rig, *urls)
         try:
+            await _surround(rig, tasks)
             await _until_whole(rig, documents.end - 1)
             start_s = time.monotonic() - began
-            await _surround(rig, tasks)
             yield rig, start_s
         finally:
             rig.process.send_signal(signal.SIGKILL)
@@ -303,38 +279,6 @@
             tasks.cancel_scope.cancel()
 
 
-class TaggedVmList(VmListStandIn):
-    """A VM list that answers 304 while it is unchanged, as HTTP allows."""
-
-    def __init__(self, vms: tuple[VmEntry, ...]) -> None:
-        super().__init__(vms=vms)
-        self._plain = self.app
-        self.app = Starlette(routes=[Route("/vms", self._get_tagged)])
-
-    async def _get_tagged(self, request: Request) -> Response:
-        if request.headers.get("If-None-Match") == ENTITY_TAG.decode():
-            return Response(status_code=304)
-        response = await self._get(request)
-        response.headers["ETag"] = ENTITY_TAG.decode()
-        return response
-
-
-class LoadReports:
-    """Answers the load probes of all targets."""
-
-    def __init__(self) -> None:
-        self.app = Starlette(routes=[Route("/load", self._load)])
-        self._body = msgspec.json.encode(
-            EngineLoad(slots=SLOTS, running=2, waiting=0, kv_used=0.5, state="ready")
-        )
-
-    async def run(self) -> None:
-        """Nothing goes on between requests."""
-
-    async def _load(self, request: Request) -> Response:
-        return Response(self._body, media_type="application/json")
-
-
 def _start(rig: Rig, log: str, vm_list: str) -> subprocess.Popen[bytes]:
     flags = {
         "vm": rig.vm,
@@ -360,7 +304,21 @@
                 await anyio.sleep(0.05)
 
 
-def _listed(network: str, load: Load) -> list[VmEntry]:
+def _suitable_vm(network: str, load: Load) -> str:
+    """Return an address whose place in rendezvous order is as the load wants."""
+    peers = [f"{network}.0.{n + 1}" for n in range(load.peers)]
+    slice_ids = [f"booking-lm/{CENTRE}/{n}" for n in range(ceil(load.targets / 16))]
+    for number in range(1, 255):
+        vm = f"{network}.1.{number}"
+        vms = [vm, *peers]
+        owned = sum(owner(slice_id, vms) == vm for slice_id in slice_ids)
+        reader = vm in ranked(f"config/{CENTRE}", vms)[:READERS]
+        if (reader is load.reader or not peers) and load.slices in (-1, owned):
+            return vm
+    raise LookupError("no address of the network fits")
+
+
+def _listed(network: str, vm: str, load: Load) -> list[VmEntry]:
     here = [VmEntry(f"{network}.0.{n + 1}", CENTRE, REGION) for n in range(load.peers)]
     near = [
         VmEntry(f"{network}.{index + 2}.{n + 1}", centre, REGION)
@@ -371,7 +329,7 @@
         VmEntry(f"10.{n // 250}.0.{n % 250}", f"far-{n % 10}", f"region-{n % 3 + 1}")
         for n in range(load.listed)
     ]
-    return [VmEntry(f"{network}.1.200", CENTRE, REGION), *here, *near, *far]
+    return [VmEntry(vm, CENTRE, REGION), *here, *near, *far]
 
 
 async def _surround(rig: Rig, tasks: TaskGroup) -> None:
@@ -467,39 +425,5 @@
         for n in range(rig.load.remote):
             vm = f"{rig.network}.{index + 2}.{n + 1}"
             end = rig.end(vm, Program.dispatch, centre, load=True)
-            handler = partial(_report_centre, centre)
+            handler = partial(report_centre, centre)
             await stack.enter_async_context(listen(vm, PORT, end, handler))
-
-
-async def _report_centre(centre: str, link: PeerLink) -> None:
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_send_reports, centre, link)
-        async for _ in link:
-            pass
-        tasks.cancel_scope.cancel()
-
-
-async def _send_reports(centre: str, link: PeerLink) -> None:
-    beat = 0
-    while link.is_open:
-        beat += 1
-        views = [_remote_view(centre, n, beat) for n in range(PEERS_OF_A_CENTRE)]
-        link.send(MembershipUpdate(vms=views, whole=False))
-        await anyio.sleep(REMOTE_REPORT_S)
-
-
-def _remote_view(centre: str, number: int, beat: int) -> VmView:
-    load = SliceLoad(
-        slice_id=f"booking-lm/{centre}/{number}",
-        free_slots=(beat + number) % 64,
-        total_slots=128,
-        queued_online=0,
-    )
-    return VmView(
-        vm=f"10.200.{centre[-1]}.{number + 1}",
-        data_centre=centre,
-        region=REGION,
-        state=VmState.live,
-        config_offset=1,
-        slices=[load],
-    )
--- a/chivespan/batchcontrol.py
+++ b/chivespan/batchcontrol.py
@@ -11,7 +11,7 @@
     SliceCounts,
     TargetCounts,
 )
-from chivespan.grantbook import LiveGrant
+from chivespan.grantbook import GrantBook, LiveGrant
 from chivespan.messages import WorkClass
 from chivespan.policies import Policies
 from chivespan.targetstate import TargetState
@@ -89,21 +89,23 @@
     def online_room(self, target: TargetState) -> int:
         """Return how many more online grants a target may have."""
         queue = self._groups[target.runner.model].level.queued_in_targets
+        if queue == 0 and self._policies.grant_on_revoke:
+            return target.free + target.revoking
         if queue == 0:
             return target.free
         return target.open_slots + queue - target.counts[WorkClass.online]
 
-    def excess(
-        self, standing: Sequence[LiveGrant], now: timedelta
-    ) -> Iterator[LiveGrant]:
-        """Yield the batch grants that are over a limit.
+    def excess(self, grants: GrantBook, now: timedelta) -> Iterator[LiveGrant]:
+        """Yield the batch grants that are over a limit, the youngest first.
 
-        :param standing: batch grants that were not taken back, the youngest first; the
-            youngest lose least, since resuming reads the prompt and all tokens again.
+        The youngest lose least, since resuming reads the prompt and all tokens again.
         """
         for group in self._groups.values():
-            if group.level.yields:
-                yield from _excess_of(group, standing, self._cuts(group, now))
+            if not group.level.yields or group.standing_batch == 0:
+                continue
+            cuts = self._cuts(group, now)
+            if cuts or group.standing_batch > group.limit:
+                yield from _excess_of(group, grants.standing_batch(), cuts)
 
     def record(self, target: TargetState, sample: OnlineSample, now: timedelta) -> None:
         """Take in a measure of an online request."""
@@ -130,10 +132,14 @@
         counts = TargetCounts(
             target.name,
             target.open_slots,
-            target.counts[WorkClass.online],
             target.counts[WorkClass.batch],
         )
-        return group.level.target_limit(counts, now)
+        limit = group.level.target_limit(counts, now)
+        if now >= target.relieved_until:
+            return limit
+        idle = target.open_slots - target.counts[WorkClass.online]
+        relief = int(target.open_slots * self._policies.first_token_relief)
+        return min(limit, max(0, idle - relief))
 
 
 def _excess_of(
--- a/chivespan/jobrunner.py
+++ b/chivespan/jobrunner.py
@@ -6,6 +6,7 @@
 the log counts.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -26,7 +27,7 @@
 from chivespan.records import ItemStart, JobItem
 from chivespan.resultbuffer import ChunkId, ResultBuffer
 
-MAX_JOBS_AT_ONCE = 64
+MAX_JOBS_AT_ONCE = 32
 START_GRACE = timedelta(seconds=90)
 READ_AGAIN = timedelta(milliseconds=500)
 
@@ -94,10 +95,16 @@
                 self.stop_job(job_id)
 
     def _start_jobs(self, tasks: TaskGroup) -> None:
-        for job in self._parts.follower.fold.jobs():
-            if len(self._scopes) >= MAX_JOBS_AT_ONCE:
-                return
-            if job.runnable and job.job_id not in self._scopes:
+        """Start jobs up to the bound of each service, so that none blocks another."""
+        fold = self._parts.follower.fold
+        running = filter(None, map(fold.job, self._scopes))
+        active = Counter(job.begin.service for job in running)
+        for job in fold.jobs():
+            service = job.begin.service
+            if not job.runnable or job.job_id in self._scopes:
+                continue
+            if active[service] < MAX_JOBS_AT_ONCE:
+                active[service] += 1
                 self._scopes[job.job_id] = anyio.CancelScope()
                 tasks.start_soon(self._run_job, job.job_id)
 
@@ -127,6 +134,9 @@
         """Start a chunk's open items, each as soon as the VM has room for it."""
         chunk_id = ChunkId(job.job_id, number)
         bodies = await self._bodies(chunk_id)
+        if bodies is None:
+            self._fail_lost(chunk_id)
+            return
         for index in list(job.chunks[number].open_items()):
             chunk = self._chunk(chunk_id)
             if chunk is None:
@@ -209,18 +219,38 @@
             chunk = self._chunk(chunk_id)
             return chunk is not None and chunk.start_of(index) == offset
 
-    async def _bodies(self, chunk_id: ChunkId) -> list[JobItem]:
-        """Return a chunk's items, however long the log is away."""
+    async def _bodies(self, chunk_id: ChunkId) -> list[JobItem] | None:
+        """Return a chunk's items, however long the log is away.
+
+        None when the log has dropped them, and they were not carried forward.
+        """
+        dropped_at = -1
         while True:
             chunk = self._chunk(chunk_id)
+            if chunk is None:
+                return []
             try:
-                return await self._parts.store.chunk_items(chunk) if chunk else []
+                return await self._parts.store.chunk_items(chunk)
             except ChivespanError as error:
                 if error.kind is ErrorKind.LOG_EXPIRED:
-                    _log.error("items lost", job=chunk_id.job_id, chunk=chunk_id.chunk)
+                    if chunk.offset == dropped_at:
+                        return None
+                    dropped_at = chunk.offset
                 self._metrics.incr("batch.chunk_reads_failed")
                 await anyio.sleep(READ_AGAIN.total_seconds())
 
+    def _fail_lost(self, chunk_id: ChunkId) -> None:
+        """End the open items of a chunk that the log has dropped."""
+        chunk = self._chunk(chunk_id)
+        if chunk is None:
+            return
+        _log.error("items lost", job=chunk_id.job_id, chunk=chunk_id.chunk)
+        reason = "the log dropped the item before it could run"
+        for index in chunk.open_items():
+            if not self._parts.results.holds(chunk_id, index):
+                result = failed_result(index, "", 0, ErrorKind.ITEM_FAILED, reason)
+                self._parts.results.add(chunk_id, result)
+
     async def _service(self, name: str) -> Service:
         """Return a service, waiting while the configuration doesn't have it."""
         while True:
--- a/chivespan/partitions.py
+++ b/chivespan/partitions.py
@@ -32,7 +32,7 @@
     Upkeep,
 )
 
-CLAIM_INTERVAL = timedelta(milliseconds=10)
+CLAIM_INTERVAL = timedelta(milliseconds=40)
 JOB_LATENCY_FACTOR = 2.0
 
 AsyncTask = Callable[[], Coroutine[Any, Any, None]]
@@ -111,6 +111,11 @@
             metrics,
         )
 
+    @property
+    def appends(self) -> int:
+        """Appends to the stream so far."""
+        return self._parts.appender.appends
+
     @property
     def unwritten(self) -> int:
         """Results that are not in the log yet."""
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -44,7 +44,7 @@
 ONLINE_TICK = timedelta(milliseconds=20)
 BATCH_TICK = timedelta(milliseconds=50)
 IDLE_TICK = timedelta(milliseconds=500)
-PROBE_INTERVAL = timedelta(seconds=2)
+PROBE_INTERVAL = timedelta(seconds=10)
 MICROSECOND = timedelta(microseconds=1)
 
 
@@ -206,6 +206,7 @@
         """Do all that is due by now."""
         now = self._clock.monotonic()
         self._pool.lapse()
+        self._pool.refresh()
         for waiter in [*self._online.overdue(now), *self._batch.overdue(now)]:
             self._refuse(waiter, ErrorKind.DEADLINE_PASSED)
         self._schedule()
@@ -243,18 +244,19 @@
     def _schedule(self) -> None:
         """Give all slots that may be given, and take back what batch must yield."""
         now = self._clock.monotonic()
-        self._pool.refresh()
         self._give_to_online()
         queued = [waiter.request.model for waiter in self._online]
         self._control.update(queued, now)
         if self._control.yields:
             self._take_back_for_waiting()
-            for grant in self._control.excess(self._pool.grants.standing_batch(), now):
+            for grant in self._control.excess(self._pool.grants, now):
                 self._pool.revoke(grant)
         if len(self._batch):
             self._give_to_batch(now)
 
     def _give_to_online(self) -> None:
+        if not len(self._online):
+            return
         if not any(self._control.online_room(each) > 0 for each in self._pool.serving):
             return
         for waiter in self._in_order(WorkClass.online):
@@ -268,6 +270,8 @@
 
     def _take_back_for_waiting(self) -> None:
         """See that each waiting online request has a batch grant taken back for it."""
+        if not len(self._online):
+            return
         unclaimed = {target.name: target.promised for target in self._pool.serving}
         for waiter in self._in_order(WorkClass.online):
             targets = list(self._suitable(waiter.request))
@@ -275,7 +279,7 @@
             if promised:
                 unclaimed[promised[0].name] -= 1
                 continue
-            yielding = [target for target in targets if target.standing_batch > 0]
+            yielding = [target for target in targets if target.can_yield]
             if not yielding:
                 continue
             target = self._choose(ChoiceView(waiter.request, yielding, self._hints))
@@ -321,9 +325,13 @@
 
     def _give(self, waiter: Waiter, targets: list[TargetState]) -> TargetState:
         request = waiter.request
-        target = self._choose(ChoiceView(request, targets, self._hints))
+        now = self._clock.monotonic()
+        view = ChoiceView(request, targets, self._hints)
+        target = self._choose(view)
+        if request.work_class is WorkClass.online and not view.hinted(target):
+            target.relieved_until = now + self._policies.relief_time
         self._hints.record(request.prefix_hash, target.name)
-        self._limits.charge(request, self._clock.monotonic())
+        self._limits.charge(request, now)
         grant = self._pool.take(request, waiter.holder, target)
         self._queue(request.work_class).discard(waiter)
         waiter.give(grant)
@@ -343,8 +351,10 @@
             return
         if release.outcome in FAILED_OUTCOMES:
             target.health.record_failure(now)
+            target.refresh(now)
         elif release.outcome is Outcome.done:
             target.health.record_success()
+            target.refresh(now)
             if grant.work_class is WorkClass.online:
                 self._drain.record(now - grant.granted_at)
                 sample = self._sample(grant, release)
--- a/chivespan/targethttp.py
+++ b/chivespan/targethttp.py
@@ -14,11 +14,13 @@
 import httpcore
 
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.readlimit import LimitedBackend, limit_reads
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 WRITE_TIMEOUT = timedelta(seconds=2)
 KEEPALIVE = timedelta(seconds=5)
-MAX_IDLE_CONNECTIONS = 64
+MAX_IDLE_CONNECTIONS = 16
+MAX_POOLS = 512
 
 Header = tuple[bytes, bytes]
 
@@ -54,20 +56,24 @@
     status: int
     content_type: str
     chunks: AsyncIterator[bytes] = field(repr=False)
+    response: httpcore.Response = field(repr=False)
+
+    def limit_reads(self, limit: timedelta) -> None:
+        """Let each further read take this long at most."""
+        limit_reads(self.response, limit)
 
 
 class TargetHttp:
-    """Connections to targets; an async context manager."""
+    """Connections to targets; an async context manager.
+
+    Every target has a pool of its own, since a pool looks through all its connections
+    for each request.
+    """
 
     def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=None,
-            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
-            keepalive_expiry=KEEPALIVE.total_seconds(),
-        )
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def __aenter__(self) -> "TargetHttp":
-        await self._pool.__aenter__()
         return self
 
     async def __aexit__(
@@ -76,7 +82,8 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        await self._pool.__aexit__(kind, error, trace)
+        for pool in self._pools.values():
+            await pool.aclose()
 
     @asynccontextmanager
     async def open(
@@ -90,12 +97,13 @@
         """
         if request.fresh:
             async with (
-                httpcore.AsyncConnectionPool(max_connections=1) as pool,
+                self._own_connection() as pool,
                 self._open_on(pool, request, first_byte) as answer,
             ):
                 yield answer
         else:
-            async with self._open_on(self._pool, request, first_byte) as answer:
+            pool = self._pool(request.address)
+            async with self._open_on(pool, request, first_byte) as answer:
                 yield answer
 
     async def call(self, request: HttpRequest, timeout: timedelta) -> HttpAnswer:
@@ -111,6 +119,31 @@
             raise _timeout(request, "answer") from error
         return HttpAnswer(answer.status, answer.content_type, body)
 
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            self._drop_unused_pools()
+            pool = self._pools[address] = httpcore.AsyncConnectionPool(
+                max_connections=None,
+                max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+                keepalive_expiry=KEEPALIVE.total_seconds(),
+                network_backend=LimitedBackend(),
+            )
+        return pool
+
+    def _drop_unused_pools(self) -> None:
+        """Forget the pools of targets that are no longer spoken to."""
+        if len(self._pools) < MAX_POOLS:
+            return
+        unused = [name for name, pool in self._pools.items() if not pool.connections]
+        for name in unused:
+            del self._pools[name]
+
+    def _own_connection(self) -> httpcore.AsyncConnectionPool:
+        return httpcore.AsyncConnectionPool(
+            max_connections=1, network_backend=LimitedBackend()
+        )
+
     @asynccontextmanager
     async def _open_on(
         self,
@@ -147,8 +180,9 @@
             raise _broken(request, ErrorKind.TARGET_FAILED) from error
         try:
             chunks = _chunks(request, response)
-            yield OpenAnswer(response.status, _content_type(response), chunks)
+            yield OpenAnswer(response.status, _content_type(response), chunks, response)
         finally:
+            limit_reads(response, None)
             with anyio.CancelScope(shield=True):
                 await response.aclose()
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -67,7 +67,7 @@
 
     def run(self) -> None:
         """Take all steps."""
-        self._apply()
+        self.apply()
         self._addresses()
         self._whole()
         self._streamed()
@@ -80,7 +80,7 @@
 
     def keep(self) -> None:
         """Put the example in force and wait for the interrupt key."""
-        self._apply()
+        self.apply()
         print("\nReady; stop with the interrupt key (Ctrl-C). For the command line:")
         for name, value in self._settings().items():
             print(f"export {name}={value}")
@@ -96,7 +96,8 @@
             "CHIVESPAN_ENTRY": self._address,
         }
 
-    def _apply(self) -> None:
+    def apply(self) -> None:
+        """Put the example in force on every VM."""
         self._say("An operator checks the example and puts it in force")
         files = [str(path) for path in self._write_files()]
         self._chivespan("validate", *files)
@@ -173,18 +174,25 @@
         self._mistake({"model": "no-such-model", "prompt": "x"})
         self._mistake({"model": MODEL, "prompt": "x"}, key="nobody's")
 
+        lines = job_items("Route summary", 40).split(b"\n")
+        lines[36] = b'{"id": "route-36", "promt": "x"}'
+        path = f"/v1/batches?service={MODEL}"
+        self._refused(self._request("POST", path, b"\n".join(lines)))
+
     def _mistake(self, body: Mapping[str, object], key: str = OWNER_KEY) -> None:
-        answer = self._request("POST", "/v1/completions", body, key=key)
+        self._refused(self._request("POST", "/v1/completions", body, key=key))
+
+    def _refused(self, answer: httpcore.Response) -> None:
         error = _decode(answer, ErrorAnswer).error
         print(f"{answer.status} {error.code}: {error.message}; run: {error.was_run}")
         _require(error.was_run == "no", "it was not run")
 
     def _job(self) -> str:
         self._say("A batch job, sent twice with the same key: one job")
-        body = _items("Route summary", JOB_ITEMS)
-        first = self._submit(body, "evening-1")
+        body = job_items("Route summary", JOB_ITEMS)
+        first = self.submit(body, "evening-1")
         print(f"job {first.id}: {first.status}, {first.items} items")
-        again = self._submit(body, "evening-1")
+        again = self.submit(body, "evening-1")
         print(f"sent again: job {again.id}, {again.items} items")
         _require(first.id == again.id, "a job sent again is the same job")
         return first.id
@@ -193,7 +201,7 @@
         self._say("Its state until it is finished, and its results")
         shown = ""
         for _ in wait_until("the job's end", JOB_TIMEOUT):
-            state = self._state(job)
+            state = self.state(job)
             line = f"{state.status}, {state.done} of {state.items} done"
             if line != shown:
                 print(line)
@@ -214,28 +222,30 @@
 
     def _cancelled_job(self) -> None:
         self._say("Another job, cancelled")
-        body = _items("Loading plan", LONG_JOB_ITEMS, LONG_TOKENS)
-        job = self._submit(body, "evening-2").id
+        body = job_items("Loading plan", LONG_JOB_ITEMS, LONG_TOKENS)
+        job = self.submit(body, "evening-2").id
         for _ in wait_until("its first result", JOB_TIMEOUT):
-            if self._state(job).done:
+            if self.state(job).done:
                 break
         answer = self._request("POST", f"/v1/batches/{job}/cancel")
         state = _decode(answer, BatchJob)
         print(f"job {job}: {state.status}, {state.done} of {state.items} done")
         _require(state.status == CANCELLED, "the job is cancelled")
         time.sleep(SETTLE.total_seconds())
-        later = self._state(job)
+        later = self.state(job)
         print(f"{SETTLE.total_seconds():g} s later: {later.done} done")
         _require(later.done == state.done, "a cancelled job stays stopped")
 
-    def _submit(self, body: bytes, key: str) -> BatchJob:
+    def submit(self, body: bytes, key: str) -> BatchJob:
+        """Submit a batch job and return it once it is accepted."""
         answer = self._request(
             "POST", f"/v1/batches?service={MODEL}", body, idempotency_key=key
         )
         _require(answer.status == 202, f"accepted: {answer.content.decode()}")
         return _decode(answer, BatchJob)
 
-    def _state(self, job: str) -> BatchJob:
+    def state(self, job: str) -> BatchJob:
+        """Return a batch job's state."""
         return _decode(self._request("GET", f"/v1/batches/{job}"), BatchJob)
 
     def _operators(self) -> None:
@@ -273,7 +283,7 @@
         return httpcore.request(method, url, headers=headers, content=content)
 
 
-def _items(prompt: str, count: int, max_tokens: int = 12) -> bytes:
+def job_items(prompt: str, count: int, max_tokens: int = 12) -> bytes:
     """Return a job's items as JSON lines."""
     items = [
         BatchModelItem(
@@ -299,20 +309,29 @@
         raise SystemExit(f"FAILED: {what}")
 
 
-def main(keep: bool = False) -> None:
-    """Run the demo; ends with code 0 when every step had the result it should.
+def demo_site(block: str, engine_flags: Mapping[str, str] | None = None) -> Site:
+    """Return three VMs and the targets of the livestock example.
 
-    :param keep: instead of the steps, put the example in force and wait for the
-        interrupt key, for requests by hand.
+    :param block: first three numbers of all addresses.
     """
-    started = time.monotonic()
-    site = Site(
+    return Site(
         data_centres=DATA_CENTRES,
         region=REGION,
-        block=KEPT_BLOCK if keep else free_block(),
+        block=block,
         engines=6,
         plains=3,
+        engine_flags=engine_flags or {},
     )
+
+
+def main(keep: bool = False) -> None:
+    """Run the demo; ends with code 0 when every step had the result it should.
+
+    :param keep: instead of the steps, put the example in force and wait for the
+        interrupt key, for requests by hand.
+    """
+    started = time.monotonic()
+    site = demo_site(KEPT_BLOCK if keep else free_block())
     print(f"Starting {len(DATA_CENTRES)} VMs and the stand-ins on {site.block}.x")
     with Cluster(site) as cluster, tempfile.TemporaryDirectory() as folder:
         demo = Demo(cluster, Path(folder))
