--- a/bench/policysite.py
+++ b/bench/policysite.py
@@ -172,14 +172,20 @@
             loads=self._loads,
             distances={},
         )
-        parts = list(SPILL_ORDERS["nearest_with_room"](view))
-        for part in parts:
+        full: list[Slice] = []
+        last = ChivespanError(ErrorKind.NO_TARGET, "there are no slices")
+        for part in SPILL_ORDERS["nearest_with_room"](view):
             try:
                 return await self.acquire_of(replace(request, max_wait_ms=0), part)
             except ChivespanError as refusal:
                 if refusal.kind not in SPILL_KINDS:
                     raise
-        return await self.acquire_of(request, parts[0])
+                if refusal.kind is ErrorKind.NO_CAPACITY:
+                    full.append(part)
+                last = refusal
+        if not full:
+            raise last
+        return await self.acquire_of(request, full[0])
 
     async def acquire_of(self, request: GrantRequest, part: Slice) -> Held:
         """Ask one slice's owner."""
--- a/chivespan/batchlevel.py
+++ b/chivespan/batchlevel.py
@@ -64,6 +64,11 @@
         """Whether running batch is taken back when it is over its limits."""
         ...
 
+    @property
+    def relieves(self) -> bool:
+        """Whether a target is relieved of some batch while it reads a new prompt."""
+        ...
+
     @property
     def queued_in_targets(self) -> int:
         """Batch grants beyond the slots of each target, left to the engine's queue."""
@@ -90,6 +95,7 @@
     """No batch at all."""
 
     yields = True
+    relieves = False
     queued_in_targets = 0
 
     def __init__(self, policies: Policies) -> None:
@@ -112,6 +118,7 @@
     """Batch like online: it fills every slot and as much of the engines' queues."""
 
     yields = False
+    relieves = False
     queued_in_targets = 8
 
     def __init__(self, policies: Policies) -> None:
@@ -134,6 +141,7 @@
     """A fixed number of slots of each target, never taken back."""
 
     yields = False
+    relieves = False
     queued_in_targets = 0
 
     def __init__(self, policies: Policies) -> None:
@@ -156,6 +164,7 @@
     """Every slot that online leaves idle, taken back as soon as online waits."""
 
     yields = True
+    relieves = False
     queued_in_targets = 0
 
     def __init__(self, policies: Policies) -> None:
@@ -219,6 +228,7 @@
 
     policies: Policies
     yields: bool = True
+    relieves: bool = True
     queued_in_targets: int = 0
     _headroom: HeadroomPeak = field(init=False)
     _levels: dict[str, _TargetLevel] = field(default_factory=dict)
