--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 PYTHON := .venv/bin/python
+WORKERS := --numprocesses 6 --dist worksteal
 
 .PHONY: bench-path setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
@@ -30,10 +31,10 @@
 	.venv/bin/mypy
 
 test: setup
-	$(PYTHON) -m pytest -m "not slow"
+	$(PYTHON) -m pytest $(WORKERS) -m "not slow"
 
 faults: setup
-	$(PYTHON) -m pytest -m "slow or not slow" tests/test_faults.py
+	$(PYTHON) -m pytest $(WORKERS) -m "slow or not slow" tests/test_faults.py
 	$(PYTHON) -m tools.faultpage
 
 demo: setup
