Ask which slice can grant at once before queueing; a refused connection counts against a target

Cause: an online request queued at the first slice whose last reported load had room, and left it only when its deadline could not be met, while another slice of the region had free slots. Now it first asks each of the few nearest slices for a slot at once (max_wait_ms 0), then queues at the first full one. Such a question that is answered with no_capacity is not counted as a refusal of the owner.

A target that refuses connections was released as not_sent, which its health takes as neutral, so it was never ejected. It is now released as failed. Two assertions of test_online.py named the wrong outcome and are as strict as before.

The new test times out with the old client.

--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -148,17 +148,19 @@
     async def _ask_slices(self, request: GrantRequest, deadline: timedelta) -> HeldSlot:
         """Ask slice after slice until one grants.
 
+        Online work first asks which one can grant at once, and only then queues.
+
         :raises ChivespanError: the first refusal; ``no_dispatcher`` when no owner
             gave an answer.
         """
         refusal = self._no_dispatcher(request)
-        for part in islice(self._choice.candidates(request), SLICES_ASKED):
-            remaining = deadline - self._end.clock.monotonic()
-            asked = replace(
-                request,
-                slice_id=part.slice_id,
-                deadline_ms=max(0, remaining // MILLISECOND),
-            )
+        parts = list(islice(self._choice.candidates(request), SLICES_ASKED))
+        passing = request.work_class is WorkClass.online and len(parts) > 1
+        first_full: Slice | None = None
+        for part in parts:
+            asked = self._for_slice(request, part, deadline)
+            if passing:
+                asked = replace(asked, max_wait_ms=0)
             try:
                 return await self._ask_owners(part, asked)
             except ChivespanError as error:
@@ -166,10 +168,22 @@
                     continue
                 if error.kind not in SPILL_KINDS:
                     raise
+                if error.kind is ErrorKind.NO_CAPACITY:
+                    first_full = first_full or part
                 if refusal.kind is ErrorKind.NO_DISPATCHER:
                     refusal = error
+        if passing and first_full is not None:
+            asked = self._for_slice(request, first_full, deadline)
+            return await self._ask_owners(first_full, asked)
         raise refusal
 
+    def _for_slice(
+        self, request: GrantRequest, part: Slice, deadline: timedelta
+    ) -> GrantRequest:
+        remaining = deadline - self._end.clock.monotonic()
+        remaining_ms = max(0, remaining // MILLISECOND)
+        return replace(request, slice_id=part.slice_id, deadline_ms=remaining_ms)
+
     async def _ask_owners(self, part: Slice, request: GrantRequest) -> HeldSlot:
         """Ask the slice's owner, or the next one where that can't be reached.
 
--- a/chivespan/online.py
+++ b/chivespan/online.py
@@ -35,10 +35,7 @@
         ErrorKind.STREAM_BROKEN,
     }
 )
-OUTCOMES = {
-    ErrorKind.TARGET_UNREACHABLE: Outcome.not_sent,
-    ErrorKind.TARGET_TIMEOUT: Outcome.timed_out,
-}
+OUTCOMES = {ErrorKind.TARGET_TIMEOUT: Outcome.timed_out}
 
 
 class Slot(Protocol):
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -391,7 +391,9 @@
     ) -> None:
         request = waiter.request
         slots = self._pool.total_slots
-        self._usage.record_refusal(OwnerClass(request.owner, request.work_class))
+        asks_on = kind is ErrorKind.NO_CAPACITY and request.max_wait_ms == 0
+        if not asks_on:
+            self._usage.record_refusal(OwnerClass(request.owner, request.work_class))
         drained = retry_after(self._drain, len(self._online), slots)
         reason = f"no slot of {self._part.slice_id} for request {request.request_id}"
         error = ChivespanError(
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -1,10 +1,12 @@
 """Grants over links: owners lost, slices taken over, askers cut off."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 import anyio
 import pytest
 
+from chivespan.documents import DataCentre, DocumentKind, Runner
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.heldslot import HeldSlot, slot_share
 from chivespan.messages import (
@@ -22,10 +24,13 @@
 from chivespan.placement import ranked
 from tests.controlnodes import (
     CENTRE,
+    MODEL,
+    REGION,
     SERVICE,
     Asker,
     ControlNode,
     Platform,
+    added,
     asker,
     control_nodes,
     inventory,
@@ -91,6 +96,44 @@
         assert usage is not None
 
 
+async def test_full_slice_is_passed_over_before_its_load_is_known() -> None:
+    platform = Platform()
+    other = "other-centre"
+    far = Runner(
+        name="far",
+        service=SERVICE,
+        address="127.9.1.1:9000",
+        data_centre=other,
+        slots=SLOTS,
+        model=MODEL,
+    )
+    platform.publish(
+        *inventory(TARGETS, SLOTS),
+        added(DocumentKind.data_centre, other, DataCentre(name=other, region=REGION)),
+        added(DocumentKind.runner, far.name, far),
+    )
+    far_vm = "127.41.1.1"
+    async with control_nodes(platform, VMS[:1]) as nodes:
+        platform.list_vms(far_vm, centre=other)
+        async with anyio.create_task_group() as tasks:
+            nodes.append(start_node(tasks, platform, far_vm, other))
+            async with asker(platform, VMS[0]) as entry:
+                await until(lambda: len(entry.view.loads) == 2)
+                slots: list[HeldSlot] = []
+
+                async def patient(number: int) -> None:
+                    wanted = replace(request(number), deadline_ms=600_000)
+                    slots.append(await entry.client.acquire(wanted))
+
+                with anyio.fail_after(5):
+                    async with anyio.create_task_group() as patients:
+                        for number in range(CAPACITY + SLOTS):
+                            patients.start_soon(patient, number)
+                assert far.name in {slot.grant.target for slot in slots}
+                assert running(nodes) == CAPACITY + SLOTS
+            tasks.cancel_scope.cancel()
+
+
 async def test_abandoned_wait_leaves_no_slot_in_use() -> None:
     platform = Platform()
     platform.publish(*inventory(TARGETS, SLOTS))
--- a/tests/test_online.py
+++ b/tests/test_online.py
@@ -149,7 +149,7 @@
 def test_unreachable_targets_are_passed_over() -> None:
     async def work(online: OnlineService, slots: Slots) -> list[str]:
         answer = await collect(online, request())
-        assert slots.outcomes == [Outcome.not_sent, Outcome.done]
+        assert slots.outcomes == [Outcome.failed, Outcome.done]
         return answer
 
     assert run([EngineStandIn()], work, dead=1) == good_answer()
@@ -237,7 +237,7 @@
     async def work(online: OnlineService, slots: Slots) -> int:
         call = plain_request(idempotent=False)
         answer = await online.call(request(PLAIN), call)
-        assert slots.outcomes == [Outcome.not_sent, Outcome.done]
+        assert slots.outcomes == [Outcome.failed, Outcome.done]
         return answer.status
 
     assert run([PlainStandIn()], work, dead=1) < 300
