Finish the start and call of an item that may not be repeated when its partition moves

Ruled out: the appender (a delayed effect alone is resolved within its 2 s) and busy ports. Cause, shown by a test: when the partition moves away while the start record is on its way, the start is in the log but nobody runs the item, and every worker waits 90 s for its result. The window is wide in this cell, whose appends take effect 0.9 s late.

The append of the start and the call that follows are now shielded, for at most 10 s before the call. Left: a started item whose call found no connection waits for another slot without this shield.

--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -249,31 +249,48 @@
         progress.attempts += 1
         repeatable = may_repeat(item.service, asked.method, asked.path)
         slot = await self._slot(item, progress, 0, "")
-        if not repeatable and not progress.started:
-            began = self._clock.monotonic()
-            try:
-                progress.started = await item.start()
-            finally:
-                if not progress.started or self._has_lapsed(slot, began):
-                    slot.release(Outcome.not_sent)
+        request = _plain_request(item, asked, repeatable)
+        if repeatable:
+            return await self._send(slot, request, progress)
+        answer: ItemAnswer | None = None
+        with anyio.CancelScope(shield=True) as scope:
+            good_slot: Slot | None = slot
             if not progress.started:
-                return None
-            if self._has_lapsed(slot, began):
-                slot = await self._slot(item, progress, 0, "")
+                good_slot = await self._start(item, progress, slot)
+            if progress.started:
+                if good_slot is None:
+                    scope.shield = False
+                    good_slot = await self._slot(item, progress, 0, "")
+                    scope.shield = True
+                answer = await self._send(good_slot, request, progress)
+        return answer
+
+    async def _start(self, item: Item, progress: _Progress, slot: Slot) -> Slot | None:
+        """Start an item that may not be repeated; return the slot if it is still good.
+
+        Nothing but a new slot is waited for between the start and the call, so that a
+        worker that is told to stop leaves no item started and not sent.
+        """
+        began = self._clock.monotonic()
+        try:
+            progress.started = await item.start()
+        finally:
+            if not progress.started or self._has_lapsed(slot, began):
+                slot.release(Outcome.not_sent)
+        return None if self._has_lapsed(slot, began) else slot
+
+    async def _send(
+        self, slot: Slot, request: PlainRequest, progress: _Progress
+    ) -> ItemAnswer:
         outcome = Outcome.cancelled
         try:
-            with anyio.CancelScope(shield=not repeatable):
-                answer = await self._plain.call(
-                    slot.grant.address,
-                    _plain_request(item, asked, repeatable),
-                    PLAIN_TIMEOUT,
-                )
+            answer = await self._plain.call(slot.grant.address, request, PLAIN_TIMEOUT)
             outcome = Outcome.done
             return _checked(answer)
         except ChivespanError as error:
             outcome = OUTCOMES.get(error.kind, Outcome.failed)
             progress.last_failed = slot.grant.target
-            if not repeatable and error.answer.may_have_run:
+            if not request.idempotent and error.answer.may_have_run:
                 raise _unknown(error) from error
             raise
         finally:
--- a/chivespan/jobrunner.py
+++ b/chivespan/jobrunner.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskGroup
 
 from chivespan.appender import Appender
@@ -29,6 +30,7 @@
 
 MAX_JOBS_AT_ONCE = 32
 START_GRACE = timedelta(seconds=90)
+START_SHIELD = timedelta(seconds=10)
 READ_AGAIN = timedelta(milliseconds=500)
 
 _log = logger("jobs")
@@ -209,15 +211,28 @@
         """Append an item's start; return whether it is the first in the log."""
         record = ItemStart(job_id=chunk_id.job_id, chunk=chunk_id.chunk, index=index)
         while True:
+            await anyio.lowlevel.checkpoint()
+            offset = await self._append_start(record)
+            if offset is not None:
+                await self._parts.follower.wait_applied(offset)
+                chunk = self._chunk(chunk_id)
+                return chunk is not None and chunk.start_of(index) == offset
+            await self._parts.appender.wait_available()
+
+    async def _append_start(self, record: ItemStart) -> int | None:
+        """Append a start and return its offset once it is in the fold; None on failure.
+
+        Only this worker can know that the item of a start in the log hasn't run yet, so
+        a partition that moves away meanwhile doesn't break this off.
+        """
+        offset: int | None = None
+        with anyio.move_on_after(START_SHIELD.total_seconds(), shield=True):
             try:
                 offset = await self._parts.appender.append(record)
+                await self._parts.follower.wait_applied(offset)
             except ChivespanError as error:
                 self._metrics.incr(f"batch.start_{error.kind.value}")
-                await self._parts.appender.wait_available()
-                continue
-            await self._parts.follower.wait_applied(offset)
-            chunk = self._chunk(chunk_id)
-            return chunk is not None and chunk.start_of(index) == offset
+        return offset
 
     async def _bodies(self, chunk_id: ChunkId) -> list[JobItem] | None:
         """Return a chunk's items, however long the log is away.
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -216,6 +216,35 @@
     assert [one.error.code for one in found if one.error] == ["outcome_unknown"]
 
 
+@pytest.mark.parametrize("late", ["start", "answer"])
+async def test_item_started_when_its_partition_moves_away_still_runs(late: str) -> None:
+    """An item whose start is in the log must not wait for another worker's grace."""
+    site, plan = Site(), plain_plan(["booking"])
+    site.plain.gate = anyio.Event()
+    owned = frozenset({jobs_stream(0)})
+    async with site.partitions() as partitions:
+        worker = partitions.jobs(0)
+        await worker.store.submit(plan)
+        if late == "start":
+            site.log.slow_appends = 1
+        appends = site.log.appends
+        partitions.own(owned)
+        with anyio.fail_after(5):
+            while site.log.appends == appends or (
+                late == "answer" and not site.plain.calls
+            ):
+                await anyio.sleep(0.001)
+        partitions.own(frozenset())
+        await anyio.sleep(0.01)
+        site.log.quick.set()
+        site.plain.gate.set()
+        await anyio.sleep(0.05)
+        partitions.own(owned)
+        [found] = await finished(worker, plan)
+    assert found.ok
+    assert site.plain.calls["booking"] == 1
+
+
 async def test_jobs_outlive_retention_and_end_after_their_keeping_time() -> None:
     site = Site(clock=ManualClock())
     done, waiting = model_plan(PROMPTS), model_plan(["later please"], key="open")
