--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -23,6 +23,8 @@
 from tools.demo import MODEL, OWNER_KEY, Demo, demo_site
 
 IDLE_TIME = timedelta(seconds=10)
+COST_REQUESTS = 60
+COST_TOKENS = (50, 100, 200)
 HIGHEST_US = 60_000_000
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
@@ -47,6 +49,7 @@
     with tempfile.TemporaryDirectory() as folder, Cluster(site) as cluster:
         Demo(cluster, Path(folder)).apply()
         _latency(cluster, requests, tokens)
+        _cost(cluster)
         _idle(cluster)
 
 
@@ -73,6 +76,32 @@
         )
 
 
+def _cost(cluster: Cluster) -> None:
+    """Print what a request and a streamed token cost the entry.
+
+    The slope between short and long answers is the token, the rest the request; the
+    idle cost in the time that the longer answers take is small beside it.
+    """
+    vm = cluster.site.vms[0].vm
+    entry = cluster.process(f"{vm}/entry")
+    way = Way("entry", f"{vm}:8080", [("authorization", f"Bearer {OWNER_KEY}")], dict)
+    costs: dict[int, float] = {}
+    with httpcore.ConnectionPool() as pool:
+        for tokens in (1, *COST_TOKENS):
+            before = _cpu_seconds(entry)
+            for number in range(COST_REQUESTS):
+                _request(pool, way, f"cost {number}", tokens)
+            costs[tokens] = (_cpu_seconds(entry) - before) / COST_REQUESTS
+            _print(
+                measure="entry_cpu_of_request",
+                tokens=tokens,
+                us=round(costs[tokens] * 1e6),
+            )
+    longest = COST_TOKENS[-1]
+    slope = (costs[longest] - costs[1]) / (longest - 1)
+    _print(measure="entry_cpu_of_token", us=round(slope * 1e6))
+
+
 def _engine_fields() -> dict[str, object]:
     return {"request_id": uuid.uuid4().hex, "resume_tokens": []}
 
--- a/chivespan/claimfold.py
+++ b/chivespan/claimfold.py
@@ -14,6 +14,7 @@
 from chivespan.codec import decode, encode
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.platform import LogRecord
+from chivespan.recordfold import RecordFold
 from chivespan.records import (
     CarriedOutcome,
     Claim,
@@ -22,7 +23,6 @@
     ClaimsExpire,
     ClaimsState,
 )
-from chivespan.snapshots import digest_of
 
 CLAIM_PARTITIONS = 4
 
@@ -72,22 +72,12 @@
     return register
 
 
-class ClaimFold:
+class ClaimFold(RecordFold):
     """All claims of one partition after a prefix of its stream."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._claims: dict[bytes, HeldClaim] = {}
-        self._reader = RecordReader()
-
-    @property
-    def offset(self) -> int:
-        """Offset of the last record applied, -1 for none."""
-        return self._reader.offset
-
-    @property
-    def digest(self) -> str:
-        """Hash of the whole state; equal for all readers at the same offset."""
-        return digest_of(self.snapshot())
 
     def claim(self, owner: str, key: str) -> HeldClaim | None:
         """Return the claim that holds a key, or None."""
--- a/chivespan/claimstore.py
+++ b/chivespan/claimstore.py
@@ -2,38 +2,19 @@
 
 from datetime import timedelta
 
-from chivespan.appender import Appender
 from chivespan.claimfold import ClaimFold, HeldClaim
 from chivespan.envelope import decode_envelope, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.follower import Follower
 from chivespan.jobmessages import ClaimReply, ClaimRequest, OutcomeRequest
-from chivespan.platform import LogService
+from chivespan.partitionstore import PartitionStore
 from chivespan.records import CarriedOutcome, Claim, ClaimOutcome
 
 NO_WAIT = timedelta(0)
 
 
-class ClaimStore:
+class ClaimStore(PartitionStore[ClaimFold]):
     """Carries out what entries ask of one partition's claims."""
 
-    def __init__(
-        self,
-        log: LogService,
-        stream: str,
-        follower: Follower[ClaimFold],
-        appender: Appender,
-    ) -> None:
-        self._log = log
-        self._stream = stream
-        self._follower = follower
-        self._appender = appender
-
-    @property
-    def fold(self) -> ClaimFold:
-        """The claims as last read."""
-        return self._follower.fold
-
     async def claim(self, request: ClaimRequest) -> ClaimReply:
         """Grant the one run of a keyed request, or return the recorded answer.
 
--- a/chivespan/configfold.py
+++ b/chivespan/configfold.py
@@ -21,6 +21,7 @@
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platform import LogRecord
+from chivespan.recordfold import RecordFold
 from chivespan.records import (
     AuditChange,
     AuditEntry,
@@ -29,7 +30,6 @@
     DocumentChange,
     StoredState,
 )
-from chivespan.snapshots import digest_of
 
 __all__ = ["CONFIG_STREAM", "AuditEntry", "ConfigFold"]
 
@@ -37,7 +37,7 @@
 HISTORY_LENGTH = 512
 
 
-class ConfigFold:
+class ConfigFold(RecordFold):
     """The configuration in force after a prefix of the stream, with its audit trail.
 
     >>> fold = ConfigFold()
@@ -46,9 +46,9 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self._configuration = Configuration()
         self._history: deque[AuditEntry] = deque(maxlen=HISTORY_LENGTH)
-        self._reader = RecordReader()
 
     @property
     def configuration(self) -> Configuration:
@@ -60,16 +60,6 @@
         """The newest audit entries, accepted and refused, the oldest first."""
         return tuple(self._history)
 
-    @property
-    def offset(self) -> int:
-        """Offset of the last record applied, -1 for none."""
-        return self._reader.offset
-
-    @property
-    def digest(self) -> str:
-        """Hash of the whole state; equal for all readers at the same offset."""
-        return digest_of(self.snapshot())
-
     def apply(self, record: LogRecord) -> AuditEntry | None:
         """Apply the next record of the stream.
 
--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -22,12 +22,13 @@
 from chivespan.engineapi import EngineRequest
 from chivespan.engineclient import StreamLimits, Token
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.messages import Grant, GrantRequest, Outcome, WorkClass
+from chivespan.messages import GrantRequest, Outcome, WorkClass
 from chivespan.online import OUTCOMES
 from chivespan.peerlink import Counters
 from chivespan.plainclient import PlainRequest
 from chivespan.records import ItemAnswer, ItemFailure, ItemResult
 from chivespan.rules import may_repeat
+from chivespan.slot import RevocableSlot, SlotSource
 from chivespan.targethttp import HttpAnswer
 
 SLOT_PATIENCE = timedelta(seconds=10)
@@ -44,38 +45,6 @@
 T = TypeVar("T")
 
 
-class Slot(Protocol):
-    """A slot on one target, held until released."""
-
-    @property
-    def grant(self) -> Grant:
-        """Which target it is on."""
-        ...
-
-    @property
-    def revoked(self) -> anyio.Event:
-        """Set when the slot is taken back."""
-        ...
-
-    def release(
-        self,
-        outcome: Outcome,
-        first_token: timedelta | None = None,
-        token_gap: timedelta | None = None,
-        tokens: int = 0,
-    ) -> None:
-        """Give the slot back."""
-        ...
-
-
-class SlotSource(Protocol):
-    """Where slots come from."""
-
-    async def acquire(self, request: GrantRequest) -> Slot:
-        """Wait for a slot; raise a refusal as soon as there can be none."""
-        ...
-
-
 class Engines(Protocol):
     """The model engines."""
 
@@ -139,7 +108,7 @@
 
     def __init__(
         self,
-        slots: SlotSource,
+        slots: SlotSource[RevocableSlot],
         engines: Engines,
         plain: PlainServices,
         clock: Clock,
@@ -205,7 +174,7 @@
         )
 
     async def _stream(
-        self, slot: Slot, request: EngineRequest, progress: _Progress
+        self, slot: RevocableSlot, request: EngineRequest, progress: _Progress
     ) -> None:
         """Receive tokens until the end, a failure or the slot's revocation."""
         before = len(progress.tokens)
@@ -230,7 +199,7 @@
             self._counters.incr("batch.items_revoked")
 
     async def _receive(
-        self, slot: Slot, request: EngineRequest, progress: _Progress
+        self, slot: RevocableSlot, request: EngineRequest, progress: _Progress
     ) -> None:
         limits = StreamLimits(FIRST_TOKEN_TIMEOUT, TOKEN_GAP_TIMEOUT)
         fresh = progress.attempts > 1
@@ -254,7 +223,7 @@
             return await self._send(slot, request, progress)
         answer: ItemAnswer | None = None
         with anyio.CancelScope(shield=True) as scope:
-            good_slot: Slot | None = slot
+            good_slot: RevocableSlot | None = slot
             if not progress.started:
                 good_slot = await self._start(item, progress, slot)
             if progress.started:
@@ -265,7 +234,9 @@
                 answer = await self._send(good_slot, request, progress)
         return answer
 
-    async def _start(self, item: Item, progress: _Progress, slot: Slot) -> Slot | None:
+    async def _start(
+        self, item: Item, progress: _Progress, slot: RevocableSlot
+    ) -> RevocableSlot | None:
         """Start an item that may not be repeated; return the slot if it is still good.
 
         Nothing but a new slot is waited for between the start and the call, so that a
@@ -280,7 +251,7 @@
         return None if self._has_lapsed(slot, began) else slot
 
     async def _send(
-        self, slot: Slot, request: PlainRequest, progress: _Progress
+        self, slot: RevocableSlot, request: PlainRequest, progress: _Progress
     ) -> ItemAnswer:
         outcome = Outcome.cancelled
         try:
@@ -298,7 +269,7 @@
 
     async def _slot(
         self, item: Item, progress: _Progress, max_tokens: int, prompt: str
-    ) -> Slot:
+    ) -> RevocableSlot:
         """Wait for a slot however long it takes; batch work has no deadline."""
         while True:
             progress.slots += 1
@@ -325,7 +296,7 @@
                 delay = error.retry_after or self._retry_delay
                 await anyio.sleep(delay.total_seconds())
 
-    def _has_lapsed(self, slot: Slot, began: timedelta) -> bool:
+    def _has_lapsed(self, slot: RevocableSlot, began: timedelta) -> bool:
         held = self._clock.monotonic() - began
         return held > slot.grant.lifetime_ms * MILLISECOND
 
@@ -334,7 +305,7 @@
         return min(grown, MAX_RETRY_DELAY)
 
 
-async def _cancel_when_revoked(slot: Slot, scope: anyio.CancelScope) -> None:
+async def _cancel_when_revoked(slot: RevocableSlot, scope: anyio.CancelScope) -> None:
     await slot.revoked.wait()
     scope.cancel()
 
--- a/chivespan/jobfold.py
+++ b/chivespan/jobfold.py
@@ -13,6 +13,7 @@
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.jobmessages import JobPhase, JobState
 from chivespan.platform import LogRecord
+from chivespan.recordfold import RecordFold
 from chivespan.records import (
     CarriedChunk,
     CarriedResults,
@@ -28,7 +29,6 @@
     JobsState,
     StartState,
 )
-from chivespan.snapshots import digest_of
 
 ENDED = (JobPhase.finished, JobPhase.cancelled)
 
@@ -133,22 +133,12 @@
     return register
 
 
-class JobFold:
+class JobFold(RecordFold):
     """All jobs of one partition after a prefix of its stream."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._jobs: dict[str, Job] = {}
-        self._reader = RecordReader()
-
-    @property
-    def offset(self) -> int:
-        """Offset of the last record applied, -1 for none."""
-        return self._reader.offset
-
-    @property
-    def digest(self) -> str:
-        """Hash of the whole state; equal for all readers at the same offset."""
-        return digest_of(self.snapshot())
 
     def job(self, job_id: str) -> Job | None:
         """Return a job, or None when there is none with this id."""
--- a/chivespan/jobstore.py
+++ b/chivespan/jobstore.py
@@ -7,14 +7,12 @@
 from collections.abc import AsyncIterator, Iterator
 from datetime import timedelta
 
-from chivespan.appender import Appender
 from chivespan.envelope import decode_envelope, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.follower import Follower
 from chivespan.jobfold import ENDED, Chunk, Job, JobFold
 from chivespan.jobmessages import JobPhase, JobResult, JobState
 from chivespan.jobplan import JobPlan
-from chivespan.platform import LogService
+from chivespan.partitionstore import PartitionStore
 from chivespan.records import (
     CarriedChunk,
     CarriedResults,
@@ -31,26 +29,9 @@
 NO_WAIT = timedelta(0)
 
 
-class JobStore:
+class JobStore(PartitionStore[JobFold]):
     """Carries out what callers ask of one partition's jobs."""
 
-    def __init__(
-        self,
-        log: LogService,
-        stream: str,
-        follower: Follower[JobFold],
-        appender: Appender,
-    ) -> None:
-        self._log = log
-        self._stream = stream
-        self._follower = follower
-        self._appender = appender
-
-    @property
-    def fold(self) -> JobFold:
-        """The jobs as last read."""
-        return self._follower.fold
-
     async def submit(self, plan: JobPlan) -> JobState:
         """Append a job and return its state once it is accepted.
 
--- a/chivespan/online.py
+++ b/chivespan/online.py
@@ -8,7 +8,6 @@
 from contextlib import aclosing
 from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Protocol
 
 import anyio
 
@@ -17,13 +16,13 @@
 from chivespan.engineapi import EngineRequest
 from chivespan.engineclient import EngineClient, StreamLimits, Token
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.messages import Grant, GrantRequest, Outcome, WorkClass
+from chivespan.messages import GrantRequest, Outcome, WorkClass
 from chivespan.plainclient import PlainClient, PlainRequest
 from chivespan.retrybudget import RetryBudget
+from chivespan.slot import Slot, SlotSource
 from chivespan.targethttp import HttpAnswer
 
 MAX_ATTEMPTS = 4
-PREFIX_CHARACTERS = 256
 FIRST_TOKEN_PATIENCE = 4
 TOKEN_GAP_PATIENCE = 40
 
@@ -38,33 +37,6 @@
 OUTCOMES = {ErrorKind.TARGET_TIMEOUT: Outcome.timed_out}
 
 
-class Slot(Protocol):
-    """A slot on one target, held until released."""
-
-    @property
-    def grant(self) -> Grant:
-        """Which target it is on."""
-        ...
-
-    def release(
-        self,
-        outcome: Outcome,
-        first_token: timedelta | None = None,
-        token_gap: timedelta | None = None,
-        tokens: int = 0,
-    ) -> None:
-        """Give the slot back and say what was measured."""
-        ...
-
-
-class SlotSource(Protocol):
-    """Where slots come from."""
-
-    async def acquire(self, request: GrantRequest) -> Slot:
-        """Wait for a slot; raise a refusal as soon as there can be none."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class OnlineRequest:
     """An online request whose owner and service are known.
@@ -151,7 +123,7 @@
 
     def __init__(
         self,
-        slots: SlotSource,
+        slots: SlotSource[Slot],
         engines: EngineClient,
         plain: PlainClient,
         retries: RetryBudget,
--- /dev/null
+++ b/chivespan/partitionstore.py
@@ -0,0 +1,35 @@
+"""What the stores of jobs and of claims have in common: one partition's stream."""
+
+from typing import Generic, TypeVar
+
+from chivespan.appender import Appender
+from chivespan.follower import Follower
+from chivespan.platform import LogService
+from chivespan.snapshots import Fold
+
+AnyFold = TypeVar("AnyFold", bound=Fold)
+
+
+class PartitionStore(Generic[AnyFold]):
+    """Reads and appends to the stream of one partition.
+
+    :param follower: keeps the fold of the stream.
+    :param appender: the stream's only appender in this process.
+    """
+
+    def __init__(
+        self,
+        log: LogService,
+        stream: str,
+        follower: Follower[AnyFold],
+        appender: Appender,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._follower = follower
+        self._appender = appender
+
+    @property
+    def fold(self) -> AnyFold:
+        """The partition's state as last read."""
+        return self._follower.fold
