Leave a VM whose entry alone has ended out of the address answers

Read from the code before, then tried: with one of three entries killed and its dispatcher alive, the other VMs went on naming it to callers. The heartbeat now says whether the VM's entry is linked, as it does for the batch process. Asking the entries' ports from every VM was not taken, for its connections.

--- a/chivespan/addressbook.py
+++ b/chivespan/addressbook.py
@@ -28,8 +28,11 @@
     def answer(
         self, vms: Sequence[VmView], data_centre: str, region: str
     ) -> AddressAnswer:
-        """Return the addresses for a caller near a data centre."""
-        live = [vm for vm in vms if vm.state is VmState.live]
+        """Return the addresses for a caller near a data centre.
+
+        A VM whose entry alone has ended is live all the same, and is left out here.
+        """
+        live = [vm for vm in vms if vm.state is VmState.live and vm.runs_entry]
         near = self._shuffled(vm for vm in live if vm.data_centre == data_centre)
         same_region = self._shuffled(
             vm for vm in live if vm.data_centre != data_centre and vm.region == region
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -376,11 +376,11 @@
             self._make_heartbeat()
             await anyio.sleep(self._end.options.heartbeat.total_seconds())
 
-    def _runs_batch(self) -> bool:
-        """Whether this VM's batch process is linked; else others own its partitions."""
+    def _runs(self, program: Program) -> bool:
+        """Whether a program of this VM is linked; if not, others do without it."""
         own = self._settings.vm
         return any(
-            link.remote.vm == own and link.remote.program is Program.batch
+            link.remote.vm == own and link.remote.program is program
             for link in self._followers
         )
 
@@ -389,7 +389,8 @@
             config_offset=self._copy.offset,
             leaving=self._membership.leaving,
             slices=self._slices.loads(),
-            runs_batch=self._runs_batch(),
+            runs_batch=self._runs(Program.batch),
+            runs_entry=self._runs(Program.entry),
         )
         self._membership.set_own(heartbeat)
         self._heartbeat_frame = encode_message(heartbeat)
--- a/chivespan/membership.py
+++ b/chivespan/membership.py
@@ -16,7 +16,6 @@
     Heartbeat,
     Hello,
     MembershipUpdate,
-    SliceLoad,
     VmState,
     VmView,
 )
@@ -297,23 +296,22 @@
 
     def _view(self, vm: _Vm) -> VmView:
         heartbeat = self._heartbeat(vm)
-        slices: list[SliceLoad] = []
-        offset = -1
-        runs_batch = True
-        if heartbeat is not None:
-            slices = heartbeat.slices
-            runs_batch = heartbeat.runs_batch
-            offset = heartbeat.config_offset
-        elif vm.reported is not None:
+        if heartbeat is None and vm.reported is not None:
             return replace(vm.reported, state=self._state(vm))
-        return VmView(
+        known = VmView(
             vm=vm.vm,
             data_centre=vm.data_centre,
             region=vm.region,
             state=self._state(vm),
-            config_offset=offset,
-            slices=slices,
-            runs_batch=runs_batch,
+        )
+        if heartbeat is None:
+            return known
+        return replace(
+            known,
+            config_offset=heartbeat.config_offset,
+            slices=heartbeat.slices,
+            runs_batch=heartbeat.runs_batch,
+            runs_entry=heartbeat.runs_entry,
         )
 
     def _heartbeat(self, vm: _Vm) -> Heartbeat | None:
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -92,6 +92,10 @@
     """
     Whether the VM's batch process is there.
     """
+    runs_entry: bool = True
+    """
+    Whether the VM's entry process is there.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -265,6 +269,10 @@
     """
     Whether the VM's batch process is there.
     """
+    runs_entry: bool = True
+    """
+    Whether the VM's entry process is there.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,11 +3,13 @@
 from collections.abc import Sequence
 from dataclasses import replace
 from datetime import timedelta
+from random import Random
 
 import anyio
 import pytest
 from websockets.asyncio.server import ServerConnection, serve
 
+from chivespan.addressbook import AddressBook
 from chivespan.clock import ManualClock
 from chivespan.codec import encode_message
 from chivespan.membership import FORGET_AFTER, REJOIN_GRACE, Membership
@@ -113,7 +115,7 @@
     assert view.views[FAR].state is LIVE
 
 
-def test_a_batch_process_that_is_away_is_told_to_all() -> None:
+def test_a_process_that_is_away_is_told_to_all() -> None:
     view, _ = membership()
     view.take_list([listed(OWN), listed(PEER)])
     view.linked(hello(PEER))
@@ -124,8 +126,19 @@
     )
     update = view.changes_since(before)
     assert update is not None
-    assert [(one.vm, one.state, one.runs_batch) for one in update.vms] == [
-        (PEER, LIVE, False)
+    assert [
+        (one.vm, one.state, one.runs_batch, one.runs_entry) for one in update.vms
+    ] == [(PEER, LIVE, False, True)]
+    before = view.sequence
+    view.heard(
+        PEER, Heartbeat(config_offset=3, leaving=False, slices=[], runs_entry=False)
+    )
+    update = view.changes_since(before)
+    assert update is not None
+    book = AddressBook(8080, timedelta(seconds=10), Random(1))
+    assert book.answer(update.vms, CENTRE, REGION).addresses == []
+    assert book.answer(tuple(view.views.values()), CENTRE, REGION).addresses == [
+        f"{OWN}:8080"
     ]
 
 
