--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 WORKERS := --numprocesses 6 --dist worksteal
 
-.PHONY: bench-path setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
+.PHONY: bench-site bench-path setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -51,6 +51,9 @@
 bench-path: setup
 	$(PYTHON) -m bench.bench_path
 
+bench-site: setup
+	$(PYTHON) -m bench.bench_site
+
 bench-state: setup
 	$(PYTHON) -m bench.bench_state
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -227,8 +227,7 @@
         for _ in wait_until("its first result", JOB_TIMEOUT):
             if self.state(job).done:
                 break
-        answer = self._request("POST", f"/v1/batches/{job}/cancel")
-        state = _decode(answer, BatchJob)
+        state = self.cancel(job)
         print(f"job {job}: {state.status}, {state.done} of {state.items} done")
         _require(state.status == CANCELLED, "the job is cancelled")
         time.sleep(SETTLE.total_seconds())
@@ -244,6 +243,10 @@
         _require(answer.status == 202, f"accepted: {answer.content.decode()}")
         return _decode(answer, BatchJob)
 
+    def cancel(self, job: str) -> BatchJob:
+        """Cancel a batch job and return its state."""
+        return _decode(self._request("POST", f"/v1/batches/{job}/cancel"), BatchJob)
+
     def state(self, job: str) -> BatchJob:
         """Return a batch job's state."""
         return _decode(self._request("GET", f"/v1/batches/{job}"), BatchJob)
