--- a/bench/policysite.py
+++ b/bench/policysite.py
@@ -12,6 +12,7 @@
 from anyio.abc import TaskGroup
 
 from bench.skiploop import LoopClock
+from bench.spillorders import SPILL_ORDERS, SpillView
 from chivespan.configuration import Configuration, DocumentId, StoredDocument
 from chivespan.documents import (
     DocumentKind,
@@ -36,7 +37,6 @@
 from chivespan.policies import Policies
 from chivespan.scheduler import SliceScheduler
 from chivespan.slices import Slice, slices_of
-from chivespan.spill import SPILL_ORDERS, SpillView
 from standins.enginebatch import Batch, EngineOptions, Running, prefix_hash
 
 HOP_S = 0.001
--- a/chivespan/spill.py
+++ b/bench/spillorders.py
@@ -1,4 +1,7 @@
-"""Which slices to ask for a slot, in order: one's own data centre, then others."""
+"""Orders in which the policy bench asks slices: one's own data centre, then others.
+
+The product's own is ``chivespan.slicechoice``, whose loads are up to a second old.
+"""
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bench.spillorders import SPILL_ORDERS, SpillView
 from chivespan.batchlevel import (
     BATCH_LEVELS,
     BatchLevel,
@@ -13,7 +14,6 @@
 from chivespan.messages import GrantRequest, SliceLoad, WorkClass
 from chivespan.policies import Policies
 from chivespan.slices import Slice
-from chivespan.spill import SPILL_ORDERS, SpillView
 from chivespan.targetchoice import TARGET_CHOICES, ChoiceView, PrefixHints
 from chivespan.targetstate import TargetState
 from tests.schedulerbench import runner
