--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -391,8 +391,7 @@
     ) -> None:
         request = waiter.request
         slots = self._pool.total_slots
-        asks_on = kind is ErrorKind.NO_CAPACITY and request.max_wait_ms == 0
-        if not asks_on:
+        if _is_final(kind, request):
             self._usage.record_refusal(OwnerClass(request.owner, request.work_class))
         drained = retry_after(self._drain, len(self._online), slots)
         reason = f"no slot of {self._part.slice_id} for request {request.request_id}"
@@ -432,3 +431,9 @@
         except ChivespanError:
             return
         self.report_load(target.name, load)
+
+
+def _is_final(kind: ErrorKind, request: GrantRequest) -> bool:
+    """Return whether the owner is refused: not who asks on, nor who went away."""
+    asks_on = kind is ErrorKind.NO_CAPACITY and request.max_wait_ms == 0
+    return not asks_on and kind is not ErrorKind.CANCELLED
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -84,6 +84,19 @@
         assert usage == {"a": 2, "b": 1, "stranger": 1}
 
 
+async def test_a_request_given_up_by_its_asker_is_no_refusal() -> None:
+    async with anyio.create_task_group() as tasks:
+        bench = SchedulerBench(tasks)
+        for _ in range(SLOTS):
+            await bench.ask(ONLINE)
+        waiting = await bench.ask(ONLINE)
+        bench.scheduler.abandon(waiting.request.request_id)
+        await settle()
+        assert waiting.ended
+        usage = [each.refusals for each in bench.scheduler.usage()]
+        assert sum(usage) == 0
+
+
 async def test_a_waiting_request_is_refused_as_soon_as_it_is_hopeless() -> None:
     async with anyio.create_task_group() as tasks:
         bench = SchedulerBench(tasks)
