--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,53 @@
+"""Bad input gets its own error, names its place, and the process goes on."""
+
+import httpcore
+import msgspec
+import pytest
+
+from chivespan.callerapi import ErrorAnswer, ErrorBody
+from tests.callers import MODEL
+from tests.faults.rig import OWNER_KEY, SETTINGS, OnlineRig, online_rig
+
+pytestmark = pytest.mark.anyio
+
+
+async def refused(rig: OnlineRig, content: bytes, key: str = OWNER_KEY) -> ErrorBody:
+    async with httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request(
+            "POST",
+            f"http://{rig.caller.address}/v1/completions",
+            headers=[("authorization", f"Bearer {key}")],
+            content=content,
+        )
+    return msgspec.json.decode(answer.content, type=ErrorAnswer).error
+
+
+async def test_each_bad_input_gets_its_own_error_and_the_entry_goes_on() -> None:
+    too_large = b'{"prompt": "' + b"x" * SETTINGS.body_limit_bytes + b'"}'
+    unknown = msgspec.json.encode({"model": "nobody's", "prompt": "p"})
+    endless = msgspec.json.encode({"model": MODEL, "prompt": "p", "max_tokens": 0})
+    async with online_rig() as rig:
+        errors = [
+            await refused(rig, too_large),
+            await refused(rig, b"{"),
+            await refused(rig, b'{"model": "m", "prompt": "p", "promt": 1}'),
+            await refused(rig, b'{"model": "m"}'),
+            await refused(rig, unknown),
+            await refused(rig, endless),
+            await refused(rig, unknown, key="nobody's"),
+        ]
+        assert await rig.ask() == "done"
+        rig.check()
+    assert [error.code for error in errors] == [
+        "body_too_large",
+        "bad_request",
+        "unknown_field",
+        "bad_request",
+        "unknown_model",
+        "bad_request",
+        "unauthenticated",
+    ]
+    assert {error.was_run for error in errors} == {"no"}
+    assert str(SETTINGS.body_limit_bytes) in errors[0].message
+    assert "$.promt" in errors[2].message
+    assert "$.max_tokens" in errors[5].message
