Give logic that stood twice one place, from a read of the whole change

Removed as unused: auth.same_key, a twin of the check in peerlink.py, and Appender.available. Behaviour is the same; the broken variant of a cancel takes its handler out of the table in place, with the same assertion.

Looked at and left: rows of the schema that look alike stay apart, as what callers are shown and what processes say may change apart; carriers and stores share constructors of a few lines only.

--- a/chivespan/appender.py
+++ b/chivespan/appender.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from chivespan.clock import Clock
+from chivespan.clock import NO_WAIT, Clock
 from chivespan.envelope import decode_envelope, encode_record, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platform import LogNotReached, LogRecord, LogService
@@ -23,7 +23,6 @@
 MAX_GROUP_BYTES = 4 * 1024 * 1024
 SCAN_LIMIT = 512
 SLOW_APPEND = timedelta(seconds=1.5)
-NO_WAIT = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,11 +125,6 @@
         self._append_began: timedelta | None = None
         self.appends = 0
 
-    @property
-    def available(self) -> bool:
-        """Whether the log answered last; when not, appends are refused at once."""
-        return not self._down
-
     @property
     def is_slow(self) -> bool:
         """Whether an append has been on its way for long."""
--- a/chivespan/auth.py
+++ b/chivespan/auth.py
@@ -1,7 +1,6 @@
 """Who is asking: owners and operators by key, of which only hashes are known."""
 
 import hashlib
-import hmac
 from collections.abc import Iterable
 from typing import TypeVar
 
@@ -83,12 +82,3 @@
 
 def _by_hash(holders: Iterable[Keyed]) -> dict[str, Keyed]:
     return {digest: holder for holder in holders for digest in holder.key_sha256}
-
-
-def same_key(expected: str, authorization: str | None) -> bool:
-    """Return whether a header carries the shared key, in constant time."""
-    try:
-        given = bearer_key(authorization)
-    except ChivespanError:
-        return False
-    return hmac.compare_digest(expected.encode(), given.encode())
--- a/chivespan/batch_main.py
+++ b/chivespan/batch_main.py
@@ -1,11 +1,9 @@
 """The program chivespan-batch: runs batch jobs and keeps claims, on every VM."""
 
 import os
-import signal
 from datetime import timedelta
 
 import anyio
-from anyio.abc import TaskGroup
 
 from chivespan.batchserver import BatchServer
 from chivespan.clock import SystemClock
@@ -24,6 +22,7 @@
 from chivespan.placement import owner
 from chivespan.plainclient import PlainClient
 from chivespan.settings import NodeSettings
+from chivespan.signals import leave_on_signal
 from chivespan.targethttp import TargetHttp
 
 LEAVE_TIMEOUT = timedelta(seconds=60)
@@ -71,7 +70,9 @@
                 settings.vm, settings.batch_port, end, server.handle
             ) as port:
                 _log.notice("serving", port=port)
-                await _wait_for_signal(tasks)
+                told = anyio.Event()
+                tasks.start_soon(leave_on_signal, tasks, lambda _name: told.set())
+                await told.wait()
                 owning.cancel()
                 await _leave(partitions)
             tasks.cancel_scope.cancel()
@@ -97,22 +98,6 @@
             await view.wait_changed()
 
 
-async def _wait_for_signal(tasks: TaskGroup) -> None:
-    """Return on the first signal; a second one ends the process at once."""
-    first = anyio.Event()
-
-    async def watch() -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                if first.is_set():
-                    tasks.cancel_scope.cancel()
-                    return
-                first.set()
-
-    tasks.start_soon(watch)
-    await first.wait()
-
-
 async def _leave(partitions: Partitions) -> None:
     """Give all partitions up and write the results that are left."""
     partitions.own(frozenset())
--- a/chivespan/batchlevel.py
+++ b/chivespan/batchlevel.py
@@ -90,16 +90,23 @@
 BATCH_LEVELS: Registry[Callable[[Policies], BatchLevel]] = Registry("batch level")
 
 
-@BATCH_LEVELS.register("none")
-class NoBatch:
-    """No batch at all."""
+class _Unsteered:
+    """A level that measures don't change; its subclasses say what it is."""
 
     yields = True
     relieves = False
     queued_in_targets = 0
 
     def __init__(self, policies: Policies) -> None:
-        pass
+        self._policies = policies
+
+    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
+        """Measures change nothing."""
+
+
+@BATCH_LEVELS.register("none")
+class NoBatch(_Unsteered):
+    """No batch at all."""
 
     def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
         """Allow nothing."""
@@ -109,21 +116,14 @@
         """Allow nothing."""
         return 0
 
-    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
-        """Measures change nothing."""
-
 
 @BATCH_LEVELS.register("unlimited")
-class UnlimitedBatch:
+class UnlimitedBatch(_Unsteered):
     """Batch like online: it fills every slot and as much of the engines' queues."""
 
     yields = False
-    relieves = False
     queued_in_targets = 8
 
-    def __init__(self, policies: Policies) -> None:
-        pass
-
     def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
         """Allow more than there are slots."""
         return 2 * counts.total
@@ -132,20 +132,12 @@
         """Allow all slots and a queue in the engine."""
         return counts.slots + self.queued_in_targets
 
-    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
-        """Measures change nothing."""
-
 
 @BATCH_LEVELS.register("fixed")
-class FixedSplit:
+class FixedSplit(_Unsteered):
     """A fixed number of slots of each target, never taken back."""
 
     yields = False
-    relieves = False
-    queued_in_targets = 0
-
-    def __init__(self, policies: Policies) -> None:
-        self._slots = policies.fixed_batch_slots
 
     def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
         """Leave it to the targets' limits."""
@@ -153,23 +145,13 @@
 
     def target_limit(self, counts: TargetCounts, now: timedelta) -> int:
         """Allow the fixed number."""
-        return min(self._slots, counts.slots)
-
-    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
-        """Measures change nothing."""
+        return min(self._policies.fixed_batch_slots, counts.slots)
 
 
 @BATCH_LEVELS.register("idle")
-class IdleSlots:
+class IdleSlots(_Unsteered):
     """Every slot that online leaves idle, taken back as soon as online waits."""
 
-    yields = True
-    relieves = False
-    queued_in_targets = 0
-
-    def __init__(self, policies: Policies) -> None:
-        pass
-
     def slice_limit(self, counts: SliceCounts, now: timedelta) -> int:
         """Allow what online doesn't use."""
         return counts.total - counts.online - counts.queued_online
@@ -178,9 +160,6 @@
         """Allow all slots."""
         return counts.slots
 
-    def record(self, sample: OnlineSample, batch: int, now: timedelta) -> None:
-        """Measures change nothing."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Demand:
--- a/chivespan/claimfold.py
+++ b/chivespan/claimfold.py
@@ -4,17 +4,16 @@
 outcome "unknown" may still be replaced by a known one, never the other way round.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import datetime
-from typing import Any
 
 import xxhash
 
 from chivespan.codec import decode, encode
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.platform import LogRecord
-from chivespan.recordfold import RecordFold
+from chivespan.recordfold import RecordFold, RecordHandlers
 from chivespan.records import (
     CarriedOutcome,
     Claim,
@@ -60,16 +59,7 @@
         return outcome.claim_offset == self.offset
 
 
-_Handler = Callable[["ClaimFold", OpenedRecord, Any], None]
-_HANDLERS: dict[type[Any], _Handler] = {}
-
-
-def _handles(cls: type[Any]) -> Callable[[_Handler], _Handler]:
-    def register(handler: _Handler) -> _Handler:
-        _HANDLERS[cls] = handler
-        return handler
-
-    return register
+_HANDLERS: RecordHandlers[None] = RecordHandlers()
 
 
 class ClaimFold(RecordFold):
@@ -93,9 +83,8 @@
         :raises ChivespanError: ``log_expired`` when records before it are missing.
         """
         opened = self._reader.take(record)
-        handler = _HANDLERS.get(type(opened.record)) if opened else None
-        if opened and handler:
-            handler(self, opened, opened.record)
+        if opened is not None:
+            _HANDLERS.apply(self, opened)
 
     def snapshot(self) -> bytes:
         """Return the whole state, with the ids seen."""
@@ -116,14 +105,14 @@
             fold._claims[one.claim_id] = _held(one)
         return fold
 
-    @_handles(Claim)
+    @_HANDLERS.handles(Claim)
     def _claim(self, opened: OpenedRecord, record: Claim) -> None:
         held = HeldClaim(
             opened.offset, opened.envelope.written_at, record.digest, record.claimant
         )
         self._claims.setdefault(claim_id(record.owner, record.key), held)
 
-    @_handles(ClaimOutcome)
+    @_HANDLERS.handles(ClaimOutcome)
     def _outcome(self, opened: OpenedRecord, record: ClaimOutcome) -> None:
         name = claim_id(record.owner, record.key)
         held = self._claims.get(name)
@@ -135,7 +124,7 @@
             held.outcome_offset = opened.offset
             held.known = record.known
 
-    @_handles(CarriedOutcome)
+    @_HANDLERS.handles(CarriedOutcome)
     def _carried(self, opened: OpenedRecord, record: CarriedOutcome) -> None:
         outcome = record.outcome
         held = self._claims.get(claim_id(outcome.owner, outcome.key))
@@ -144,7 +133,7 @@
         if held.outcome_offset == record.from_offset:
             held.outcome_offset = opened.offset
 
-    @_handles(ClaimsExpire)
+    @_HANDLERS.handles(ClaimsExpire)
     def _expire(self, opened: OpenedRecord, record: ClaimsExpire) -> None:
         self._claims = {
             name: held
--- a/chivespan/claimstore.py
+++ b/chivespan/claimstore.py
@@ -1,16 +1,13 @@
 """One partition of claims: who may run a keyed request, and what became of it."""
 
-from datetime import timedelta
-
 from chivespan.claimfold import ClaimFold, HeldClaim
+from chivespan.clock import NO_WAIT
 from chivespan.envelope import decode_envelope, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.jobmessages import ClaimReply, ClaimRequest, OutcomeRequest
 from chivespan.partitionstore import PartitionStore
 from chivespan.records import CarriedOutcome, Claim, ClaimOutcome
 
-NO_WAIT = timedelta(0)
-
 
 class ClaimStore(PartitionStore[ClaimFold]):
     """Carries out what entries ask of one partition's claims."""
--- a/chivespan/clock.py
+++ b/chivespan/clock.py
@@ -4,6 +4,10 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
+MILLISECOND = timedelta(milliseconds=1)
+MICROSECOND = timedelta(microseconds=1)
+NO_WAIT = timedelta(0)
+
 
 class Clock(Protocol):
     """Source of wall time and of time that only moves forward."""
--- a/chivespan/completions.py
+++ b/chivespan/completions.py
@@ -76,15 +76,7 @@
             ],
             usage=usage,
         )
-    choice = CompletionChoice(index=0, text=text, finish_reason=last.finish_reason)
-    return CompletionAnswer(
-        id=head.request_id,
-        object="text_completion",
-        created=head.created,
-        model=head.model,
-        choices=[choice],
-        usage=usage,
-    )
+    return _completion(head, text, last.finish_reason, usage)
 
 
 async def events(
@@ -114,15 +106,23 @@
                 ChatChunkChoice(index=0, delta=delta, finish_reason=token.finish_reason)
             ],
         )
-    choice = CompletionChoice(
-        index=0, text=token.text, finish_reason=token.finish_reason
-    )
+    return _completion(head, token.text, token.finish_reason)
+
+
+def _completion(
+    head: AnswerHead,
+    text: str,
+    finish_reason: str | None,
+    usage: TokenUsage | None = None,
+) -> CompletionAnswer:
+    choice = CompletionChoice(index=0, text=text, finish_reason=finish_reason)
     return CompletionAnswer(
         id=head.request_id,
         object="text_completion",
         created=head.created,
         model=head.model,
         choices=[choice],
+        usage=usage,
     )
 
 
--- a/chivespan/dispatch_main.py
+++ b/chivespan/dispatch_main.py
@@ -1,11 +1,9 @@
 """The program chivespan-dispatch: a VM's control process."""
 
 import os
-import signal
 from functools import partial
 
 import anyio
-from anyio.abc import TaskGroup
 
 from chivespan.clock import SystemClock
 from chivespan.dispatcher import Dispatcher
@@ -16,6 +14,7 @@
 from chivespan.metrics import Metrics
 from chivespan.options import start
 from chivespan.settings import NodeSettings
+from chivespan.signals import leave_on_signal
 from chivespan.targethttp import TargetHttp
 
 PROGRAM = "chivespan-dispatch"
@@ -33,22 +32,14 @@
             Metrics(settings.statsd_address, METRICS_PREFIX),
             probe=EngineClient(http),
         )
-        tasks.start_soon(_leave_on_signal, dispatcher, tasks)
-        await dispatcher.run()
-        tasks.cancel_scope.cancel()
-
 
-async def _leave_on_signal(dispatcher: Dispatcher, tasks: TaskGroup) -> None:
-    """Drain on the first signal, end at once on the second."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        draining = False
-        async for _ in signals:
-            if draining:
-                tasks.cancel_scope.cancel()
-                return
-            draining = True
+        def leave(_signal_name: str) -> None:
             tasks.start_soon(dispatcher.drain)
 
+        tasks.start_soon(leave_on_signal, tasks, leave)
+        await dispatcher.run()
+        tasks.cancel_scope.cancel()
+
 
 def main() -> None:
     """Start the program with the settings of its flags and environment."""
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivespan.clock import Clock
+from chivespan.clock import MILLISECOND, Clock
 from chivespan.codec import encode_message
 from chivespan.configcopy import ConfigCopy
 from chivespan.configfeed import ConfigFeed
@@ -58,7 +58,6 @@
 COALESCE = timedelta(milliseconds=20)
 DRAIN_TAIL = timedelta(seconds=3)
 DRAIN_LIMIT = timedelta(seconds=60)
-MILLISECOND = timedelta(milliseconds=1)
 
 _log = logger("dispatch")
 
--- a/chivespan/drain.py
+++ b/chivespan/drain.py
@@ -5,7 +5,6 @@
 connections, finishes what runs, and ends.
 """
 
-import signal
 from datetime import timedelta
 
 import anyio
@@ -14,26 +13,26 @@
 from chivespan.entrycontext import EntryContext
 from chivespan.httpserver import HttpServer
 from chivespan.logs import logger
+from chivespan.signals import leave_on_signal
 
 ANNOUNCE_MARGIN = timedelta(seconds=1)
 
 _log = logger("drain")
 
 
-async def leave_on_signal(
+async def drain_on_signal(
     context: EntryContext, server: HttpServer, tasks: TaskGroup
 ) -> None:
-    """Wait for SIGTERM or SIGINT, then leave; a second signal ends at once."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        signalled = False
-        async for signal_number in signals:
-            if signalled:
-                _log.warning("leaving cut short", in_progress=context.in_progress)
-                tasks.cancel_scope.cancel()
-                return
-            signalled = True
-            context.leave(signal_number.name)
-            tasks.start_soon(_leave, context, server)
+    """Leave on SIGTERM or SIGINT; a second signal ends at once."""
+
+    def leave(signal_name: str) -> None:
+        context.leave(signal_name)
+        tasks.start_soon(_leave, context, server)
+
+    def cut_short() -> None:
+        _log.warning("leaving cut short", in_progress=context.in_progress)
+
+    await leave_on_signal(tasks, leave, cut_short)
 
 
 async def _leave(context: EntryContext, server: HttpServer) -> None:
--- a/chivespan/entry_main.py
+++ b/chivespan/entry_main.py
@@ -12,7 +12,7 @@
 from chivespan.claimclient import ClaimClient
 from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import Clock, SystemClock
-from chivespan.drain import leave_on_signal
+from chivespan.drain import drain_on_signal
 from chivespan.engineclient import EngineClient
 from chivespan.entrycontext import EntryContext
 from chivespan.grantclient import GrantClient
@@ -83,7 +83,7 @@
             tasks.start_soon(view.run)
             tasks.start_soon(grants.run)
             tasks.start_soon(links.run)
-            tasks.start_soon(leave_on_signal, context, server, tasks)
+            tasks.start_soon(drain_on_signal, context, server, tasks)
             _log.notice("serving", port=settings.entry_port)
             await server.run()
             tasks.cancel_scope.cancel()
--- a/chivespan/entrycontext.py
+++ b/chivespan/entrycontext.py
@@ -1,8 +1,8 @@
 """What the HTTP handlers of one entry process share."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from starlette.requests import Request
 
@@ -34,6 +34,8 @@
         ...
 
 
+Identity = TypeVar("Identity")
+
 _log = logger("entry")
 
 
@@ -78,26 +80,14 @@
 
         :raises ChivespanError: ``unauthenticated``, ``forbidden`` or ``not_ready``.
         """
-        self._require_configuration()
-        header = request.headers.get("authorization")
-        try:
-            return self.authenticator.owner(self.view.configuration, header)
-        except ChivespanError:
-            self.metrics.incr("auth.refused")
-            raise
+        return self._identify(request, self.authenticator.owner)
 
     def authenticate_operator(self, request: Request) -> Operator:
         """Return the operator who sent a request.
 
         :raises ChivespanError: ``unauthenticated``, ``forbidden`` or ``not_ready``.
         """
-        self._require_configuration()
-        header = request.headers.get("authorization")
-        try:
-            return self.authenticator.operator(self.view.configuration, header)
-        except ChivespanError:
-            self.metrics.incr("auth.refused")
-            raise
+        return self._identify(request, self.authenticator.operator)
 
     async def read_body(self, request: Request) -> bytes:
         """Return the request's body.
@@ -113,6 +103,17 @@
                 raise ChivespanError(ErrorKind.BODY_TOO_LARGE, reason)
         return bytes(body)
 
+    def _identify(
+        self, request: Request, find: Callable[[Configuration, str | None], Identity]
+    ) -> Identity:
+        self._require_configuration()
+        header = request.headers.get("authorization")
+        try:
+            return find(self.view.configuration, header)
+        except ChivespanError:
+            self.metrics.incr("auth.refused")
+            raise
+
     def _require_configuration(self) -> None:
         if self.view.configuration.offset < 0:
             reason = "this VM has no configuration yet"
--- a/chivespan/follower.py
+++ b/chivespan/follower.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from chivespan.clock import NO_WAIT
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.logs import logger
 from chivespan.peerlink import Backoff, Counters
@@ -14,7 +15,6 @@
 from chivespan.snapshots import Fold, SnapshotStore
 
 READ_WAIT = timedelta(seconds=5)
-NO_WAIT = timedelta(0)
 CURRENT_WAIT = timedelta(seconds=1)
 PAGE_RECORDS = 256
 
--- a/chivespan/grantbook.py
+++ b/chivespan/grantbook.py
@@ -5,11 +5,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from chivespan.clock import MILLISECOND
 from chivespan.messages import OwnerShare, UsageCount, WorkClass
 from chivespan.ownerlimits import OwnerClass
 
-MILLISECOND = timedelta(milliseconds=1)
-
 
 @dataclass(slots=True)
 class LiveGrant:
--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -17,6 +17,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from chivespan.clock import MILLISECOND
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.heldslot import HeldSlot, slot_share
 from chivespan.messages import (
@@ -44,7 +45,6 @@
 TAKEOVER_WAIT = timedelta(seconds=1)
 NO_OWNER_PAUSE = timedelta(milliseconds=50)
 SHARE_LIFETIME = timedelta(seconds=1)
-MILLISECOND = timedelta(milliseconds=1)
 SPILL_KINDS = frozenset({ErrorKind.NO_CAPACITY, ErrorKind.NO_TARGET})
 
 
--- a/chivespan/heldslot.py
+++ b/chivespan/heldslot.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from chivespan.clock import MICROSECOND
 from chivespan.documents import Runner
 from chivespan.messages import (
     Grant,
@@ -15,8 +16,6 @@
 )
 from chivespan.placement import ranked
 
-MICROSECOND = timedelta(microseconds=1)
-
 
 class HeldSlot:
     """A slot on one target, held until released.
--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from chivespan.callerapi import BatchModelItem, BatchPlainItem
-from chivespan.clock import Clock
+from chivespan.clock import MILLISECOND, Clock
 from chivespan.codec import encode
 from chivespan.completions import prefix_hash
 from chivespan.documents import Service, ServiceKind
@@ -37,7 +37,6 @@
 TOKEN_GAP_TIMEOUT = timedelta(seconds=5)
 RETRY_DELAY = timedelta(seconds=1)
 MAX_RETRY_DELAY = timedelta(seconds=8)
-MILLISECOND = timedelta(milliseconds=1)
 TEXT_TYPE = "text/plain"
 SERVER_ERROR_STATUS = 500
 FINAL_KINDS = frozenset({ErrorKind.TARGET_REFUSED, ErrorKind.OUTCOME_UNKNOWN})
--- a/chivespan/jobfold.py
+++ b/chivespan/jobfold.py
@@ -4,16 +4,15 @@
 records that hold the results. Bodies of items and results stay in the log.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from datetime import datetime
-from typing import Any
 
 from chivespan.codec import decode, encode
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.jobmessages import JobPhase, JobState
 from chivespan.platform import LogRecord
-from chivespan.recordfold import RecordFold
+from chivespan.recordfold import RecordFold, RecordHandlers
 from chivespan.records import (
     CarriedChunk,
     CarriedResults,
@@ -121,16 +120,7 @@
         )
 
 
-_Handler = Callable[["JobFold", OpenedRecord, Any], Job | None]
-_HANDLERS: dict[type[Any], _Handler] = {}
-
-
-def _handles(cls: type[Any]) -> Callable[[_Handler], _Handler]:
-    def register(handler: _Handler) -> _Handler:
-        _HANDLERS[cls] = handler
-        return handler
-
-    return register
+_HANDLERS: RecordHandlers[Job | None] = RecordHandlers()
 
 
 class JobFold(RecordFold):
@@ -154,10 +144,7 @@
         :raises ChivespanError: ``log_expired`` when records before it are missing.
         """
         opened = self._reader.take(record)
-        if opened is None:
-            return None
-        handler = _HANDLERS.get(type(opened.record))
-        return handler(self, opened, opened.record) if handler else None
+        return _HANDLERS.apply(self, opened) if opened is not None else None
 
     def snapshot(self) -> bytes:
         """Return the whole state, with the ids seen."""
@@ -178,7 +165,7 @@
             fold._jobs[entry.begin.job_id] = _job(entry)
         return fold
 
-    @_handles(JobBegin)
+    @_HANDLERS.handles(JobBegin)
     def _begin(self, opened: OpenedRecord, begin: JobBegin) -> Job | None:
         if begin.job_id in self._jobs or begin.chunks < 1:
             return None
@@ -187,7 +174,7 @@
         self._jobs[begin.job_id] = job
         return job
 
-    @_handles(JobChunk)
+    @_HANDLERS.handles(JobChunk)
     def _chunk(self, opened: OpenedRecord, record: JobChunk) -> Job | None:
         job = self._submission(record.job_id, record.digest)
         if job is None or not 0 <= record.chunk < len(job.chunks):
@@ -198,7 +185,7 @@
             chunk.count = len(record.items)
         return job
 
-    @_handles(JobClose)
+    @_HANDLERS.handles(JobClose)
     def _close(self, opened: OpenedRecord, record: JobClose) -> Job | None:
         job = self._submission(record.job_id, record.digest)
         if job is None or not job.complete:
@@ -206,7 +193,7 @@
         job.phase = JobPhase.accepted
         return job
 
-    @_handles(JobCancel)
+    @_HANDLERS.handles(JobCancel)
     def _cancel(self, opened: OpenedRecord, record: JobCancel) -> Job | None:
         job = self._jobs.get(record.job_id)
         if job is None or job.phase in ENDED:
@@ -215,7 +202,7 @@
         job.ended_at = opened.envelope.written_at
         return job
 
-    @_handles(ItemStart)
+    @_HANDLERS.handles(ItemStart)
     def _start(self, opened: OpenedRecord, record: ItemStart) -> Job | None:
         job, chunk = self._running_chunk(record.job_id, record.chunk)
         if job is None or chunk is None or not 0 <= record.index < chunk.count:
@@ -227,7 +214,7 @@
         chunk.starts.setdefault(record.index, opened.offset)
         return job
 
-    @_handles(ItemResults)
+    @_HANDLERS.handles(ItemResults)
     def _results(self, opened: OpenedRecord, record: ItemResults) -> Job | None:
         job, chunk = self._running_chunk(record.job_id, record.chunk)
         if job is None or chunk is None:
@@ -251,7 +238,7 @@
             job.ended_at = opened.envelope.written_at
         return job
 
-    @_handles(CarriedChunk)
+    @_HANDLERS.handles(CarriedChunk)
     def _carried_chunk(self, opened: OpenedRecord, record: CarriedChunk) -> Job | None:
         job = self._jobs.get(record.job_id)
         if job is None or not 0 <= record.chunk < len(job.chunks):
@@ -261,7 +248,7 @@
             chunk.offset = opened.offset
         return job
 
-    @_handles(CarriedResults)
+    @_HANDLERS.handles(CarriedResults)
     def _carried_results(
         self, opened: OpenedRecord, record: CarriedResults
     ) -> Job | None:
@@ -273,7 +260,7 @@
             chunk.results = [opened.offset]
         return job
 
-    @_handles(JobExpire)
+    @_HANDLERS.handles(JobExpire)
     def _expire(self, opened: OpenedRecord, record: JobExpire) -> Job | None:
         job = self._jobs.get(record.job_id)
         if job is None or job.begin_offset != record.begin_offset:
--- a/chivespan/jobstore.py
+++ b/chivespan/jobstore.py
@@ -5,8 +5,8 @@
 """
 
 from collections.abc import AsyncIterator, Iterator
-from datetime import timedelta
 
+from chivespan.clock import NO_WAIT
 from chivespan.envelope import decode_envelope, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.jobfold import ENDED, Chunk, Job, JobFold
@@ -26,7 +26,6 @@
 )
 
 UNIT_BYTES = 2 * 1024 * 1024
-NO_WAIT = timedelta(0)
 
 
 class JobStore(PartitionStore[JobFold]):
--- a/chivespan/operatorlog.py
+++ b/chivespan/operatorlog.py
@@ -4,12 +4,11 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from datetime import timedelta
 
 import anyio
 
 from chivespan.appender import Appender
-from chivespan.clock import Clock
+from chivespan.clock import NO_WAIT, Clock
 from chivespan.codec import decode
 from chivespan.configfold import CONFIG_STREAM, ConfigFold
 from chivespan.errors import ChivespanError, ErrorKind
@@ -25,7 +24,6 @@
 from chivespan.snapshots import SnapshotStore
 
 READ_LIMIT = 1000
-NO_WAIT = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -13,12 +13,12 @@
 
 from chivespan.batchcontrol import BatchControl
 from chivespan.batchlevel import OnlineSample
-from chivespan.clock import Clock
+from chivespan.clock import MICROSECOND, MILLISECOND, Clock
 from chivespan.configuration import Configuration
 from chivespan.documents import Service, ServiceKind
 from chivespan.engineapi import EngineLoad
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.grantbook import MILLISECOND, LiveGrant, UsageBook
+from chivespan.grantbook import LiveGrant, UsageBook
 from chivespan.messages import (
     Grant,
     GrantRelease,
@@ -45,7 +45,6 @@
 BATCH_TICK = timedelta(milliseconds=50)
 IDLE_TICK = timedelta(milliseconds=500)
 PROBE_INTERVAL = timedelta(seconds=10)
-MICROSECOND = timedelta(microseconds=1)
 
 
 class LoadProbe(Protocol):
--- a/chivespan/sliceowner.py
+++ b/chivespan/sliceowner.py
@@ -11,7 +11,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivespan.clock import Clock
+from chivespan.clock import MILLISECOND, Clock
 from chivespan.configuration import Configuration
 from chivespan.documents import Runner, ServiceKind
 from chivespan.errors import ChivespanError, ErrorKind
@@ -35,7 +35,6 @@
 from chivespan.usage import summed
 
 ASK_NEXT_OWNER = timedelta(milliseconds=100)
-MILLISECOND = timedelta(milliseconds=1)
 
 _log = logger("slices")
 
--- a/chivespan/slotpool.py
+++ b/chivespan/slotpool.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Iterator
 from itertools import count
 
-from chivespan.clock import Clock
+from chivespan.clock import MILLISECOND, Clock
 from chivespan.engineapi import EngineLoad
-from chivespan.grantbook import MILLISECOND, GrantBook, LiveGrant
+from chivespan.grantbook import GrantBook, LiveGrant
 from chivespan.messages import (
     Grant,
     GrantRequest,
--- a/chivespan/snapshots.py
+++ b/chivespan/snapshots.py
@@ -8,11 +8,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import datetime
 from typing import Protocol, TypeVar
 
 import xxhash
 
+from chivespan.clock import NO_WAIT
 from chivespan.envelope import decode_envelope, encode_record, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platform import LogRecord, LogService
@@ -20,7 +21,6 @@
 
 PART_BYTES = 512 * 1024
 PAGE_RECORDS = 32
-NO_WAIT = timedelta(0)
 
 
 class Fold(Protocol):
--- a/chivespan/upkeep.py
+++ b/chivespan/upkeep.py
@@ -14,7 +14,7 @@
 
 from chivespan.appender import Appender
 from chivespan.claimstore import ClaimStore
-from chivespan.clock import Clock
+from chivespan.clock import NO_WAIT, Clock
 from chivespan.documents import Keeping
 from chivespan.envelope import decode_envelope
 from chivespan.errors import ChivespanError, ErrorKind
@@ -40,7 +40,6 @@
 CARRY_AFTER = 0.6
 MAX_CARRIED_PER_PASS = 256
 UNCLOSED_KEPT = timedelta(days=1)
-NO_WAIT = timedelta(0)
 
 _log = logger("upkeep")
 
--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -91,9 +91,7 @@
 
 
 async def test_a_cancel_is_answered_and_not_applied(monkeypatch: Patch) -> None:
-    handlers = dict(jobfold._HANDLERS)
-    del handlers[JobCancel]
-    monkeypatch.setattr(jobfold, "_HANDLERS", handlers)
+    monkeypatch.delitem(jobfold._HANDLERS, JobCancel)
     async with batch_rig() as rig:
         wanted = submission("not cancelled", items=200, tokens=20)
         accepted = await rig.caller.submit_until_accepted(wanted)
