Wait until views agree before the readers of a configuration are counted

All nodes of the test share one event loop and take a peer for lost after 250 ms; when the loop stalls for longer, each node may take part as a reader until its links are back. That is the design (more readers for a moment are harmless), so the test looked too early. Ruled out: views that aren't whole at the start (144 of 144 starts on a busy machine had 3 readers and 6 VMs in each view). Before: with the loop held for 0.4 s, 6 readers in 12 of 12 trials. After: views agree again in each, and then 3 readers in 12 of 12. Conclusion: the same assertion, made once the views agree; as strict, since it still asks for exactly READERS. The same for the test of lost readers, which chose whom to stop by the same look.

--- a/tests/controlnodes.py
+++ b/tests/controlnodes.py
@@ -126,6 +126,11 @@
     def offset(self) -> int:
         return self.dispatcher.copy.offset
 
+    @property
+    def sees(self) -> set[str]:
+        """The VMs of its data centre that this node takes for live."""
+        return set(self.dispatcher.membership.live_vms(self.settings.data_centre))
+
     def state_of(self, vm: str) -> VmState | None:
         view = self.dispatcher.membership.views.get(vm)
         return view.state if view else None
--- a/tests/test_configfeed.py
+++ b/tests/test_configfeed.py
@@ -43,13 +43,23 @@
     return all(node.offset == offset for node in nodes)
 
 
+def readers_of(nodes: Sequence[ControlNode]) -> list[ControlNode]:
+    return [node for node in nodes if node.dispatcher.feed.is_reader]
+
+
+async def until_views_agree(nodes: Sequence[ControlNode]) -> None:
+    """Wait until each node sees all: before, more than READERS may take the part."""
+    vms = {node.vm for node in nodes}
+    await until(lambda: all(node.sees == vms for node in nodes))
+
+
 async def test_change_is_pushed_to_all_nodes_and_their_programs() -> None:
     platform = Platform()
     platform.publish(*inventory(2))
     async with control_nodes(platform, VMS) as nodes, asker(platform, VMS[0]) as entry:
         await until(lambda: in_force(nodes, 0))
-        readers = [node for node in nodes if node.dispatcher.feed.is_reader]
-        assert len(readers) == configfeed.READERS
+        await until_views_agree(nodes)
+        assert len(readers_of(nodes)) == configfeed.READERS
         offset = platform.publish(new_region(1))
         await until(lambda: in_force(nodes, offset), 2)
         await until(lambda: entry.view.configuration.offset == offset, 2)
@@ -61,7 +71,8 @@
     platform.publish(*inventory(2))
     async with control_nodes(platform, VMS) as nodes:
         await until(lambda: in_force(nodes, 0))
-        readers = [node for node in nodes if node.dispatcher.feed.is_reader]
+        await until_views_agree(nodes)
+        readers = readers_of(nodes)
         left = [node for node in nodes if node not in readers]
         for reader in readers:
             reader.stop()
