Ask other slices before a request is refused for its owner's limit

Cause: each slice keeps its part of an owner's max_in_progress, and an entry that met owner_limit at one slice refused at once. Ruled out: the parts themselves; they add up to the limit. Before: the new test (limit 6, parts 4 and 2) fails in 4 of 4 runs. After: all 6 are granted and the 7th refused, 4 of 4 runs of the file. Conclusion: owner_limit spills like no_capacity; the limit still holds over the service, each part rounded up.

--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -2,7 +2,7 @@
 
 The bytes of a request flow straight to the target; only the grant goes through a
 dispatcher. Where an owner can't be reached the next in rendezvous order is asked, and
-cut off from all, online work may use this VM's fixed share of each target.
+cut off from all, online work may use this entry's fixed share of each target.
 """
 
 from collections import Counter
@@ -45,7 +45,9 @@
 TAKEOVER_WAIT = timedelta(seconds=1)
 NO_OWNER_PAUSE = timedelta(milliseconds=50)
 SHARE_LIFETIME = timedelta(seconds=1)
-SPILL_KINDS = frozenset({ErrorKind.NO_CAPACITY, ErrorKind.NO_TARGET})
+SPILL_KINDS = frozenset(
+    {ErrorKind.NO_CAPACITY, ErrorKind.NO_TARGET, ErrorKind.OWNER_LIMIT}
+)
 
 
 @dataclass(slots=True)
@@ -250,17 +252,18 @@
         return ChivespanError(ErrorKind.NO_DISPATCHER, reason)
 
     def _take_share(self, request: GrantRequest) -> HeldSlot:
-        """Use a slot of this VM's own share of a target.
+        """Use a slot of this entry's own share of a target.
 
         :raises ChivespanError: ``no_dispatcher`` when the share is used up.
         """
-        vms = self._view.live_vms(self._settings.data_centre)
+        own = f"{self._settings.vm}:{self._settings.entry_port}"
+        entries = self._view.entries(self._settings.data_centre)
         for part in self._view.slices.values():
             if part.service != request.service or not self._choice.is_here(part):
                 continue
             for runner in part.runners:
                 fits = runner.model == request.model or not request.model
-                share = slot_share(runner, self._settings.vm, vms)
+                share = slot_share(runner, own, entries)
                 excluded = runner.name in request.excluded
                 if fits and not excluded and self._shared[runner.name] < share:
                     return self._use_share(request, runner.name, runner.address)
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -1,12 +1,13 @@
 """Grants over links: owners lost, slices taken over, askers cut off."""
 
-from collections.abc import Sequence
-from dataclasses import replace
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
 
 import anyio
 import pytest
 
-from chivespan.documents import DataCentre, DocumentKind, Runner
+from chivespan.documents import DataCentre, DocumentKind, Rule, Runner, WorkClassRule
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.heldslot import HeldSlot, slot_share
 from chivespan.messages import (
@@ -22,6 +23,7 @@
 )
 from chivespan.peerlink import LinkEnd, PeerLink, listen
 from chivespan.placement import ranked
+from chivespan.records import DocumentChange
 from tests.controlnodes import (
     CENTRE,
     MODEL,
@@ -46,6 +48,15 @@
 TARGETS = 2
 SLOTS = 4
 CAPACITY = TARGETS * SLOTS
+FAR = "far"
+
+
+@dataclass(frozen=True)
+class TwoCentres:
+    """A running site of two data centres, and an asker in the first."""
+
+    nodes: list[ControlNode]
+    entry: Asker
 
 
 def targets(nodes: Sequence[ControlNode]) -> list[TargetStatus]:
@@ -96,11 +107,17 @@
         assert usage is not None
 
 
-async def test_full_slice_is_passed_over_before_its_load_is_known() -> None:
-    platform = Platform()
-    other = "other-centre"
+@asynccontextmanager
+async def two_centres(
+    platform: Platform, *changes: DocumentChange
+) -> AsyncIterator[TwoCentres]:
+    """Run a node in each of two data centres, with a target more in the far one.
+
+    :param changes: of the inventory, published after it.
+    """
+    other, far_vm = "other-centre", "127.41.1.1"
     far = Runner(
-        name="far",
+        name=FAR,
         service=SERVICE,
         address="127.9.1.1:9000",
         data_centre=other,
@@ -112,28 +129,53 @@
         added(DocumentKind.data_centre, other, DataCentre(name=other, region=REGION)),
         added(DocumentKind.runner, far.name, far),
     )
-    far_vm = "127.41.1.1"
+    if changes:
+        platform.publish(*changes)
     async with control_nodes(platform, VMS[:1]) as nodes:
         platform.list_vms(far_vm, centre=other)
         async with anyio.create_task_group() as tasks:
             nodes.append(start_node(tasks, platform, far_vm, other))
             async with asker(platform, VMS[0]) as entry:
                 await until(lambda: len(entry.view.loads) == 2)
-                slots: list[HeldSlot] = []
-
-                async def patient(number: int) -> None:
-                    wanted = replace(request(number), deadline_ms=600_000)
-                    slots.append(await entry.client.acquire(wanted))
-
-                with anyio.fail_after(5):
-                    async with anyio.create_task_group() as patients:
-                        for number in range(CAPACITY + SLOTS):
-                            patients.start_soon(patient, number)
-                assert far.name in {slot.grant.target for slot in slots}
-                assert running(nodes) == CAPACITY + SLOTS
+                yield TwoCentres(nodes, entry)
             tasks.cancel_scope.cancel()
 
 
+async def test_full_slice_is_passed_over_before_its_load_is_known() -> None:
+    async with two_centres(Platform()) as site:
+        slots: list[HeldSlot] = []
+
+        async def patient(number: int) -> None:
+            wanted = replace(request(number), deadline_ms=600_000)
+            slots.append(await site.entry.client.acquire(wanted))
+
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as patients:
+                for number in range(CAPACITY + SLOTS):
+                    patients.start_soon(patient, number)
+        assert FAR in {slot.grant.target for slot in slots}
+        assert running(site.nodes) == CAPACITY + SLOTS
+
+
+async def test_owner_within_its_limit_is_not_refused_for_a_slice_s_part() -> None:
+    """The near slice's part of the limit is 4 and the far one's 2."""
+    limit = 6
+    rule = Rule(
+        name=WorkClass.online.value,
+        owner="owner",
+        service=SERVICE,
+        work_class=WorkClassRule.online,
+        max_in_progress=limit,
+    )
+    limited = replace(added(DocumentKind.rule, rule.name, rule), base_version=1)
+    async with two_centres(Platform(), limited) as site:
+        for number in range(limit):
+            await site.entry.client.acquire(request(number))
+        with pytest.raises(ChivespanError) as refused:
+            await site.entry.client.acquire(request(limit))
+        assert refused.value.kind is ErrorKind.OWNER_LIMIT
+
+
 async def test_abandoned_wait_leaves_no_slot_in_use() -> None:
     platform = Platform()
     platform.publish(*inventory(TARGETS, SLOTS))
