Let a VM run several entries, each named to callers and leaving alone

Nothing but the port kept a VM from running more. Now an entry's Hello names its port, heartbeats and views carry the ports of a VM's entries (entry_ports in place of runs_entry), callers get addresses of all, one of each VM first, and the share of a target for entries cut off from all dispatchers is divided by entries. An entry told to end says so in its heartbeats and is named no more; before, other VMs went on naming it. The time it waits for that word to spread is 3 s instead of 1. Ruled out: counting a VM that tells of no entry as none in the shares; test_grants shows that an entry whose dispatcher is away would then lose its share to others while it still uses it. Tests: tests/test_entries.py, two entries in processes, one leaving while it streams.

--- /dev/null
+++ b/bench/bench_entries.py
@@ -0,0 +1,122 @@
+"""``make bench-entries``: what one, two and three entries of a VM carry.
+
+The livestock example runs on loopback, and one VM serves all. Streams run one after
+another in several client processes, enough to keep every entry busy, so the tokens a
+second are what the entries carry. Prints JSON lines.
+"""
+
+import json
+import sys
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from datetime import timedelta
+from pathlib import Path
+
+import anyio
+import fire
+import httpcore
+
+from tools.cluster import Cluster, Process, free_block
+from tools.demo import MODEL, OWNER_KEY, Demo, demo_site
+
+CLIENT_PROCESSES = 3
+STREAMS_OF_A_PROCESS = 6
+ENGINE_FLAGS = {"slots": "16", "step_ms": "4", "step_ms_per_request": "0.05"}
+TOKENS = 200
+
+
+def main(seconds: float = 8) -> None:
+    """Measure with one, two and three entries.
+
+    :param seconds: length of each measure.
+    """
+    for entries in (1, 2, 3):
+        _measure(entries, timedelta(seconds=seconds))
+
+
+def _measure(entries: int, duration: timedelta) -> None:
+    site = replace(demo_site(free_block(), ENGINE_FLAGS), entries=entries)
+    with tempfile.TemporaryDirectory() as folder, Cluster(site) as cluster:
+        Demo(cluster, Path(folder)).apply()
+        vm = site.vms[0].vm
+        addresses = [f"{vm}:{port}" for port in site.entry_ports]
+        processes = [
+            process
+            for process in cluster.vm_processes(vm)
+            if process.name.startswith(f"{vm}/entry")
+        ]
+        tokens, used = _load(addresses, processes, duration)
+    passed = duration.total_seconds()
+    print(
+        json.dumps(
+            {
+                "measure": "entries_of_a_vm",
+                "entries": entries,
+                "tokens_per_s": round(tokens / passed),
+                "cores": round(used / passed, 2),
+                "cpu_us_a_token": round(used / tokens * 1e6),
+            }
+        )
+    )
+    sys.stdout.flush()
+
+
+def _load(
+    addresses: list[str], processes: list[Process], duration: timedelta
+) -> tuple[int, float]:
+    """Return the tokens received and the processor seconds that entries took."""
+    with ProcessPoolExecutor(CLIENT_PROCESSES) as pool:
+        before = sum(process.cpu_seconds for process in processes)
+        waiting = [
+            pool.submit(stream_until, addresses, duration.total_seconds(), number)
+            for number in range(CLIENT_PROCESSES)
+        ]
+        tokens = sum(each.result() for each in waiting)
+        return tokens, sum(process.cpu_seconds for process in processes) - before
+
+
+def stream_until(addresses: list[str], seconds: float, number: int) -> int:
+    """Stream answers from entries in turn; return the tokens received."""
+    return anyio.run(_streams, addresses, time.monotonic() + seconds, number)
+
+
+async def _streams(addresses: list[str], end: float, number: int) -> int:
+    received = 0
+
+    async def one(address: str, prompt: str) -> None:
+        nonlocal received
+        async with httpcore.AsyncConnectionPool() as pool:
+            while time.monotonic() < end:
+                received += await _answer(pool, address, prompt, end)
+
+    async with anyio.create_task_group() as tasks:
+        for index in range(STREAMS_OF_A_PROCESS):
+            address = addresses[(number + index) % len(addresses)]
+            tasks.start_soon(one, address, f"stream {number} {index}")
+    return received
+
+
+async def _answer(
+    pool: httpcore.AsyncConnectionPool, address: str, prompt: str, end: float
+) -> int:
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": TOKENS, "stream": True}
+    received = 0
+    async with pool.stream(
+        "POST",
+        f"http://{address}/v1/completions",
+        headers={"authorization": f"Bearer {OWNER_KEY}"},
+        content=json.dumps(body).encode(),
+    ) as answer:
+        if answer.status != 200:
+            raise RuntimeError(f"{address}: {answer.status} {await answer.aread()!r}")
+        async for chunk in answer.aiter_stream():
+            received += chunk.count(b"token_index") or chunk.count(b"data: ")
+            if time.monotonic() > end:
+                break
+    return received
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -26,7 +26,6 @@
 COST_REQUESTS = 60
 COST_TOKENS = (50, 100, 200)
 HIGHEST_US = 60_000_000
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 @dataclass(frozen=True)
@@ -88,10 +87,10 @@
     costs: dict[int, float] = {}
     with httpcore.ConnectionPool() as pool:
         for tokens in (1, *COST_TOKENS):
-            before = _cpu_seconds(entry)
+            before = entry.cpu_seconds
             for number in range(COST_REQUESTS):
                 _request(pool, way, f"cost {number}", tokens)
-            costs[tokens] = (_cpu_seconds(entry) - before) / COST_REQUESTS
+            costs[tokens] = (entry.cpu_seconds - before) / COST_REQUESTS
             _print(
                 measure="entry_cpu_of_request",
                 tokens=tokens,
@@ -128,10 +127,10 @@
     programs = {
         name: cluster.process(f"{vm}/{name}") for name in ("entry", "dispatch", "batch")
     }
-    before = {name: _cpu_seconds(process) for name, process in programs.items()}
+    before = {name: process.cpu_seconds for name, process in programs.items()}
     time.sleep(IDLE_TIME.total_seconds())
     for name, process in programs.items():
-        used = _cpu_seconds(process) - before[name]
+        used = process.cpu_seconds - before[name]
         _print(
             measure="idle",
             program=name,
@@ -140,11 +139,6 @@
         )
 
 
-def _cpu_seconds(process: Process) -> float:
-    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
 def _resident_bytes(process: Process) -> int:
     pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
     return pages * os.sysconf("SC_PAGE_SIZE")
--- /dev/null
+++ b/chivespan/departure.py
@@ -0,0 +1,27 @@
+"""That an entry leaves, as its heartbeats tell the dispatcher of its VM.
+
+The dispatcher then names it to callers no more, while other entries of the VM serve on.
+"""
+
+from chivespan.messages import Hello
+from chivespan.peerlink import IDLE_HEARTBEAT, LEAVING_HEARTBEAT
+
+
+class Departure:
+    """Whether an entry was told to leave, and how its dispatcher hears of it."""
+
+    def __init__(self) -> None:
+        self._begun = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the entry leaves."""
+        return self._begun
+
+    def begin(self) -> None:
+        """Leave from now on."""
+        self._begun = True
+
+    def heartbeat(self, _remote: Hello) -> bytes:
+        """Return the heartbeat frame for the entry's links."""
+        return LEAVING_HEARTBEAT if self._begun else IDLE_HEARTBEAT
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -11,6 +11,7 @@
 from chivespan.configfeed import ConfigFeed
 from chivespan.configsnapshots import ConfigSnapshots
 from chivespan.errors import ChivespanError
+from chivespan.followers import Followers
 from chivespan.listpoll import ListPoll
 from chivespan.logs import logger
 from chivespan.membership import Membership
@@ -126,10 +127,9 @@
             self._end.hello, self._mesh, self._membership, self._slices.usage
         )
         self._holders: dict[str, list[PeerLink]] = {}
-        self._followers: set[PeerLink] = set()
+        self._followers = Followers(settings.vm)
         self._heartbeat_frame = IDLE_HEARTBEAT
         self._configuration_changed = anyio.Event()
-        self._follower_ended = anyio.Event()
         self._drained = anyio.Event()
 
     @property
@@ -187,15 +187,9 @@
         self.announce_leaving()
         await anyio.sleep(DRAIN_TAIL.total_seconds())
         with anyio.move_on_after(DRAIN_LIMIT.total_seconds()):
-            await self._wait_own_followers_ended()
+            await self._followers.wait_own_ended()
         self._drained.set()
 
-    async def _wait_own_followers_ended(self) -> None:
-        own = self._settings.vm
-        while any(link.remote.vm == own for link in self._followers):
-            self._follower_ended = anyio.Event()
-            await self._follower_ended.wait()
-
     def status(self, request_id: str) -> StatusReply:
         """Return what this node owns and has in force."""
         return StatusReply(
@@ -236,7 +230,6 @@
                 tasks.cancel_scope.cancel()
         finally:
             self._followers.discard(link)
-            self._follower_ended.set()
             self._forget_holder(link)
 
     def _forget_holder(self, link: PeerLink) -> None:
@@ -297,6 +290,8 @@
         if link.remote.program is Program.dispatch:
             self._membership.heard(link.remote.vm, heartbeat)
             self._feed.heard_offset(link, heartbeat.config_offset)
+        else:
+            self._followers.heard(link, heartbeat)
 
     async def _grant(self, link: PeerLink, request: GrantRequest) -> None:
         answer = await self._slices.answer(request, link.holder)
@@ -375,21 +370,13 @@
             self._make_heartbeat()
             await anyio.sleep(self._end.options.heartbeat.total_seconds())
 
-    def _runs(self, program: Program) -> bool:
-        """Whether a program of this VM is linked; if not, others do without it."""
-        own = self._settings.vm
-        return any(
-            link.remote.vm == own and link.remote.program is program
-            for link in self._followers
-        )
-
     def _make_heartbeat(self) -> None:
         heartbeat = Heartbeat(
             config_offset=self._copy.offset,
             leaving=self._membership.leaving,
             slices=self._slices.loads(),
-            runs_batch=self._runs(Program.batch),
-            runs_entry=self._runs(Program.entry),
+            runs_batch=self._followers.runs_batch,
+            entry_ports=self._followers.entry_ports,
         )
         self._membership.set_own(heartbeat)
         self._heartbeat_frame = encode_message(heartbeat)
--- a/chivespan/drain.py
+++ b/chivespan/drain.py
@@ -1,8 +1,9 @@
 """Leaving without cutting a request in progress.
 
-A VM that leaves is first left out of the answers to "which address". Callers keep old
-answers for a while and are served for that long; then the process takes no new
-connections, finishes what runs, and ends.
+An entry that leaves is first left out of the answers to "which address", as soon as its
+heartbeat and those of its VM have told the others. Callers keep old answers for a while
+and are served for that long; then the process takes no new connections, finishes what
+runs, and ends.
 """
 
 from datetime import timedelta
@@ -15,7 +16,7 @@
 from chivespan.logs import logger
 from chivespan.signals import leave_on_signal
 
-ANNOUNCE_MARGIN = timedelta(seconds=1)
+ANNOUNCE_MARGIN = timedelta(seconds=3)
 
 _log = logger("drain")
 
--- a/chivespan/entry_main.py
+++ b/chivespan/entry_main.py
@@ -11,7 +11,8 @@
 from chivespan.batchlinks import BatchLinks
 from chivespan.claimclient import ClaimClient
 from chivespan.claimedcall import ClaimedCalls
-from chivespan.clock import Clock, SystemClock
+from chivespan.clock import SystemClock
+from chivespan.departure import Departure
 from chivespan.drain import drain_on_signal
 from chivespan.engineclient import EngineClient
 from chivespan.entrycontext import EntryContext
@@ -48,7 +49,14 @@
     """Serve callers until told to leave."""
     clock = SystemClock()
     metrics = Metrics(settings.statsd_address, "chivespan.entry")
-    end = _link_end(settings, clock, metrics)
+    departure = Departure()
+    end = LinkEnd(
+        new_hello(settings, Program.entry),
+        LinkOptions.from_settings(settings),
+        clock,
+        metrics,
+        departure.heartbeat,
+    )
     view = NodeView(end, settings, HttpVmList(settings.vm_list_url))
     grants = GrantClient(end, settings, view)
     links = BatchLinks(end, settings, view)
@@ -68,6 +76,7 @@
             ),
             metrics=metrics,
             clock=clock,
+            departure=departure,
         )
         jobs = JobClient(links, settings.partitions)
         routes = [
@@ -90,10 +99,5 @@
     _log.notice("ended")
 
 
-def _link_end(settings: NodeSettings, clock: Clock, metrics: Metrics) -> LinkEnd:
-    hello = new_hello(settings, Program.entry)
-    return LinkEnd(hello, LinkOptions.from_settings(settings), clock, metrics)
-
-
 if __name__ == "__main__":
     main()
--- a/chivespan/entrycontext.py
+++ b/chivespan/entrycontext.py
@@ -11,6 +11,7 @@
 from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import Clock
 from chivespan.configuration import Configuration
+from chivespan.departure import Departure
 from chivespan.documents import Operator, Owner
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.logs import logger
@@ -43,7 +44,7 @@
 class EntryContext:
     """Shared by all handlers of one entry process.
 
-    :param leaving: set once the process was told to leave.
+    :param departure: begun once the process was told to leave.
     :param in_progress: requests being served now.
     """
 
@@ -55,25 +56,25 @@
     metrics: Metrics
     clock: Clock
     authenticator: Authenticator = field(default_factory=Authenticator)
-    leaving: bool = False
+    departure: Departure = field(default_factory=Departure)
     in_progress: int = 0
 
     @property
     def is_leaving(self) -> bool:
         """Whether this VM was told to leave, or is listed as leaving."""
-        return self.leaving or any(
+        return self.departure.begun or any(
             vm.vm == self.settings.vm and vm.state is VmState.leaving
             for vm in self.view.vms
         )
 
     def leave(self, told_by: str) -> None:
-        """Leave this VM out of address answers from now on.
+        """Leave this entry out of address answers from now on.
 
         :param told_by: the operator or the signal.
         """
-        if not self.leaving:
+        if not self.departure.begun:
             _log.notice("leaving", told_by=told_by, in_progress=self.in_progress)
-        self.leaving = True
+        self.departure.begin()
 
     def authenticate(self, request: Request) -> Owner:
         """Return the owner who sent a request.
--- a/chivespan/heldslot.py
+++ b/chivespan/heldslot.py
@@ -70,23 +70,26 @@
         )
 
 
-def slot_share(runner: Runner, vm: str, vms: Sequence[str]) -> int:
-    """Return how many of a target's slots a VM may use while cut off.
+def slot_share(runner: Runner, entry: str, entries: Sequence[str]) -> int:
+    """Return how many of a target's slots an entry may use while cut off.
 
-    The shares of all VMs add up to the target's slots; what doesn't divide evenly
-    goes to the first VMs in rendezvous order.
+    The shares of all entries add up to the target's slots; what doesn't divide evenly
+    goes to the first entries in rendezvous order.
+
+    :param entry: its address.
+    :param entries: the addresses of all entries of the target's data centre.
 
     >>> runner = Runner(
     ...     name="r", service="s", address="10.0.0.9:1", data_centre="d", slots=7
     ... )
-    >>> vms = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
-    >>> sorted(slot_share(runner, vm, vms) for vm in vms)
+    >>> entries = ["10.0.0.1:80", "10.0.0.2:80", "10.0.0.2:81"]
+    >>> sorted(slot_share(runner, entry, entries) for entry in entries)
     [2, 2, 3]
     """
-    if vm not in vms:
+    if entry not in entries:
         return 0
-    whole, left = divmod(runner.slots, len(vms))
-    return whole + (ranked(runner.name, vms).index(vm) < left)
+    whole, left = divmod(runner.slots, len(entries))
+    return whole + (ranked(runner.name, entries).index(entry) < left)
 
 
 def _microseconds(duration: timedelta | None) -> int:
--- a/chivespan/membership.py
+++ b/chivespan/membership.py
@@ -311,7 +311,7 @@
             config_offset=heartbeat.config_offset,
             slices=heartbeat.slices,
             runs_batch=heartbeat.runs_batch,
-            runs_entry=heartbeat.runs_entry,
+            entry_ports=heartbeat.entry_ports,
         )
 
     def _heartbeat(self, vm: _Vm) -> Heartbeat | None:
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -61,6 +61,10 @@
     """
     Unique to one run of the process.
     """
+    serving_port: int = 0
+    """
+    Port on which the process takes callers; 0 for none.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,9 +96,9 @@
     """
     Whether the VM's batch process is there.
     """
-    runs_entry: bool = True
+    entry_ports: list[int] | None = None
     """
-    Whether the VM's entry process is there.
+    Ports of the VM's entry processes that take callers; null while unknown.
     """
 
 
@@ -269,9 +273,9 @@
     """
     Whether the VM's batch process is there.
     """
-    runs_entry: bool = True
+    entry_ports: list[int] | None = None
     """
-    Whether the VM's entry process is there.
+    Ports of the VM's entry processes that take callers; null while unknown.
     """
 
 
--- a/chivespan/nodeview.py
+++ b/chivespan/nodeview.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from chivespan.addressbook import entry_addresses
 from chivespan.configcopy import ConfigCopy
 from chivespan.configuration import Configuration
 from chivespan.documents import Runner
@@ -81,6 +82,20 @@
             if view.state is VmState.live and data_centre in (None, view.data_centre)
         ]
 
+    def entries(self, data_centre: str) -> list[str]:
+        """Return the addresses of the entries on the live VMs of a data centre.
+
+        A VM that tells of none counts as one, since its entry may have lost only the
+        VM's dispatcher.
+        """
+        usual = self._settings.entry_port
+        return [
+            address
+            for view in self._vms.values()
+            if view.state is VmState.live and view.data_centre == data_centre
+            for address in entry_addresses(view, usual) or [f"{view.vm}:{usual}"]
+        ]
+
     def batch_vms(self) -> list[str]:
         """Return the live VMs whose batch process is there, or all when none is known.
 
--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -81,6 +81,7 @@
         data_centre=settings.data_centre,
         region=settings.region,
         incarnation=secrets.token_hex(6),
+        serving_port=settings.entry_port if program is Program.entry else 0,
     )
 
 
@@ -90,6 +91,7 @@
 
 
 IDLE_HEARTBEAT = encode_message(Heartbeat(config_offset=-1, leaving=False, slices=[]))
+LEAVING_HEARTBEAT = encode_message(Heartbeat(config_offset=-1, leaving=True, slices=[]))
 
 
 def idle_heartbeat(_remote: Hello) -> bytes:
--- a/chivespan/settings.py
+++ b/chivespan/settings.py
@@ -43,7 +43,7 @@
     """
     entry_port: int = 8080
     """
-    Port of chivespan-entry on every VM.
+    Port of this chivespan-entry; each of several on a VM has its own.
     """
     dispatch_port: int = 8081
     """
--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,148 @@
+"""Several entries on a VM: each is named to callers, and one can leave alone."""
+
+import json
+import signal
+from collections.abc import Iterator
+from dataclasses import replace
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+
+import anyio
+import httpcore
+import pytest
+
+from chivespan.addressbook import AddressBook
+from chivespan.clock import SystemClock
+from chivespan.departure import Departure
+from chivespan.messages import Program, VmState, VmView
+from chivespan.metrics import Metrics
+from chivespan.nodeview import NodeView
+from chivespan.peerlink import LinkEnd, LinkOptions, new_hello
+from tests.callers import Caller
+from tests.controlnodes import (
+    CENTRE,
+    REGION,
+    ControlNode,
+    Platform,
+    control_nodes,
+    inventory,
+    settings_of,
+    until,
+)
+from tools.cluster import Cluster, free_block
+from tools.demo import MODEL, OWNER_KEY, Demo, demo_site
+
+VM = "127.46.0.1"
+PORTS = [8080, 8090]
+SETTINGS = {
+    "heartbeat_ms": "200",
+    "peer_silence_ms": "1000",
+    "address_lifetime_ms": "1000",
+}
+
+
+def vm_view(vm: str, ports: list[int] | None) -> VmView:
+    return VmView(
+        vm=vm,
+        data_centre=CENTRE,
+        region=REGION,
+        state=VmState.live,
+        entry_ports=ports,
+    )
+
+
+def addresses(*views: VmView) -> list[str]:
+    book = AddressBook(8080, timedelta(seconds=10), Random(1))
+    return book.answer(views, CENTRE, REGION).addresses
+
+
+def test_every_vm_is_named_before_a_second_entry_of_one() -> None:
+    views = [vm_view(f"10.0.0.{number}", PORTS) for number in (1, 2, 3)]
+    named = addresses(*views)
+    assert len(set(named)) == 4
+    assert {each.split(":")[0] for each in named[:3]} == {view.vm for view in views}
+
+
+def test_vm_whose_word_is_not_known_is_named_with_the_usual_port() -> None:
+    assert addresses(vm_view("10.0.0.1", None)) == ["10.0.0.1:8080"]
+    assert addresses(vm_view("10.0.0.1", [])) == []
+
+
+async def follow(platform: Platform, port: int, departure: Departure) -> None:
+    """Follow the dispatcher as an entry does."""
+    settings = replace(settings_of(VM, platform.port), entry_port=port)
+    end = LinkEnd(
+        new_hello(settings, Program.entry),
+        LinkOptions.from_settings(settings),
+        SystemClock(),
+        Metrics(),
+        departure.heartbeat,
+    )
+    await NodeView(end, settings, platform.vm_list).run()
+
+
+def ports_told_by(node: ControlNode) -> list[int] | None:
+    return node.dispatcher.membership.views[VM].entry_ports
+
+
+@pytest.mark.anyio
+async def test_dispatcher_tells_which_entries_take_callers() -> None:
+    platform = Platform()
+    platform.publish(*inventory(1))
+    departure = Departure()
+    async with (
+        control_nodes(platform, [VM]) as [node],
+        anyio.create_task_group() as own,
+    ):
+        own.start_soon(follow, platform, PORTS[0], Departure())
+        async with anyio.create_task_group() as second:
+            second.start_soon(follow, platform, PORTS[1], departure)
+            await until(lambda: ports_told_by(node) == PORTS)
+            departure.begin()
+            await until(lambda: ports_told_by(node) == PORTS[:1])
+            second.cancel_scope.cancel()
+        own.cancel_scope.cancel()
+        await until(lambda: ports_told_by(node) == [])
+
+
+@pytest.fixture
+def cluster(tmp_path: Path) -> Iterator[Cluster]:
+    site = replace(demo_site(free_block()), entries=2, settings=SETTINGS)
+    with Cluster(site) as running:
+        Demo(running, tmp_path).apply()
+        yield running
+
+
+@pytest.mark.anyio
+async def test_one_entry_leaves_while_it_serves_and_the_other_serves_on(
+    cluster: Cluster,
+) -> None:
+    vm = cluster.site.vms[0].vm
+    leaving = cluster.process(f"{vm}/entry-{PORTS[1]}")
+    first, second = (Caller(f"{vm}:{port}", OWNER_KEY, MODEL) for port in PORTS)
+    async with anyio.create_task_group() as tasks:
+
+        async def long_answer() -> None:
+            got = await second.stream("long", 200, across_shutdown=True)
+            assert got.ended == "done"
+
+        tasks.start_soon(long_answer)
+        await second.on_token.wait()
+        leaving.terminate()
+        await until(lambda: second.address not in named_by(first.address))
+        assert (await first.whole("short", 4)).ended == "done"
+        assert (await second.whole("with an old address", 4)).ended == "done"
+    assert await anyio.to_thread.run_sync(leaving.wait) == 0
+    assert -signal.SIGKILL not in {p.exit_code for p in cluster.vm_processes(vm)}
+
+
+def named_by(address: str) -> list[str]:
+    """Return what an entry names to callers of its own VM's data centre."""
+    answer = httpcore.request(
+        "GET",
+        f"http://{address}/v1/addresses",
+        headers={"authorization": f"Bearer {OWNER_KEY}"},
+    )
+    named: list[str] = json.loads(answer.content)["addresses"]
+    return named
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -127,11 +127,11 @@
     update = view.changes_since(before)
     assert update is not None
     assert [
-        (one.vm, one.state, one.runs_batch, one.runs_entry) for one in update.vms
-    ] == [(PEER, LIVE, False, True)]
+        (one.vm, one.state, one.runs_batch, one.entry_ports) for one in update.vms
+    ] == [(PEER, LIVE, False, None)]
     before = view.sequence
     view.heard(
-        PEER, Heartbeat(config_offset=3, leaving=False, slices=[], runs_entry=False)
+        PEER, Heartbeat(config_offset=3, leaving=False, slices=[], entry_ports=[])
     )
     update = view.changes_since(before)
     assert update is not None
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -25,6 +25,7 @@
 from standins.vmlist import VmEntry
 
 ENTRY_PORT = 8080
+ENTRY_PORT_STEP = 10
 DISPATCH_PORT = 8081
 BATCH_PORT = 8082
 ENGINE_PORT = 9000
@@ -36,6 +37,8 @@
 STOP_TIMEOUT = timedelta(seconds=10)
 POLL = timedelta(milliseconds=20)
 LOG_TAIL_BYTES = 4000
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+USER_TICKS, SYSTEM_TICKS = 11, 12
 
 PROGRAM_PORTS = {"dispatch": DISPATCH_PORT, "batch": BATCH_PORT, "entry": ENTRY_PORT}
 
@@ -63,6 +66,7 @@
     :param data_centres: data centre of each VM, in order.
     :param engines: how many engine stand-ins.
     :param plains: how many plain stand-ins.
+    :param entries: entry processes of each VM, the first on the usual port.
     :param settings: further settings of all programs, by name.
     :param engine_flags: flags of the engine stand-ins.
     """
@@ -72,6 +76,7 @@
     block: str = "127.0.0"
     engines: int = 2
     plains: int = 0
+    entries: int = 1
     peer_key: str = "peer-key"
     settings: Mapping[str, str] = field(default_factory=dict)
     engine_flags: Mapping[str, str] = field(default_factory=dict)
@@ -86,6 +91,11 @@
             for number, data_centre in enumerate(self.data_centres, 1)
         )
 
+    @property
+    def entry_ports(self) -> tuple[int, ...]:
+        """Ports of each VM's entries."""
+        return tuple(ENTRY_PORT + ENTRY_PORT_STEP * n for n in range(self.entries))
+
     @property
     def engine_addresses(self) -> tuple[str, ...]:
         """Addresses of the engines."""
@@ -146,6 +156,12 @@
         """The exit code, None while it runs."""
         return self._popen.poll()
 
+    @property
+    def cpu_seconds(self) -> float:
+        """Processor time that it has taken, from the kernel."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])) / TICKS_PER_S
+
     def kill(self) -> None:
         """End it without notice."""
         self._popen.kill()
@@ -244,9 +260,18 @@
         """Start a VM's programs."""
         for program in self.site.programs:
             self.start_program(place, program)
+        if "entry" in self.site.programs:
+            for port in self.site.entry_ports[1:]:
+                self.start_program(place, "entry", port)
+
+    def start_program(
+        self, place: VmPlace, program: str, entry_port: int = ENTRY_PORT
+    ) -> Process:
+        """Start one program of a VM; its settings are flags only.
 
-    def start_program(self, place: VmPlace, program: str) -> Process:
-        """Start one program of a VM; its settings are flags only."""
+        :param entry_port: other than the usual one for a further entry.
+        """
+        further = f"-{entry_port}" if entry_port != ENTRY_PORT else ""
         site = self.site
         settings = {
             "vm": place.vm,
@@ -255,10 +280,11 @@
             "log_url": site.log_url,
             "vm_list_url": site.vm_list_url,
             "peer_key": site.peer_key,
+            "entry_port": str(entry_port),
         }
         flags = _flags(settings | dict(site.settings))
         module = f"chivespan.{program}_main"
-        return self._start(f"{place.vm}/{program}", [module, *flags])
+        return self._start(f"{place.vm}/{program}{further}", [module, *flags])
 
     def wait_ready(self) -> None:
         """Wait until every program started accepts connections."""
@@ -268,9 +294,18 @@
             for program in self.site.programs
             if f"{place.vm}/{program}" in self._processes
         )
+        self._wait_for(
+            f"{place.vm}:{port}"
+            for place in self.site.vms
+            for port in self.site.entry_ports[1:]
+        )
 
     def process(self, name: str) -> Process:
-        """Return a process by name: a stand-in, or as in ``127.0.0.1/entry``."""
+        """Return a process by name.
+
+        :param name: of a stand-in, or as in ``127.0.0.1/entry``; a further entry
+            has its port in its name, as in ``127.0.0.1/entry-8090``.
+        """
         return self._processes[name]
 
     def vm_processes(self, vm: str) -> list[Process]:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -21,6 +21,7 @@
 import httpcore
 import msgspec
 
+from chivespan.addressbook import MAX_ADDRESSES
 from chivespan.callerapi import (
     AddressAnswer,
     BatchJob,
@@ -61,7 +62,11 @@
     def __init__(self, cluster: Cluster, folder: Path) -> None:
         self._cluster = cluster
         self._folder = folder
-        self._entries = [f"{place.vm}:8080" for place in cluster.site.vms]
+        self._entries = [
+            f"{place.vm}:{port}"
+            for place in cluster.site.vms
+            for port in cluster.site.entry_ports
+        ]
         self._address = self._entries[0]
         self._step = 0
 
@@ -126,7 +131,8 @@
         answer = self._request("GET", "/v1/addresses", address=address)
         if answer.status != 200:
             return False
-        return len(_decode(answer, AddressAnswer).addresses) == len(self._entries)
+        named = len(_decode(answer, AddressAnswer).addresses)
+        return named == min(len(self._entries), MAX_ADDRESSES)
 
     def _addresses(self) -> None:
         self._say("A caller asks any VM which address to use")
