--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 WORKERS := --numprocesses 6 --dist worksteal
 
-.PHONY: bench-site bench-path setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
+.PHONY: bench-site bench-path bench-entries setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -48,6 +48,9 @@
 	$(PYTHON) -m bench.bench_policy compare
 	$(PYTHON) -m bench.bench_policy compare --kill=True --name=bench_policy_killed
 
+bench-entries: setup
+	$(PYTHON) -m bench.bench_entries
+
 bench-path: setup
 	$(PYTHON) -m bench.bench_path
 
