Order targets to what the inventory wants, level-triggered, with fences and on trial

Now the owner of a slice compares each engine's report with the inventory: drains a target, notes the order on the log's stream 'orders', looks once more and sends it with the configuration's offset as fencing number. At most a quarter of a slice is out at a time, one target goes on trial first, and loads draw permits of the weight store's rate divided by the live VMs. Grants go by the model that was seen, never by the one ordered. 'chivespan orders' and status show it. Ruled out: concluding from sent orders (a lost one would be taken for done); a fence from the wall clock (not ordered between owners); appending orders to the stream 'config' (each would go to every node). Not done: KV cache export, the measurement under online load.

--- a/chivespan/dispatch_main.py
+++ b/chivespan/dispatch_main.py
@@ -30,7 +30,7 @@
             HttpVmList(settings.vm_list_url),
             SystemClock(),
             Metrics(settings.statsd_address, METRICS_PREFIX),
-            probe=EngineClient(http),
+            control=EngineClient(http),
         )
 
         def leave(_signal_name: str) -> None:
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -38,6 +38,7 @@
     UsageRequest,
 )
 from chivespan.metrics import Metrics
+from chivespan.orderaudit import OrderAudit
 from chivespan.peerlink import (
     IDLE_HEARTBEAT,
     LinkEnd,
@@ -48,10 +49,11 @@
 )
 from chivespan.platform import LogService, VmList
 from chivespan.policies import Policies
-from chivespan.scheduler import LoadProbe
 from chivespan.settings import NodeSettings
 from chivespan.sliceowner import SliceOwner
+from chivespan.targetkeeper import OrderMeans, TargetControl
 from chivespan.usageshare import UsageShare
+from chivespan.weightpermits import WeightPermits
 
 LOAD_PUSH_INTERVAL = timedelta(milliseconds=500)
 REMOTE_PUSH_INTERVAL = timedelta(seconds=5)
@@ -66,7 +68,7 @@
 class Dispatcher:
     """One node's control program.
 
-    :param probe: asks model engines for their load.
+    :param control: asks model engines what they do and have, and orders them.
     """
 
     def __init__(
@@ -77,7 +79,7 @@
         clock: Clock,
         metrics: Metrics,
         policies: Policies | None = None,
-        probe: LoadProbe | None = None,
+        control: TargetControl | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -120,7 +122,7 @@
             self._revoke,
             self._ask_held,
             policies or Policies(),
-            probe,
+            self._order_means(log, control) if control else None,
         )
         self._list = ListPoll(vm_list, self._membership, metrics)
         self._usage = UsageShare(
@@ -202,6 +204,16 @@
             vms=list(self._membership.views.values()),
         )
 
+    def _order_means(self, log: LogService, control: TargetControl) -> OrderMeans:
+        incarnation = self._end.hello.incarnation
+        permits = WeightPermits(
+            self._settings.weight_loads_per_min,
+            lambda: len(self._membership.live_vms()),
+            self._clock,
+        )
+        audit = OrderAudit(log, self._clock, self._metrics, incarnation)
+        return OrderMeans(self._settings.vm, control, permits, audit)
+
     async def _accept(self, link: PeerLink) -> None:
         if link.remote.program is not Program.dispatch:
             await self._read_link(link)
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -379,6 +379,22 @@
     batch_running: int
     model: str = ''
     version: str = ''
+    desired: str = ''
+    """
+    What the inventory wants loaded.
+    """
+    ordered: str = ''
+    """
+    What the order says that is out.
+    """
+    observed: str = ''
+    """
+    What the engine says that it has loaded; empty when it doesn't say.
+    """
+    phase: str = ''
+    """
+    Where its order stands; empty for a target that gets none.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/operator_main.py
+++ b/chivespan/operator_main.py
@@ -37,6 +37,7 @@
     HistoryResult,
     ImportResult,
     KeyResult,
+    OrdersResult,
     OutcomeResult,
     ShownDocument,
     ShowResult,
@@ -155,6 +156,15 @@
             raise fire.core.FireError("history --limit=N, 1 or more")
         return self._with_log(bind(_history, limit))
 
+    def orders(self, limit: int = HISTORY_SHOWN) -> object:
+        """Show which target was ordered what, when, by which VM.
+
+        :param limit: the newest so many.
+        """
+        if not isinstance(limit, int) or limit < 1:
+            raise fire.core.FireError("orders --limit=N, 1 or more")
+        return self._with_log(bind(_orders, limit))
+
     def usage(self) -> object:
         """Show who consumed what."""
         return self._with_entry(OperatorEntry.usage)
@@ -286,6 +296,10 @@
     return HistoryResult(fold.history[-limit:])
 
 
+async def _orders(limit: int, log: OperatorLog) -> OrdersResult:
+    return OrdersResult(tuple(await log.orders(limit)))
+
+
 def _paths(files: Sequence[object]) -> list[Path]:
     return [Path(str(file)) for file in files]
 
--- a/chivespan/operatorlog.py
+++ b/chivespan/operatorlog.py
@@ -13,6 +13,7 @@
 from chivespan.configfold import CONFIG_STREAM, ConfigFold
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.operatorresults import ApplyOutcome, OutcomeResult
+from chivespan.orderaudit import NotedOrder, read_orders
 from chivespan.platform import LogService
 from chivespan.records import (
     AuditEntry,
@@ -118,6 +119,13 @@
             if self._fold.offset + 1 >= page.end:
                 return self._fold
 
+    async def orders(self, limit: int) -> list[NotedOrder]:
+        """Return the newest orders to targets, the oldest first.
+
+        :raises ChivespanError: ``log_unavailable`` when the log gives no answer.
+        """
+        return await read_orders(self._log, limit)
+
     async def publish(self, change: ConfigChange) -> Published:
         """Append a change and return what the order of the log made of it."""
         self._published += 1
--- a/chivespan/operatorresults.py
+++ b/chivespan/operatorresults.py
@@ -7,6 +7,7 @@
 from chivespan.configchanges import Delta
 from chivespan.inventory import Fault
 from chivespan.messages import StatusReply, UsageCount
+from chivespan.orderaudit import NotedOrder
 from chivespan.records import AuditEntry
 
 EXIT_DONE = 0
@@ -163,6 +164,13 @@
     toml: str
 
 
+@dataclass(frozen=True, slots=True)
+class OrdersResult:
+    """Orders that were given to targets, the oldest first."""
+
+    orders: tuple[NotedOrder, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class HistoryResult:
     """Who changed what, the newest last."""
--- a/chivespan/operatortext.py
+++ b/chivespan/operatortext.py
@@ -16,6 +16,7 @@
     ImportResult,
     JobsResult,
     KeyResult,
+    OrdersResult,
     OutcomeResult,
     ShowResult,
     StatusResult,
@@ -158,6 +159,19 @@
         yield "no change is on record"
 
 
+@renders(OrdersResult)
+def _order_lines(result: OrdersResult) -> Iterator[str]:
+    for noted in result.orders:
+        order = noted.order
+        loaded = " ".join([order.model, order.version, *order.adapters, order.role])
+        yield (
+            f"{noted.offset}  {_time(noted.written_at)}  {order.vm}  {order.target}  "
+            f"{order.before} -> {loaded}  (configuration {order.fence})"
+        )
+    if not result.orders:
+        yield "no order is on record"
+
+
 def _entry_lines(entry: AuditEntry) -> Iterator[str]:
     outcome = "accepted" if entry.accepted else f"refused ({entry.error})"
     yield (
@@ -241,11 +255,19 @@
         one.slots,
         one.online_running,
         one.batch_running,
-        f"{one.model} {one.version}".strip() or "-",
+        _loaded(one),
         one.slice_id,
     )
 
 
+def _loaded(one: TargetStatus) -> str:
+    """Return what a target has loaded, and where its order stands if one is due."""
+    if one.observed != one.desired:
+        ordered = f", ordered {one.ordered}" if one.ordered else ""
+        return f"{one.observed} -> {one.desired} ({one.phase}{ordered})"
+    return f"{one.model} {one.version}".strip() or "-"
+
+
 def _vm_row(reply: StatusReply, view: VmView | None) -> tuple[object, ...]:
     return (
         reply.vm,
--- a/chivespan/options.py
+++ b/chivespan/options.py
@@ -27,6 +27,7 @@
 MAX_PARTITIONS = 1024
 MAX_BATCH_ITEMS = 65_536
 MAX_LOG_APPENDS_PER_S = 100_000
+MAX_LOADS_PER_MIN = 60_000
 MAX_LOG_KEEP_MINUTES = 10 * 365 * 24 * 60
 _SECRETS = frozenset({"peer_key", "operator_key"})
 
@@ -177,6 +178,7 @@
 check("heartbeat_ms", "peer_silence_ms", "address_lifetime_ms")(
     _check_bounds(1, MAX_INTERVAL_MS)
 )
+check("weight_loads_per_min")(_check_bounds(1, MAX_LOADS_PER_MIN))
 check("body_limit_bytes")(_check_bounds(1, MAX_BODY_BYTES))
 check("partitions")(_check_bounds(1, MAX_PARTITIONS))
 check("batch_items")(_check_bounds(1, MAX_BATCH_ITEMS))
--- a/chivespan/records.py
+++ b/chivespan/records.py
@@ -300,6 +300,31 @@
     """
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OrderRecord:
+    """
+    An order that a node is about to send to a target.
+    """
+
+    vm: str
+    """
+    IP number of the node's VM.
+    """
+    target: str
+    fence: int
+    """
+    Offset of the configuration that wants it.
+    """
+    model: str
+    version: str
+    role: str
+    before: str
+    """
+    What the target was seen to have loaded.
+    """
+    adapters: list[str] = field(default_factory=list)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoredState:
     """
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -143,6 +143,35 @@
         self._pool.report(holder, held)
         self._schedule()
 
+    @property
+    def targets(self) -> list[TargetState]:
+        """The targets, those included that get nothing new."""
+        return list(self._pool.targets.values())
+
+    def target(self, name: str) -> TargetState | None:
+        """Return a target by name."""
+        return self._pool.targets.get(name)
+
+    def hold(self, name: str) -> None:
+        """Give a target nothing new, and take its batch back."""
+        target = self._pool.targets.get(name)
+        if target is None:
+            return
+        target.held = True
+        target.refresh(self._clock.monotonic())
+        for grant in list(self._pool.grants.standing_batch()):
+            if grant.target == name:
+                self._pool.revoke(grant)
+        self._schedule()
+
+    def resume(self, name: str) -> None:
+        """Let a target that was held have new work again."""
+        target = self._pool.targets.get(name)
+        if target is not None and target.held:
+            target.held = False
+            target.refresh(self._clock.monotonic())
+            self._schedule()
+
     def report_load(self, target: str, load: EngineLoad) -> None:
         """Take in an engine's own report, which lags."""
         self._pool.report_load(target, load)
@@ -349,9 +378,11 @@
         if target is None:
             return
         if release.outcome in FAILED_OUTCOMES:
+            target.uses.failed += 1
             target.health.record_failure(now)
             target.refresh(now)
         elif release.outcome is Outcome.done:
+            target.uses.done += 1
             target.health.record_success()
             target.refresh(now)
             if grant.work_class is WorkClass.online:
@@ -420,7 +451,7 @@
     async def _probe_targets(self, probe: LoadProbe) -> None:
         while True:
             async with anyio.create_task_group() as tasks:
-                for target in list(self._pool.serving):
+                for target in self.targets:
                     tasks.start_soon(self._probe_one, probe, target)
             await anyio.sleep(PROBE_INTERVAL.total_seconds())
 
--- a/chivespan/settings.py
+++ b/chivespan/settings.py
@@ -41,6 +41,10 @@
     """
     Shared key of chivespan's own processes.
     """
+    weight_loads_per_min: int = 60
+    """
+    Loads a minute that the weight store serves for all VMs together.
+    """
     entry_port: int = 8080
     """
     Port of this chivespan-entry; each of several on a VM has its own.
--- a/chivespan/sliceowner.py
+++ b/chivespan/sliceowner.py
@@ -29,9 +29,10 @@
 )
 from chivespan.peerlink import Counters
 from chivespan.policies import Policies
-from chivespan.scheduler import LoadProbe, SliceScheduler
+from chivespan.scheduler import SliceScheduler
 from chivespan.settings import NodeSettings
 from chivespan.slices import Slice, slice_owner, slices_of
+from chivespan.targetkeeper import OrderMeans, TargetKeeper
 from chivespan.usage import summed
 
 ASK_NEXT_OWNER = timedelta(milliseconds=100)
@@ -41,10 +42,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _Owned:
-    """A slice owned, and what ends its scheduler's task and its waiting requests."""
+    """A slice owned, and what ends its scheduler's task and its waiting requests.
+
+    :param keeper: gives orders to its targets; None for targets that take none.
+    """
 
     part: Slice
     scheduler: SliceScheduler
+    keeper: TargetKeeper | None
     scope: anyio.CancelScope
     waiting: set[anyio.CancelScope] = field(default_factory=set)
 
@@ -54,7 +59,7 @@
 
     :param revoke: tells a holder that a grant is taken back.
     :param ask_held: asks all holders what they hold on a slice taken over.
-    :param probe: asks model engines for their load.
+    :param orders: what model engines are asked and ordered with; None for neither.
     """
 
     def __init__(
@@ -66,7 +71,7 @@
         revoke: Callable[[str, str], None],
         ask_held: Callable[[str], None],
         policies: Policies,
-        probe: LoadProbe | None = None,
+        orders: OrderMeans | None = None,
     ) -> None:
         self._settings = settings
         self._membership = membership
@@ -75,7 +80,7 @@
         self._revoke = revoke
         self._ask_held = ask_held
         self._policies = policies
-        self._probe = probe
+        self._orders = orders
         self._owned: dict[str, _Owned] = {}
         self._slices: dict[str, Slice] = {}
         self._runners: dict[str, Runner] = {}
@@ -141,7 +146,7 @@
     def statuses(self) -> list[TargetStatus]:
         """Return every target of the slices owned."""
         return [
-            status
+            owned.keeper.annotate(status) if owned.keeper else status
             for owned in self._owned.values()
             for status in owned.scheduler.statuses()
         ]
@@ -179,17 +184,24 @@
     ) -> None:
         service = configuration.services.get(part.service)
         is_model = service is not None and service.kind is ServiceKind.model
+        orders = self._orders if is_model else None
         scheduler = SliceScheduler(
             part,
             configuration,
             self._clock,
             self._policies,
             self._revoke,
-            self._probe if is_model else None,
+            orders.control if orders else None,
         )
+        keeper = None
+        if orders is not None:
+            keeper = TargetKeeper(
+                scheduler, orders, configuration, self._clock, self._counters
+            )
         scope = anyio.CancelScope()
-        self._owned[part.slice_id] = _Owned(part, scheduler, scope)
-        tasks.start_soon(_run_in, scope, scheduler)
+        owned = _Owned(part, scheduler, keeper, scope)
+        self._owned[part.slice_id] = owned
+        tasks.start_soon(_run, owned)
         self._counters.incr("dispatch.slices_taken")
         _log.notice("slice taken over", slice=part.slice_id)
         self._ask_held(part.slice_id)
@@ -209,11 +221,16 @@
         owned = self._owned[part.slice_id]
         self._owned[part.slice_id] = replace(owned, part=part)
         owned.scheduler.reconfigure(part, configuration)
+        if owned.keeper is not None:
+            owned.keeper.reconfigure(configuration)
 
 
-async def _run_in(scope: anyio.CancelScope, scheduler: SliceScheduler) -> None:
-    with scope:
-        await scheduler.run()
+async def _run(owned: _Owned) -> None:
+    with owned.scope:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(owned.scheduler.run)
+            if owned.keeper is not None:
+                tasks.start_soon(owned.keeper.run)
 
 
 def _ip_numbers(runners: Iterable[Runner]) -> set[str]:
--- a/chivespan/slotpool.py
+++ b/chivespan/slotpool.py
@@ -137,7 +137,7 @@
             return
         if target.careful and target.reported is None:
             target.unseen = max(0, load.running + load.waiting - target.used)
-        target.reported = load
+        target.take_report(load)
         target.refresh(self._clock.monotonic())
 
     def holder_lost(self, holder: str) -> None:
--- a/chivespan/steps.py
+++ b/chivespan/steps.py
@@ -16,6 +16,8 @@
     JOB_ACKNOWLEDGE = "job_acknowledge"
     RESULT_APPEND = "result_append"
     JOB_CANCEL = "job_cancel"
+    ORDER_NOTED = "order_noted"
+    ORDER_SEND = "order_send"
 
 
 Hook: TypeAlias = Callable[[Step], Awaitable[None]]
--- a/chivespan/targetstate.py
+++ b/chivespan/targetstate.py
@@ -7,15 +7,25 @@
 from chivespan.engineapi import EngineLoad
 from chivespan.messages import TargetStatus, WorkClass
 from chivespan.targethealth import HealthState, TargetHealth
+from chivespan.targetsetup import READY, TargetSetup, observed_setup
 
 SERVING_ROLE = "serve"
 
 
+@dataclass(slots=True)
+class Uses:
+    """How work ended on a target since it has what it has loaded."""
+
+    done: int = 0
+    failed: int = 0
+
+
 @dataclass(slots=True)
 class TargetState:
     """Exact counts of one target's grants, and what is known of it besides.
 
     :param listed: whether the inventory still has it.
+    :param held: whether it gets nothing new, for the sake of an order.
     :param revoking: batch grants taken back whose slots aren't free yet.
     :param unseen: slots that grants of an earlier owner may hold.
     :param careful_until: monotonic time up to which there may be such grants; None
@@ -26,6 +36,7 @@
 
     runner: Runner
     listed: bool = True
+    held: bool = False
     counts: dict[WorkClass, int] = field(
         default_factory=lambda: dict.fromkeys(WorkClass, 0)
     )
@@ -34,6 +45,7 @@
     careful_until: timedelta | None = None
     reported: EngineLoad | None = None
     health: TargetHealth = field(default_factory=TargetHealth)
+    uses: Uses = field(default_factory=Uses)
     open_slots: int = 0
     relieved_until: timedelta = timedelta(0)
 
@@ -69,8 +81,24 @@
 
     @property
     def serving(self) -> bool:
-        """Whether the inventory lets it have new work."""
-        return self.listed and self.runner.role == SERVING_ROLE
+        """Whether it may have new work: the inventory and the engine say so."""
+        if not self.listed or self.held or self.runner.role != SERVING_ROLE:
+            return False
+        return self.setup is None or self._engine_serves
+
+    @property
+    def setup(self) -> TargetSetup | None:
+        """What the engine says that it has loaded; None when it doesn't say."""
+        return observed_setup(self.reported)
+
+    @property
+    def _engine_serves(self) -> bool:
+        reported = self.reported
+        return (
+            reported is not None
+            and reported.state == READY
+            and reported.role == SERVING_ROLE
+        )
 
     @property
     def reported_load(self) -> float:
@@ -102,18 +130,36 @@
         self.open_slots = max(0, slots - self.unseen)
 
     def serves(self, model: str) -> bool:
-        """Return whether requests for ``model`` may run here."""
-        return self.runner.model in ("", model)
+        """Return whether requests for ``model`` may run here.
+
+        What the engine was seen to have loaded counts, and not what it was told to.
+        """
+        setup = self.setup
+        return (setup.model if setup else self.runner.model) in ("", model)
+
+    def take_report(self, load: EngineLoad) -> None:
+        """Take in the engine's report; its uses are counted anew for a new setup."""
+        before = self.setup
+        self.reported = load
+        if self.setup != before:
+            self.uses = Uses()
+
+    @property
+    def _state_word(self) -> str:
+        if not self.listed or self.runner.role != SERVING_ROLE:
+            return "leaving"
+        if not self.serving:
+            return "held"
+        if self.health.state is HealthState.HEALTHY:
+            return "serving"
+        return self.health.state.value
 
     def status(self, slice_id: str) -> TargetStatus:
         """Return what operators see."""
-        state = self.health.state.value if self.serving else "leaving"
-        if state == HealthState.HEALTHY:
-            state = "serving"
         return TargetStatus(
             target=self.name,
             slice_id=slice_id,
-            state=state,
+            state=self._state_word,
             slots=self.runner.slots,
             online_running=self.counts[WorkClass.online],
             batch_running=self.counts[WorkClass.batch],
--- a/tests/faults/matrix.py
+++ b/tests/faults/matrix.py
@@ -40,6 +40,8 @@
     SLICE_TAKEOVER = "slice take-over"
     PARTITION_TAKEOVER = "partition take-over"
     SHUTDOWN = "shutdown"
+    ORDER = "order to a target"
+    LOAD = "load of a target"
 
 
 class Fault(StrEnum):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,6 +10,7 @@
     impossible,
     node_cells,
     online_cells,
+    order_cells,
     process_cells,
 )
 from tests.faults.matrix import CANNOT_HAPPEN, PROOFS, Proof
@@ -21,6 +22,7 @@
     claim_cells,
     config_cells,
     process_cells,
+    order_cells,
 )
 
 
