Compare batch levels on both examples through all processes, and trace first tokens

make bench-site measured only steered batch on the livestock example and could not say where a slow first token spent its time. The bench now restarts the dispatchers of one site under each batch level (a program of the bench gives them other policies, the product has no such setting), on both examples; it can kill a dispatcher in a burst, and trace joins what callers saw, when entries asked for and got slots, and the engines' journals. It also shows how long each process was kept waiting for a processor.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 WORKERS := --numprocesses 6 --dist worksteal
 
-.PHONY: bench-site bench-path setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
+.PHONY: bench-site bench-site-kill bench-site-trace bench-path setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -52,7 +52,13 @@
 	$(PYTHON) -m bench.bench_path
 
 bench-site: setup
-	$(PYTHON) -m bench.bench_site
+	$(PYTHON) -m bench.bench_site compare
+
+bench-site-kill: setup
+	$(PYTHON) -m bench.bench_site compare --kill=True --seconds=15
+
+bench-site-trace: setup
+	$(PYTHON) -m bench.bench_site trace
 
 bench-state: setup
 	$(PYTHON) -m bench.bench_state
--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import os
 import sys
 import tempfile
 import time
@@ -19,14 +18,14 @@
 import httpcore
 from hdrh.histogram import HdrHistogram
 
-from tools.cluster import Cluster, Process, free_block
+from bench.sitecost import cpu_seconds, resident_bytes
+from tools.cluster import Cluster, free_block
 from tools.demo import MODEL, OWNER_KEY, Demo, demo_site
 
 IDLE_TIME = timedelta(seconds=10)
 COST_REQUESTS = 60
 COST_TOKENS = (50, 100, 200)
 HIGHEST_US = 60_000_000
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 @dataclass(frozen=True)
@@ -88,10 +87,10 @@
     costs: dict[int, float] = {}
     with httpcore.ConnectionPool() as pool:
         for tokens in (1, *COST_TOKENS):
-            before = _cpu_seconds(entry)
+            before = cpu_seconds(entry)
             for number in range(COST_REQUESTS):
                 _request(pool, way, f"cost {number}", tokens)
-            costs[tokens] = (_cpu_seconds(entry) - before) / COST_REQUESTS
+            costs[tokens] = (cpu_seconds(entry) - before) / COST_REQUESTS
             _print(
                 measure="entry_cpu_of_request",
                 tokens=tokens,
@@ -128,28 +127,18 @@
     programs = {
         name: cluster.process(f"{vm}/{name}") for name in ("entry", "dispatch", "batch")
     }
-    before = {name: _cpu_seconds(process) for name, process in programs.items()}
+    before = {name: cpu_seconds(process) for name, process in programs.items()}
     time.sleep(IDLE_TIME.total_seconds())
     for name, process in programs.items():
-        used = _cpu_seconds(process) - before[name]
+        used = cpu_seconds(process) - before[name]
         _print(
             measure="idle",
             program=name,
             core_percent=round(100 * used / IDLE_TIME.total_seconds(), 2),
-            resident_mb=round(_resident_bytes(process) / 1e6, 1),
+            resident_mb=round(resident_bytes(process) / 1e6, 1),
         )
 
 
-def _cpu_seconds(process: Process) -> float:
-    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
-def _resident_bytes(process: Process) -> int:
-    pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE")
-
-
 def _print(**fields: object) -> None:
     print(json.dumps(fields))
     sys.stdout.flush()
--- a/bench/bench_site.py
+++ b/bench/bench_site.py
@@ -1,163 +1,313 @@
 """``make bench-site``: harm of batch to online first tokens, through all processes.
 
-Three VMs' programs and the engine stand-ins run on loopback. The same seeded arrivals
-come three times: without batch, beside a batch job that never runs dry, and without
-batch again, which shows how far the machine itself moves the figures. Open loop:
-latency counts from the intended start. Prints JSON lines.
+Every VM's programs and the engine stand-ins run on loopback. ``compare`` runs the same
+seeded arrivals under each batch level, one after the other in the same site;
+``compare --kill`` also ends a dispatcher in a burst; ``trace`` shows where first tokens
+spend their time. Prints JSON lines. Open loop: latency counts from the intended start.
 """
 
-import itertools
 import json
 import sys
 import tempfile
 import time
-from collections import Counter
-from collections.abc import Iterator
-from dataclasses import dataclass, field
-from datetime import timedelta
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
+from dataclasses import asdict, dataclass, replace
+from functools import partial
 from pathlib import Path
 
 import anyio
+import anyio.to_thread
 import fire
-import httpcore
 import msgspec
-import numpy
-from hdrh.histogram import HdrHistogram
 
-from chivespan.callerapi import ErrorAnswer
+from bench import sitetrace, sitetraced
+from bench.sitecost import Schedule, programs_cpu, schedules
+from bench.sitedeployment import DEPLOYMENTS, DeployedSite, SiteDeployment, site_of
+from bench.siteload import BURST_EVERY_S, BURST_S, Asked, Callers, arrivals, ask_all
+from bench.siteload import summary as load_summary
+from bench.sitetrace import EngineVisit, Stages
+from bench.sitetraced import SlotEvent
+from chivespan.policies import Policies
 from tools.cluster import Cluster, free_block
-from tools.demo import MODEL, OWNER_KEY, Demo, demo_site, job_items
 
-HIGHEST_US = 60_000_000
-PERCENTILES = (50, 95, 99)
-ONLINE_TOKENS = 16
 BATCH_TOKENS = 32
-BATCH_ITEMS = 4000
-BURST_EVERY_S = 5.0
-BURST_S = 1.0
-BURST_FACTOR = 4.0
-SETTLE = timedelta(seconds=3)
+BATCH_ITEMS = 2_500
+BATCH_JOBS = 8
+SETTLE_S = 2.0
+IDLE_S = 2.0
+SLOWEST = 6
+NO_BATCH = Policies(batch_level="none")
+STEERED = Policies()
+LEVELS = {
+    "none": NO_BATCH,
+    "steered": STEERED,
+    "idle": Policies(batch_level="idle"),
+    "fixed 2": Policies(batch_level="fixed", fixed_batch_slots=2),
+    "fixed 4": Policies(batch_level="fixed", fixed_batch_slots=4),
+    "fixed 6": Policies(batch_level="fixed", fixed_batch_slots=6),
+    "none again": NO_BATCH,
+}
+P_NAMES = ("p50", "p95", "p99")
+KILLED_LEVELS = {"none": NO_BATCH, "steered": STEERED}
 
 
-@dataclass
-class Seen:
-    """What the callers of one phase saw."""
+@dataclass(frozen=True)
+class Window:
+    """A measured time.
 
-    first_token: HdrHistogram = field(
-        default_factory=lambda: HdrHistogram(1, HIGHEST_US, 3)
-    )
-    answered: int = 0
-    refused: Counter[str] = field(default_factory=Counter)
-    reasons: set[str] = field(default_factory=set)
-    broken: int = 0
+    :param cpu: processor time used in it, by program, in seconds.
+    :param schedules: how the kernel scheduled each process in it.
+    """
+
+    started: float
+    ended: float
+    cpu: dict[str, float]
+    schedules: dict[str, Schedule]
+    asked: Sequence[Asked] = ()
+
+    @property
+    def seconds(self) -> float:
+        """Its length."""
+        return self.ended - self.started
+
+
+@dataclass(frozen=True)
+class LevelRun:
+    """What was measured under one batch level."""
 
+    name: str
+    alone: Window
+    beside: Window
 
-def main(seconds: float = 20, rate: float = 12, seed: int = 1) -> None:
-    """Measure on the livestock example.
 
-    :param seconds: length of each phase.
-    :param rate: online requests a second outside the bursts.
+def compare(
+    deployment: str = "",
+    seconds: float = 10,
+    alone_seconds: float = 4,
+    kill: bool = False,
+    seed: int = 1,
+) -> None:
+    """Compare the batch levels on the same arrivals.
+
+    :param deployment: name of one; empty for all.
+    :param seconds: time beside online under each level.
+    :param alone_seconds: time of batch alone under each level.
+    :param kill: end a dispatcher in the second burst; two VMs in each data centre.
     """
-    site = demo_site(free_block())
-    with tempfile.TemporaryDirectory() as folder, Cluster(site) as cluster:
-        demo = Demo(cluster, Path(folder))
-        demo.apply()
-        addresses = [f"{place.vm}:8080" for place in site.vms]
-        _phase("no batch", addresses, list(_arrivals(seconds, rate, seed)))
-        job = demo.submit(job_items("Plan", BATCH_ITEMS, BATCH_TOKENS), "bench").id
-        time.sleep(SETTLE.total_seconds())
-        alone = _items_per_s(demo, job, seconds / 2)
-        before, started = demo.state(job).done, time.monotonic()
-        _phase("batch", addresses, list(_arrivals(seconds, rate, seed)))
-        beside = (demo.state(job).done - before) / (time.monotonic() - started)
-        _print(measure="batch_items_per_s", alone=alone, beside_online=beside)
-        demo.cancel(job)
-        time.sleep(SETTLE.total_seconds())
-        _phase("no batch again", addresses, list(_arrivals(seconds, rate, seed)))
-
-
-def _arrivals(seconds: float, rate: float, seed: int) -> Iterator[float]:
-    """Yield the seconds at which requests are due: steady, with bursts of a second."""
-    generator = numpy.random.default_rng(seed)
-    at = 0.0
-    while at < seconds:
-        bursting = at % BURST_EVERY_S > BURST_EVERY_S - BURST_S
-        at += generator.exponential(1 / (rate * (BURST_FACTOR if bursting else 1.0)))
-        yield at
-
-
-def _items_per_s(demo: Demo, job: str, seconds: float) -> float:
-    before = demo.state(job).done
+    for chosen in _deployments(deployment):
+        with _running(chosen, 2 if kill else 1) as site:
+            due = arrivals(seconds, chosen.rate, seed)
+            idle = _window(site, IDLE_S)
+            levels = KILLED_LEVELS if kill else LEVELS
+            jobs: tuple[str, ...] = ()
+            runs = []
+            for name, policies in levels.items():
+                site.use_policies(policies)
+                jobs = jobs or _submit(site)
+                time.sleep(SETTLE_S)
+                alone = _window(site, alone_seconds)
+                runs.append(LevelRun(name, alone, _load(site, due, kill)))
+            _report(site, jobs, idle, runs)
+
+
+def trace(
+    deployment: str = "osijek",
+    seconds: float = 15,
+    level: str = "steered",
+    seed: int = 1,
+) -> None:
+    """Show where first tokens spend their time, without batch and beside it."""
+    chosen = DEPLOYMENTS[deployment]
+    with _running(chosen, 1, traced=True) as site:
+        due = arrivals(seconds, chosen.rate, seed)
+        site.use_policies(LEVELS[level])
+        windows = {"no batch": _load(site, due)}
+        jobs = _submit(site)
+        time.sleep(SETTLE_S)
+        windows["beside batch"] = _load(site, due)
+        visits = _visits(site)
+        events = list(_slot_events(site))
+        for name, window in windows.items():
+            _report_trace(name, window, visits, events)
+        batch = [event for event in events if event.request_id.startswith(jobs)]
+        given_back = sitetrace.percentiles(sitetrace.return_times(batch))
+        _print(measure="revoked_to_released_ms", **given_back)
+        left = sitetrace.percentiles(sitetrace.leave_times(batch, visits))
+        _print(measure="revoked_to_engine_free_ms", **left)
+
+
+@contextmanager
+def _running(
+    deployment: SiteDeployment, vms_each: int, *, traced: bool = False
+) -> Iterator[DeployedSite]:
+    place = site_of(deployment, free_block(), vms_each)
+    if traced:
+        programs = ("entry", "batch")
+        words = {program: sitetraced.words(program) for program in programs}
+        place = replace(place, modules=words)
+    with tempfile.TemporaryDirectory() as folder, Cluster(place) as cluster:
+        site = DeployedSite(cluster, deployment)
+        site.apply(Path(folder))
+        yield site
+
+
+def _deployments(name: str) -> Sequence[SiteDeployment]:
+    return [DEPLOYMENTS[name]] if name else list(DEPLOYMENTS.values())
+
+
+def _submit(site: DeployedSite) -> tuple[str, ...]:
+    """Submit the evening's jobs, which don't run dry, and return their ids."""
+    return tuple(site.submit(BATCH_ITEMS, BATCH_TOKENS) for _ in range(BATCH_JOBS))
+
+
+def _window(site: DeployedSite, seconds: float) -> Window:
+    return _measured(site, partial(_wait, seconds))
+
+
+def _wait(seconds: float) -> list[Asked]:
     time.sleep(seconds)
-    return (demo.state(job).done - before) / seconds
+    return []
+
 
+def _load(site: DeployedSite, due: Sequence[float], kill: bool = False) -> Window:
+    callers = Callers(site.entries, site.deployment.online_keys, site.deployment.model)
+    return _measured(site, partial(_ask, site, callers, due, kill))
 
-def _phase(name: str, addresses: list[str], arrivals: list[float]) -> None:
-    seen = Seen()
-    anyio.run(_ask_all, addresses, arrivals, seen, backend_options={"use_uvloop": True})
-    quantiles = {
-        f"p{percentile}": seen.first_token.get_value_at_percentile(percentile) / 1000
-        for percentile in PERCENTILES
+
+def _ask(
+    site: DeployedSite, callers: Callers, due: Sequence[float], kill: bool
+) -> list[Asked]:
+    async def run() -> list[Asked]:
+        async with anyio.create_task_group() as tasks:
+            if kill:
+                tasks.start_soon(_kill_in_burst, site)
+            asked = await ask_all(callers, due)
+        return asked
+
+    return anyio.run(run, backend_options={"use_uvloop": True})
+
+
+async def _kill_in_burst(site: DeployedSite) -> None:
+    await anyio.sleep(2 * BURST_EVERY_S - BURST_S / 2)
+    await anyio.to_thread.run_sync(site.kill_dispatcher)
+
+
+def _measured(site: DeployedSite, work: "partial[list[Asked]]") -> Window:
+    before = programs_cpu(site.cluster)
+    scheduled = schedules(site.cluster)
+    started = time.time()
+    asked = work()
+    ended = time.time()
+    after = programs_cpu(site.cluster)
+    used = {name: max(0.0, after[name] - before[name]) for name in after}
+    added = {
+        name: now.since(scheduled[name])
+        for name, now in schedules(site.cluster).items()
     }
+    return Window(started, ended, used, added, asked)
+
+
+def _report(
+    site: DeployedSite, jobs: tuple[str, ...], idle: Window, runs: Sequence[LevelRun]
+) -> None:
+    visits = _visits(site)
+    done = [
+        visit.ended
+        for name, visit in visits.items()
+        if name.startswith(jobs) and visit.finished
+    ]
+    baseline = runs[0].beside
+    base = load_summary(baseline.asked)
+    idle_cpu = {name: used / idle.seconds for name, used in idle.cpu.items()}
+    most = max(_rate(done, run.beside) for run in runs)
+    for run in runs:
+        found = load_summary(run.beside.asked)
+        beside = _rate(done, run.beside)
+        alone = _rate(done, run.alone)
+        _print(
+            measure="level",
+            deployment=site.deployment.name,
+            level=run.name,
+            **found,
+            **{f"{each}_ratio": _ratio(found[each], base[each]) for each in P_NAMES},
+            batch_alone_items_per_s=round(alone, 1),
+            batch_beside_items_per_s=round(beside, 1),
+            batch_to_most=_ratio(beside, most),
+            cpu_us_per_batch_item=_cpu_each(run.alone, idle_cpu, alone),
+        )
+    requests_per_s = len(baseline.asked) / baseline.seconds
     _print(
-        measure="first_token_ms",
-        phase=name,
-        requests=len(arrivals),
-        answered=seen.answered,
-        refused=dict(seen.refused),
-        reasons=sorted(seen.reasons),
-        broken=seen.broken,
-        **quantiles,
+        measure="cpu",
+        deployment=site.deployment.name,
+        us_per_online_request=_cpu_each(baseline, idle_cpu, requests_per_s),
+        idle_core_percent={
+            name: round(100 * used, 1) for name, used in idle_cpu.items()
+        },
     )
 
 
-async def _ask_all(addresses: list[str], arrivals: list[float], seen: Seen) -> None:
-    started = time.monotonic()
-    async with (
-        httpcore.AsyncConnectionPool(max_connections=None) as pool,
-        anyio.create_task_group() as tasks,
-    ):
-        for number, (due, address) in enumerate(
-            zip(arrivals, itertools.cycle(addresses), strict=False)
-        ):
-            await anyio.sleep(max(0.0, started + due - time.monotonic()))
-            tasks.start_soon(_ask, pool, address, number, started + due, seen)
-
-
-async def _ask(
-    pool: httpcore.AsyncConnectionPool,
-    address: str,
-    number: int,
-    due: float,
-    seen: Seen,
-) -> None:
-    body = {
-        "model": MODEL,
-        "prompt": f"Is slot {number} free?",
-        "max_tokens": ONLINE_TOKENS,
-        "stream": True,
+def _rate(moments: Sequence[float], window: Window) -> float:
+    inside = sum(window.started <= moment < window.ended for moment in moments)
+    return inside / window.seconds
+
+
+def _ratio(value: object, base: object) -> float:
+    assert isinstance(value, (int, float))
+    assert isinstance(base, (int, float))
+    return round(value / base, 3) if base else 0.0
+
+
+def _cpu_each(
+    window: Window, idle: Mapping[str, float], per_s: float
+) -> dict[str, int]:
+    """Return the microseconds of each program for one unit of work, idle left out."""
+    if not per_s:
+        return {}
+    return {
+        name: round((used / window.seconds - idle[name]) / per_s * 1e6)
+        for name, used in window.cpu.items()
     }
-    content = b""
-    async with pool.stream(
-        "POST",
-        f"http://{address}/v1/completions",
-        headers=[("authorization", f"Bearer {OWNER_KEY}")],
-        content=json.dumps(body).encode(),
-    ) as answer:
-        if answer.status != 200:
-            refusal = msgspec.json.decode(await answer.aread(), type=ErrorAnswer)
-            seen.refused[refusal.error.code] += 1
-            seen.reasons.add(refusal.error.message)
-            return
-        async for chunk in answer.aiter_stream():
-            if not content:
-                waited_us = round((time.monotonic() - due) * 1e6)
-                seen.first_token.record_value(waited_us)
-            content += chunk
-    if content.endswith(b"data: [DONE]\n\n"):
-        seen.answered += 1
-    else:
-        seen.broken += 1
+
+
+def _visits(site: DeployedSite) -> dict[str, EngineVisit]:
+    visits: dict[str, EngineVisit] = {}
+    for address in site.cluster.site.engine_addresses:
+        entries = site.cluster.journal(address)
+        found = sitetrace.visits_of(address, entries, site.deployment.slots)
+        visits.update(found)
+    return visits
+
+
+def _slot_events(site: DeployedSite) -> Iterator[SlotEvent]:
+    for place in site.cluster.site.vms:
+        for process in site.cluster.vm_processes(place.vm):
+            for line in process.output.read_bytes().splitlines():
+                if line.startswith(b'{"at"'):
+                    yield msgspec.json.decode(line, type=SlotEvent)
+
+
+def _report_trace(
+    name: str,
+    window: Window,
+    visits: Mapping[str, EngineVisit],
+    events: Sequence[SlotEvent],
+) -> None:
+    slots = {(event.event, event.request_id): event for event in events}
+    stages = list(sitetrace.stages_of(window.asked, slots, visits))
+    _print(measure="first_token_ms", phase=name, **load_summary(window.asked))
+    for stage in Stages.__dataclass_fields__:
+        _print(measure="stage_ms", stage=stage, **sitetrace.of_stage(stages, stage))
+    for process, schedule in sorted(window.schedules.items()):
+        _print(
+            measure="process",
+            process=process,
+            core_percent=round(100 * schedule.ran / window.seconds, 1),
+            kept_waiting_percent=round(100 * schedule.waited / window.seconds, 1),
+        )
+    for slow in sorted(stages, key=lambda each: -each.total)[:SLOWEST]:
+        shown = {key: round(value, 1) for key, value in asdict(slow).items()}
+        _print(measure="slow_request_ms", total=round(slow.total, 1), **shown)
 
 
 def _print(**fields: object) -> None:
@@ -166,4 +316,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    fire.Fire({"compare": compare, "trace": trace})
--- /dev/null
+++ b/bench/sitecost.py
@@ -0,0 +1,66 @@
+"""Processor time of a site's programs, as the kernel counts it."""
+
+import os
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+from tools.cluster import PROGRAM_PORTS, Cluster, Process
+
+NANOSECONDS = 1e9
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True)
+class Schedule:
+    """Seconds that a process ran, and that it was ready and got no processor."""
+
+    ran: float
+    waited: float
+
+    def since(self, earlier: "Schedule") -> "Schedule":
+        """Return what was added since an earlier reading."""
+        return Schedule(self.ran - earlier.ran, self.waited - earlier.waited)
+
+
+def schedule_of(pid: int | str) -> Schedule:
+    """Return how the kernel has scheduled a process; ``self`` is this one."""
+    ran, waited, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
+    return Schedule(int(ran) / NANOSECONDS, int(waited) / NANOSECONDS)
+
+
+def schedules(cluster: Cluster) -> dict[str, Schedule]:
+    """Return that of every running process of the site, and of this one."""
+    found = {
+        name: schedule_of(process.pid)
+        for name, process in cluster.processes.items()
+        if process.running
+    }
+    return {**found, "bench": schedule_of("self")}
+
+
+def cpu_seconds(process: Process) -> float:
+    """Return the processor time that a process has used; 0 once it has ended."""
+    if not process.running:
+        return 0.0
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_bytes(process: Process) -> int:
+    """Return the memory that a process has resident."""
+    pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def programs_cpu(cluster: Cluster) -> dict[str, float]:
+    """Return the processor time of all VMs' processes, by program."""
+    return {
+        program: sum(map(cpu_seconds, _processes(cluster, program)))
+        for program in PROGRAM_PORTS
+    }
+
+
+def _processes(cluster: Cluster, program: str) -> Iterable[Process]:
+    for place in cluster.site.vms:
+        yield cluster.process(f"{place.vm}/{program}")
--- /dev/null
+++ b/bench/siteload.py
@@ -0,0 +1,148 @@
+"""Online load through real entries: seeded arrivals, open loop, a record each."""
+
+import itertools
+import json
+import time
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+import anyio
+import httpcore
+import msgspec
+import numpy
+from hdrh.histogram import HdrHistogram
+
+from chivespan.callerapi import ErrorAnswer
+
+HIGHEST_US = 60_000_000
+PERCENTILES = (50, 95, 99)
+ONLINE_TOKENS = 16
+BURST_EVERY_S = 5.0
+BURST_S = 1.0
+BURST_FACTOR = 4.0
+END = b"data: [DONE]\n\n"
+
+
+@dataclass(frozen=True)
+class Callers:
+    """Who asks whom for what.
+
+    :param addresses: entries, used in turn.
+    :param keys: keys of the owners, used in turn.
+    """
+
+    addresses: Sequence[str]
+    keys: Sequence[str]
+    model: str
+
+
+@dataclass
+class Asked:
+    """What became of one request; wall times in seconds.
+
+    :param due: its intended start.
+    :param sent: when the caller's loop came to it.
+    :param first: when the first byte of its answer came.
+    :param refused: the error's code, empty for none.
+    """
+
+    due: float
+    sent: float = 0.0
+    first: float = 0.0
+    request_id: str = ""
+    refused: str = ""
+    whole: bool = False
+
+    @property
+    def answered(self) -> bool:
+        """Whether a first token came."""
+        return self.first > 0
+
+
+def arrivals(seconds: float, rate: float, seed: int) -> list[float]:
+    """Return the seconds at which requests are due: steady, with bursts of a second."""
+    return list(_arrivals(seconds, rate, seed))
+
+
+def _arrivals(seconds: float, rate: float, seed: int) -> Iterator[float]:
+    generator = numpy.random.default_rng(seed)
+    at = 0.0
+    while at < seconds:
+        bursting = at % BURST_EVERY_S > BURST_EVERY_S - BURST_S
+        at += generator.exponential(1 / (rate * (BURST_FACTOR if bursting else 1.0)))
+        yield at
+
+
+def summary(asked: Sequence[Asked]) -> dict[str, object]:
+    """Return the first tokens' percentiles and what was refused."""
+    histogram = HdrHistogram(1, HIGHEST_US, 3)
+    for each in asked:
+        if each.answered:
+            histogram.record_value(round((each.first - each.due) * 1e6))
+    return {
+        "requests": len(asked),
+        "answered": sum(each.whole for each in asked),
+        "refused": dict(Counter(each.refused for each in asked if each.refused)),
+        "broken": sum(each.answered and not each.whole for each in asked),
+        **{
+            f"p{each}": histogram.get_value_at_percentile(each) / 1000
+            for each in PERCENTILES
+        },
+    }
+
+
+async def ask_all(callers: Callers, due: Sequence[float]) -> list[Asked]:
+    """Send every request at its time, however long the others take."""
+    started = time.time()
+    asked = [Asked(started + at) for at in due]
+    callers_in_turn = itertools.cycle(
+        itertools.product(callers.keys, callers.addresses)
+    )
+    async with (
+        httpcore.AsyncConnectionPool(max_connections=None) as pool,
+        anyio.create_task_group() as tasks,
+    ):
+        for number, (each, (key, address)) in enumerate(
+            zip(asked, callers_in_turn, strict=False)
+        ):
+            await anyio.sleep(max(0.0, each.due - time.time()))
+            prompt = f"Is slot {number} free?"
+            tasks.start_soon(_ask, pool, address, key, callers.model, prompt, each)
+    return asked
+
+
+async def _ask(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    key: str,
+    model: str,
+    prompt: str,
+    asked: Asked,
+) -> None:
+    body = {
+        "model": model,
+        "prompt": prompt,
+        "max_tokens": ONLINE_TOKENS,
+        "stream": True,
+    }
+    asked.sent = time.time()
+    content = b""
+    try:
+        async with pool.stream(
+            "POST",
+            f"http://{address}/v1/completions",
+            headers=[("authorization", f"Bearer {key}")],
+            content=json.dumps(body).encode(),
+        ) as answer:
+            asked.request_id = dict(answer.headers).get(b"x-request-id", b"").decode()
+            if answer.status != 200:
+                refusal = msgspec.json.decode(await answer.aread(), type=ErrorAnswer)
+                asked.refused = refusal.error.code
+                return
+            async for chunk in answer.aiter_stream():
+                asked.first = asked.first or time.time()
+                content += chunk
+    except httpcore.NetworkError as error:
+        asked.refused = type(error).__name__
+    asked.whole = content.endswith(END)
--- /dev/null
+++ b/bench/sitetrace.py
@@ -0,0 +1,152 @@
+"""Where the time to a first token went, request by request.
+
+Joins what the caller saw, when the entry asked for and got a slot, and what the
+engine's journal says; all are wall times of one machine.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, fields
+
+import numpy
+
+from bench.siteload import Asked
+from bench.sitetraced import SlotEvent
+from standins.journal import Entry
+
+PERCENTILES = (50, 95, 99)
+FIRST_TOKEN = "0:"
+MS = 1000.0
+
+
+@dataclass(frozen=True)
+class Stages:
+    """Milliseconds that one request spent in each stage before its first token.
+
+    :param caller: the caller's own loop was late.
+    :param entry: until the entry asked for a slot.
+    :param grant: until it had one.
+    :param send: until the engine had the request.
+    :param queue: in the engine's queue, all its slots being taken.
+    :param steps: the steps to the first token.
+    :param back: from the engine to the caller.
+    """
+
+    caller: float
+    entry: float
+    grant: float
+    send: float
+    queue: float
+    steps: float
+    back: float
+
+    @property
+    def total(self) -> float:
+        """The whole time to the first token."""
+        return float(sum(getattr(self, field.name) for field in fields(self)))
+
+
+@dataclass
+class EngineVisit:
+    """One stream in an engine; wall times in seconds."""
+
+    engine: str
+    started: float
+    admitted: float = 0.0
+    first: float = 0.0
+    ended: float = 0.0
+    finished: bool = False
+
+
+def visits_of(
+    engine: str, entries: Iterable[Entry], slots: int
+) -> dict[str, EngineVisit]:
+    """Return an engine's streams by request, with when each was let into a slot."""
+    visits: dict[str, EngineVisit] = {}
+    running: set[str] = set()
+    waiting: deque[str] = deque()
+    for entry in entries:
+        name = entry.request_id
+        if entry.event == "start":
+            visits[name] = EngineVisit(engine, entry.at)
+            waiting.append(name)
+        elif entry.event == "token" and entry.detail.startswith(FIRST_TOKEN):
+            visits[name].first = entry.at
+        elif entry.event in ("end", "cancel"):
+            visits[name].ended = entry.at
+            visits[name].finished = entry.event == "end"
+            running.discard(name)
+            if name in waiting:
+                waiting.remove(name)
+        while waiting and len(running) < slots:
+            admitted = waiting.popleft()
+            visits[admitted].admitted = entry.at
+            running.add(admitted)
+    return visits
+
+
+def stages_of(
+    asked: Iterable[Asked],
+    slots: Mapping[tuple[str, str], SlotEvent],
+    visits: Mapping[str, EngineVisit],
+) -> Iterator[Stages]:
+    """Yield the stages of each request that was answered at its first attempt."""
+    for each in asked:
+        name = f"{each.request_id}.1"
+        visit = visits.get(name)
+        wanted = slots.get(("asked", name))
+        granted = slots.get(("granted", name))
+        if not each.answered or visit is None or wanted is None or granted is None:
+            continue
+        moments = (
+            each.due,
+            each.sent,
+            wanted.at,
+            granted.at,
+            visit.started,
+            visit.admitted,
+            visit.first,
+            each.first,
+        )
+        yield Stages(*(float(gap) for gap in numpy.diff(moments) * MS))
+
+
+def percentiles(values: Sequence[float]) -> dict[str, float]:
+    """Return percentiles of some values, nothing when there are none."""
+    if not values:
+        return {}
+    found = numpy.percentile(values, PERCENTILES)
+    return {
+        f"p{percentile}": round(float(value), 2)
+        for percentile, value in zip(PERCENTILES, found, strict=True)
+    }
+
+
+def of_stage(stages: Iterable[Stages], name: str) -> dict[str, float]:
+    """Return percentiles of one stage."""
+    return percentiles([getattr(each, name) for each in stages])
+
+
+def return_times(events: Iterable[SlotEvent]) -> list[float]:
+    """Return the milliseconds from the word that a slot is revoked to its release."""
+    revoked: dict[str, float] = {}
+    times: list[float] = []
+    for event in events:
+        if event.event == "revoked":
+            revoked[event.request_id] = event.at
+        elif event.event == "released" and event.request_id in revoked:
+            times.append((event.at - revoked.pop(event.request_id)) * MS)
+    return times
+
+
+def leave_times(
+    events: Iterable[SlotEvent], visits: Mapping[str, EngineVisit]
+) -> list[float]:
+    """Return the milliseconds from that word until the engine had ended the stream."""
+    return [
+        (visits[event.request_id].ended - event.at) * MS
+        for event in events
+        if event.event == "revoked"
+        and event.request_id in visits
+        and visits[event.request_id].ended > event.at
+    ]
--- /dev/null
+++ b/bench/sitetraced.py
@@ -0,0 +1,98 @@
+"""A program of the product that writes when it asked for and got each slot.
+
+The first argument names the program. Each slot is a JSON line on standard output,
+which the bench joins with the engines' journals and what the callers saw.
+"""
+
+import importlib
+import sys
+import time
+
+import anyio
+import msgspec
+
+from chivespan.grantclient import GrantClient
+from chivespan.heldslot import HeldSlot
+from chivespan.messages import GrantRelease, GrantRequest
+
+MODULE = "bench.sitetraced"
+
+
+class SlotEvent(msgspec.Struct, frozen=True):
+    """One moment in the life of a slot.
+
+    :param at: wall time in seconds.
+    :param event: asked, granted, revoked or released.
+    """
+
+    at: float
+    event: str
+    request_id: str
+    target: str = ""
+
+
+class _TracedRevocation(anyio.Event):
+    """An event that writes when it is set."""
+
+    def __new__(cls, _request_id: str, _target: str) -> "_TracedRevocation":
+        return object.__new__(cls)
+
+    def __init__(self, request_id: str, target: str) -> None:
+        self._event = anyio.Event()
+        self._request_id = request_id
+        self._target = target
+
+    def set(self) -> None:
+        _write("revoked", self._request_id, self._target)
+        self._event.set()
+
+    def is_set(self) -> bool:
+        return self._event.is_set()
+
+    async def wait(self) -> None:
+        await self._event.wait()
+
+
+def words(program: str) -> tuple[str, ...]:
+    """Return the module and argument that start a traced program."""
+    return MODULE, program
+
+
+def main() -> None:
+    """Trace the slots of the program named on the command line, and run it."""
+    program = sys.argv.pop(1)
+    _trace()
+    importlib.import_module(f"chivespan.{program}_main").main()
+
+
+def _trace() -> None:
+    acquire = GrantClient.acquire
+    release = GrantClient._release
+
+    async def traced_acquire(self: GrantClient, request: GrantRequest) -> HeldSlot:
+        _write("asked", request.request_id)
+        slot = await acquire(self, request)
+        target = slot.grant.target
+        _write("granted", request.request_id, target)
+        slot.revoked = _TracedRevocation(request.request_id, target)
+        return slot
+
+    def traced_release(self: GrantClient, given: GrantRelease) -> None:
+        holding = self._held.get(given.grant_id)
+        if holding is not None:
+            request_id = holding.slot.request.request_id
+            _write("released", request_id, holding.slot.grant.target)
+        release(self, given)
+
+    setattr(GrantClient, "acquire", traced_acquire)  # noqa: B010
+    setattr(GrantClient, "_release", traced_release)  # noqa: B010
+
+
+def _write(event: str, request_id: str, target: str = "") -> None:
+    line = msgspec.json.encode(SlotEvent(time.time(), event, request_id, target))
+    sys.stdout.buffer.write(line + b"\n")
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
--- a/chivespan/dispatch_main.py
+++ b/chivespan/dispatch_main.py
@@ -13,6 +13,7 @@
 from chivespan.logs import configure_logging
 from chivespan.metrics import Metrics
 from chivespan.options import start
+from chivespan.policies import Policies
 from chivespan.settings import NodeSettings
 from chivespan.signals import leave_on_signal
 from chivespan.targethttp import TargetHttp
@@ -21,8 +22,11 @@
 METRICS_PREFIX = "chivespan.dispatch"
 
 
-async def serve(settings: NodeSettings) -> None:
-    """Run a dispatcher until it is told to leave and has done so."""
+async def serve(settings: NodeSettings, policies: Policies | None = None) -> None:
+    """Run a dispatcher until it is told to leave and has done so.
+
+    :param policies: decisions other than those in force, for benches.
+    """
     async with TargetHttp() as http, anyio.create_task_group() as tasks:
         dispatcher = Dispatcher(
             settings,
@@ -30,6 +34,7 @@
             HttpVmList(settings.vm_list_url),
             SystemClock(),
             Metrics(settings.statsd_address, METRICS_PREFIX),
+            policies,
             probe=EngineClient(http),
         )
 
@@ -41,12 +46,12 @@
         tasks.cancel_scope.cancel()
 
 
-def main() -> None:
+def main(policies: Policies | None = None) -> None:
     """Start the program with the settings of its flags and environment."""
     settings = start(NodeSettings, os.environ)
     configure_logging(PROGRAM, settings.vm, settings.log_level)
     anyio.run(
-        partial(serve, settings),
+        partial(serve, settings, policies),
         backend="asyncio",
         backend_options={"use_uvloop": True},
     )
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -65,6 +65,7 @@
     :param plains: how many plain stand-ins.
     :param settings: further settings of all programs, by name.
     :param engine_flags: flags of the engine stand-ins.
+    :param modules: module and first arguments that run in a program's place.
     """
 
     data_centres: Sequence[str]
@@ -77,6 +78,7 @@
     engine_flags: Mapping[str, str] = field(default_factory=dict)
     log_flags: Mapping[str, str] = field(default_factory=dict)
     programs: Sequence[str] = tuple(PROGRAM_PORTS)
+    modules: Mapping[str, Sequence[str]] = field(default_factory=dict)
 
     @property
     def vms(self) -> tuple[VmPlace, ...]:
@@ -193,6 +195,11 @@
         self._directory = tempfile.TemporaryDirectory(prefix="chivespan-")
         self._processes: dict[str, Process] = {}
 
+    @property
+    def processes(self) -> Mapping[str, Process]:
+        """All processes by name, those that ended included."""
+        return self._processes
+
     def __enter__(self) -> "Cluster":
         try:
             self.start_stand_ins()
@@ -245,8 +252,14 @@
         for program in self.site.programs:
             self.start_program(place, program)
 
-    def start_program(self, place: VmPlace, program: str) -> Process:
-        """Start one program of a VM; its settings are flags only."""
+    def start_program(
+        self, place: VmPlace, program: str, words: Sequence[str] = ()
+    ) -> Process:
+        """Start one program of a VM; its settings are flags only.
+
+        :param words: module and first arguments to run in the program's place; empty
+            for those of the site.
+        """
         site = self.site
         settings = {
             "vm": place.vm,
@@ -257,8 +270,8 @@
             "peer_key": site.peer_key,
         }
         flags = _flags(settings | dict(site.settings))
-        module = f"chivespan.{program}_main"
-        return self._start(f"{place.vm}/{program}", [module, *flags])
+        words = words or site.modules.get(program, (f"chivespan.{program}_main",))
+        return self._start(f"{place.vm}/{program}", [*words, *flags])
 
     def wait_ready(self) -> None:
         """Wait until every program started accepts connections."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -10,9 +10,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from contextlib import suppress
-from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 from typing import TypeVar
@@ -30,13 +29,12 @@
     CompletionAnswer,
     ErrorAnswer,
 )
-from chivespan.documents import Runner
-from chivespan.inventory import read_files, write_text
 from tools.cluster import Cluster, Site, free_block, wait_until
+from tools.exampleconfig import EXAMPLES, write_example
 
 T = TypeVar("T")
 
-EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "livestock"
+EXAMPLE = EXAMPLES / "livestock"
 DATA_CENTRES = ("hr-east-osijek", "hr-east-vukovar", "hr-east-slavonski")
 REGION = "hr-east"
 MODEL = "booking-lm"
@@ -99,29 +97,14 @@
     def apply(self) -> None:
         """Put the example in force on every VM."""
         self._say("An operator checks the example and puts it in force")
-        files = [str(path) for path in self._write_files()]
+        written = write_example(EXAMPLE, self._cluster.site, self._folder)
+        files = [str(path) for path in written]
         self._chivespan("validate", *files)
         self._chivespan("apply", *files, "--reason=first day")
         for _ in wait_until("the configuration on every VM", READY_TIMEOUT):
             if all(self._is_ready(address) for address in self._entries):
                 break
 
-    def _write_files(self) -> Iterator[Path]:
-        """Write the example with the addresses of the stand-ins in place of its own."""
-        inventory = read_files([EXAMPLE / "inventory.toml"])
-        engines = iter(self._cluster.site.engine_addresses)
-        plains = iter(self._cluster.site.plain_addresses)
-        documents = []
-        for document in inventory.documents.values():
-            if isinstance(document, Runner):
-                address = next(engines if document.model else plains)
-                document = replace(document, address=address)
-            documents.append(document)
-        target = self._folder / "inventory.toml"
-        target.write_text(write_text(documents))
-        yield target
-        yield EXAMPLE / "rules.toml"
-
     def _is_ready(self, address: str) -> bool:
         answer = self._request("GET", "/v1/addresses", address=address)
         if answer.status != 200:
--- /dev/null
+++ b/tools/exampleconfig.py
@@ -0,0 +1,31 @@
+"""An example deployment's configuration with the stand-ins' addresses in it."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+
+from chivespan.documents import Runner
+from chivespan.inventory import read_files, write_text
+from tools.cluster import Site
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+
+
+def write_example(example: Path, site: Site, folder: Path) -> Iterator[Path]:
+    """Yield an example's files, written with a site's addresses for its own.
+
+    :param folder: where the changed files are written.
+    """
+    inventory = read_files([example / "inventory.toml"])
+    engines = iter(site.engine_addresses)
+    plains = iter(site.plain_addresses)
+    documents = []
+    for document in inventory.documents.values():
+        if isinstance(document, Runner):
+            address = next(engines if document.model else plains)
+            document = replace(document, address=address)
+        documents.append(document)
+    target = folder / "inventory.toml"
+    target.write_text(write_text(documents))
+    yield target
+    yield example / "rules.toml"
