Note that sniffio isn't installed, which httpcore looked for on disk for every lock

Cause: httpcore imports sniffio for each lock and event that it makes, some five times a request.

Ruled out: reading from the engine twice a token (the doubled calls in the profile are suspensions).

--- a/chivespan/targethttp.py
+++ b/chivespan/targethttp.py
@@ -13,6 +13,7 @@
 import anyio
 import httpcore
 
+from chivespan.absentmodules import note_absent_modules
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.readlimit import LimitedBackend, limit_reads
 
@@ -71,6 +72,7 @@
     """
 
     def __init__(self) -> None:
+        note_absent_modules()
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def __aenter__(self) -> "TargetHttp":
