--- a/bench/bench_site.py
+++ b/bench/bench_site.py
@@ -48,7 +48,6 @@
     "fixed 6": Policies(batch_level="fixed", fixed_batch_slots=6),
     "none again": NO_BATCH,
 }
-P_NAMES = ("p50", "p95", "p99")
 KILLED_LEVELS = {"none": NO_BATCH, "steered": STEERED}
 
 
@@ -230,8 +229,10 @@
             measure="level",
             deployment=site.deployment.name,
             level=run.name,
-            **found,
-            **{f"{each}_ratio": _ratio(found[each], base[each]) for each in P_NAMES},
+            **asdict(found),
+            p50_ratio=_ratio(found.p50, base.p50),
+            p95_ratio=_ratio(found.p95, base.p95),
+            p99_ratio=_ratio(found.p99, base.p99),
             batch_alone_items_per_s=round(alone, 1),
             batch_beside_items_per_s=round(beside, 1),
             batch_to_most=_ratio(beside, most),
@@ -253,9 +254,7 @@
     return inside / window.seconds if window.seconds else 0.0
 
 
-def _ratio(value: object, base: object) -> float:
-    assert isinstance(value, (int, float))
-    assert isinstance(base, (int, float))
+def _ratio(value: float, base: float) -> float:
     return round(value / base, 3) if base else 0.0
 
 
@@ -296,7 +295,7 @@
 ) -> None:
     slots = {(event.event, event.request_id): event for event in events}
     stages = list(sitetrace.stages_of(window.asked, slots, visits))
-    _print(measure="first_token_ms", phase=name, **load_summary(window.asked))
+    _print(measure="first_token_ms", phase=name, **asdict(load_summary(window.asked)))
     for stage in Stages.__dataclass_fields__:
         _print(measure="stage_ms", stage=stage, **sitetrace.of_stage(stages, stage))
     for process, schedule in sorted(window.schedules.items()):
--- a/bench/siteload.py
+++ b/bench/siteload.py
@@ -60,6 +60,24 @@
         return self.first > 0
 
 
+@dataclass(frozen=True)
+class LoadSummary:
+    """What became of the requests of one phase.
+
+    :param refused: how many were refused, by the error's code.
+    :param broken: answers that began and weren't whole.
+    :param p50: milliseconds from the intended start to the first token, and so on.
+    """
+
+    requests: int
+    answered: int
+    refused: dict[str, int]
+    broken: int
+    p50: float
+    p95: float
+    p99: float
+
+
 def arrivals(seconds: float, rate: float, seed: int) -> list[float]:
     """Return the seconds at which requests are due: steady, with bursts of a second."""
     return list(_arrivals(seconds, rate, seed))
@@ -74,22 +92,24 @@
         yield at
 
 
-def summary(asked: Sequence[Asked]) -> dict[str, object]:
-    """Return the first tokens' percentiles and what was refused."""
+def summary(asked: Sequence[Asked]) -> LoadSummary:
+    """Return what became of some requests."""
     histogram = HdrHistogram(1, HIGHEST_US, 3)
     for each in asked:
         if each.answered:
             histogram.record_value(round((each.first - each.due) * 1e6))
-    return {
-        "requests": len(asked),
-        "answered": sum(each.whole for each in asked),
-        "refused": dict(Counter(each.refused for each in asked if each.refused)),
-        "broken": sum(each.answered and not each.whole for each in asked),
-        **{
-            f"p{each}": histogram.get_value_at_percentile(each) / 1000
-            for each in PERCENTILES
-        },
-    }
+    p50, p95, p99 = (
+        histogram.get_value_at_percentile(each) / 1000 for each in PERCENTILES
+    )
+    return LoadSummary(
+        requests=len(asked),
+        answered=sum(each.whole for each in asked),
+        refused=dict(Counter(each.refused for each in asked if each.refused)),
+        broken=sum(each.answered and not each.whole for each in asked),
+        p50=p50,
+        p95=p95,
+        p99=p99,
+    )
 
 
 async def ask_all(callers: Callers, due: Sequence[float]) -> list[Asked]:
--- /dev/null
+++ b/tests/test_sitetrace.py
@@ -0,0 +1,49 @@
+"""The site bench's trace: what it makes of journals, callers and slots."""
+
+import pytest
+
+from bench.siteload import Asked
+from bench.sitetrace import leave_times, return_times, stages_of, visits_of
+from bench.sitetraced import SlotEvent
+from standins.journal import Entry
+
+
+def entry(at: float, event: str, request_id: str, detail: str = "") -> Entry:
+    return Entry(at, event, request_id, "", detail)
+
+
+JOURNAL = [
+    entry(1.00, "start", "batch.1"),
+    entry(1.10, "start", "online.1"),
+    entry(1.11, "start", "gone.1"),
+    entry(1.12, "cancel", "gone.1"),
+    entry(1.15, "cancel", "batch.1"),
+    entry(1.20, "token", "online.1", "0: a"),
+    entry(1.30, "end", "online.1"),
+]
+EVENTS = [
+    SlotEvent(1.01, "asked", "online.1"),
+    SlotEvent(1.03, "granted", "online.1", "target"),
+    SlotEvent(1.04, "revoked", "batch.1", "target"),
+    SlotEvent(1.05, "revoked", "never-sent.1", "target"),
+    SlotEvent(1.06, "released", "batch.1", "target"),
+]
+
+
+def test_time_in_the_queue_of_a_full_engine_is_told_from_its_steps() -> None:
+    visits = visits_of("engine", JOURNAL, slots=1)
+    asked = Asked(due=0.9, sent=0.95, first=1.22, request_id="online", whole=True)
+    refused = Asked(due=0.9, sent=0.95, request_id="none", refused="no_capacity")
+    slots = {(event.event, event.request_id): event for event in EVENTS}
+    (stages,) = stages_of([asked, refused], slots, visits)
+    assert stages.queue == pytest.approx(50)
+    assert stages.steps == pytest.approx(50)
+    assert stages.total == pytest.approx(320)
+    assert visits["online.1"].finished
+    assert not visits["batch.1"].finished
+
+
+def test_times_after_a_revocation() -> None:
+    visits = visits_of("engine", JOURNAL, slots=1)
+    assert return_times(EVENTS) == [pytest.approx(20)]
+    assert leave_times(EVENTS, visits) == [pytest.approx(110)]
