--- a/bench/bench_entries.py
+++ b/bench/bench_entries.py
@@ -18,6 +18,7 @@
 import fire
 import httpcore
 
+from bench.sitecost import cpu_seconds
 from tools.cluster import Cluster, Process, free_block
 from tools.demo import MODEL, OWNER_KEY, Demo, demo_site
 
@@ -68,13 +69,13 @@
 ) -> tuple[int, float]:
     """Return the tokens received and the processor seconds that entries took."""
     with ProcessPoolExecutor(CLIENT_PROCESSES) as pool:
-        before = sum(process.cpu_seconds for process in processes)
+        before = sum(cpu_seconds(process) for process in processes)
         waiting = [
             pool.submit(stream_until, addresses, duration.total_seconds(), number)
             for number in range(CLIENT_PROCESSES)
         ]
         tokens = sum(each.result() for each in waiting)
-        return tokens, sum(process.cpu_seconds for process in processes) - before
+        return tokens, sum(cpu_seconds(process) for process in processes) - before
 
 
 def stream_until(addresses: list[str], seconds: float, number: int) -> int:
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -37,8 +37,6 @@
 STOP_TIMEOUT = timedelta(seconds=10)
 POLL = timedelta(milliseconds=20)
 LOG_TAIL_BYTES = 4000
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-USER_TICKS, SYSTEM_TICKS = 11, 12
 
 PROGRAM_PORTS = {"dispatch": DISPATCH_PORT, "batch": BATCH_PORT, "entry": ENTRY_PORT}
 
@@ -69,6 +67,7 @@
     :param entries: entry processes of each VM, the first on the usual port.
     :param settings: further settings of all programs, by name.
     :param engine_flags: flags of the engine stand-ins.
+    :param modules: module and first arguments that run in a program's place.
     """
 
     data_centres: Sequence[str]
@@ -82,6 +81,7 @@
     engine_flags: Mapping[str, str] = field(default_factory=dict)
     log_flags: Mapping[str, str] = field(default_factory=dict)
     programs: Sequence[str] = tuple(PROGRAM_PORTS)
+    modules: Mapping[str, Sequence[str]] = field(default_factory=dict)
 
     @property
     def vms(self) -> tuple[VmPlace, ...]:
@@ -156,12 +156,6 @@
         """The exit code, None while it runs."""
         return self._popen.poll()
 
-    @property
-    def cpu_seconds(self) -> float:
-        """Processor time that it has taken, from the kernel."""
-        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()
-        return (int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])) / TICKS_PER_S
-
     def kill(self) -> None:
         """End it without notice."""
         self._popen.kill()
@@ -209,6 +203,11 @@
         self._directory = tempfile.TemporaryDirectory(prefix="chivespan-")
         self._processes: dict[str, Process] = {}
 
+    @property
+    def processes(self) -> Mapping[str, Process]:
+        """All processes by name, those that ended included."""
+        return self._processes
+
     def __enter__(self) -> "Cluster":
         try:
             self.start_stand_ins()
@@ -262,13 +261,19 @@
             self.start_program(place, program)
         if "entry" in self.site.programs:
             for port in self.site.entry_ports[1:]:
-                self.start_program(place, "entry", port)
+                self.start_program(place, "entry", entry_port=port)
 
     def start_program(
-        self, place: VmPlace, program: str, entry_port: int = ENTRY_PORT
+        self,
+        place: VmPlace,
+        program: str,
+        words: Sequence[str] = (),
+        entry_port: int = ENTRY_PORT,
     ) -> Process:
         """Start one program of a VM; its settings are flags only.
 
+        :param words: module and first arguments to run in the program's place; empty
+            for those of the site.
         :param entry_port: other than the usual one for a further entry.
         """
         further = f"-{entry_port}" if entry_port != ENTRY_PORT else ""
@@ -283,8 +288,8 @@
             "entry_port": str(entry_port),
         }
         flags = _flags(settings | dict(site.settings))
-        module = f"chivespan.{program}_main"
-        return self._start(f"{place.vm}/{program}{further}", [module, *flags])
+        words = words or site.modules.get(program, (f"chivespan.{program}_main",))
+        return self._start(f"{place.vm}/{program}{further}", [*words, *flags])
 
     def wait_ready(self) -> None:
         """Wait until every program started accepts connections."""
