Let a newcomer that fell behind retention run what it owns

Cause: Follower replaced its event when the log had dropped the next record, so the partition's runner and upkeep, which waited on the old one, never woke up. Before: cells partition take-over/log cut by retention and /two faults at once, whose newcomer is alone, didn't end in 12 s. After: 0.1 s.

--- a/chivespan/follower.py
+++ b/chivespan/follower.py
@@ -47,7 +47,7 @@
         self._counters = counters
         self._fold = new()
         self._changed = anyio.Event()
-        self._current = anyio.Event()
+        self._is_current = False
         self._answering = True
 
     @property
@@ -58,11 +58,12 @@
     @property
     def is_current(self) -> bool:
         """Whether the end of the stream was reached once."""
-        return self._current.is_set()
+        return self._is_current
 
     async def wait_current(self) -> None:
         """Wait until the end of the stream was reached once."""
-        await self._current.wait()
+        while not self.is_current:
+            await self._changed.wait()
 
     async def reach_current(self) -> None:
         """Wait a short time for the end of the stream, for a caller who waits.
@@ -103,7 +104,7 @@
             except ChivespanError as error:
                 if error.kind is ErrorKind.LOG_EXPIRED:
                     loaded = False
-                    self._current = anyio.Event()
+                    self._is_current = False
                     self._counters.incr("follower.started_anew")
                 self._note_answering(False, error.message)
                 await anyio.sleep(delays.next().total_seconds())
@@ -123,7 +124,7 @@
         reached_end = self._fold.offset + 1 >= page.end
         first_time = reached_end and not self.is_current
         if first_time:
-            self._current.set()
+            self._is_current = True
         if page.records or first_time:
             self._announce()
 
