Read results anew that were carried forward while they were read

Cause: a VM that lags behind the log knows a chunk's results by the offsets they had before they were carried; reading them there was answered log_expired, also when the VM learnt the new offsets a moment later. Before: cell result read/log cut by retention failed with log_expired. After: it gives the same results as before; offsets that stay gone are still answered log_expired.

--- a/chivespan/jobstore.py
+++ b/chivespan/jobstore.py
@@ -6,9 +6,12 @@
 
 from collections.abc import AsyncIterator, Iterator
 
+import anyio
+
 from chivespan.clock import NO_WAIT
 from chivespan.envelope import decode_envelope, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.follower import CURRENT_WAIT
 from chivespan.jobfold import ENDED, Chunk, Job, JobFold
 from chivespan.jobmessages import JobPhase, JobResult, JobState
 from chivespan.jobplan import JobPlan
@@ -91,15 +94,34 @@
     async def results(self, owner: str, job_id: str, number: int) -> list[JobResult]:
         """Return the results so far of one chunk's items, in order.
 
-        :raises ChivespanError: ``not_found``; ``log_unavailable``; ``log_expired``.
+        They are read anew where they were carried forward meanwhile.
+
+        :raises ChivespanError: ``not_found``; ``not_ready``; ``log_unavailable``;
+            ``log_expired``.
         """
-        job = self.job(owner, job_id)
-        if not 0 <= number < len(job.chunks):
-            reason = f"job {job_id} has {len(job.chunks)} chunks"
-            raise ChivespanError(ErrorKind.NOT_FOUND, reason)
-        first = sum(chunk.count for chunk in job.chunks[:number])
-        found = await self.chunk_results(job.chunks[number])
-        return [_job_result(first, result) for result in found]
+        while True:
+            job = self.job(owner, job_id)
+            chunk = _chunk(job, number)
+            offsets = tuple(chunk.results)
+            try:
+                found = await self.chunk_results(chunk)
+            except ChivespanError as error:
+                if error.kind is not ErrorKind.LOG_EXPIRED:
+                    raise
+                await self._wait_carried(owner, job_id, number, offsets)
+                if tuple(_chunk(self.job(owner, job_id), number).results) == offsets:
+                    raise
+                continue
+            first = sum(chunk.count for chunk in job.chunks[:number])
+            return [_job_result(first, result) for result in found]
+
+    async def _wait_carried(
+        self, owner: str, job_id: str, number: int, offsets: tuple[int, ...]
+    ) -> None:
+        """Wait a short time for results to be at other offsets."""
+        with anyio.move_on_after(CURRENT_WAIT.total_seconds()):
+            while tuple(_chunk(self.job(owner, job_id), number).results) == offsets:
+                await self._follower.wait_changed()
 
     async def chunk_results(self, chunk: Chunk) -> list[ItemResult]:
         """Return the results of a chunk's items that count, in order."""
@@ -149,6 +171,17 @@
         return job.state()
 
 
+def _chunk(job: Job, number: int) -> Chunk:
+    """Return a job's chunk.
+
+    :raises ChivespanError: ``not_found``.
+    """
+    if 0 <= number < len(job.chunks):
+        return job.chunks[number]
+    reason = f"job {job.job_id} has {len(job.chunks)} chunks"
+    raise ChivespanError(ErrorKind.NOT_FOUND, reason)
+
+
 def submission_records(plan: JobPlan) -> Iterator[object]:
     """Yield the records of a submission in order."""
     for unit in _units(plan):
