Let a batch program end while an item's start waits for the log; bound one latency

Cause of the first: the start of an item not to be repeated was waited for inside the shield that is meant for the time between start and call, and nobody answered those who waited when the appender ended; the program then never ended. Cause of the second: an append during which the VM was frozen counted as latency, so the interval of group commit stayed at its bound of 5 s. One sample is now cut at that bound.

--- a/chivespan/appender.py
+++ b/chivespan/appender.py
@@ -194,16 +194,22 @@
         return pending.offsets
 
     async def run(self) -> None:
-        """Append groups until cancelled."""
-        await self._find_end()
-        while True:
-            await self._work.wait()
-            await self._wait_for_turn()
-            group = self._take_group()
+        """Append groups until cancelled; who still waits then is answered."""
+        group: _Group | None = None
+        try:
+            await self._find_end()
+            while True:
+                await self._work.wait()
+                await self._wait_for_turn()
+                group = self._take_group()
+                if group:
+                    self._append_began = self._clock.monotonic()
+                    await self._commit(group)
+                    self._append_began = None
+        finally:
+            self._go_down()
             if group:
-                self._append_began = self._clock.monotonic()
-                await self._commit(group)
-                self._append_began = None
+                self._tell_unknown(group)
 
     def _forget(self, pending: _Pending) -> None:
         if pending in self._waiting:
@@ -286,7 +292,11 @@
         if not await self._read_back(group, first):
             await self._resolve(group, started)
             return
-        taken = self._clock.monotonic() - started
+        self._note_latency(self._clock.monotonic() - started)
+
+    def _note_latency(self, taken: timedelta) -> None:
+        """Smooth the time of an append; one during which the VM stood still is cut."""
+        taken = min(taken, self._options.max_interval)
         self._latency = (self._latency * 7 + taken) / 8
 
     async def _read_back(self, group: _Group, first: int) -> bool:
--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -221,10 +221,10 @@
         if repeatable:
             return await self._send(slot, request, progress)
         answer: ItemAnswer | None = None
+        good_slot: RevocableSlot | None = slot
+        if not progress.started:
+            good_slot = await self._start(item, progress, slot)
         with anyio.CancelScope(shield=True) as scope:
-            good_slot: RevocableSlot | None = slot
-            if not progress.started:
-                good_slot = await self._start(item, progress, slot)
             if progress.started:
                 if good_slot is None:
                     scope.shield = False
@@ -239,7 +239,8 @@
         """Start an item that may not be repeated; return the slot if it is still good.
 
         Nothing but a new slot is waited for between the start and the call, so that a
-        worker that is told to stop leaves no item started and not sent.
+        worker that is told to stop leaves no item started and not sent. Before the
+        start is in the log the worker may be told to stop, also while the log is away.
         """
         began = self._clock.monotonic()
         try:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -245,6 +245,21 @@
     assert site.plain.calls["booking"] == 1
 
 
+async def test_worker_that_waits_for_a_start_in_the_log_can_end() -> None:
+    site, plan = Site(), plain_plan(["booking"])
+    owned = frozenset({jobs_stream(0)})
+    with anyio.fail_after(5):
+        async with site.partitions() as partitions:
+            worker = partitions.jobs(0)
+            await worker.store.submit(plan)
+            site.log.slow_appends = 1
+            appends = site.log.appends
+            partitions.own(owned)
+            while site.log.appends == appends:
+                await anyio.sleep(0.001)
+    assert not site.plain.calls
+
+
 async def test_jobs_outlive_retention_and_end_after_their_keeping_time() -> None:
     site = Site(clock=ManualClock())
     done, waiting = model_plan(PROMPTS), model_plan(["later please"], key="open")
