--- a/tests/fakelog.py
+++ b/tests/fakelog.py
@@ -3,10 +3,12 @@
 from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
+from itertools import takewhile
 
 import anyio
 
+from chivespan.envelope import decode_envelope
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platform import LogNotReached, LogPage, LogRecord
 
@@ -38,6 +40,7 @@
     :ivar late_effects: so many next appends are not answered, and take effect when
         :meth:`release_late` is called.
     :ivar slow_appends: so many next appends wait for :attr:`quick`.
+    :ivar refused: calls that met an outage.
     :ivar dropped: so many next appends are not answered and never take effect.
     """
 
@@ -48,6 +51,7 @@
         self.lost_answers = 0
         self.late_effects = 0
         self.dropped = 0
+        self.refused = 0
         self.slow_appends = 0
         self.quick = anyio.Event()
         self.appends = 0
@@ -117,6 +121,13 @@
         del kept.payloads[:count]
         kept.oldest += count
 
+    def expire_written_before(self, cutoff: datetime) -> None:
+        """Drop the records of every stream that were written before a time."""
+        for stream, kept in self._streams.items():
+            written = (decode_envelope(one).written_at for one in kept.payloads)
+            old = sum(1 for _ in takewhile(lambda at: at < cutoff, written))
+            self.expire(stream, kept.oldest + old)
+
     def release_late(self) -> None:
         """Let all late appends take effect now."""
         late, self._late = self._late, []
@@ -134,6 +145,7 @@
         if self.unreachable:
             raise LogNotReached("connection refused")
         if self.outage:
+            self.refused += 1
             raise _no_answer()
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,6 +11,7 @@
     node_cells,
     online_cells,
     process_cells,
+    state_cells,
 )
 from tests.faults.matrix import CANNOT_HAPPEN, PROOFS, Proof
 
@@ -21,6 +22,7 @@
     claim_cells,
     config_cells,
     process_cells,
+    state_cells,
 )
 
 
