--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,6 +12,7 @@
     online_cells,
     order_cells,
     process_cells,
+    state_cells,
 )
 from tests.faults.matrix import CANNOT_HAPPEN, PROOFS, Proof
 
@@ -23,6 +24,7 @@
     config_cells,
     process_cells,
     order_cells,
+    state_cells,
 )
 
 
