Wire an entry in one place that the program and the fault rigs use

The rigs of the fault matrix built an entry's parts by hand, as entry_main did, so a cell could pass on a wiring that the program doesn't have: they lacked the operators' routes, the real HTTP server with its shutdown, and the retry budget. chivespan/entry.py holds the wiring now; entry_main and the node rig run the same Entry, and the rig of one entry takes its context from the same function. The entry of the node rig dials through relays of its own, its targets stand behind relays on IP numbers of their own, and the callers' path is a relay too, so that each can be broken alone.

--- a/chivespan/drain.py
+++ b/chivespan/drain.py
@@ -27,7 +27,7 @@
 
     def leave(signal_name: str) -> None:
         context.leave(signal_name)
-        tasks.start_soon(_leave, context, server)
+        tasks.start_soon(stop_after_announcing, context, server)
 
     def cut_short() -> None:
         _log.warning("leaving cut short", in_progress=context.in_progress)
@@ -35,7 +35,8 @@
     await leave_on_signal(tasks, leave, cut_short)
 
 
-async def _leave(context: EntryContext, server: HttpServer) -> None:
+async def stop_after_announcing(context: EntryContext, server: HttpServer) -> None:
+    """Stop once no caller uses an address answer that still names this VM."""
     lifetime = timedelta(milliseconds=context.settings.address_lifetime_ms)
     await anyio.sleep((lifetime + ANNOUNCE_MARGIN).total_seconds())
     _log.notice("no new connections", in_progress=context.in_progress)
--- a/tests/faults/noderig.py
+++ b/tests/faults/noderig.py
@@ -4,7 +4,6 @@
 relay of its own, so that a scenario can break one path and leave the others alone.
 """
 
-import random
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -15,31 +14,18 @@
 from anyio.abc import TaskGroup
 
 from chivespan import batch_main
-from chivespan.addressbook import AddressBook
-from chivespan.batchapi import BatchApi
-from chivespan.batchlinks import BatchLinks
-from chivespan.claimclient import ClaimClient
-from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import SystemClock
 from chivespan.codec import encode
 from chivespan.configfold import CONFIG_STREAM
 from chivespan.configuration import Configuration, DocumentId
 from chivespan.dispatcher import Dispatcher
 from chivespan.documents import DocumentKind
-from chivespan.engineclient import EngineClient
-from chivespan.entrycontext import EntryContext
+from chivespan.entry import Entry
 from chivespan.envelope import encode_record
-from chivespan.grantclient import GrantClient
-from chivespan.httpapi import HttpApi, application
 from chivespan.httplog import HttpLog
 from chivespan.httpvmlist import HttpVmList
-from chivespan.jobclient import JobClient
-from chivespan.messages import Program
 from chivespan.metrics import Metrics
 from chivespan.nodeview import NodeView
-from chivespan.online import OnlineService
-from chivespan.peerlink import LinkEnd, LinkOptions, new_hello
-from chivespan.plainclient import PlainClient
 from chivespan.policies import Policies
 from chivespan.records import ConfigChange, DocumentChange, RecordId
 from chivespan.settings import NodeSettings
@@ -52,7 +38,7 @@
 from standins.serving import serving
 from standins.vmlist import VmEntry, VmListStandIn
 from tests.callers import Caller
-from tests.faults.rig import OWNER_KEY, FreeRetries, ServedApp, configuration_of
+from tests.faults.rig import OWNER_KEY, configuration_of
 from tests.oracle import Witness, violations
 from tests.relay import Relay, relaying
 from tools.cluster import free_block
@@ -62,6 +48,7 @@
 VMS = 3
 FIRST_DIAL_PORT = 8000
 FIRST_BATCH_PORT = 8100
+ENTRY_DIAL_PORT = 8050
 PARTITIONS = 2
 HEARTBEAT_MS = 50
 SILENCE_MS = 250
@@ -151,14 +138,20 @@
     vm_list: VmListStandIn
     engines: list[EngineStandIn]
     plain: PlainStandIn
-    view: NodeView
-    grants: GrantClient
-    context: EntryContext
+    entry: Entry
     caller: Caller
     operator: ChangeWriter
     log_paths: list[Relay]
+    target_paths: list[Relay]
+    caller_path: Relay
     entry_counters: Metrics
     witness: Witness = field(default_factory=Witness)
+    entry_ended: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def view(self) -> NodeView:
+        """What the entry knows."""
+        return self.entry.view
 
     def owner_of(self, service: str = "lm") -> Node:
         """Return the node that owns the service's slice."""
@@ -317,14 +310,23 @@
         ]
         vm_list.set(tuple(VmEntry(s.vm, DATA_CENTRE, REGION) for s in settings))
         operator = ChangeWriter(log)
-        configuration = configuration_of(targets[:-1], targets[-1:])
+        target_paths = [
+            await stack.enter_async_context(relaying(target, f"{block}.{101 + number}"))
+            for number, target in enumerate(targets)
+        ]
+        *engines_at, plain_at = [address for _, address in target_paths]
+        configuration = configuration_of(engines_at, [plain_at])
         first = operator.write(operator.change(configuration, lambda _: 0))
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         nodes = [await _start_node(each, tasks, with_batch=batch) for each in settings]
         await _lay_paths(nodes, stack)
-        entry = await _start_entry(_away_from_owner(settings), tasks, stack)
-        context, view, grants, metrics, address = entry
+        await _lay_entry_paths(nodes, stack)
+        home = replace(_away_from_owner(settings), dispatch_port=ENTRY_DIAL_PORT)
+        http, metrics = await stack.enter_async_context(TargetHttp()), Metrics()
+        entry = Entry(home, http, metrics)
+        entry_at = f"{home.vm}:{home.entry_port}"
+        caller_path, caller_at = await stack.enter_async_context(relaying(entry_at))
         rig = NodeRig(
             tasks,
             nodes,
@@ -332,17 +334,20 @@
             vm_list,
             engines,
             plain,
-            view,
-            grants,
-            context,
-            Caller(address, OWNER_KEY),
+            entry,
+            Caller(caller_at, OWNER_KEY),
             operator,
             [relay for relay, _ in log_paths],
+            [relay for relay, _ in target_paths],
+            caller_path,
             metrics,
         )
+        tasks.start_soon(_serve, entry, rig.entry_ended)
         await rig.wait("configuration in force", lambda: rig.in_force(first))
-        await rig.wait("all VMs seen", lambda: len(view.live_vms()) == vms)
+        await rig.wait("all VMs seen", lambda: len(rig.view.live_vms()) == vms)
         await rig.wait("slices owned", lambda: rig.free_slots() > 0)
+        while await rig.caller.send("GET", "/health") is None:
+            await anyio.sleep(POLL_S)
         yield rig
 
 
@@ -372,42 +377,14 @@
     return next(each for each in settings if each.vm != owner)
 
 
-Entry = tuple[EntryContext, NodeView, GrantClient, Metrics, str]
+async def _lay_entry_paths(nodes: list[Node], stack: AsyncExitStack) -> None:
+    """Relay the entry's connections to every control program, its own VM's too."""
+    for node in nodes:
+        node.paths["entry"] = await _relay(
+            node.vm, node.settings.dispatch_port, ENTRY_DIAL_PORT, stack
+        )
 
 
-async def _start_entry(
-    settings: NodeSettings, tasks: TaskGroup, stack: AsyncExitStack
-) -> Entry:
-    clock, metrics = SystemClock(), Metrics()
-    end = LinkEnd(
-        new_hello(settings, Program.entry),
-        LinkOptions.from_settings(settings),
-        clock,
-        metrics,
-    )
-    view = NodeView(end, settings, HttpVmList(settings.vm_list_url))
-    grants = GrantClient(end, settings, view)
-    http = await stack.enter_async_context(TargetHttp())
-    online = OnlineService(
-        grants, EngineClient(http), PlainClient(http), FreeRetries(), clock
-    )
-    lifetime = timedelta(milliseconds=settings.address_lifetime_ms)
-    book = AddressBook(settings.entry_port, lifetime, random.Random(1))
-    links = BatchLinks(end, settings, view)
-    context = EntryContext(
-        settings=settings,
-        view=view,
-        online=online,
-        claimed=ClaimedCalls(ClaimClient(links), online, metrics),
-        addresses=book,
-        metrics=metrics,
-        clock=clock,
-    )
-    jobs = JobClient(links, settings.partitions)
-    routes = [*HttpApi(context).routes(), *BatchApi(context, jobs).routes()]
-    app = ServedApp(application(context, routes))
-    [address] = await stack.enter_async_context(serving(app))
-    tasks.start_soon(view.run)
-    tasks.start_soon(grants.run)
-    tasks.start_soon(links.run)
-    return context, view, grants, metrics, address
+async def _serve(entry: Entry, served: anyio.Event) -> None:
+    await entry.serve()
+    served.set()
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -1,6 +1,5 @@
 """One entry's product objects in this process, before stand-ins behind relays."""
 
-import random
 from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -9,10 +8,8 @@
 import anyio
 from starlette.types import ASGIApp
 
-from chivespan.addressbook import AddressBook
 from chivespan.auth import key_hash
 from chivespan.claimclient import GrantedClaim, RecordedAnswer
-from chivespan.claimedcall import ClaimedCalls
 from chivespan.clock import SystemClock
 from chivespan.configuration import (
     Configuration,
@@ -33,7 +30,7 @@
     ServiceKind,
     WorkClassRule,
 )
-from chivespan.engineclient import EngineClient
+from chivespan.entry import entry_context
 from chivespan.entrycontext import EntryContext
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.httpapi import HttpApi, application
@@ -46,8 +43,6 @@
     VmView,
 )
 from chivespan.metrics import Metrics
-from chivespan.online import OnlineService
-from chivespan.plainclient import PlainClient
 from chivespan.policies import Policies
 from chivespan.scheduler import SliceScheduler
 from chivespan.settings import NodeSettings
@@ -175,17 +170,6 @@
                 tasks.start_soon(scheduler.run)
 
 
-class FreeRetries:
-    """Permits every retry."""
-
-    def record_success(self) -> None:
-        """Count nothing."""
-
-    def try_spend(self) -> bool:
-        """Permit it."""
-        return True
-
-
 class NoLog:
     """Claims while the log is away: every one is refused."""
 
@@ -309,22 +293,8 @@
         )
         slots = LocalSlots(configuration)
         http = await stack.enter_async_context(TargetHttp())
-        clock = SystemClock()
-        online = OnlineService(
-            slots, EngineClient(http), PlainClient(http), FreeRetries(), clock
-        )
-        book = AddressBook(8080, timedelta(seconds=10), random.Random(1))
         view = LocalView(configuration)
-        metrics = Metrics()
-        context = EntryContext(
-            settings=SETTINGS,
-            view=view,
-            online=online,
-            claimed=ClaimedCalls(NoLog(), online, metrics),
-            addresses=book,
-            metrics=metrics,
-            clock=clock,
-        )
+        context = entry_context(SETTINGS, view, slots, NoLog(), http, Metrics())
         entry = ServedApp(application(context, HttpApi(context).routes()))
         [address] = await stack.enter_async_context(serving(entry))
         tasks = await stack.enter_async_context(anyio.create_task_group())
