End the connections of silent callers, which held up a shutdown for good

Found by the new cells shutdown/*, which break things after the entry has stopped to take connections. What failed first: an entry told to shut down never ended while a caller had sent half of a body (TimeoutError after 5 s; nothing in the program bounds it), and neither while a caller read nothing of a long answer. Cause: the body was read without a limit, and uvicorn waits for every connection whose answer isn't flushed. Now a body that makes no progress for 10 s ends as disconnected, and the listening socket's TCP_USER_TIMEOUT and keepalive, which connections inherit, let the kernel end a caller that acknowledges nothing. A limit around each send was ruled out: it costs every token a cancel scope.

--- a/chivespan/entry.py
+++ b/chivespan/entry.py
@@ -15,7 +15,7 @@
 from chivespan.entrycontext import EntryContext, View
 from chivespan.grantclient import GrantClient
 from chivespan.httpapi import HttpApi, application
-from chivespan.httpserver import HttpServer
+from chivespan.httpserver import CALLER_PATIENCE, HttpServer
 from chivespan.httpvmlist import HttpVmList
 from chivespan.jobclient import JobClient
 from chivespan.messages import Program
@@ -60,10 +60,15 @@
     """Serves the callers of one VM.
 
     :param http: connections to targets, open as long as the entry serves.
+    :param patience: how long a caller may be silent in the middle of a request.
     """
 
     def __init__(
-        self, settings: NodeSettings, http: TargetHttp, metrics: Metrics
+        self,
+        settings: NodeSettings,
+        http: TargetHttp,
+        metrics: Metrics,
+        patience: timedelta = CALLER_PATIENCE,
     ) -> None:
         hello = new_hello(settings, Program.entry)
         options = LinkOptions.from_settings(settings)
@@ -75,6 +80,7 @@
         self.context = entry_context(
             settings, self.view, self._grants, claims, http, metrics
         )
+        self.context.caller_patience = patience
         jobs = JobClient(self._links, settings.partitions)
         routes = [
             *HttpApi(self.context).routes(),
@@ -83,7 +89,7 @@
             *OperatorJobs(self.context, jobs).routes(),
         ]
         app = application(self.context, routes)
-        self.server = HttpServer(app, settings.vm, settings.entry_port)
+        self.server = HttpServer(app, settings.vm, settings.entry_port, patience)
 
     async def serve(self) -> None:
         """Serve until the server is stopped and nothing is in progress."""
--- a/chivespan/entrycontext.py
+++ b/chivespan/entrycontext.py
@@ -1,10 +1,12 @@
 """What the HTTP handlers of one entry process share."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import Protocol, TypeVar
 
-from starlette.requests import Request
+import anyio
+from starlette.requests import ClientDisconnect, Request
 
 from chivespan.addressbook import AddressBook
 from chivespan.auth import Authenticator
@@ -13,6 +15,7 @@
 from chivespan.configuration import Configuration
 from chivespan.documents import Operator, Owner
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.httpserver import CALLER_PATIENCE
 from chivespan.logs import logger
 from chivespan.messages import VmState, VmView
 from chivespan.metrics import Metrics
@@ -43,6 +46,7 @@
 class EntryContext:
     """Shared by all handlers of one entry process.
 
+    :param caller_patience: the longest silence in the middle of a request's body.
     :param leaving: set once the process was told to leave.
     :param in_progress: requests being served now.
     """
@@ -54,6 +58,7 @@
     addresses: AddressBook
     metrics: Metrics
     clock: Clock
+    caller_patience: timedelta = CALLER_PATIENCE
     authenticator: Authenticator = field(default_factory=Authenticator)
     leaving: bool = False
     in_progress: int = 0
@@ -93,16 +98,31 @@
         """Return the request's body.
 
         :raises ChivespanError: ``body_too_large`` as soon as the limit is passed.
+        :raises ClientDisconnect: when the caller went away, or silent in the middle.
         """
         limit = self.settings.body_limit_bytes
         body = bytearray()
-        async for chunk in request.stream():
+        async for chunk in self._patiently(request.stream()):
             body += chunk
             if len(body) > limit:
                 reason = f"the body is over the limit of {limit} bytes"
                 raise ChivespanError(ErrorKind.BODY_TOO_LARGE, reason)
         return bytes(body)
 
+    async def _patiently(
+        self, chunks: AsyncGenerator[bytes, None]
+    ) -> AsyncIterator[bytes]:
+        """Yield chunks; a caller that sends none for too long counts as gone."""
+        while True:
+            try:
+                with anyio.fail_after(self.caller_patience.total_seconds()):
+                    chunk = await anext(chunks, None)
+            except TimeoutError as error:
+                raise ClientDisconnect from error
+            if chunk is None:
+                return
+            yield chunk
+
     def _identify(
         self, request: Request, find: Callable[[Configuration, str | None], Identity]
     ) -> Identity:
--- a/chivespan/httpserver.py
+++ b/chivespan/httpserver.py
@@ -1,12 +1,22 @@
-"""Serving HTTP with uvicorn inside a task group, with a shutdown that cuts nothing."""
+"""Serving HTTP with uvicorn inside a task group, with a shutdown that cuts nothing.
 
+A caller whose machine is gone, or that takes nothing of its answer, must not hold a
+shutdown or a slot for good; the kernel ends its connection.
+"""
+
+import socket
 from collections.abc import Generator
 from contextlib import contextmanager
+from datetime import timedelta
 
 import uvicorn
 from starlette.types import ASGIApp
 
+from chivespan.clock import MILLISECOND
+
 BACKLOG = 512
+CALLER_PATIENCE = timedelta(seconds=10)
+KEEPALIVE_PROBES_EVERY_S = 2
 
 
 class _Server(uvicorn.Server):
@@ -23,9 +33,16 @@
     :param app: the ASGI application.
     :param host: IP number to listen on.
     :param port: port to listen on.
+    :param patience: a caller that acknowledges nothing for this long is gone.
     """
 
-    def __init__(self, app: ASGIApp, host: str, port: int) -> None:
+    def __init__(
+        self,
+        app: ASGIApp,
+        host: str,
+        port: int,
+        patience: timedelta = CALLER_PATIENCE,
+    ) -> None:
         config = uvicorn.Config(
             app,
             host=host,
@@ -38,11 +55,29 @@
             ws="none",
         )
         self._server = _Server(config)
+        self._address = (host, port)
+        self._patience = patience
 
     async def run(self) -> None:
         """Serve until :meth:`stop`; then finish what is in progress and return."""
-        await self._server.serve()
+        await self._server.serve([_listening(self._address, self._patience)])
 
     def stop(self) -> None:
         """Take no new connections, and end once all requests have been answered."""
         self._server.should_exit = True
+
+
+def _listening(address: tuple[str, int], patience: timedelta) -> socket.socket:
+    """Return a listening socket; connections that it accepts inherit its options."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.create_server(address, family=family, backlog=BACKLOG)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    seconds = max(1, round(patience.total_seconds()))
+    tcp_options = {
+        socket.TCP_KEEPIDLE: seconds,
+        socket.TCP_KEEPINTVL: KEEPALIVE_PROBES_EVERY_S,
+        socket.TCP_USER_TIMEOUT: patience // MILLISECOND,
+    }
+    for option, value in tcp_options.items():
+        listener.setsockopt(socket.IPPROTO_TCP, option, value)
+    return listener
--- /dev/null
+++ b/tests/faults/leave_cells.py
@@ -0,0 +1,95 @@
+"""Faults once an entry shuts down: what it still serves is answered whole."""
+
+import anyio
+
+from standins.engine import EngineFaults
+from tests.faults.matrix import Cell, Fault, Row, proves
+from tests.faults.noderig import NodeRig, node_rig
+from tests.relay import Relay
+
+TOKENS = 200
+NOT_YET = 10 * TOKENS
+ENDED_S = 5.0
+LONG_BODY = b"7" * 12_000_000
+HEAD = (
+    b"POST /services/desk/bookings HTTP/1.1\r\nhost: entry\r\n"
+    b"authorization: Bearer owner-key\r\ncontent-length: %d\r\n\r\n"
+)
+HALF_REQUEST = HEAD % 100 + b"12 pigs"
+LONG_REQUEST = HEAD % len(LONG_BODY) + LONG_BODY
+MODES = {
+    Fault.ANSWER_LATE: EngineFaults("foreign", after_tokens=NOT_YET, times=1),
+    Fault.TARGET_ERROR: EngineFaults("error_event", after_tokens=NOT_YET, times=1),
+    Fault.TARGET_GARBAGE: EngineFaults("garbage", after_tokens=NOT_YET, times=1),
+    Fault.TWICE: EngineFaults("break", after_tokens=NOT_YET, times=2),
+    Fault.TWO: EngineFaults("break", after_tokens=NOT_YET, times=1),
+}
+PATH_FAULTS = (Fault.CUT, Fault.SILENT, Fault.ANSWER_LOST, Fault.FROZEN)
+
+
+@proves(Row.SHUTDOWN, (*MODES, *PATH_FAULTS), reduced_every=3)
+async def answer_in_progress_meets_a_fault(cell: Cell) -> None:
+    """The fault shows once the entry takes no new connection any more."""
+    async with node_rig(engine_count=3) as rig:
+        faults = MODES.get(cell.fault, EngineFaults())
+        rig.fault_first(faults)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(rig.ask, "long", TOKENS, True)
+            await rig.caller.on_token.wait()
+            await rig.stop_entry()
+            assert rig.entry.context.in_progress == 1
+            faults.after_tokens = 0
+            frozen = await _break_paths(rig, cell.fault)
+        with anyio.fail_after(ENDED_S):
+            await rig.entry_ended.wait()
+        for relay in frozen:
+            relay.thaw()
+        starts = rig.batch_starts().count("long")
+        assert starts == (3 if cell.fault is Fault.TWICE else 2)
+        await rig.all_slots_come_free()
+        rig.check()
+
+
+async def _break_paths(rig: NodeRig, fault: Fault) -> list[Relay]:
+    """Break the way to the target in use, and to the owner of its slot."""
+    in_use = [
+        path
+        for path, engine in zip(rig.target_paths, rig.engines, strict=False)
+        if engine.batch.running
+    ]
+    slot_owner = rig.owner_of()
+    if fault is Fault.TWO:
+        rig.kill(slot_owner)
+    paths = [*in_use, *rig.paths_to(slot_owner)]
+    if fault is Fault.FROZEN:
+        paths += rig.paths_from(slot_owner)
+    for relay in paths:
+        match fault:
+            case Fault.CUT:
+                await relay.cut_open_ones()
+            case Fault.SILENT:
+                relay.hold_open_ones()
+            case Fault.ANSWER_LOST:
+                relay.drop_next_answers()
+            case Fault.FROZEN:
+                relay.freeze()
+    return paths if fault is Fault.FROZEN else []
+
+
+@proves(Row.SHUTDOWN, Fault.SILENT)
+async def callers_gone_silent_hold_up_no_shutdown(cell: Cell) -> None:
+    """One sends half of its body and one reads nothing of a long answer."""
+    async with node_rig() as rig:
+        context = rig.entry.context
+        at = (context.settings.vm, context.settings.entry_port)
+        counters = rig.entry_counters.counters
+        healthy = counters["answers.good"]
+        unread = await anyio.connect_tcp(*at)
+        await unread.send(LONG_REQUEST)
+        await rig.wait("answered", lambda: counters["answers.good"] > healthy)
+        half = await anyio.connect_tcp(*at)
+        await half.send(HALF_REQUEST)
+        await rig.wait("in progress", lambda: context.in_progress == 1)
+        await rig.stop_entry()
+        with anyio.fail_after(ENDED_S):
+            await rig.entry_ended.wait()
--- a/tests/faults/noderig.py
+++ b/tests/faults/noderig.py
@@ -31,7 +31,7 @@
 from chivespan.settings import NodeSettings
 from chivespan.slices import slice_owner
 from chivespan.targethttp import TargetHttp
-from standins.engine import EngineStandIn
+from standins.engine import EngineFaults, EngineStandIn
 from standins.enginebatch import EngineOptions
 from standins.logservice import LogStandIn
 from standins.plainservice import PlainOptions, PlainStandIn
@@ -46,6 +46,7 @@
 DATA_CENTRE = "a"
 REGION = "r"
 VMS = 3
+ENGINES = 2
 FIRST_DIAL_PORT = 8000
 FIRST_BATCH_PORT = 8100
 ENTRY_DIAL_PORT = 8050
@@ -53,6 +54,7 @@
 HEARTBEAT_MS = 50
 SILENCE_MS = 250
 GRANT_LIFETIME = timedelta(milliseconds=300)
+CALLER_PATIENCE = timedelta(seconds=1)
 SETTLE = timedelta(seconds=8)
 POLL_S = 0.01
 ENGINE = EngineOptions(
@@ -178,9 +180,18 @@
         """Return the relays of everybody's connections to a node."""
         return node.paths.values()
 
-    async def ask(self, prompt: str, tokens: int = 6) -> str:
+    def paths_from(self, node: Node) -> Iterable[Relay]:
+        """Return the relays of a node's connections to others."""
+        yield self.log_paths[self.nodes.index(node)]
+        for other in self.nodes:
+            if other is not node:
+                yield other.paths[node.vm]
+
+    async def ask(
+        self, prompt: str, tokens: int = 6, across_shutdown: bool = False
+    ) -> str:
         """Ask for a streamed answer, note it, and return how it ended."""
-        got = await self.caller.stream(prompt, tokens)
+        got = await self.caller.stream(prompt, tokens, across_shutdown=across_shutdown)
         self.witness.generated.append(got)
         return got.ended
 
@@ -215,6 +226,19 @@
         total = len(self.engines) * ENGINE.slots
         await self.wait("all slots free", lambda: self.free_slots() == total)
 
+    def fault_first(self, faults: EngineFaults) -> None:
+        """Let whichever engine comes first meet the faults, as often as they say."""
+        for engine in self.engines:
+            engine.faults = faults
+
+    async def stop_entry(self) -> None:
+        """Shut the entry down gracefully; return once it takes no connection."""
+        self.entry.context.leave("test")
+        self.entry.server.stop()
+        with anyio.fail_after(SETTLE.total_seconds()):
+            while await self.caller.send("GET", "/health") is not None:
+                await anyio.sleep(POLL_S)
+
     def batch_starts(self) -> list[str]:
         """Return the prompts that engines began to run."""
         entries = [each for e in self.engines for each in e.journal.entries]
@@ -290,11 +314,13 @@
 
 
 @asynccontextmanager
-async def node_rig(vms: int = VMS, *, batch: bool = False) -> AsyncIterator[NodeRig]:
-    """Run the control programs of some VMs and an entry on the first."""
+async def node_rig(
+    vms: int = VMS, *, batch: bool = False, engine_count: int = ENGINES
+) -> AsyncIterator[NodeRig]:
+    """Run the control programs of some VMs and an entry on one."""
     block = free_block()
     log, vm_list = LogStandIn(), VmListStandIn()
-    engines = [EngineStandIn(ENGINE) for _ in range(2)]
+    engines = [EngineStandIn(ENGINE) for _ in range(engine_count)]
     plain = PlainStandIn(PlainOptions(call_ms=1))
     async with AsyncExitStack() as stack:
         addresses = await stack.enter_async_context(
@@ -324,7 +350,7 @@
         await _lay_entry_paths(nodes, stack)
         home = replace(_away_from_owner(settings), dispatch_port=ENTRY_DIAL_PORT)
         http, metrics = await stack.enter_async_context(TargetHttp()), Metrics()
-        entry = Entry(home, http, metrics)
+        entry = Entry(home, http, metrics, CALLER_PATIENCE)
         entry_at = f"{home.vm}:{home.entry_port}"
         caller_path, caller_at = await stack.enter_async_context(relaying(entry_at))
         rig = NodeRig(
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -2,12 +2,14 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from enum import StrEnum
 
 import anyio
 from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
 CHUNK_BYTES = 65536
+EVENT_PREFIX = b"data: "
 
 
 class Treatment(StrEnum):
@@ -33,6 +35,23 @@
         await anyio.aclose_forcefully(self.far)
 
 
+@dataclass
+class Freezing:
+    """Freezes the first of some relays that has passed so many events on.
+
+    :param after: events of an answer; with 0 the request itself is held.
+    """
+
+    after: int
+    frozen: "Relay | None" = None
+
+    def passed(self, relay: "Relay", events: int) -> None:
+        """Freeze a relay if it is the first to get so far."""
+        if self.frozen is None and events >= self.after:
+            self.frozen = relay
+            relay.freeze()
+
+
 class Relay:
     """Passes bytes to ``target``, until the test says otherwise.
 
@@ -45,6 +64,10 @@
         self.delay_s = 0.0
         self.connections = 0
         self.dropped = 0
+        self.freezing: Freezing | None = None
+        self._events = 0
+        self._thawed = anyio.Event()
+        self._thawed.set()
         self._target = target
         self._links: set[_Link] = set()
 
@@ -68,6 +91,14 @@
         for link in self._links:
             link.treatment = Treatment.DROP_ANSWER
 
+    def freeze(self) -> None:
+        """Hold everything, new connections too, as if the target were frozen."""
+        self._thawed = anyio.Event()
+
+    def thaw(self) -> None:
+        """Let all that was held go on."""
+        self._thawed.set()
+
     async def serve(self, near: SocketStream) -> None:
         """Relay one connection until either end closes it."""
         self.connections += 1
@@ -100,6 +131,9 @@
     ) -> None:
         async for chunk in _chunks(source):
             await anyio.sleep(self.delay_s)
+            if self.freezing is not None:
+                self.freezing.passed(self, 0)
+            await self._thawed.wait()
             if link.treatment is not Treatment.HOLD:
                 await _send(sink, chunk)
         scope.cancel()
@@ -117,11 +151,20 @@
                 self.dropped += 1
                 break
             if link.treatment is not Treatment.HOLD:
-                await _send(sink, chunk)
+                await self._pass_on(chunk, sink)
         if link.treatment is Treatment.HOLD:
             await anyio.sleep_forever()
         scope.cancel()
 
+    async def _pass_on(self, chunk: bytes, sink: ByteStream) -> None:
+        pieces = [chunk] if self.freezing is None else chunk.splitlines(keepends=True)
+        for piece in pieces:
+            await self._thawed.wait()
+            await _send(sink, piece)
+            if self.freezing is not None and piece.startswith(EVENT_PREFIX):
+                self._events += 1
+                self.freezing.passed(self, self._events)
+
 
 async def _chunks(source: ByteStream) -> AsyncIterator[bytes]:
     while True:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,6 +8,7 @@
     claim_cells,
     config_cells,
     impossible,
+    leave_cells,
     node_cells,
     online_cells,
     process_cells,
@@ -21,6 +22,7 @@
     claim_cells,
     config_cells,
     process_cells,
+    leave_cells,
 )
 
 
