--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,6 +8,7 @@
     claim_cells,
     config_cells,
     impossible,
+    leave_cells,
     node_cells,
     online_cells,
     order_cells,
@@ -25,6 +26,7 @@
     process_cells,
     order_cells,
     state_cells,
+    leave_cells,
 )
 
 
