--- a/chivespan/ownerlimits.py
+++ b/chivespan/ownerlimits.py
@@ -1,6 +1,6 @@
 """What the rules let each owner take of one slice."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from math import ceil
@@ -37,6 +37,13 @@
         self.filled_at = now
 
 
+class _KeyedRule(NamedTuple):
+    """A rule, and what it is looked up by."""
+
+    rule: Rule
+    key: OwnerClass
+
+
 class OwnerLimits:
     """The rules of one service, cut down to a slice's part of the service's slots.
 
@@ -45,6 +52,7 @@
     """
 
     def __init__(self, part: Slice, configuration: Configuration) -> None:
+        self._keyed: dict[str, _KeyedRule] = {}
         self._rules: dict[OwnerClass, Rule] = {}
         self._stores: dict[OwnerClass, _TokenStore] = {}
         self._part = 1.0
@@ -56,7 +64,7 @@
         all_slots = sum(each.slots for each in runners if each.service == part.service)
         own_slots = sum(runner.slots for runner in part.runners)
         self._part = own_slots / max(1, own_slots, all_slots)
-        self._rules = dict(_rules_of(part.service, configuration))
+        self._take_rules(part.service, configuration.rules)
         self._stores = {
             key: store
             for key, store in self._stores.items()
@@ -96,6 +104,18 @@
         if key in self._stores:
             self._stores[key].tokens += tokens
 
+    def _take_rules(self, service: str, rules: Mapping[str, Rule]) -> None:
+        """Take over the rules of a service; only of changed ones are keys made."""
+        known = self._keyed
+        self._keyed = {
+            name: known[name]
+            if name in known and known[name].rule is rule
+            else _KeyedRule(rule, _key_of(rule))
+            for name, rule in rules.items()
+            if rule.service == service
+        }
+        self._rules = {key: rule for rule, key in self._keyed.values()}
+
     def _store(self, key: OwnerClass, rule: Rule, now: timedelta) -> _TokenStore:
         rate = rule.max_tokens_per_s * self._part
         store = self._stores.get(key)
@@ -111,9 +131,5 @@
     return OwnerClass(request.owner, request.work_class)
 
 
-def _rules_of(
-    service: str, configuration: Configuration
-) -> Iterable[tuple[OwnerClass, Rule]]:
-    for rule in configuration.rules.values():
-        if rule.service == service:
-            yield OwnerClass(rule.owner, WorkClass(rule.work_class.value)), rule
+def _key_of(rule: Rule) -> OwnerClass:
+    return OwnerClass(rule.owner, WorkClass(rule.work_class.value))
