Send no empty heartbeat where another frame was just sent

Cause: the links of entries and batch workers carry heartbeats that say nothing but that the sender is alive, also while requests and grants say it twice a second.

Ruled out: doing so between dispatchers, whose heartbeats carry offsets and loads.

Silence is noticed as before, since any frame received has always counted.

--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -129,7 +129,7 @@
     def __init__(self, websocket: Connection, end: LinkEnd, remote: Hello) -> None:
         self._websocket = websocket
         self._end = end
-        self._last_frame = self._beat_due = end.clock.monotonic()
+        self._last_frame = self._last_sent = self._beat_due = end.clock.monotonic()
         self._answers = isinstance(websocket, ServerConnection)
         self._open = True
         self.remote = remote
@@ -159,6 +159,7 @@
             self.abort()
             return False
         broadcast([self._websocket], frame)
+        self._last_sent = self._end.clock.monotonic()
         return True
 
     def abort(self) -> None:
@@ -197,7 +198,7 @@
         clock = self._end.clock
         while self._open:
             now = clock.monotonic()
-            if now >= self._beat_due:
+            if now >= self._beat_due and not self._put_off_beat(now):
                 self._beat()
             patience = self._last_frame + self._end.options.silence - now
             if patience <= timedelta(0):
@@ -209,10 +210,20 @@
     def _beat(self) -> None:
         """Send a heartbeat; the end that was dialled mostly answers the other's."""
         self.send_frame(self._end.heartbeat(self.remote))
+        self._beat_due = self._last_sent + self._interval()
+
+    def _put_off_beat(self, now: timedelta) -> bool:
+        """Wait on where a heartbeat would only say what another frame just said."""
+        due = self._last_sent + self._interval()
+        if due <= now or self._end.heartbeat(self.remote) is not IDLE_HEARTBEAT:
+            return False
+        self._beat_due = due
+        return True
+
+    def _interval(self) -> timedelta:
+        """Return the longest time without a frame from this end."""
         interval = self._end.interval(self.remote)
-        if self._answers:
-            interval *= ANSWER_PATIENCE
-        self._beat_due = self._end.clock.monotonic() + interval
+        return interval * ANSWER_PATIENCE if self._answers else interval
 
 
 LinkHandler: TypeAlias = Callable[[PeerLink], Awaitable[None]]
--- a/tests/test_asynclibrary.py
+++ b/tests/test_asynclibrary.py
@@ -11,7 +11,8 @@
 def test_a_missing_package_is_not_looked_for_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.delitem(sys.modules, DETECTOR, raising=False)
+    monkeypatch.setitem(sys.modules, DETECTOR, sys)
+    monkeypatch.delitem(sys.modules, DETECTOR)
     monkeypatch.setattr("chivespan.asynclibrary.find_spec", lambda _: None)
     settle_async_library()
     monkeypatch.setattr(sys, "meta_path", [])
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -140,6 +140,39 @@
             tasks.cancel_scope.cancel()
 
 
+@dataclass
+class BeatCounter(Recorder):
+    """Counts the heartbeats that came."""
+
+    beats: int = 0
+
+    async def handle(self, link: PeerLink) -> None:
+        self.links.append(link)
+        async for message in link:
+            self.beats += isinstance(message, Heartbeat)
+
+
+async def test_frames_sent_stand_for_heartbeats_that_say_nothing() -> None:
+    server, client = BeatCounter(end_of(HOST)), BeatCounter(end_of("127.43.0.2"))
+    silence = client.end.options.silence.total_seconds()
+    async with (
+        listen(HOST, 0, server.end, server.handle) as port,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(dial, f"{HOST}:{port}", client.end, client.handle)
+        await until(lambda: client.beats > 0 and server.beats > 0)
+        before = server.beats, client.beats
+        for _ in range(20):
+            assert client.links[0].send(ABANDON)
+            assert server.links[0].send(ABANDON)
+            await anyio.sleep(silence / 8)
+        assert (server.beats, client.beats) == before
+        await until(lambda: server.beats > before[0] and client.beats > before[1])
+        assert len(client.links) == 1
+        assert client.counters == server.counters == {}
+        tasks.cancel_scope.cancel()
+
+
 async def test_hello_of_another_protocol_ends_the_link() -> None:
     hello = new_hello(settings_of(HOST, 0), Program.batch)
     async with recording_server() as (server, address):
