--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -22,7 +22,7 @@
 from websockets.http11 import Request, Response
 
 from chivespan.clock import Clock
-from chivespan.codec import decode_message, encode_message
+from chivespan.codec import PROTOCOL, decode_message, encode_message
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.messages import Heartbeat, Hello, Program
 from chivespan.settings import NodeSettings
@@ -82,6 +82,7 @@
         region=settings.region,
         incarnation=secrets.token_hex(6),
         serving_port=settings.entry_port if program is Program.entry else 0,
+        protocol=PROTOCOL,
     )
 
 
@@ -130,7 +131,7 @@
     def __init__(self, websocket: Connection, end: LinkEnd, remote: Hello) -> None:
         self._websocket = websocket
         self._end = end
-        self._last_frame = self._beat_due = end.clock.monotonic()
+        self._last_frame = self._last_sent = self._beat_due = end.clock.monotonic()
         self._answers = isinstance(websocket, ServerConnection)
         self._open = True
         self.remote = remote
@@ -160,6 +161,7 @@
             self.abort()
             return False
         broadcast([self._websocket], frame)
+        self._last_sent = self._end.clock.monotonic()
         return True
 
     def abort(self) -> None:
@@ -198,7 +200,7 @@
         clock = self._end.clock
         while self._open:
             now = clock.monotonic()
-            if now >= self._beat_due:
+            if now >= self._beat_due and not self._put_off_beat(now):
                 self._beat()
             patience = self._last_frame + self._end.options.silence - now
             if patience <= timedelta(0):
@@ -210,10 +212,20 @@
     def _beat(self) -> None:
         """Send a heartbeat; the end that was dialled mostly answers the other's."""
         self.send_frame(self._end.heartbeat(self.remote))
+        self._beat_due = self._last_sent + self._interval()
+
+    def _put_off_beat(self, now: timedelta) -> bool:
+        """Wait on where a heartbeat would only say what another frame just said."""
+        due = self._last_sent + self._interval()
+        if due <= now or self._end.heartbeat(self.remote) is not IDLE_HEARTBEAT:
+            return False
+        self._beat_due = due
+        return True
+
+    def _interval(self) -> timedelta:
+        """Return the longest time without a frame from this end."""
         interval = self._end.interval(self.remote)
-        if self._answers:
-            interval *= ANSWER_PATIENCE
-        self._beat_due = self._end.clock.monotonic() + interval
+        return interval * ANSWER_PATIENCE if self._answers else interval
 
 
 LinkHandler: TypeAlias = Callable[[PeerLink], Awaitable[None]]
@@ -326,8 +338,8 @@
         broadcast([websocket], encode_message(end.hello))
         with anyio.fail_after(end.options.silence.total_seconds()):
             first = _decoded(await websocket.recv())
-        if not isinstance(first, Hello):
-            raise ChivespanError(ErrorKind.PROTOCOL, "the first frame was no Hello")
+        if not isinstance(first, Hello) or first.protocol != PROTOCOL:
+            raise ChivespanError(ErrorKind.PROTOCOL, "no Hello of this protocol")
         await _run_link(PeerLink(websocket, end, first), handler)
     except ChivespanError:
         end.counters.incr("peer.protocol_errors")
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass, field, replace
 
 import anyio
+import cbor2
 import pytest
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, InvalidStatus
 
 from chivespan.clock import SystemClock
-from chivespan.codec import encode_message
+from chivespan.codec import PROTOCOL, decode_message, encode_message
 from chivespan.messages import (
     GrantAbandon,
     Heartbeat,
@@ -113,6 +114,9 @@
         encode_message(ABANDON)[:-1],
         b"\x82gNothing\xa0",
         b"\x82lGrantAbandon\xa1jrequest_id\x01",
+        b"\x82lGrantAbandon\xa1jrequest_idar",
+        b"\x82lGrantAbandon\x81\x01",
+        b"\x82lGrantAbandon\x80",
     ],
 )
 async def test_garbage_frame_ends_only_its_link(garbage: bytes | str) -> None:
@@ -136,6 +140,69 @@
             tasks.cancel_scope.cancel()
 
 
+@dataclass
+class BeatCounter(Recorder):
+    """Counts the heartbeats that came."""
+
+    beats: int = 0
+
+    async def handle(self, link: PeerLink) -> None:
+        self.links.append(link)
+        async for message in link:
+            self.beats += isinstance(message, Heartbeat)
+
+
+async def test_frames_sent_stand_for_heartbeats_that_say_nothing() -> None:
+    server, client = BeatCounter(end_of(HOST)), BeatCounter(end_of("127.43.0.2"))
+    silence = client.end.options.silence.total_seconds()
+    async with (
+        listen(HOST, 0, server.end, server.handle) as port,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(dial, f"{HOST}:{port}", client.end, client.handle)
+        await until(lambda: client.beats > 0 and server.beats > 0)
+        before = server.beats, client.beats
+        for _ in range(20):
+            assert client.links[0].send(ABANDON)
+            assert server.links[0].send(ABANDON)
+            await anyio.sleep(silence / 8)
+        assert (server.beats, client.beats) == before
+        await until(lambda: server.beats > before[0] and client.beats > before[1])
+        assert len(client.links) == 1
+        assert client.counters == server.counters == {}
+        tasks.cancel_scope.cancel()
+
+
+async def test_hello_of_another_protocol_ends_the_link() -> None:
+    hello = new_hello(settings_of(HOST, 0), Program.batch)
+    async with recording_server() as (server, address):
+        for other in (1, PROTOCOL + 1):
+            async with connect(
+                f"ws://{address}", additional_headers=headers("peer-key")
+            ) as bad:
+                await bad.send(encode_message(replace(hello, protocol=other)))
+                with pytest.raises(ConnectionClosed):
+                    await drain(bad)
+        assert server.counters["peer.protocol_errors"] == 2
+        assert server.links == []
+
+
+def test_fields_added_at_the_end_of_a_message_are_passed_over() -> None:
+    heartbeat = Heartbeat(config_offset=7, leaving=False, slices=[])
+    name, fields = cbor2.loads(encode_message(heartbeat))
+    assert fields == [7, False, [], True, True]
+    assert decode_message(cbor2.dumps([name, [*fields, "later"]])) == heartbeat
+    assert decode_message(cbor2.dumps([name, fields[:3]])) == heartbeat
+
+
+def test_hello_keeps_the_names_of_its_fields() -> None:
+    hello = new_hello(settings_of(HOST, 0), Program.batch)
+    name, fields = cbor2.loads(encode_message(hello))
+    assert (name, fields["protocol"]) == ("Hello", PROTOCOL)
+    old = {key: value for key, value in fields.items() if key != "protocol"}
+    assert decode_message(cbor2.dumps([name, old])) == replace(hello, protocol=1)
+
+
 async def drain(websocket: object) -> None:
     with anyio.fail_after(2):
         while True:
