--- a/tests/faults/staterig.py
+++ b/tests/faults/staterig.py
@@ -34,7 +34,7 @@
 from chivespan.platform import LogPage
 from chivespan.records import ItemAnswer
 from chivespan.targethttp import HttpAnswer
-from standins.enginetext import token
+from standins.enginetext import length, token
 from standins.journal import Journal
 from tests.batchfakes import MODEL_SERVICE, MS, OWNER, PLAIN_SERVICE, Site
 from tests.fakelog import FakeLog
@@ -47,6 +47,7 @@
 READ = "read"
 RUN = "run"
 TOKENS = 3
+RETENTION = timedelta(minutes=1440)
 WITHIN_S = 20.0
 AGAIN_S = 0.01
 LOST_AFTER = timedelta(seconds=0.3)
@@ -73,6 +74,7 @@
     :ivar stop_at: the step at which ``on_stop`` is called once, by default to shut.
     :ivar shut: set while nothing passes.
     :ivar stopped: set once the step was reached.
+    :ivar stopped_with: what was appended there.
     """
 
     def __init__(self, log: FakeLog) -> None:
@@ -80,6 +82,8 @@
         self.on_stop: Callable[[], None] = self.close
         self.shut = anyio.Event()
         self.stopped = anyio.Event()
+        self.stopped_with: Sequence[bytes] = ()
+        self._appending: Sequence[bytes] = ()
         self._log = log
         self._opened = anyio.Event()
         self._opened.set()
@@ -98,12 +102,14 @@
         """Stop here if it is the step, and while the door is shut."""
         if self.stop_at == At(name, after):
             self.stop_at = None
+            self.stopped_with = self._appending
             self.stopped.set()
             self.on_stop()
         await self._opened.wait()
 
     async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
         kinds = {decode_envelope(payload).kind for payload in payloads}
+        self._appending = payloads
         step = next((name for name in STEPS if name in kinds), "")
         await self.reach(step)
         offset = await self._log.append(stream, payloads)
@@ -144,9 +150,10 @@
         fresh: bool = False,
     ) -> AsyncGenerator[Token, None]:
         self.journal.add("start", request.request_id, detail=request.prompt)
-        for index in range(len(request.resume_tokens), TOKENS):
+        count = length(request.prompt, TOKENS)
+        for index in range(len(request.resume_tokens), count):
             await self.door.reach(RUN)
-            last = "length" if index == TOKENS - 1 else None
+            last = "length" if index == count - 1 else None
             yield Token(index, token(request.prompt, index), last)
             await self.free().wait()
 
@@ -255,15 +262,14 @@
 
     async def pass_retention(self, worker: Worker) -> None:
         """Let the log forget all that it holds now, while a worker looks after it."""
-        keeps = timedelta(minutes=1440)
         claims = [worker.partitions.claims(n) for n in range(CLAIM_PARTITIONS)]
         partitions: list[JobPartition | ClaimPartition] = [worker.jobs, *claims]
         for _ in range(4):
-            self.clock.advance(keeps * 0.35)
+            self.clock.advance(RETENTION * 0.35)
             for partition in partitions:
                 await partition.follower.wait_current()
                 await partition.upkeep.look_after()
-            self.log.expire_written_before(self.clock.now() - keeps)
+            self.log.expire_written_before(self.clock.now() - RETENTION)
 
     async def read(self, worker: Worker, plan: JobPlan) -> list[ItemRead]:
         """Read a job's results from one worker, as an entry does."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,7 +10,9 @@
     impossible,
     node_cells,
     online_cells,
+    operator_cells,
     process_cells,
+    snapshot_cells,
     state_cells,
 )
 from tests.faults.matrix import CANNOT_HAPPEN, PROOFS, Proof
@@ -21,7 +23,9 @@
     batch_cells,
     claim_cells,
     config_cells,
+    operator_cells,
     process_cells,
+    snapshot_cells,
     state_cells,
 )
 
