--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,8 +11,10 @@
     leave_cells,
     node_cells,
     online_cells,
+    operator_cells,
     order_cells,
     process_cells,
+    snapshot_cells,
     state_cells,
 )
 from tests.faults.matrix import CANNOT_HAPPEN, PROOFS, Proof
@@ -23,8 +25,10 @@
     batch_cells,
     claim_cells,
     config_cells,
+    operator_cells,
     process_cells,
     order_cells,
+    snapshot_cells,
     state_cells,
     leave_cells,
 )
