Remember the prompt heads of every target, so that relief is spent on unknown prompts only

Cause: a hint named one target for each head, the last one. Ruled out: heads that were hinted and not cached; there were none. A target's memory of 48 heads is bounded and goes with it.

--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -100,6 +100,7 @@
         self._limits.reconfigure(part, configuration)
         self._pool.reconfigure(part)
         self._control.regroup(self._pool.targets.values())
+        self._hints.keep_targets(self._pool.targets.keys())
         self._schedule()
 
     def expect_reports(self, holders: Iterable[str]) -> None:
--- a/chivespan/targetchoice.py
+++ b/chivespan/targetchoice.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -14,32 +14,37 @@
 from chivespan.registry import Registry
 from chivespan.targetstate import TargetState
 
-PREFIXES_KEPT = 4096
+HEADS_PER_TARGET = 48
 
 
 class PrefixHints:
-    """Which target read a prompt's head last, as far as is known; bounded."""
+    """Which prompt heads each target read lately, as far as is known; bounded."""
 
     def __init__(self) -> None:
-        self._targets: OrderedDict[int, str] = OrderedDict()
+        self._heads: dict[str, OrderedDict[int, None]] = {}
 
     def record(self, prefix_hash: int, target: str) -> None:
         """Note that a target has or will soon have a prompt's head in its cache."""
         if prefix_hash == 0:
             return
-        self._targets[prefix_hash] = target
-        self._targets.move_to_end(prefix_hash)
-        if len(self._targets) > PREFIXES_KEPT:
-            self._targets.popitem(last=False)
+        heads = self._heads.setdefault(target, OrderedDict())
+        heads[prefix_hash] = None
+        heads.move_to_end(prefix_hash)
+        if len(heads) > HEADS_PER_TARGET:
+            heads.popitem(last=False)
 
     def forget(self, prefix_hash: int, target: str) -> None:
         """Note that a target dropped a prompt's head."""
-        if self._targets.get(prefix_hash) == target:
-            del self._targets[prefix_hash]
+        self._heads.get(target, OrderedDict()).pop(prefix_hash, None)
+
+    def keep_targets(self, names: Collection[str]) -> None:
+        """Drop what is known of all other targets."""
+        for gone in self._heads.keys() - names:
+            del self._heads[gone]
 
     def points_to(self, prefix_hash: int, target: str) -> bool:
         """Return whether a target probably has a prompt's head."""
-        return prefix_hash != 0 and self._targets.get(prefix_hash) == target
+        return prefix_hash in self._heads.get(target, ())
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -14,7 +14,12 @@
 from chivespan.messages import GrantRequest, SliceLoad, WorkClass
 from chivespan.policies import Policies
 from chivespan.slices import Slice
-from chivespan.targetchoice import TARGET_CHOICES, ChoiceView, PrefixHints
+from chivespan.targetchoice import (
+    HEADS_PER_TARGET,
+    TARGET_CHOICES,
+    ChoiceView,
+    PrefixHints,
+)
 from chivespan.targetstate import TargetState
 from tests.schedulerbench import runner
 
@@ -164,3 +169,18 @@
     states[1].counts[WorkClass.batch] = 3
     states[2].counts[WorkClass.online] = 4
     assert choose(states, WorkClass.batch) == "r1"
+
+
+def test_hints_keep_the_latest_heads_of_every_target() -> None:
+    hints = PrefixHints()
+    for head in range(1, HEADS_PER_TARGET + 2):
+        hints.record(head, "r0")
+    hints.record(1, "r1")
+    hints.record(2, "r1")
+    hints.forget(2, "r1")
+    assert not hints.points_to(1, "r0")
+    assert hints.points_to(2, "r0")
+    assert hints.points_to(1, "r1")
+    assert not hints.points_to(2, "r1")
+    hints.keep_targets(["r1"])
+    assert not hints.points_to(2, "r0")
