--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -100,6 +100,7 @@
         self._limits.reconfigure(part, configuration)
         self._pool.reconfigure(part)
         self._control.regroup(self._pool.targets.values())
+        self._hints.keep_targets(self._pool.targets.keys())
         self._schedule()
 
     def expect_reports(self, holders: Iterable[str]) -> None:
@@ -224,12 +225,18 @@
         if len(self._online):
             tick = ONLINE_TICK
         elif len(self._batch):
-            tick = BATCH_TICK
+            tick = min(BATCH_TICK, self._relief_left())
         self._queued = anyio.Event()
         with anyio.move_on_after(tick.total_seconds()):
             await self._queued.wait()
             await anyio.sleep(ONLINE_TICK.total_seconds())
 
+    def _relief_left(self) -> timedelta:
+        """Return how long until batch may be back at the next target."""
+        now = self._clock.monotonic()
+        ends = [target.relieved_until for target in self._pool.serving]
+        return min((end - now for end in ends if end > now), default=IDLE_TICK)
+
     def expire(self) -> None:
         """Do all that is due by now."""
         now = self._clock.monotonic()
--- a/chivespan/targetchoice.py
+++ b/chivespan/targetchoice.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -14,32 +14,38 @@
 from chivespan.registry import Registry
 from chivespan.targetstate import TargetState
 
-PREFIXES_KEPT = 4096
+HEADS_PER_TARGET = 48
+HEAD_WORTH_REQUESTS = 3
 
 
 class PrefixHints:
-    """Which target read a prompt's head last, as far as is known; bounded."""
+    """Which prompt heads each target read lately, as far as is known; bounded."""
 
     def __init__(self) -> None:
-        self._targets: OrderedDict[int, str] = OrderedDict()
+        self._heads: dict[str, OrderedDict[int, None]] = {}
 
     def record(self, prefix_hash: int, target: str) -> None:
         """Note that a target has or will soon have a prompt's head in its cache."""
         if prefix_hash == 0:
             return
-        self._targets[prefix_hash] = target
-        self._targets.move_to_end(prefix_hash)
-        if len(self._targets) > PREFIXES_KEPT:
-            self._targets.popitem(last=False)
+        heads = self._heads.setdefault(target, OrderedDict())
+        heads[prefix_hash] = None
+        heads.move_to_end(prefix_hash)
+        if len(heads) > HEADS_PER_TARGET:
+            heads.popitem(last=False)
 
     def forget(self, prefix_hash: int, target: str) -> None:
         """Note that a target dropped a prompt's head."""
-        if self._targets.get(prefix_hash) == target:
-            del self._targets[prefix_hash]
+        self._heads.get(target, OrderedDict()).pop(prefix_hash, None)
+
+    def keep_targets(self, names: Collection[str]) -> None:
+        """Drop what is known of all other targets."""
+        for gone in self._heads.keys() - names:
+            del self._heads[gone]
 
     def points_to(self, prefix_hash: int, target: str) -> bool:
         """Return whether a target probably has a prompt's head."""
-        return prefix_hash != 0 and self._targets.get(prefix_hash) == target
+        return prefix_hash in self._heads.get(target, ())
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,16 +72,45 @@
     Online looks at online work alone, since batch gives way; batch keeps away from
     targets with online work.
     """
-    if view.request.work_class is WorkClass.online:
-        return min(
-            view.targets,
-            key=lambda target: (
-                target.share(WorkClass.online),
-                -target.free,
-                not view.hinted(target),
-                target.reported_load,
-            ),
-        )
+    if view.request.work_class is WorkClass.batch:
+        return _for_batch(view)
+    return min(
+        view.targets,
+        key=lambda target: (
+            target.share(WorkClass.online),
+            -target.free,
+            not view.hinted(target),
+            target.reported_load,
+        ),
+    )
+
+
+@TARGET_CHOICES.register("heads_near_counts")
+def by_heads_near_counts(view: ChoiceView) -> TargetState:
+    """Choose by counts, but take a few more online requests for a known head.
+
+    A head in the cache saves a whole step; each further request lengthens a step by
+    a small part. Batch is placed by counts.
+    """
+    if view.request.work_class is WorkClass.batch:
+        return _for_batch(view)
+    return min(
+        view.targets,
+        key=lambda target: (
+            _online_share_with_head(view, target),
+            -target.free,
+            target.reported_load,
+        ),
+    )
+
+
+def _online_share_with_head(view: ChoiceView, target: TargetState) -> float:
+    reading = 0 if view.hinted(target) else HEAD_WORTH_REQUESTS
+    requests = target.counts[WorkClass.online] + reading
+    return requests / max(1, target.runner.slots)
+
+
+def _for_batch(view: ChoiceView) -> TargetState:
     return min(
         view.targets,
         key=lambda target: (
