Let the caller that reads nothing have small buffers, so that a shorter answer fills them

Cause: callers_gone_silent_hold_up_no_shutdown failed once beside other load: its answer of 12 MB, long enough to fill the sockets' buffers, took longer than the 8 s that the rig waits for anything. Conclusion: the same situation, brought about with less work.

--- a/tests/faults/leave_cells.py
+++ b/tests/faults/leave_cells.py
@@ -1,6 +1,9 @@
 """Faults once an entry shuts down: what it still serves is answered whole."""
 
+import socket
+
 import anyio
+from anyio.abc import SocketAttribute
 
 from standins.engine import EngineFaults
 from tests.faults.matrix import Cell, Fault, Row, proves
@@ -10,7 +13,8 @@
 TOKENS = 200
 NOT_YET = 10 * TOKENS
 ENDED_S = 5.0
-LONG_BODY = b"7" * 12_000_000
+LONG_BODY = b"7" * 6_000_000
+SMALL_BUFFER_BYTES = 64 * 1024
 HEAD = (
     b"POST /services/desk/bookings HTTP/1.1\r\nhost: entry\r\n"
     b"authorization: Bearer owner-key\r\ncontent-length: %d\r\n\r\n"
@@ -85,6 +89,8 @@
         counters = rig.entry_counters.counters
         healthy = counters["answers.good"]
         unread = await anyio.connect_tcp(*at)
+        raw = unread.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
         await unread.send(LONG_REQUEST)
         await rig.wait("answered", lambda: counters["answers.good"] > healthy)
         half = await anyio.connect_tcp(*at)
