--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 WORKERS := --numprocesses 6 --dist worksteal
 
-.PHONY: bench-site bench-site-kill bench-site-trace bench-path bench-entries setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
+.PHONY: bench-site bench-site-kill bench-site-trace bench-path bench-entries bench-orders setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -51,6 +51,9 @@
 bench-entries: setup
 	$(PYTHON) -m bench.bench_entries
 
+bench-orders: setup
+	$(PYTHON) -m bench.bench_orders
+
 bench-path: setup
 	$(PYTHON) -m bench.bench_path
 
--- a/bench/sitedeployment.py
+++ b/bench/sitedeployment.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -114,9 +115,16 @@
 
     def apply(self, folder: Path) -> None:
         """Put the example in force on every VM."""
+        example = EXAMPLES / self._deployment.example
+        self.put_in_force(list(write_example(example, self._cluster.site, folder)))
+        for _ in wait_until("the configuration on every VM"):
+            if all(self._is_ready(address) for address in self.entries):
+                return
+
+    def put_in_force(self, files: Sequence[Path]) -> None:
+        """Apply files as an operator does."""
         deployment = self._deployment
         site = self._cluster.site
-        files = write_example(EXAMPLES / deployment.example, site, folder)
         environment = {
             **os.environ,
             "CHIVESPAN_LOG_URL": site.log_url,
@@ -126,9 +134,6 @@
         command = [sys.executable, "-m", "chivespan.operator_main", "apply"]
         command += [*map(str, files), "--reason=bench"]
         subprocess.run(command, env=environment, check=True, stdout=subprocess.DEVNULL)
-        for _ in wait_until("the configuration on every VM"):
-            if all(self._is_ready(address) for address in self.entries):
-                return
 
     def use_policies(self, policies: Policies) -> None:
         """Replace every dispatcher by one with these policies, and wait for slots."""
