Show the engine's part of first tokens and how busy the machine was, by level

The engine's part, its queue and how long processes waited for a processor tell the policy's share from the machine's. A bench that is told to stop ends its site too.

--- a/bench/bench_site.py
+++ b/bench/bench_site.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import signal
 import sys
 import tempfile
 import time
@@ -233,6 +234,9 @@
             p50_ratio=_ratio(found.p50, base.p50),
             p95_ratio=_ratio(found.p95, base.p95),
             p99_ratio=_ratio(found.p99, base.p99),
+            engine_ms=_in_engine(run.beside.asked, visits),
+            engine_queue_ms=_queued(run.beside.asked, visits),
+            kept_waiting_percent=_kept_waiting(run.beside),
             batch_alone_items_per_s=round(alone, 1),
             batch_beside_items_per_s=round(beside, 1),
             batch_to_most=_ratio(beside, most),
@@ -254,6 +258,32 @@
     return inside / window.seconds if window.seconds else 0.0
 
 
+def _in_engine(
+    asked: Sequence[Asked], visits: Mapping[str, EngineVisit]
+) -> dict[str, float]:
+    """Return percentiles of the engine's part of first tokens, its queue included."""
+    found = sitetrace.visited(asked, visits)
+    return sitetrace.percentiles([(each.first - each.started) * 1000 for each in found])
+
+
+def _queued(
+    asked: Sequence[Asked], visits: Mapping[str, EngineVisit]
+) -> dict[str, float]:
+    found = sitetrace.visited(asked, visits)
+    waits = [(each.admitted - each.started) * 1000 for each in found]
+    return sitetrace.percentiles(waits)
+
+
+def _kept_waiting(window: Window) -> float:
+    """Return how long processes were ready without a processor, to how long they ran.
+
+    It shows how busy the machine was with other things.
+    """
+    ran = sum(each.ran for each in window.schedules.values())
+    waited = sum(each.waited for each in window.schedules.values())
+    return round(100 * waited / ran)
+
+
 def _ratio(value: float, base: float) -> float:
     return round(value / base, 3) if base else 0.0
 
@@ -316,4 +346,5 @@
 
 
 if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     fire.Fire({"compare": compare, "trace": trace})
--- a/bench/sitetrace.py
+++ b/bench/sitetrace.py
@@ -85,6 +85,14 @@
     return visits
 
 
+def visited(
+    asked: Iterable[Asked], visits: Mapping[str, EngineVisit]
+) -> list[EngineVisit]:
+    """Return the engine's part of each request answered at its first attempt."""
+    names = (f"{each.request_id}.1" for each in asked if each.answered)
+    return [visits[name] for name in names if name in visits and visits[name].first]
+
+
 def stages_of(
     asked: Iterable[Asked],
     slots: Mapping[tuple[str, str], SlotEvent],
