Prove the address answer, admission, grant, take-over and push under more faults

New scenarios, each steered by what the rigs show and not by sleeping: a request that waits in the full queue, a grant in use past its lifetime, the next owner while it takes a slice over, a bad target that is left out and returns, an entry whose way to its dispatcher breaks before a VM dies, and targets frozen at a step by a relay that holds everything and passes it on at the thaw.

--- /dev/null
+++ b/tests/faults/frozen_cells.py
@@ -0,0 +1,45 @@
+"""A target frozen at a step of an answer, and thawed when nobody waits for it."""
+
+import anyio
+
+from tests.faults.matrix import Cell, Fault, Row, proves
+from tests.faults.online_cells import AFTER, TOKENS
+from tests.faults.rig import online_rig
+from tests.relay import Freezing
+
+QUIET_S = 5.0
+POLL_S = 0.01
+
+
+@proves(AFTER, Fault.FROZEN)
+async def target_is_frozen_and_thawed(cell: Cell) -> None:
+    """What the thawed target sends late reaches nobody, and it serves again."""
+    async with online_rig() as rig:
+        freezing = Freezing(AFTER[cell.row])
+        for relay in rig.relays:
+            relay.freezing = freezing
+        assert await rig.ask(tokens=TOKENS) == "done"
+        assert freezing.frozen is not None
+        assert await rig.ask("while one is frozen") == "done"
+        freezing.frozen.thaw()
+        for number in range(6):
+            assert await rig.ask(f"after the thaw {number}") == "done"
+        with anyio.fail_after(QUIET_S):
+            while any(engine.batch.running for engine in rig.engines):
+                await anyio.sleep(POLL_S)
+        rig.check()
+
+
+@proves(Row.CALL, Fault.FROZEN)
+async def booking_reaches_a_frozen_target(cell: Cell) -> None:
+    """It runs after the thaw, once, and nobody was told that it hadn't run."""
+    async with online_rig(deadline_ms=900, plains=2) as rig:
+        rig.plain_relay.freeze()
+        assert await rig.book("12 pigs") >= 500
+        assert rig.witness.called[0].was_run == "unknown"
+        rig.plain_relay.thaw()
+        with anyio.fail_after(QUIET_S):
+            while not rig.plain.journal.entries:
+                await anyio.sleep(POLL_S)
+        assert await rig.book("7 sheep") == 201
+        rig.check()
--- a/tests/faults/impossible.py
+++ b/tests/faults/impossible.py
@@ -54,3 +54,9 @@
     Fault.RESEND,
     "no client takes part in this step",
 )
+cannot_happen(
+    Row.SHUTDOWN,
+    Fault.LOG_EXPIRED,
+    "what a leaving VM still serves reads nothing of the log; who takes over does, "
+    "in the rows of the take-overs",
+)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,14 +4,17 @@
 from _pytest.mark import ParameterSet
 
 from tests.faults import (
+    address_cells,
     batch_cells,
     claim_cells,
     config_cells,
+    frozen_cells,
     impossible,
     leave_cells,
     node_cells,
     online_cells,
     process_cells,
+    slot_cells,
 )
 from tests.faults.matrix import CANNOT_HAPPEN, PROOFS, Proof
 
@@ -23,6 +26,9 @@
     config_cells,
     process_cells,
     leave_cells,
+    address_cells,
+    frozen_cells,
+    slot_cells,
 )
 
 
