--- a/bench/bench_state.py
+++ b/bench/bench_state.py
@@ -9,6 +9,7 @@
 from bench.statefolds import fold_speed, open_items_memory
 
 WORKERS = (1, 2, 4)
+WIDE_CENTRE = 13
 
 
 def _all() -> Iterator[dict[str, object]]:
@@ -25,7 +26,8 @@
 def main(only: str = "") -> None:
     """Print all measures, or only those of one function.
 
-    :param only: ``folds``, ``memory``, ``throughput``, ``spread`` or ``takeover``.
+    :param only: ``folds``, ``memory``, ``throughput``, ``spread``, ``wide_spread`` or
+        ``takeover``.
     """
     chosen: dict[str, Callable[[], Iterator[dict[str, object]]]] = {
         "": _all,
@@ -33,6 +35,7 @@
         "memory": open_items_memory,
         "throughput": lambda: map(throughput, WORKERS),
         "spread": lambda: map(in_force, (False, True)),
+        "wide_spread": lambda: iter([in_force(False, WIDE_CENTRE)]),
         "takeover": lambda: map(takeover, (False, True)),
     }
     for result in chosen[only]():
--- a/bench/statecluster.py
+++ b/bench/statecluster.py
@@ -162,10 +162,10 @@
                 self.seen[vm].setdefault(offset, now)
 
 
-def in_force(kill_readers: bool) -> dict[str, object]:
-    """Return the time from apply to in force on the last of 12 nodes."""
+def in_force(kill_readers: bool, nodes_a_centre: int = 4) -> dict[str, object]:
+    """Return the time from apply to in force on the last node."""
     site = Site(
-        data_centres=[centre for centre in CENTRES for _ in range(4)],
+        data_centres=[centre for centre in CENTRES for _ in range(nodes_a_centre)],
         region="r",
         block=free_block(),
         engines=1,
