Wake when a relief ends, so that batch is back at once

Cause: with batch waiting and online idle a slice looked at its targets each 50 ms or at the next request, so a relief of 45 ms held its slots free for up to 50 ms more.

--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -196,12 +196,18 @@
         if len(self._online):
             tick = ONLINE_TICK
         elif len(self._batch):
-            tick = BATCH_TICK
+            tick = min(BATCH_TICK, self._relief_left())
         self._queued = anyio.Event()
         with anyio.move_on_after(tick.total_seconds()):
             await self._queued.wait()
             await anyio.sleep(ONLINE_TICK.total_seconds())
 
+    def _relief_left(self) -> timedelta:
+        """Return how long until batch may be back at the next target."""
+        now = self._clock.monotonic()
+        ends = [target.relieved_until for target in self._pool.serving]
+        return min((end - now for end in ends if end > now), default=IDLE_TICK)
+
     def expire(self) -> None:
         """Do all that is due by now."""
         now = self._clock.monotonic()
