Choose for online a target that knows the prompt's head, a few requests' worth

Cause: a head in the cache saves a step of 15 to 22 ms; one more stream lengthens each step by 1 ms. Counts alone left 38 of 100 prompts uncached in 20 s of osijek. The order "counts" stays registered for comparison.

--- a/chivespan/policies.py
+++ b/chivespan/policies.py
@@ -27,7 +27,7 @@
         the slot anyway.
     """
 
-    target_choice: str = "counts"
+    target_choice: str = "heads_near_counts"
     online_order: str = "deadline_fair"
     batch_order: str = "fair"
     batch_level: str = "steered"
--- a/chivespan/targetchoice.py
+++ b/chivespan/targetchoice.py
@@ -15,6 +15,7 @@
 from chivespan.targetstate import TargetState
 
 HEADS_PER_TARGET = 48
+HEAD_WORTH_REQUESTS = 3
 
 
 class PrefixHints:
@@ -71,16 +72,45 @@
     Online looks at online work alone, since batch gives way; batch keeps away from
     targets with online work.
     """
-    if view.request.work_class is WorkClass.online:
-        return min(
-            view.targets,
-            key=lambda target: (
-                target.share(WorkClass.online),
-                -target.free,
-                not view.hinted(target),
-                target.reported_load,
-            ),
-        )
+    if view.request.work_class is WorkClass.batch:
+        return _for_batch(view)
+    return min(
+        view.targets,
+        key=lambda target: (
+            target.share(WorkClass.online),
+            -target.free,
+            not view.hinted(target),
+            target.reported_load,
+        ),
+    )
+
+
+@TARGET_CHOICES.register("heads_near_counts")
+def by_heads_near_counts(view: ChoiceView) -> TargetState:
+    """Choose by counts, but take a few more online requests for a known head.
+
+    A head in the cache saves a whole step; each further request lengthens a step by
+    a small part. Batch is placed by counts.
+    """
+    if view.request.work_class is WorkClass.batch:
+        return _for_batch(view)
+    return min(
+        view.targets,
+        key=lambda target: (
+            _online_share_with_head(view, target),
+            -target.free,
+            target.reported_load,
+        ),
+    )
+
+
+def _online_share_with_head(view: ChoiceView, target: TargetState) -> float:
+    reading = 0 if view.hinted(target) else HEAD_WORTH_REQUESTS
+    requests = target.counts[WorkClass.online] + reading
+    return requests / max(1, target.runner.slots)
+
+
+def _for_batch(view: ChoiceView) -> TargetState:
     return min(
         view.targets,
         key=lambda target: (
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -15,6 +15,7 @@
 from chivespan.policies import Policies
 from chivespan.slices import Slice
 from chivespan.targetchoice import (
+    HEAD_WORTH_REQUESTS,
     HEADS_PER_TARGET,
     TARGET_CHOICES,
     ChoiceView,
@@ -136,7 +137,9 @@
     return states
 
 
-def choose(states: list[TargetState], work_class: WorkClass) -> str:
+def choose(
+    states: list[TargetState], work_class: WorkClass, policy: str = "counts"
+) -> str:
     request = GrantRequest(
         request_id="q",
         slice_id="",
@@ -151,7 +154,7 @@
     hints = PrefixHints()
     hints.record(7, "r2")
     view = ChoiceView(request, states, hints)
-    return TARGET_CHOICES["counts"](view).name
+    return TARGET_CHOICES[policy](view).name
 
 
 def test_a_hint_breaks_ties_and_never_outweighs_counts() -> None:
@@ -163,12 +166,22 @@
     assert choose(states, WorkClass.online) == "r1"
 
 
-def test_batch_keeps_away_from_online() -> None:
+def test_a_known_head_is_worth_a_few_online_requests() -> None:
+    states = targets()
+    states[2].counts[WorkClass.online] = HEAD_WORTH_REQUESTS
+    states[0].counts[WorkClass.batch] = 1
+    assert choose(states, WorkClass.online, "heads_near_counts") == "r1"
+    states[2].counts[WorkClass.online] -= 1
+    assert choose(states, WorkClass.online, "heads_near_counts") == "r2"
+
+
+@pytest.mark.parametrize("policy", ["counts", "heads_near_counts"])
+def test_batch_keeps_away_from_online(policy: str) -> None:
     states = targets()
     states[0].counts[WorkClass.online] = 3
     states[1].counts[WorkClass.batch] = 3
     states[2].counts[WorkClass.online] = 4
-    assert choose(states, WorkClass.batch) == "r1"
+    assert choose(states, WorkClass.batch, policy) == "r1"
 
 
 def test_hints_keep_the_latest_heads_of_every_target() -> None:
