Leave half of a target free of batch while it reads an unknown prompt

Cause: of the tail beside batch all were uncached prompts on an engine that still ran six streams: up to 22 ms of a step begun on a full engine, then two of 20 ms. Conclusion: a half, since the rest of the tail is bursts, where online itself fills.

--- a/chivespan/policies.py
+++ b/chivespan/policies.py
@@ -35,7 +35,7 @@
     fixed_batch_slots: int = 4
     headroom_cooldown: timedelta = timedelta(0)
     slice_reserve: int = 0
-    first_token_relief: float = 0.25
+    first_token_relief: float = 0.5
     relief_time: timedelta = timedelta(milliseconds=45)
     grant_on_revoke: bool = True
     grant_lifetime: timedelta = timedelta(seconds=2)
