Give the shutdown of a VM and a target that leaves each a cell of its own

shutdown/target error shared a scenario with admission/two faults, in which no VM shut down and no target failed. New under shutdown: the leaving entry frozen past its leases and thawed, a slow log, and operators who race to drain the VM and to change the configuration.

--- a/tests/faults/process_cells.py
+++ b/tests/faults/process_cells.py
@@ -241,7 +241,16 @@
 
 @proves(
     Row.SHUTDOWN,
-    (Fault.RESEND, Fault.LIST_STALE, Fault.LIST_DOWN, Fault.LOG_DOWN, Fault.KILLED),
+    (
+        Fault.RESEND,
+        Fault.LIST_STALE,
+        Fault.LIST_DOWN,
+        Fault.LOG_DOWN,
+        Fault.LOG_SLOW,
+        Fault.KILLED,
+        Fault.FROZEN,
+        Fault.OPERATOR_RACE,
+    ),
     slow=True,
 )
 async def vm_leaves_while_it_serves(cell: Cell) -> None:
@@ -256,6 +265,8 @@
                 rig.cluster.set_faults(site.vm_list_url, VmListFaults(down=True))
             case Fault.LOG_DOWN:
                 rig.cluster.set_faults(site.log_url, LogFaults(down=True))
+            case Fault.LOG_SLOW:
+                rig.cluster.set_faults(site.log_url, LogFaults(slow_ms=1000))
         caller = Caller(f"{leaving}:8080", OWNER_KEY)
         async with anyio.create_task_group() as tasks:
 
@@ -265,11 +276,16 @@
 
             tasks.start_soon(long_answer)
             await caller.on_token.wait()
+            if cell.fault is Fault.OPERATOR_RACE:
+                await _operators_race(rig, leaving)
             for process in rig.cluster.vm_processes(leaving):
                 process.terminate()
             if cell.fault is Fault.KILLED:
                 for process in rig.cluster.vm_processes(third):
                     process.kill()
+            if cell.fault is Fault.FROZEN:
+                with _frozen([rig.process(leaving, "entry")]):
+                    await anyio.sleep(PAST_LEASES_S)
             await rig.ask(Caller(f"{leaving}:8080", OWNER_KEY), "with an old answer")
             left = 1 if cell.fault is Fault.KILLED else 2
             await _wait_for_addresses(other, left)
@@ -282,9 +298,25 @@
         rig.check()
 
 
-@proves(Row.SHUTDOWN, Fault.TARGET_ERROR, slow=True)
+async def _operators_race(rig: ProcessRig, leaving: str) -> None:
+    """Two operators drain one VM at once, while two others race for one change."""
+    change = _change(_configuration(rig.cluster.site), base=1)
+    operator = Caller(f"{leaving}:8080", OPERATOR_KEY)
+    answers: list[int] = []
+
+    async def drain() -> None:
+        answer = await operator.send("POST", "/operator/drain")
+        answers.append(answer.status if answer else 0)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(2):
+            tasks.start_soon(drain)
+            tasks.start_soon(publish, rig.cluster, change, 2 + number)
+    assert answers == [200, 200]
+
+
 @proves(Row.ADMISSION, Fault.TWO, slow=True)
-async def target_leaves_under_load(cell: Cell) -> None:
+async def target_leaves_and_the_owner_is_killed(cell: Cell) -> None:
     """A target that the list shows as leaving gets nothing new after the bound."""
     async with process_rig() as rig:
         site = rig.cluster.site
@@ -293,7 +325,9 @@
         leaving = VmEntry(gone.split(":")[0], DATA_CENTRE, REGION, "leaving")
         rig.cluster.list_vms([*listed, leaving])
         rig.witness.left.append(Left(gone, time.time() + LEAVING_BOUND_S))
-        caller = rig.caller(away_from="")
+        killed = rig.slice_owner
+        rig.process(killed, "dispatch").kill()
+        caller = rig.caller(away_from=killed)
         until = time.monotonic() + LEAVING_BOUND_S + 2
         number = 0
         while time.monotonic() < until:
