Let a VM catch up with the log before it says that a claim's outcome isn't known

Cause: a VM that stood still answered a resend from what it had read before: the claim without its outcome, or the outcome at the offset it had before it was carried. The caller was told outcome_unknown for good, though the answer was recorded. Before: cells call not to be repeated/process frozen and /log cut by retention got 409 at the VM that was thawed. After: every sending gets the one answer. It costs one read of the log's end for each resend that finds no known outcome.

--- a/chivespan/claimstore.py
+++ b/chivespan/claimstore.py
@@ -21,6 +21,8 @@
         """
         await self._follower.reach_current()
         held = self.fold.claim(request.owner, request.key)
+        if held is not None and not held.known and await self._follower.catch_up():
+            held = self.fold.claim(request.owner, request.key)
         if held is None:
             self._appender.require_ready()
             offset = await self._appender.append(_claim(request))
@@ -65,10 +67,19 @@
         reason = f"{self._stream} shows no outcome at {held.outcome_offset}"
         raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason)
 
-    async def _known_outcome(self, held: HeldClaim) -> ClaimOutcome:
+    async def _known_outcome(
+        self, request: ClaimRequest, held: HeldClaim
+    ) -> ClaimOutcome:
         """Return a recorded outcome; when it can't be read, never say "not run"."""
         try:
-            return await self.outcome(held)
+            try:
+                return await self.outcome(held)
+            except ChivespanError as error:
+                if error.kind is not ErrorKind.LOG_EXPIRED:
+                    raise
+                await self._follower.catch_up()
+                carried = self.fold.claim(request.owner, request.key)
+                return await self.outcome(carried or held)
         except ChivespanError as error:
             reason = f"the request has run, its answer can't be read: {error.message}"
             raise ChivespanError(ErrorKind.OUTCOME_UNKNOWN, reason) from error
@@ -78,7 +89,7 @@
             reason = f"the key {request.key!r} stands for another request"
             raise ChivespanError(ErrorKind.KEY_REUSED, reason)
         if held.known:
-            outcome = await self._known_outcome(held)
+            outcome = await self._known_outcome(request, held)
             return ClaimReply(
                 request_id=request.request_id,
                 granted=False,
--- a/chivespan/follower.py
+++ b/chivespan/follower.py
@@ -91,6 +91,20 @@
         while self._fold.offset < offset or not self.is_current:
             await self._changed.wait()
 
+    async def catch_up(self) -> bool:
+        """Apply what the log holds now; return whether that was done in a short time.
+
+        A VM that stood still learns so what came meanwhile before it answers.
+        """
+        with anyio.move_on_after(CURRENT_WAIT.total_seconds()):
+            try:
+                end = (await self._log.bounds(self._stream)).end
+            except ChivespanError:
+                return False
+            await self.wait_applied(end - 1)
+            return True
+        return False
+
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         delays = Backoff(Random())
--- a/tests/faults/state_cells.py
+++ b/tests/faults/state_cells.py
@@ -2,6 +2,10 @@
 
 import anyio
 
+from chivespan.batchlinks import new_request_id
+from chivespan.claimfold import claim_partition
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.jobmessages import ClaimReply, ClaimRequest, Done, OutcomeRequest
 from chivespan.jobplan import JobPlan
 from tests.batchfakes import OWNER
 from tests.faults.matrix import Cell, Fault, Row, proves
@@ -15,6 +19,7 @@
     job_plan,
     state_rig,
 )
+from tests.oracle import Called
 
 ACKNOWLEDGE = "acknowledge"
 LARGE_PROMPT = "loading plan " * 19_000
@@ -31,6 +36,14 @@
     Row.JOB_CANCEL: "JobCancel",
 }
 SUBMISSION = (Row.JOB_BEGIN, Row.JOB_CHUNK, Row.JOB_CLOSE, Row.JOB_ACKNOWLEDGE)
+RESENT = (
+    Row.JOB_ACKNOWLEDGE,
+    Row.ITEM_CLAIM,
+    Row.ITEM_RUN,
+    Row.RESULT_APPEND,
+    Row.RESULT_READ,
+)
+KILLED_IN_OUTAGE = (*SUBMISSION, Row.ITEM_CLAIM, Row.RESULT_READ, Row.JOB_CANCEL)
 APPENDS = set(STEPS_OF) - {Row.JOB_ACKNOWLEDGE, Row.ITEM_RUN, Row.RESULT_READ}
 
 
@@ -88,25 +101,35 @@
         first, second = rig.workers
         await _lead_to(rig, cell.row, plan, At(STEPS_OF[cell.row], after))
         assert first.door.shut.is_set()
+        rig.log.outage = cell.fault is Fault.TWO
         if cell.fault is Fault.LOG_EXPIRED:
             rig.free = anyio.Event()
             second.own()
             await rig.pass_retention(second)
             rig.free.set()
-        second.own()
+        if cell.fault is not Fault.RESEND:
+            second.own()
+        if rig.log.outage:
+            await rig.wait(lambda: rig.log.refused > 0)
+            rig.log.outage = False
         if cell.row is Row.JOB_CANCEL:
             await _cancel(rig, plan)
         else:
             await _submit(rig, plan)
-        if cell.fault is not Fault.KILLED:
+        if cell.fault not in (Fault.KILLED, Fault.TWO):
             first.door.open()
         await rig.finish(plan, finished=cell.row is not Row.JOB_CANCEL)
 
 
 @proves(STEPS_OF, (Fault.LOG_EXPIRED, Fault.FROZEN), reduced_every=2)
 @proves((Row.ITEM_CLAIM, Row.RESULT_APPEND), Fault.KILLED)
+@proves(RESENT, Fault.RESEND, reduced_every=2)
+@proves(KILLED_IN_OUTAGE, Fault.TWO, reduced_every=2)
 async def worker_stops_at_a_step(cell: Cell) -> None:
-    """Another takes over meanwhile, and the first goes on where it stood or never."""
+    """Another takes over meanwhile, and the first goes on where it stood or never.
+
+    With two faults the log is away as well when the first is killed.
+    """
     for after in (False, True) if cell.row in APPENDS else (False,):
         await _stop_at(cell, after=after)
 
@@ -142,3 +165,81 @@
             rig.log.outage = False
         rig.free.set()
         await rig.finish(plan)
+
+
+KEY = "evening-7"
+BOOKING = "12 pigs, gate 2"
+
+
+async def _book(rig: StateRig) -> Called:
+    """Send a booking with its key, as an entry does with a claim."""
+    number = claim_partition(OWNER, KEY)
+    request = ClaimRequest(
+        request_id=new_request_id(),
+        owner=OWNER,
+        key=KEY,
+        digest="d",
+        service="bookings",
+        path="/bookings",
+        claimant=new_request_id(),
+    )
+
+    async def claim(worker: Worker) -> ClaimReply | ErrorKind:
+        try:
+            return await worker.partitions.claims(number).store.claim(request)
+        except ChivespanError as error:
+            if error.kind is not ErrorKind.OUTCOME_UNKNOWN:
+                raise
+            return error.kind
+
+    reply = await rig.ask(claim)
+    if isinstance(reply, ErrorKind):
+        return Called(BOOKING, "/bookings", 409, reply.value, "unknown")
+    if not reply.granted:
+        return Called(BOOKING, "/bookings", reply.status, answer=reply.body or b"")
+    rig.journal.add("start", request.request_id, detail=BOOKING)
+    outcome = OutcomeRequest(
+        request_id=new_request_id(),
+        owner=OWNER,
+        key=KEY,
+        known=True,
+        ran=True,
+        claim_offset=reply.claim_offset,
+        status=201,
+        body=BOOKING.encode(),
+    )
+
+    async def record(worker: Worker) -> Done:
+        await worker.partitions.claims(number).store.record(outcome)
+        return Done(request_id=outcome.request_id)
+
+    await rig.ask(record)
+    return Called(BOOKING, "/bookings", 201, answer=BOOKING.encode())
+
+
+@proves(Row.CALL, (Fault.LOG_EXPIRED, Fault.FROZEN))
+async def claim_stops_at_a_step(cell: Cell) -> None:
+    """A resend, also past retention, gets the answer of the one run."""
+    for step in ("Claim", "ClaimOutcome"):
+        for after in (False, True):
+            await _stop_claim_at(cell, At(step, after))
+
+
+async def _stop_claim_at(cell: Cell, at: At) -> None:
+    async with state_rig() as rig:
+        first, second = rig.workers
+        rig.witness.once.append(BOOKING)
+        first.door.stop_at = at
+        rig.witness.called.append(await _book(rig))
+        assert first.door.stopped.is_set()
+        if cell.fault is Fault.LOG_EXPIRED:
+            second.own()
+            await rig.pass_retention(second)
+        rig.witness.called.append(await _book(rig))
+        first.door.open()
+        rig.witness.called.append(await _book(rig))
+        await rig.pass_retention(second)
+        rig.workers.append(rig.workers.pop(0))
+        rig.witness.called.append(await _book(rig))
+        assert {got.status for got in rig.witness.called} == {201}
+        rig.check()
--- a/tests/faults/staterig.py
+++ b/tests/faults/staterig.py
@@ -155,7 +155,8 @@
             await self.door.reach(RUN)
             last = "length" if index == count - 1 else None
             yield Token(index, token(request.prompt, index), last)
-            await self.free().wait()
+            if not last:
+                await self.free().wait()
 
     async def call(
         self, address: str, request: PlainRequest, timeout: timedelta
