Show that the oracle catches results that aren't carried, and doubled results

With carrying switched off results_stay fails; with later results counting too one_result_per_item does. The second hung at first: the fake held back a stream's end.

--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+import anyio
 import pytest
 
 from chivespan import httpapi, jobfold, online
@@ -12,16 +13,22 @@
 from chivespan.configfold import ConfigFold
 from chivespan.engineapi import EngineRequest
 from chivespan.engineclient import EngineClient, Token
-from chivespan.errors import ANSWERS, Answer, ErrorKind
+from chivespan.envelope import OpenedRecord
+from chivespan.errors import ANSWERS, Answer, ChivespanError, ErrorKind
+from chivespan.jobfold import Chunk, JobFold
+from chivespan.jobstore import JobStore
 from chivespan.messages import ConfigSnapshot
-from chivespan.records import JobCancel
+from chivespan.records import ItemResult, ItemResults, JobCancel
 from chivespan.targethttp import HttpAnswer
+from chivespan.upkeep import JobCarrier
 from standins.engine import EngineFaults
 from standins.plainservice import PlainFaults
+from tests.batchfakes import OWNER
 from tests.faults.batch_cells import batch_rig, submission
 from tests.faults.claim_cells import KEY, PATH
 from tests.faults.noderig import node_rig
 from tests.faults.rig import online_rig
+from tests.faults.staterig import TOKENS, At, job_plan, prompts_of, state_rig
 from tests.oracle import JobSeen
 
 pytestmark = pytest.mark.anyio
@@ -123,3 +130,59 @@
         feed.take_snapshot(old)
         rig.note_versions()
         assert _names(rig.violations()) == {"versions_only_rise"}
+
+
+async def test_results_are_not_carried_past_retention(monkeypatch: Patch) -> None:
+    async def carry_nothing(self: JobCarrier, before: int) -> int:
+        return 0
+
+    monkeypatch.setattr(JobCarrier, "carry", carry_nothing)
+    plan = job_plan("kept", ["route summary"])
+    async with state_rig(workers=1) as rig:
+        [worker] = rig.workers
+        await worker.jobs.store.submit(plan)
+        await rig.ended(plan)
+        reads = [await rig.read(worker, plan)]
+        await rig.pass_retention(worker)
+        with pytest.raises(ChivespanError):
+            await rig.read(worker, plan)
+        reads.append([])
+        seen = JobSeen(plan.job_id, prompts_of(plan), TOKENS, reads)
+        rig.witness.jobs.append(seen)
+        assert "results_stay" in _names(rig.violations())
+
+
+async def test_later_results_of_an_item_count_too(monkeypatch: Patch) -> None:
+    original = jobfold._HANDLERS[ItemResults]
+
+    def careless(fold: JobFold, opened: OpenedRecord, record: ItemResults) -> Any:
+        changed = original(fold, opened, record)
+        job = fold.job(record.job_id)
+        if changed is None and job is not None:
+            job.chunks[record.chunk].results.append(opened.offset)
+        return job
+
+    async def all_results(self: JobStore, chunk: Chunk) -> list[ItemResult]:
+        records = [await self._record(offset) for offset in chunk.results]
+        return [one for each in records for one in getattr(each, "results", [])]
+
+    monkeypatch.setitem(jobfold._HANDLERS, ItemResults, careless)
+    monkeypatch.setattr(JobStore, "chunk_results", all_results)
+    plan = job_plan("doubled", ["first, stop after 1", "second"])
+    async with state_rig() as rig:
+        first, second = rig.workers
+        rig.free = anyio.Event()
+        first.door.stop_at = At("ItemResults")
+        await first.jobs.store.submit(plan)
+        with anyio.fail_after(5):
+            await first.door.stopped.wait()
+        second.own()
+        await rig.wait(lambda: second.jobs.store.job(OWNER, plan.job_id).done == 1)
+        first.door.open()
+        await first.jobs.wait_written()
+        rig.free.set()
+        await rig.ended(plan)
+        reads = [await rig.read(second, plan)]
+        seen = JobSeen(plan.job_id, prompts_of(plan), TOKENS, reads)
+        rig.witness.jobs.append(seen)
+        assert _names(rig.violations()) == {"one_result_per_item"}
