--- a/tests/faults/impossible.py
+++ b/tests/faults/impossible.py
@@ -54,3 +54,13 @@
     Fault.RESEND,
     "no client takes part in this step",
 )
+cannot_happen(
+    (Row.CONFIG_APPEND, Row.CONFIG_READ_BACK),
+    LIST_FAULTS,
+    "an operator's command asks the log alone and reads no VM list",
+)
+cannot_happen(
+    (Row.ITEM_CLAIM, Row.CALL),
+    Fault.OPERATOR_RACE,
+    "the step changes no document; it works with the configuration of one moment",
+)
