--- a/tests/faults/impossible.py
+++ b/tests/faults/impossible.py
@@ -60,3 +60,13 @@
     "what a leaving VM still serves reads nothing of the log; who takes over does, "
     "in the rows of the take-overs",
 )
+cannot_happen(
+    (Row.CONFIG_APPEND, Row.CONFIG_READ_BACK),
+    LIST_FAULTS,
+    "an operator's command asks the log alone and reads no VM list",
+)
+cannot_happen(
+    (Row.ITEM_CLAIM, Row.CALL),
+    Fault.OPERATOR_RACE,
+    "the step changes no document; it works with the configuration of one moment",
+)
