Let the VM list's stand-in answer 304 while it is unchanged

Cause: the capacity bench alone had a list with entity tags, so the client's use of them ran in no test.

--- a/bench/capacityfakes.py
+++ b/bench/capacityfakes.py
@@ -22,12 +22,10 @@
     VmView,
 )
 from chivespan.peerlink import PeerLink
-from standins.vmlist import VmEntry, VmListStandIn
 
 REGION = "region-0"
 REMOTE_REPORT_S = REMOTE_PUSH_INTERVAL.total_seconds()
 PEERS_OF_A_CENTRE = 30
-ENTITY_TAG = b'"1"'
 
 
 def changing_load(vm: str) -> Callable[[Hello], bytes]:
@@ -49,22 +47,6 @@
     return heartbeat
 
 
-class TaggedVmList(VmListStandIn):
-    """A VM list that answers 304 while it is unchanged, as HTTP allows."""
-
-    def __init__(self, vms: tuple[VmEntry, ...]) -> None:
-        super().__init__(vms=vms)
-        self._plain = self.app
-        self.app = Starlette(routes=[Route("/vms", self._get_tagged)])
-
-    async def _get_tagged(self, request: Request) -> Response:
-        if request.headers.get("If-None-Match") == ENTITY_TAG.decode():
-            return Response(status_code=304)
-        response = await self._get(request)
-        response.headers["ETag"] = ENTITY_TAG.decode()
-        return response
-
-
 class LoadReports:
     """Answers the load probes of all targets."""
 
--- a/bench/capacityrig.py
+++ b/bench/capacityrig.py
@@ -25,7 +25,6 @@
 from bench.capacityfakes import (
     REGION,
     LoadReports,
-    TaggedVmList,
     changing_load,
     report_centre,
 )
@@ -252,7 +251,7 @@
     """Run a node and its fakes; give the time until its configuration was whole."""
     log, documents = LogStandIn(), Documents(network)
     vm = _suitable_vm(network, load)
-    vm_list = TaggedVmList(tuple(_listed(network, vm, load)))
+    vm_list = VmListStandIn(vms=tuple(_listed(network, vm, load)))
     for payload in documents.inventory(load.targets, load.far_targets, load.owners):
         log.append(CONFIG_STREAM, [payload])
     rig = Rig(network, vm, load, log, vm_list, documents)
--- a/standins/vmlist.py
+++ b/standins/vmlist.py
@@ -1,7 +1,9 @@
 """Stand-in for the platform's list of VMs, which lags."""
 
+import hashlib
 import time
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Literal
 
 import anyio
@@ -97,7 +99,12 @@
             return error_answer(503, "down")
         if not self.faults.stale:
             self._show_due()
-        return json_answer(self._shown)
+        answer = json_answer(self._shown)
+        tag = f'"{hashlib.sha256(bytes(answer.body)).hexdigest()}"'
+        if request.headers.get("If-None-Match") == tag:
+            return Response(status_code=HTTPStatus.NOT_MODIFIED)
+        answer.headers["ETag"] = tag
+        return answer
 
     async def _put(self, request: Request) -> Response:
         self.set(await body_as(request, tuple[VmEntry, ...]))
