--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
-from typing import Protocol
 
 import anyio
 
@@ -19,6 +18,7 @@
 from chivespan.engineapi import EngineLoad
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.grantbook import LiveGrant, UsageBook
+from chivespan.loadprobe import LoadProbe, probe_loads
 from chivespan.messages import (
     Grant,
     GrantRelease,
@@ -44,18 +44,6 @@
 ONLINE_TICK = timedelta(milliseconds=20)
 BATCH_TICK = timedelta(milliseconds=50)
 IDLE_TICK = timedelta(milliseconds=500)
-PROBE_INTERVAL = timedelta(seconds=10)
-
-
-class LoadProbe(Protocol):
-    """Asks a target for its load."""
-
-    async def load(self, address: str) -> EngineLoad:
-        """Return the report.
-
-        :raises ChivespanError: when the target doesn't answer.
-        """
-        ...
 
 
 class SliceScheduler:
@@ -206,7 +194,9 @@
         try:
             async with anyio.create_task_group() as tasks:
                 if self._probe is not None:
-                    tasks.start_soon(self._probe_targets, self._probe)
+                    tasks.start_soon(
+                        probe_loads, self._probe, lambda: self.targets, self.report_load
+                    )
                 while True:
                     await self._pause()
                     self.expire()
@@ -455,20 +445,6 @@
     def _queue(self, work_class: WorkClass) -> WaitQueue:
         return self._online if work_class is WorkClass.online else self._batch
 
-    async def _probe_targets(self, probe: LoadProbe) -> None:
-        while True:
-            async with anyio.create_task_group() as tasks:
-                for target in self.targets:
-                    tasks.start_soon(self._probe_one, probe, target)
-            await anyio.sleep(PROBE_INTERVAL.total_seconds())
-
-    async def _probe_one(self, probe: LoadProbe, target: TargetState) -> None:
-        try:
-            load = await probe.load(target.runner.address)
-        except ChivespanError:
-            return
-        self.report_load(target.name, load)
-
 
 def _is_final(kind: ErrorKind, request: GrantRequest) -> bool:
     """Return whether the owner is refused: not who asks on, nor who went away."""
--- a/tests/faults/process_cells.py
+++ b/tests/faults/process_cells.py
@@ -2,8 +2,8 @@
 
 import json
 import time
-from collections.abc import AsyncIterator, Iterator, Sequence
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from datetime import UTC, datetime
 
 import anyio
@@ -27,7 +27,7 @@
 from tests.faults.rig import DATA_CENTRE, OWNER_KEY, REGION, configuration_of
 from tests.jobs import JobCaller, Submission
 from tests.oracle import Left, Witness, violations
-from tools.cluster import Cluster, Process, Site, VmPlace, free_block
+from tools.cluster import Cluster, Process, Site, VmPlace, free_block, frozen
 
 VMS = 3
 OPERATOR_KEY = "operator-key"
@@ -172,30 +172,19 @@
             await anyio.sleep(0.05)
 
 
-@contextmanager
-def _frozen(processes: Sequence[Process]) -> Iterator[None]:
-    for process in processes:
-        process.freeze()
-    try:
-        yield
-    finally:
-        for process in processes:
-            process.thaw()
-
-
 @proves(
     (Row.ADDRESS, Row.ADMISSION, Row.GRANT, Row.SLICE_TAKEOVER), Fault.FROZEN, slow=True
 )
 async def control_is_frozen_past_its_leases(cell: Cell) -> None:
     """The thawed owner's grants don't count twice, and no answer is lost."""
     async with process_rig() as rig:
-        frozen = rig.slice_owner
-        caller = rig.caller(away_from=frozen)
+        frozen_vm = rig.slice_owner
+        caller = rig.caller(away_from=frozen_vm)
         async with anyio.create_task_group() as tasks:
             if cell.row is Row.GRANT:
                 tasks.start_soon(rig.ask, caller, "holds a grant", 300)
                 await caller.on_token.wait()
-            with _frozen([rig.process(frozen, "dispatch")]):
+            with frozen([rig.process(frozen_vm, "dispatch")]):
                 with anyio.fail_after(QUICK_S):
                     await rig.ask(caller, "while frozen")
                 await _wait_for_addresses(caller.address.split(":")[0], VMS - 1)
@@ -214,9 +203,9 @@
         prompts = {f"i{n}": f"route summary {n}" for n in range(120)}
         job = Submission("frozen", prompts, 10)
         accepted = await caller.submit_until_accepted(job)
-        frozen = rig.job_owner(accepted.job_id)
-        with _frozen(rig.cluster.vm_processes(frozen)):
-            away = JobCaller(rig.caller(away_from=frozen), caller.ids)
+        frozen_vm = rig.job_owner(accepted.job_id)
+        with frozen(rig.cluster.vm_processes(frozen_vm)):
+            away = JobCaller(rig.caller(away_from=frozen_vm), caller.ids)
             await anyio.sleep(PAST_LEASES_S)
         rig.witness.jobs.append(await away.finish(job, 60))
         rig.check()
@@ -225,8 +214,8 @@
 @proves(Row.CONFIG_PUSH, Fault.FROZEN, slow=True)
 async def follower_is_frozen_during_changes(cell: Cell) -> None:
     async with process_rig() as rig:
-        frozen, watcher = rig.vms[0], rig.vms[1]
-        with _frozen([rig.process(frozen, "dispatch")]):
+        frozen_vm, watcher = rig.vms[0], rig.vms[1]
+        with frozen([rig.process(frozen_vm, "dispatch")]):
             again = _change(_configuration(rig.cluster.site), base=1)
             offset = await publish(rig.cluster, again, sequence=2)
             await anyio.sleep(PAST_LEASES_S)
@@ -284,7 +273,7 @@
                 for process in rig.cluster.vm_processes(third):
                     process.kill()
             if cell.fault is Fault.FROZEN:
-                with _frozen([rig.process(leaving, "entry")]):
+                with frozen([rig.process(leaving, "entry")]):
                     await anyio.sleep(PAST_LEASES_S)
             await rig.ask(Caller(f"{leaving}:8080", OWNER_KEY), "with an old answer")
             left = 1 if cell.fault is Fault.KILLED else 2
