Let a target that left the inventory hold up no other's order

Cause: a target that was taken out of the inventory keeps what runs there and stays with the scheduler until it ends. The keeper still compared it, drained it for an order that never came, and counted it among those out of service, so the others waited for its last stream. Found by reading. Before: the new test fails; after: it passes. Conclusion: only listed targets are looked at.

--- a/chivespan/targetkeeper.py
+++ b/chivespan/targetkeeper.py
@@ -157,7 +157,8 @@
 
     async def look(self) -> None:
         """Do for each target the next thing that is due."""
-        targets = {target.name: target for target in self._scheduler.targets}
+        listed = (target for target in self._scheduler.targets if target.listed)
+        targets = {target.name: target for target in listed}
         self._watched = {
             name: self._watched.get(name) or _Watched() for name in targets
         }
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,6 +6,8 @@
 import pytest
 
 from chivespan.clock import ManualClock
+from chivespan.configuration import Configuration
+from chivespan.documents import Model
 from chivespan.errors import ErrorKind
 from chivespan.messages import Outcome, WorkClass
 from chivespan.orderaudit import read_orders
@@ -13,6 +15,7 @@
 from chivespan.targetsetup import TargetSetup
 from chivespan.weightpermits import WeightPermits
 from tests.faults.orderrig import NEW, OLD, OrderRig
+from tests.schedulerbench import SLOTS
 
 pytestmark = pytest.mark.anyio
 
@@ -105,6 +108,27 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_target_that_left_the_inventory_holds_up_no_order() -> None:
+    async with anyio.create_task_group() as tasks:
+        rig = OrderRig(tasks, True, 2)
+        await rig.step()
+        running = [await rig.first.ask() for _ in range(2 * SLOTS)]
+        left = rig.runners.pop(0)
+        target = rig.first.bench.scheduler.target(left.name)
+        assert target is not None
+        target.runner = left
+        rig.publish(NEW, rig.first)
+        model = Model(name=left.model, version=NEW.version)
+        rig.first.keeper.reconfigure(Configuration(rig.offset, models={"m": model}))
+        for asked in running:
+            if asked.grant is not None and asked.grant.target != left.name:
+                await rig.first.bench.release(asked)
+        for _ in range(20):
+            await rig.step()
+        assert [engine.loads for engine in rig.engines] == [[], [NEW]]
+        tasks.cancel_scope.cancel()
+
+
 def test_permits_share_the_rate_of_the_weight_store() -> None:
     clock = ManualClock()
     live = 3
