Work out a target's setup once a report, not at each look; one protocol for load reports

From the read of the whole change; behaviour is as it was. - TargetState.setup built and sorted a TargetSetup for every target at each schedule, through serving and serves. It is kept with the report. - TargetControl repeated LoadProbe.load; it extends it. - The wait for carried results compared the same offsets in two places, and a recorded outcome was read in a try within a try.

--- a/chivespan/claimstore.py
+++ b/chivespan/claimstore.py
@@ -72,18 +72,24 @@
     ) -> ClaimOutcome:
         """Return a recorded outcome; when it can't be read, never say "not run"."""
         try:
-            try:
-                return await self.outcome(held)
-            except ChivespanError as error:
-                if error.kind is not ErrorKind.LOG_EXPIRED:
-                    raise
-                await self._follower.catch_up()
-                carried = self.fold.claim(request.owner, request.key)
-                return await self.outcome(carried or held)
+            return await self._outcome_where_it_is(request, held)
         except ChivespanError as error:
             reason = f"the request has run, its answer can't be read: {error.message}"
             raise ChivespanError(ErrorKind.OUTCOME_UNKNOWN, reason) from error
 
+    async def _outcome_where_it_is(
+        self, request: ClaimRequest, held: HeldClaim
+    ) -> ClaimOutcome:
+        """Return a recorded outcome, also when it was carried forward meanwhile."""
+        try:
+            return await self.outcome(held)
+        except ChivespanError as error:
+            if error.kind is not ErrorKind.LOG_EXPIRED:
+                raise
+        await self._follower.catch_up()
+        carried = self.fold.claim(request.owner, request.key)
+        return await self.outcome(carried or held)
+
     async def _reply(self, request: ClaimRequest, held: HeldClaim) -> ClaimReply:
         if held.digest != request.digest:
             reason = f"the key {request.key!r} stands for another request"
--- a/chivespan/jobstore.py
+++ b/chivespan/jobstore.py
@@ -108,20 +108,24 @@
             except ChivespanError as error:
                 if error.kind is not ErrorKind.LOG_EXPIRED:
                     raise
-                await self._wait_carried(owner, job_id, number, offsets)
-                if tuple(_chunk(self.job(owner, job_id), number).results) == offsets:
+                if not await self._were_carried(owner, job_id, number, offsets):
                     raise
                 continue
             first = sum(chunk.count for chunk in job.chunks[:number])
             return [_job_result(first, result) for result in found]
 
-    async def _wait_carried(
+    async def _were_carried(
         self, owner: str, job_id: str, number: int, offsets: tuple[int, ...]
-    ) -> None:
-        """Wait a short time for results to be at other offsets."""
+    ) -> bool:
+        """Return whether results are at other offsets, or are within a short time."""
+
+        def carried() -> bool:
+            return tuple(_chunk(self.job(owner, job_id), number).results) != offsets
+
         with anyio.move_on_after(CURRENT_WAIT.total_seconds()):
-            while tuple(_chunk(self.job(owner, job_id), number).results) == offsets:
+            while not carried():
                 await self._follower.wait_changed()
+        return carried()
 
     async def chunk_results(self, chunk: Chunk) -> list[ItemResult]:
         """Return the results of a chunk's items that count, in order."""
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -148,7 +148,7 @@
             return
         target.held = True
         target.refresh(self._clock.monotonic())
-        for grant in list(self._pool.grants.standing_batch()):
+        for grant in self._pool.grants.standing_batch():
             if grant.target == name:
                 self._pool.revoke(grant)
         self._schedule()
--- a/chivespan/targetkeeper.py
+++ b/chivespan/targetkeeper.py
@@ -22,6 +22,7 @@
 from chivespan.configuration import Configuration
 from chivespan.engineapi import EngineLoad, EngineOrder
 from chivespan.errors import ChivespanError
+from chivespan.loadprobe import LoadProbe
 from chivespan.logs import logger
 from chivespan.messages import TargetStatus
 from chivespan.orderaudit import OrderAudit
@@ -44,16 +45,9 @@
 _log = logger("orders")
 
 
-class TargetControl(Protocol):
+class TargetControl(LoadProbe, Protocol):
     """Asks a target what it has loaded, and gives it orders."""
 
-    async def load(self, address: str) -> EngineLoad:
-        """Return the report.
-
-        :raises ChivespanError: when the target doesn't answer.
-        """
-        ...
-
     async def order(self, address: str, order: EngineOrder) -> bool:
         """Send an order; return False when its fencing number was refused.
 
--- a/chivespan/targetsetup.py
+++ b/chivespan/targetsetup.py
@@ -57,13 +57,13 @@
     )
 
 
-def observed_setup(load: EngineLoad | None) -> TargetSetup | None:
+def observed_setup(load: EngineLoad) -> TargetSetup | None:
     """Return what an engine says that it has loaded; None when it doesn't say.
 
     An engine that is ready and names no model doesn't tell what it serves; the
     inventory is believed then, and it gets no orders.
     """
-    if load is None or (load.state == READY and not load.model):
+    if load.state == READY and not load.model:
         return None
     return TargetSetup(
         load.model, load.version, tuple(sorted(load.adapters)), load.role
--- a/chivespan/targetstate.py
+++ b/chivespan/targetstate.py
@@ -32,6 +32,7 @@
         once all are known.
     :param relieved_until: monotonic time up to which batch leaves some slots free.
     :param reported: the engine's last report, which lags.
+    :param setup: what that says it has loaded; None when it doesn't say.
     """
 
     runner: Runner
@@ -44,6 +45,7 @@
     unseen: int = 0
     careful_until: timedelta | None = None
     reported: EngineLoad | None = None
+    setup: TargetSetup | None = None
     health: TargetHealth = field(default_factory=TargetHealth)
     uses: Uses = field(default_factory=Uses)
     open_slots: int = 0
@@ -86,11 +88,6 @@
             return False
         return self.setup is None or self._engine_serves
 
-    @property
-    def setup(self) -> TargetSetup | None:
-        """What the engine says that it has loaded; None when it doesn't say."""
-        return observed_setup(self.reported)
-
     @property
     def _engine_serves(self) -> bool:
         reported = self.reported
@@ -134,15 +131,15 @@
 
         What the engine was seen to have loaded counts, and not what it was told to.
         """
-        setup = self.setup
-        return (setup.model if setup else self.runner.model) in ("", model)
+        loaded = self.setup.model if self.setup else self.runner.model
+        return loaded in ("", model)
 
     def take_report(self, load: EngineLoad) -> None:
         """Take in the engine's report; its uses are counted anew for a new setup."""
-        before = self.setup
-        self.reported = load
-        if self.setup != before:
+        setup = observed_setup(load)
+        if setup != self.setup:
             self.uses = Uses()
+        self.reported, self.setup = load, setup
 
     @property
     def _state_word(self) -> str:
