--- a/standins/engine.py
+++ b/standins/engine.py
@@ -25,6 +25,7 @@
 )
 from standins.enginetext import finish_reason, length
 from standins.journal import Journal
+from standins.requestfaults import RequestFaults
 from standins.serving import (
     Silence,
     body_as,
@@ -98,7 +99,7 @@
 
 
 @dataclass
-class EngineFaults:
+class EngineFaults(RequestFaults):
     """Faults in force, replaced as a whole by ``PUT /faults``.
 
     :param mode: ``error`` answers ``status`` at once; ``silent`` accepts and never
@@ -108,25 +109,13 @@
         ends the stream with an error after some tokens; ``no_end`` closes the
         connection after the last token, without the end mark.
     :param after_tokens: tokens sent before the fault shows.
-    :param times: requests that meet the fault; -1 for all.
-    :param slow_ms: every answer begins this much later.
     :param load_silent: ``GET /load`` never answers.
     """
 
     mode: EngineMode = ""
     after_tokens: int = 0
-    times: int = -1
-    status: int = 500
-    slow_ms: float = 0
     load_silent: bool = False
 
-    def take(self) -> str:
-        """Return the mode for the next request."""
-        if not self.mode or self.times == 0:
-            return ""
-        self.times -= 1
-        return self.mode
-
 
 class EngineStandIn:
     """One engine."""
--- a/standins/plainservice.py
+++ b/standins/plainservice.py
@@ -11,6 +11,7 @@
 from starlette.routing import Route
 
 from standins.journal import Journal
+from standins.requestfaults import RequestFaults
 from standins.serving import (
     NoAnswer,
     Silence,
@@ -33,26 +34,15 @@
 
 
 @dataclass
-class PlainFaults:
+class PlainFaults(RequestFaults):
     """Faults in force, replaced as a whole by ``PUT /faults``.
 
     :param mode: ``error`` fails before the effect; ``drop`` loses the answer after it;
         ``silent`` never answers, after it; ``garbage`` answers nonsense, after it.
-    :param times: calls that meet the fault; -1 for all.
     :param slow_ms: every call takes this much longer, before the effect.
     """
 
     mode: Literal["", "error", "drop", "silent", "garbage"] = ""
-    times: int = -1
-    status: int = 500
-    slow_ms: float = 0
-
-    def take(self) -> str:
-        """Return the mode for the next call."""
-        if not self.mode or self.times == 0:
-            return ""
-        self.times -= 1
-        return self.mode
 
 
 class PlainStandIn:
--- a/tests/faults/batch_cells.py
+++ b/tests/faults/batch_cells.py
@@ -1,6 +1,6 @@
 """Faults on the way of a batch job: submission, run, results, cancel, take-over."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -354,25 +354,42 @@
         await rig.finish(wanted)
 
 
+def strike_owner_after(
+    rig: BatchRig,
+    row: Row,
+    wanted: Submission,
+    strike: Callable[[Node], Awaitable[None]],
+) -> list[Node]:
+    """Strike a submission's owner as soon as the row's unit is in the log.
+
+    :return: filled with the owner once that was done.
+    """
+    left = UNITS_BEFORE[row] + 1
+    struck: list[Node] = []
+
+    async def hook(has_effect: bool) -> None:
+        nonlocal left
+        left -= has_effect
+        if left or struck:
+            return
+        struck.append(rig.owner_of(new_job_id("o", wanted.key, PARTITIONS)))
+        await strike(struck[0])
+
+    rig.site.log.on_append = hook
+    return struck
+
+
 @proves(UNITS_BEFORE, Fault.KILLED, reduced_every=3)
 async def owner_is_killed_during_a_submission(cell: Cell) -> None:
     """The VM dies after a unit is in the log; a resend makes one job."""
     async with batch_rig() as rig:
         wanted = in_units(cell.row)
-        left = UNITS_BEFORE[cell.row] + 1
-        killed: list[Node] = []
 
-        async def kill(has_effect: bool) -> None:
-            nonlocal left
-            left -= has_effect
-            if left or killed:
-                return
-            holder = rig.owner_of(new_job_id("o", wanted.key, PARTITIONS))
-            killed.append(holder)
+        async def kill(holder: Node) -> None:
             rig.site.kill_batch(holder)
             rig.site.kill(holder)
 
-        rig.site.log.on_append = kill
+        killed = strike_owner_after(rig, cell.row, wanted, kill)
         await rig.caller.submit_until_accepted(wanted)
         assert killed
         await rig.finish(wanted)
--- a/tests/faults/order_cells.py
+++ b/tests/faults/order_cells.py
@@ -194,8 +194,7 @@
     async with order_rigs() as rigs:
         for rig in rigs:
             for _ in range(restarts):
-                while not any(engine.loading for engine in rig.engines):
-                    await rig.first.step()
+                await rig.until_loading()
                 for engine in rig.engines:
                     if engine.loading:
                         engine.restart()
@@ -210,8 +209,7 @@
     """It gets no second order while it says nothing, or what was so before."""
     async with order_rigs() as rigs:
         for rig in rigs:
-            while not any(engine.loading for engine in rig.engines):
-                await rig.first.step()
+            await rig.until_loading()
             loading = next(engine for engine in rig.engines if engine.loading)
             if cell.fault is Fault.ANSWER_LATE:
                 loading.lag = 3
@@ -231,8 +229,7 @@
         for rig in rigs:
             other = rig.owner()
             if cell.row is Row.LOAD:
-                while not any(engine.loading for engine in rig.engines):
-                    await rig.first.step()
+                await rig.until_loading()
             else:
                 await rig.first.step()
                 assert any(each.held for each in rig.first.bench.scheduler.targets)
@@ -254,8 +251,7 @@
     """It wakes when another has gone on, and finds nothing to do."""
     async with order_rigs() as rigs:
         for rig in rigs:
-            while not any(engine.loading for engine in rig.engines):
-                await rig.first.step()
+            await rig.until_loading()
             await rig.settle(rig.owner())
             rig.first.bench.advance(LONG)
             for _ in range(SOME_STEPS):
@@ -268,8 +264,7 @@
     """The load that runs ends, and the newest follows it."""
     async with order_rigs() as rigs:
         for rig in rigs:
-            while not any(engine.loading for engine in rig.engines):
-                await rig.first.step()
+            await rig.until_loading()
             rig.publish(NEWEST, rig.first)
             await rig.settle()
             assert [engine.loads[-1] for engine in rig.engines] == [NEWEST] * TARGETS
--- a/tests/faults/orderrig.py
+++ b/tests/faults/orderrig.py
@@ -201,6 +201,11 @@
                 return
         raise AssertionError([str(each.setup) for each in self.engines])
 
+    async def until_loading(self) -> None:
+        """Let the first owner look until an engine loads; the load doesn't end."""
+        while not any(engine.loading for engine in self.engines):
+            await self.first.step()
+
     async def step(self, *owners: Owner) -> None:
         """Let owners, or else the first, look once; loads then end."""
         for owner in owners or (self.first,):
--- a/tests/faults/path_cells.py
+++ b/tests/faults/path_cells.py
@@ -5,7 +5,13 @@
 from chivespan.steps import Step, hooked
 from standins.logservice import LogFaults
 from standins.vmlist import VmListFaults
-from tests.faults.batch_cells import UNITS_BEFORE, batch_rig, in_units, submission
+from tests.faults.batch_cells import (
+    UNITS_BEFORE,
+    batch_rig,
+    in_units,
+    strike_owner_after,
+    submission,
+)
 from tests.faults.matrix import Cell, Fault, Row, proves
 from tests.faults.noderig import PARTITIONS, Node, NodeRig, node_rig
 from tests.relay import Relay, Treatment
@@ -44,18 +50,11 @@
     """After a unit is in the log its owner is out of reach; a resend makes one job."""
     async with batch_rig() as rig:
         wanted = in_units(cell.row)
-        left = UNITS_BEFORE[cell.row] + 1
-        broken: list[Node] = []
 
-        async def hook(has_effect: bool) -> None:
-            nonlocal left
-            left -= has_effect
-            if left or broken:
-                return
-            broken.append(rig.owner_of(new_job_id("o", wanted.key, PARTITIONS)))
-            await _break(rig.site, broken[0], cell.fault)
+        async def break_paths(holder: Node) -> None:
+            await _break(rig.site, holder, cell.fault)
 
-        rig.site.log.on_append = hook
+        broken = strike_owner_after(rig, cell.row, wanted, break_paths)
         await rig.caller.submit_until_accepted(wanted)
         assert broken
         await rig.finish(wanted)
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -4,19 +4,17 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 
 import pytest
 
-from chivespan.documents import Runner
-from chivespan.inventory import read_files, write_text
 from standins.engine import EngineFaults
 from standins.enginetext import whole_text
 from standins.logservice import LogFaults
 from tests.sessions import Session
 from tools.cluster import Cluster, Site, free_block, wait_until
+from tools.exampleconfig import write_example
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "livestock"
 DATA_CENTRES = ("hr-east-osijek", "hr-east-vukovar", "hr-east-slavonski")
@@ -47,7 +45,8 @@
         settings=SETTINGS,
     )
     with Cluster(site) as running:
-        _write_inventory(running, files)
+        _, rules = write_example(EXAMPLE, site, files)
+        (files / rules.name).write_text(rules.read_text())
         session = _session(running, "ana")
         assert session.operate("apply", *_paths(files), "--reason=first day") == 0
         for place in site.vms:
@@ -55,20 +54,6 @@
         yield running
 
 
-def _write_inventory(cluster: Cluster, files: Path) -> None:
-    """Write the example with the addresses of the stand-ins in place of its own."""
-    engines = iter(cluster.site.engine_addresses)
-    plains = iter(cluster.site.plain_addresses)
-    documents = []
-    for document in read_files([EXAMPLE / "inventory.toml"]).documents.values():
-        if isinstance(document, Runner):
-            address = next(engines if document.model else plains)
-            document = replace(document, address=address)
-        documents.append(document)
-    (files / "inventory.toml").write_text(write_text(documents))
-    (files / "rules.toml").write_text((EXAMPLE / "rules.toml").read_text())
-
-
 def _paths(files: Path) -> list[str]:
     return [str(files / "inventory.toml"), str(files / "rules.toml")]
 
