--- a/bench/statefolds.py
+++ b/bench/statefolds.py
@@ -17,7 +17,7 @@
 from chivespan.jobmessages import SubmitItem
 from chivespan.jobplan import JobPlan, plan_job
 from chivespan.jobstore import submission_records
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.records import (
     ConfigChange,
     DocumentChange,
--- a/chivespan/answers.py
+++ b/chivespan/answers.py
@@ -1,12 +1,11 @@
 """HTTP answers: typed bodies in JSON, and errors as the table of kinds says."""
 
-from datetime import timedelta
 from math import ceil
 
 import msgspec
 from starlette.responses import Response
 
-from chivespan.callerapi import ErrorAnswer, ErrorBody, HeldShare
+from chivespan.errorbody import error_answer
 from chivespan.errors import ChivespanError
 
 JSON_TYPE = "application/json"
@@ -17,29 +16,6 @@
     return Response(msgspec.json.encode(body), status, media_type=JSON_TYPE)
 
 
-def error_answer(error: ChivespanError, request_id: str) -> ErrorAnswer:
-    """Return what a caller is told about an error."""
-    retry_after_ms = None
-    if error.retry_after is not None:
-        retry_after_ms = ceil(error.retry_after / timedelta(milliseconds=1))
-    shares = [
-        HeldShare(
-            owner=share.owner, work_class=share.work_class.value, slots=share.slots
-        )
-        for share in error.shares
-    ]
-    return ErrorAnswer(
-        error=ErrorBody(
-            code=error.kind.value,
-            message=error.message,
-            request_id=request_id,
-            was_run="unknown" if error.answer.may_have_run else "no",
-            retry_after_ms=retry_after_ms,
-            shares=shares,
-        )
-    )
-
-
 def error_response(error: ChivespanError, request_id: str) -> Response:
     """Return the HTTP answer for an error, with when to come back."""
     response = json_response(error_answer(error, request_id), error.answer.status)
--- a/chivespan/appender.py
+++ b/chivespan/appender.py
@@ -16,7 +16,7 @@
 from chivespan.clock import NO_WAIT, Clock
 from chivespan.envelope import decode_envelope, encode_record, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.platform import LogNotReached, LogRecord, LogService
+from chivespan.platformservices import LogNotReached, LogRecord, LogService
 from chivespan.records import RecordId, VoidRecord
 
 MAX_GROUP_RECORDS = 1024
--- a/chivespan/batchapi.py
+++ b/chivespan/batchapi.py
@@ -11,7 +11,7 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import BaseRoute, Route
 
-from chivespan.answers import error_answer, json_response
+from chivespan.answers import json_response
 from chivespan.callerapi import (
     BatchItemError,
     BatchJob,
@@ -24,6 +24,7 @@
 from chivespan.configuration import Configuration
 from chivespan.documents import Service, ServiceKind
 from chivespan.entrycontext import EntryContext
+from chivespan.errorbody import error_answer
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.httpapi import Handler, answering
 from chivespan.jobmessages import JobResult, JobState, SubmitItem
--- /dev/null
+++ b/chivespan/callerapp.py
@@ -0,0 +1,235 @@
+"""The ASGI application of a node: what it answers on each of its addresses."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from enum import StrEnum
+from typing import Protocol
+
+import anyio
+from starlette.types import Receive, Scope, Send
+
+from chivespan.callerrequest import CallerRequest, Responder
+from chivespan.clock import Clock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.forwarding import Forwarder
+from chivespan.logs import logger
+from chivespan.nodemetrics import NodeMetrics
+from chivespan.platform import wire
+from chivespan.routes import Route, RouteKind
+from chivespan.routingstate import RoutingState
+
+STATUS_OK = 200
+STATUS_NOT_READY = 503
+NOT_READY_RETURN = timedelta(milliseconds=500)
+
+_log = logger("callers")
+
+
+class Listener(StrEnum):
+    """What an address is for."""
+
+    FRONT = "front"
+    READY = "ready"
+    DIRECTORY = "directory"
+    METRICS = "metrics"
+
+
+class NodeStanding(Protocol):
+    """How a node stands towards its callers."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes requests."""
+        ...
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it is about to end."""
+        ...
+
+    @property
+    def refuses_new(self) -> bool:
+        """Whether it is so close to its end that it takes nothing more."""
+        ...
+
+    def address_answer(self) -> bytes:
+        """Return the answer to a caller that asks where to connect."""
+        ...
+
+
+class BatchCalls(Protocol):
+    """Serves the calls on batch jobs."""
+
+    async def submit(
+        self, request: CallerRequest, route: Route, responder: Responder
+    ) -> None:
+        """Take a job."""
+        ...
+
+    async def show(self, request: CallerRequest, responder: Responder) -> None:
+        """Answer any other call on a job."""
+        ...
+
+
+class CallerApp:
+    """Answers all HTTP requests to one node.
+
+    :param listeners: what the port of each address is for.
+    """
+
+    def __init__(
+        self,
+        listeners: dict[int, Listener],
+        standing: NodeStanding,
+        routing: RoutingState,
+        forwarder: Forwarder,
+        batch: BatchCalls,
+        metrics: NodeMetrics,
+        clock: Clock,
+    ) -> None:
+        self._listeners = listeners
+        self._standing = standing
+        self._routing = routing
+        self._forwarder = forwarder
+        self._batch = batch
+        self._metrics = metrics
+        self._clock = clock
+        self._answers: dict[Listener, Callable[[Responder], Awaitable[None]]] = {
+            Listener.READY: self._answer_ready,
+            Listener.DIRECTORY: self._answer_directory,
+            Listener.METRICS: self._answer_metrics,
+        }
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        listener = self._listeners[scope["server"][1]]
+        responder = Responder(send, "", closes=self._standing.is_leaving)
+        if listener is not Listener.FRONT:
+            await self._answers[listener](responder)
+            return
+        await self._answer_front(scope, receive, responder)
+
+    async def _answer_ready(self, responder: Responder) -> None:
+        ready = self._standing.is_ready
+        await responder.answer(STATUS_OK if ready else STATUS_NOT_READY)
+
+    async def _answer_directory(self, responder: Responder) -> None:
+        await responder.answer_json(STATUS_OK, self._standing.address_answer())
+
+    async def _answer_metrics(self, responder: Responder) -> None:
+        content_type = (b"content-type", b"text/plain; version=0.0.4")
+        await responder.answer(STATUS_OK, self._metrics.text(), [content_type])
+
+    async def _answer_front(
+        self, scope: Scope, receive: Receive, responder: Responder
+    ) -> None:
+        arrived = self._clock.monotonic()
+        headers: list[tuple[bytes, bytes]] = scope["headers"]
+        by_name = dict(headers)
+        responder.request_id = by_name.get(wire.REQUEST_ID, b"").decode("latin-1")
+        try:
+            body = await self._read_body(receive)
+        except ChivespanError as error:
+            responder.closes = True
+            await responder.refuse(error)
+            return
+        if body is None:
+            return
+        query = scope["query_string"]
+        request = CallerRequest(
+            request_id=responder.request_id,
+            method=scope["method"],
+            host=by_name.get(b"host", b"").decode("latin-1").lower(),
+            path=scope["raw_path"].decode("latin-1"),
+            target=scope["raw_path"] + (b"?" + query if query else b""),
+            headers=headers,
+            body=body,
+            arrived=arrived,
+        )
+        await self._serve_while_connected(request, receive, responder)
+
+    async def _read_body(self, receive: Receive) -> bytes | None:
+        """Return a request's body; None when the caller has left.
+
+        :raises ChivespanError: ``body_too_large``.
+        """
+        table = self._routing.table
+        limit = None if table is None else table.limits.max_body_bytes
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return None
+            chunk = message.get("body", b"")
+            chunks.append(chunk)
+            size += len(chunk)
+            if limit is not None and size > limit:
+                reason = f"the body has more than {limit} bytes"
+                raise ChivespanError(ErrorKind.BODY_TOO_LARGE, reason)
+            if not message.get("more_body", False):
+                return b"".join(chunks)
+
+    async def _serve_while_connected(
+        self, request: CallerRequest, receive: Receive, responder: Responder
+    ) -> None:
+        """Serve a request, and stop as soon as its caller closes the connection."""
+
+        async def watch() -> None:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            if not responder.finished:
+                self._metrics.incr("caller_gone")
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            try:
+                await self._serve(request, responder)
+            except ChivespanError as error:
+                await self._refuse(request, responder, error)
+            tasks.cancel_scope.cancel()
+
+    async def _refuse(
+        self, request: CallerRequest, responder: Responder, error: ChivespanError
+    ) -> None:
+        _log.info(
+            "request_refused",
+            request=request.request_id,
+            host=request.host,
+            path=request.path,
+            kind=error.kind.value,
+            reason=error.message,
+            routing_version=self._routing.version,
+        )
+        self._metrics.incr(f"refused_{error.kind.value}")
+        if not responder.started:
+            await responder.refuse(error)
+
+    async def _serve(self, request: CallerRequest, responder: Responder) -> None:
+        if self._standing.refuses_new:
+            raise ChivespanError(
+                ErrorKind.LEAVING, "this node ends", retry_after=timedelta(0)
+            )
+        if request.path.startswith((wire.JOB_PATH, wire.ITEM_PATH)):
+            await self._batch.show(request, responder)
+            return
+        route = self._route(request)
+        if route.kind is RouteKind.BATCH:
+            await self._batch.submit(request, route, responder)
+        else:
+            await self._forwarder.serve(request, route, responder)
+
+    def _route(self, request: CallerRequest) -> Route:
+        table = self._routing.table
+        if table is None:
+            raise ChivespanError(
+                ErrorKind.NOT_READY,
+                "no configuration is known yet",
+                retry_after=NOT_READY_RETURN,
+            )
+        route = table.find(request.host, request.path)
+        if route is None:
+            reason = f"no route for {request.host}{request.path}"
+            raise ChivespanError(ErrorKind.NOT_FOUND, reason)
+        return route
--- a/chivespan/claimfold.py
+++ b/chivespan/claimfold.py
@@ -12,7 +12,7 @@
 
 from chivespan.codec import decode, encode
 from chivespan.envelope import OpenedRecord, RecordReader
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.recordfold import RecordFold, RecordHandlers
 from chivespan.records import (
     CarriedOutcome,
--- a/chivespan/codec.py
+++ b/chivespan/codec.py
@@ -8,7 +8,7 @@
 import cbor2
 import msgspec
 
-from chivespan import jobmessages, messages, records
+from chivespan import jobmessages, messages, nodemessages, records
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.positional import PositionalClasses
 
@@ -47,7 +47,9 @@
     }
 
 
-MESSAGE_CLASSES = _data_classes(messages) | _data_classes(jobmessages)
+MESSAGE_CLASSES = (
+    _data_classes(messages) | _data_classes(jobmessages) | _data_classes(nodemessages)
+)
 RECORD_CLASSES = _data_classes(records)
 
 
--- a/chivespan/configcopy.py
+++ b/chivespan/configcopy.py
@@ -10,7 +10,7 @@
 from chivespan.configfold import ConfigFold
 from chivespan.configuration import Configuration
 from chivespan.messages import ConfigRecords, ConfigRequest, ConfigSnapshot
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 
 RECENT_RECORDS = 256
 
--- a/chivespan/configfeed.py
+++ b/chivespan/configfeed.py
@@ -19,7 +19,7 @@
 from chivespan.messages import ConfigRecords, ConfigRequest, ConfigSnapshot
 from chivespan.peerlink import Backoff, Counters, PeerLink
 from chivespan.placement import ranked
-from chivespan.platform import LogPage, LogService
+from chivespan.platformservices import LogPage, LogService
 from chivespan.settings import NodeSettings
 
 READERS = 3
--- a/chivespan/configfold.py
+++ b/chivespan/configfold.py
@@ -20,7 +20,7 @@
 from chivespan.documents import DocumentKind
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.recordfold import RecordFold
 from chivespan.records import (
     AuditChange,
--- a/chivespan/configsnapshots.py
+++ b/chivespan/configsnapshots.py
@@ -17,7 +17,7 @@
 from chivespan.messages import ConfigSnapshot
 from chivespan.peerlink import Counters
 from chivespan.placement import owner
-from chivespan.platform import LogService
+from chivespan.platformservices import LogService
 from chivespan.settings import NodeSettings
 from chivespan.snapshots import SnapshotStore
 
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -47,7 +47,7 @@
     listen,
     new_hello,
 )
-from chivespan.platform import LogService, VmList
+from chivespan.platformservices import LogService, VmList
 from chivespan.policies import Policies
 from chivespan.settings import NodeSettings
 from chivespan.sliceowner import SliceOwner
--- a/chivespan/envelope.py
+++ b/chivespan/envelope.py
@@ -12,7 +12,7 @@
 
 from chivespan.codec import RECORD_CLASSES, decode, encode
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.records import Envelope, RecordId, SeenWriter, VoidRecord
 
 SEQUENCE_WINDOW = 4096
--- /dev/null
+++ b/chivespan/fleetlinks.py
@@ -0,0 +1,218 @@
+"""Links between the nodes of the fleet, and which nodes are live.
+
+A node counts as live while a link with it is open; a link without a frame for a while
+is left by both ends. Either end dials; of two links the one dialled by the lower IP
+number stays.
+"""
+
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.addresses import parse_address
+from chivespan.codec import encode_message
+from chivespan.logs import logger
+from chivespan.nodemessages import LoadReport, NodeValue
+from chivespan.nodesettings import FleetNodeSettings
+from chivespan.peerlink import Backoff, LinkEnd, PeerLink, dial_once, listen
+
+DIAL_TURN_S = 0.2
+NO_REPORT = LoadReport(config_version=-1, leaving=False, store_reached=False, loads=[])
+
+_log = logger("links")
+
+
+@dataclass(slots=True)
+class Peer:
+    """A node that is live.
+
+    :param report: the last that it told of itself.
+    """
+
+    node: NodeValue
+    incarnation: str
+    links: list[PeerLink] = field(default_factory=list)
+    report: LoadReport = NO_REPORT
+
+    def send(self, message: object) -> bool:
+        """Send a message; return whether a link was open for it."""
+        return self.send_frame(encode_message(message))
+
+    def send_frame(self, frame: bytes) -> bool:
+        """Send an encoded message; return whether a link was open for it."""
+        return any(link.send_frame(frame) for link in self.links if link.is_open)
+
+
+class FleetListener:
+    """What wants to know of peers; each method does nothing unless overridden."""
+
+    def peer_joined(self, peer: Peer) -> None:
+        """Note that a node has become live."""
+
+    def peer_left(self, peer: Peer) -> None:
+        """Note that a node is live no longer."""
+
+    async def take(self, peer: Peer, message: object) -> None:
+        """Take a message of a peer."""
+
+
+class FleetLinks:
+    """All links of this node.
+
+    :param end: this node's side of them.
+    """
+
+    def __init__(self, settings: FleetNodeSettings, end: LinkEnd) -> None:
+        self._settings = settings
+        self._end = end
+        self._nodes: dict[str, NodeValue] = {}
+        self._peers: dict[str, Peer] = {}
+        self._dialling: set[str] = set()
+        self._changed = anyio.Event()
+        self._listeners: list[FleetListener] = []
+        self.own = NodeValue(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            front_address=settings.front_address,
+            control_address=settings.control_address,
+        )
+
+    @property
+    def peers(self) -> dict[str, Peer]:
+        """All live nodes but this one, by IP number."""
+        return self._peers
+
+    @property
+    def nodes(self) -> list[NodeValue]:
+        """All nodes that are known, this one too, live or not."""
+        return [self.own, *self._nodes.values()]
+
+    def add_listener(self, listener: FleetListener) -> None:
+        """Tell a listener of all peers and messages from now on."""
+        self._listeners.append(listener)
+
+    def is_near(self, peer: Peer) -> bool:
+        """Return whether a peer is in this node's data centre."""
+        return peer.node.data_centre == self._settings.data_centre
+
+    def learn(self, nodes: Iterable[NodeValue]) -> None:
+        """Dial nodes that were not known before."""
+        for node in nodes:
+            if node.vm != self._settings.vm and self._nodes.get(node.vm) != node:
+                self._nodes[node.vm] = node
+                self._tell()
+
+    def forget_unlisted(self, nodes: Iterable[NodeValue]) -> None:
+        """Dial no longer nodes that are listed no more and have no link."""
+        listed = {node.vm for node in nodes}
+        for vm in self._nodes.keys() - listed - self._peers.keys():
+            del self._nodes[vm]
+            self._tell()
+
+    def learn_seeds(self, addresses: Iterable[str]) -> None:
+        """Dial control addresses whose nodes aren't known yet."""
+        for address in addresses:
+            vm = parse_address(address).host
+            if vm != self._settings.vm and vm not in self._nodes:
+                self._nodes[vm] = NodeValue(
+                    vm=vm, data_centre="", front_address="", control_address=address
+                )
+                self._tell()
+
+    async def run(self) -> None:
+        """Take links and dial them, for ever."""
+        own = parse_address(self._settings.control_address)
+        async with (
+            listen(own.host, own.port, self._end, self._hold_accepted),
+            anyio.create_task_group() as tasks,
+        ):
+            while True:
+                self._dial_new(tasks)
+                await self._changed.wait()
+
+    def _dial_new(self, tasks: TaskGroup) -> None:
+        for vm in self._nodes.keys() - self._dialling:
+            self._dialling.add(vm)
+            tasks.start_soon(self._keep, vm)
+
+    async def _keep(self, vm: str) -> None:
+        """Have a link with a node for as long as it is known."""
+        delays = Backoff(Random())
+        if self._settings.vm > vm:
+            await anyio.sleep(DIAL_TURN_S)
+        while vm in self._nodes:
+            if vm in self._peers:
+                await self._changed.wait()
+                continue
+            address = self._nodes[vm].control_address
+            if await dial_once(address, self._end, self._hold_dialled):
+                delays.reset()
+            await anyio.sleep(delays.next().total_seconds())
+        self._dialling.discard(vm)
+
+    async def _hold_accepted(self, link: PeerLink) -> None:
+        await self._hold(link)
+
+    async def _hold_dialled(self, link: PeerLink) -> None:
+        vm = link.remote.vm
+        if vm in self._peers and self._settings.vm > vm:
+            return
+        await self._hold(link)
+
+    async def _hold(self, link: PeerLink) -> None:
+        with self._registered(link) as peer:
+            async for message in link:
+                for listener in self._listeners:
+                    await listener.take(peer, message)
+
+    @contextmanager
+    def _registered(self, link: PeerLink) -> Iterator[Peer]:
+        peer = self._peer_of(link)
+        peer.links.insert(0, link)
+        try:
+            yield peer
+        finally:
+            peer.links.remove(link)
+            if not peer.links and self._peers.get(peer.node.vm) is peer:
+                self._leave(peer)
+
+    def _peer_of(self, link: PeerLink) -> Peer:
+        remote = link.remote
+        known = self._peers.get(remote.vm)
+        if known is not None and known.incarnation == remote.incarnation:
+            return known
+        if known is not None:
+            self._leave(known)
+        node = NodeValue(
+            vm=remote.vm,
+            data_centre=remote.data_centre,
+            front_address=f"{remote.vm}:{remote.serving_port}",
+            control_address=self._control_address(remote.vm),
+        )
+        peer = Peer(node, remote.incarnation)
+        self._peers[remote.vm] = peer
+        self._nodes[remote.vm] = node
+        _log.info("peer_joined", peer=remote.vm, incarnation=remote.incarnation)
+        for listener in self._listeners:
+            listener.peer_joined(peer)
+        self._tell()
+        return peer
+
+    def _leave(self, peer: Peer) -> None:
+        del self._peers[peer.node.vm]
+        _log.info("peer_left", peer=peer.node.vm, incarnation=peer.incarnation)
+        for listener in self._listeners:
+            listener.peer_left(peer)
+        self._tell()
+
+    def _control_address(self, vm: str) -> str:
+        """Return where a node takes links; all nodes use the same port."""
+        return f"{vm}:{parse_address(self._settings.control_address).port}"
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
--- /dev/null
+++ b/chivespan/fleetwatch.py
@@ -0,0 +1,224 @@
+"""Brings routing table, targets and nodes from the store, or from a peer instead."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+import anyio
+import msgspec
+
+from chivespan.clock import Clock
+from chivespan.errors import ChivespanError
+from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
+from chivespan.keyedstore import (
+    KeyedRecord,
+    KeyedStore,
+    Partition,
+    StoreExpired,
+    load_newest,
+)
+from chivespan.logs import logger
+from chivespan.nodemessages import (
+    FleetAnswer,
+    FleetQuery,
+    LoadReport,
+    NodeValue,
+    TargetValue,
+)
+from chivespan.routingstate import RoutingState
+from chivespan.targetentry import TargetEntry
+from chivespan.targetset import TargetSet
+
+CONFIG_WAIT = timedelta(milliseconds=1500)
+TARGETS_INTERVAL = timedelta(milliseconds=700)
+NODES_INTERVAL = timedelta(seconds=4)
+NODES_INTERVAL_AT_START = timedelta(milliseconds=400)
+START_TIME = timedelta(seconds=3)
+RETRY_INTERVAL = timedelta(milliseconds=400)
+PEER_QUERY_INTERVAL = timedelta(milliseconds=250)
+TARGETS_FRESH = timedelta(seconds=1.5)
+NODES = Partition("keyed.nodes")
+
+_log = logger("fleet")
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSources:
+    """Where the fleet's documents lie in the store, and how they are read.
+
+    :param decode_target: raises ``ChivespanError`` for an entry that names no target.
+    """
+
+    routing: Partition
+    routing_key: str
+    targets: Partition
+    decode_target: Callable[[str, bytes], TargetEntry]
+
+
+class FleetWatch(FleetListener):
+    """Keeps this node's view of the fleet up to date."""
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        sources: FleetSources,
+        links: FleetLinks,
+        routing: RoutingState,
+        targets: TargetSet,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._sources = sources
+        self._links = links
+        self._routing = routing
+        self._targets = targets
+        self._clock = clock
+        self._random = Random()
+        self._started = clock.monotonic()
+        self._targets_read: timedelta | None = None
+        self._asked = timedelta(0)
+        self._unreadable: dict[str, bytes] = {}
+        self.store_reached = False
+        links.add_listener(self)
+
+    async def run(self) -> None:
+        """Watch for ever."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_routing)
+            tasks.start_soon(self._watch_targets)
+            tasks.start_soon(self._watch_nodes)
+
+    async def take(self, peer: Peer, message: object) -> None:
+        """Answer a peer that can't read the store, or take its answer."""
+        if isinstance(message, FleetQuery):
+            peer.send(self._answer(message))
+        elif isinstance(message, FleetAnswer):
+            self._take_answer(peer, message)
+        elif isinstance(message, LoadReport) and self._is_ahead(message):
+            self._ask(peer)
+
+    def _is_ahead(self, report: LoadReport) -> bool:
+        return report.config_version > self._routing.version
+
+    async def _watch_routing(self) -> None:
+        while True:
+            try:
+                await self._read_routing()
+            except StoreExpired:
+                continue
+            except ChivespanError as error:
+                self._store_failed("routing", error)
+                await self._sleep(RETRY_INTERVAL)
+
+    async def _read_routing(self) -> None:
+        """Read the newest document, then wait a while for a newer one."""
+        newest = await load_newest(self._store, self._sources.routing)
+        self._offer(newest.records)
+        self._store_answered()
+        page = await self._store.read(self._sources.routing, newest.end, CONFIG_WAIT)
+        self._offer(page.records)
+
+    def _offer(self, records: Iterable[KeyedRecord]) -> None:
+        for record in records:
+            if record.key == self._sources.routing_key and record.value:
+                self._routing.offer(record.value, "store")
+
+    async def _watch_targets(self) -> None:
+        while True:
+            try:
+                page = await load_newest(self._store, self._sources.targets)
+            except ChivespanError as error:
+                self._store_failed("targets", error)
+                await self._sleep(RETRY_INTERVAL)
+                continue
+            self._targets.replace(self._readable(page.records))
+            self._targets_read = self._clock.monotonic()
+            self._store_answered()
+            await self._sleep(TARGETS_INTERVAL)
+
+    def _readable(self, records: Iterable[KeyedRecord]) -> Iterable[TargetEntry]:
+        for record in records:
+            try:
+                yield self._sources.decode_target(record.key, record.value)
+            except ChivespanError as error:
+                if self._unreadable.get(record.key) != record.value:
+                    self._unreadable[record.key] = record.value
+                    _log.warning("target_unreadable", reason=error.message)
+
+    async def _watch_nodes(self) -> None:
+        while True:
+            try:
+                await self._read_nodes()
+            except ChivespanError as error:
+                self._store_failed("nodes", error)
+            started_ago = self._clock.monotonic() - self._started
+            at_start = started_ago < START_TIME
+            await self._sleep(NODES_INTERVAL_AT_START if at_start else NODES_INTERVAL)
+
+    async def _read_nodes(self) -> None:
+        page = await load_newest(self._store, NODES)
+        nodes = [msgspec.json.decode(row.value, type=NodeValue) for row in page.records]
+        if self._links.own not in nodes:
+            await self._store.append(NODES, [self._own_record()])
+        self._links.learn(nodes)
+        self._links.forget_unlisted(nodes)
+
+    async def unlist(self) -> None:
+        """Take this node off the list of nodes."""
+        try:
+            await self._store.append(NODES, [KeyedRecord(self._links.own.vm, b"")])
+        except ChivespanError as error:
+            _log.warning("node_still_listed", reason=error.message)
+
+    def _own_record(self) -> KeyedRecord:
+        own = self._links.own
+        return KeyedRecord(own.vm, msgspec.json.encode(own))
+
+    def _store_answered(self) -> None:
+        if not self.store_reached:
+            self.store_reached = True
+            _log.notice("store_reached")
+
+    def _store_failed(self, what: str, error: ChivespanError) -> None:
+        if self.store_reached:
+            self.store_reached = False
+            _log.warning("store_lost", reading=what, reason=error.message)
+        peers = [peer for peer in self._links.peers.values()]
+        if peers:
+            self._ask(self._random.choice(peers))
+
+    def _ask(self, peer: Peer) -> None:
+        now = self._clock.monotonic()
+        if now - self._asked >= PEER_QUERY_INTERVAL:
+            self._asked = now
+            peer.send(FleetQuery(config_version=self._routing.version))
+
+    def _answer(self, query: FleetQuery) -> FleetAnswer:
+        read = self._targets_read
+        fresh = read is not None and self._clock.monotonic() - read < TARGETS_FRESH
+        targets = self._targets.entries if fresh else ()
+        return FleetAnswer(
+            config=self._routing.document_newer_than(query.config_version),
+            targets=[_target_value(entry) for entry in targets],
+            targets_known=fresh,
+            nodes=self._links.nodes,
+        )
+
+    def _take_answer(self, peer: Peer, answer: FleetAnswer) -> None:
+        if answer.config:
+            self._routing.offer(answer.config, f"peer {peer.node.vm}")
+        if answer.targets_known and not self.store_reached:
+            self._targets.replace(_target_entry(value) for value in answer.targets)
+        self._links.learn(answer.nodes)
+
+    async def _sleep(self, about: timedelta) -> None:
+        await anyio.sleep(about.total_seconds() * self._random.uniform(0.85, 1.15))
+
+
+def _target_value(entry: TargetEntry) -> TargetValue:
+    return msgspec.convert(entry, TargetValue, from_attributes=True)
+
+
+def _target_entry(value: TargetValue) -> TargetEntry:
+    return msgspec.convert(value, TargetEntry, from_attributes=True)
--- a/chivespan/follower.py
+++ b/chivespan/follower.py
@@ -11,7 +11,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.logs import logger
 from chivespan.peerlink import Backoff, Counters
-from chivespan.platform import LogPage, LogService
+from chivespan.platformservices import LogPage, LogService
 from chivespan.snapshots import Fold, SnapshotStore
 
 READ_WAIT = timedelta(seconds=5)
--- /dev/null
+++ b/chivespan/forwarding.py
@@ -0,0 +1,330 @@
+"""Online requests: one target after another, and one whole answer.
+
+A request that may run only once is sent to one target after another only while each
+says that it has not run it. A stream that may be resumed goes on at another target
+within the same answer.
+"""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import StrEnum
+from random import Random
+
+import anyio
+
+from chivespan.callerrequest import CallerRequest, Responder, left, milliseconds
+from chivespan.clock import Clock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.eventstream import EventSplitter
+from chivespan.exchange import Call, NotSent, Reply, exchange
+from chivespan.loadboard import LoadBoard
+from chivespan.logs import logger
+from chivespan.nodemetrics import NodeMetrics
+from chivespan.platform import wire
+from chivespan.routes import Route
+from chivespan.targetentry import TargetEntry
+from chivespan.targetpick import TargetPicker
+
+MAX_UNREACHED = 4
+HEAD_PATIENCE_OBJECTIVES = 2
+STATUS_SERVER_ERROR = 500
+
+_log = logger("online")
+
+
+class SendOutcome(StrEnum):
+    """What became of one send to one target."""
+
+    DELIVERED = "delivered"
+    UNREACHED = "unreached"
+    NOT_RUN = "not_run"
+    BROKEN = "broken"
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far one request has come.
+
+    :ivar may_have_run: whether a target may have begun to work on it.
+    :ivar sends: targets that it was sent to.
+    :ivar in_flight: whether a send is out whose outcome isn't known.
+    """
+
+    until: timedelta
+    service: str
+    tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+    in_flight: bool = False
+    sends: int = 0
+    unreached: int = 0
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+
+    def time_left(self, now: timedelta) -> timedelta:
+        """Return how long the caller still waits."""
+        return left(self.until, now)
+
+    @property
+    def ran_or_may_run(self) -> bool:
+        """Whether "not run" would not be true."""
+        return self.may_have_run or self.in_flight
+
+
+class Forwarder:
+    """Serves the online requests of this node."""
+
+    def __init__(
+        self,
+        picker: TargetPicker,
+        board: LoadBoard,
+        clock: Clock,
+        metrics: NodeMetrics,
+    ) -> None:
+        self._picker = picker
+        self._board = board
+        self._clock = clock
+        self._metrics = metrics
+        self._random = Random()
+
+    async def serve(
+        self, request: CallerRequest, route: Route, responder: Responder
+    ) -> None:
+        """Give a request its answer, or its refusal as soon as that is certain."""
+        progress = Progress(
+            self._until(request, route), route.pick_service(self._random)
+        )
+        outcome = "cancelled"
+        try:
+            with anyio.fail_after(self._time_left(progress).total_seconds()):
+                await self._attempt_all(request, route, progress, responder)
+            outcome = "delivered"
+        except TimeoutError:
+            outcome = "timeout"
+            await self._give_up(_timed_out(progress), responder)
+        except ChivespanError as error:
+            outcome = error.kind.value
+            await self._give_up(error, responder)
+        finally:
+            self._note(request, route, progress, outcome)
+
+    def _until(self, request: CallerRequest, route: Route) -> timedelta:
+        """Return when a request must have its final answer."""
+        deadline = milliseconds(request.header(wire.DEADLINE_MS))
+        patience = route.timeout if deadline is None else min(route.timeout, deadline)
+        return request.arrived + patience
+
+    async def _attempt_all(
+        self,
+        request: CallerRequest,
+        route: Route,
+        progress: Progress,
+        responder: Responder,
+    ) -> None:
+        while True:
+            entry = self._picker.pick(progress.service, progress.tried)
+            if entry is None:
+                raise self._refusal(progress, "no target with a short enough queue")
+            progress.tried.add(entry.target_id)
+            with self._board.hold_online(entry.target_id):
+                outcome = await self._send(request, route, entry, progress, responder)
+            if outcome is SendOutcome.DELIVERED:
+                return
+            self._check_may_repeat(route, progress, outcome)
+
+    def _check_may_repeat(
+        self, route: Route, progress: Progress, outcome: SendOutcome
+    ) -> None:
+        """Raise what the caller is told unless another target may be tried."""
+        if outcome is SendOutcome.UNREACHED:
+            progress.unreached += 1
+            if progress.unreached >= MAX_UNREACHED:
+                raise self._refusal(progress, "no target can be reached")
+            return
+        progress.sends += 1
+        spent = progress.sends >= route.max_attempts
+        if outcome is SendOutcome.BROKEN and (spent or not route.is_repeatable):
+            reason = "the target failed while it may have run the request"
+            raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
+        if spent:
+            raise self._refusal(progress, "the targets asked were full")
+
+    def _refusal(self, progress: Progress, reason: str) -> ChivespanError:
+        if progress.ran_or_may_run:
+            return ChivespanError(ErrorKind.TARGET_FAILED, reason)
+        retry_after = self._picker.return_after(progress.service)
+        return ChivespanError(ErrorKind.NO_CAPACITY, reason, retry_after=retry_after)
+
+    async def _send(
+        self,
+        request: CallerRequest,
+        route: Route,
+        entry: TargetEntry,
+        progress: Progress,
+        responder: Responder,
+    ) -> SendOutcome:
+        """Send a request to one target, and pass its answer on."""
+        began = self._clock.monotonic()
+        progress.in_flight = True
+        try:
+            async with exchange(self._call(request, route, entry, progress)) as reply:
+                outcome = await self._take(reply, request, route, progress, responder)
+        except NotSent as error:
+            outcome = SendOutcome.UNREACHED
+            reason = error.message
+        except ChivespanError as error:
+            outcome = SendOutcome.BROKEN
+            reason = error.message
+        else:
+            reason = str(reply.status)
+        progress.in_flight = False
+        progress.may_have_run |= outcome is SendOutcome.BROKEN
+        self._judge(request, entry, outcome, reason, began)
+        return outcome
+
+    def _call(
+        self,
+        request: CallerRequest,
+        route: Route,
+        entry: TargetEntry,
+        progress: Progress,
+    ) -> Call:
+        time_left = self._time_left(progress)
+        head_timeout = time_left
+        if self._may_resume(route, progress):
+            head_timeout = min(time_left, route.objective * HEAD_PATIENCE_OBJECTIVES)
+        headers = wire.target_headers(
+            request.headers, entry.target_id, time_left, progress.splitter.last_id
+        )
+        return Call(
+            address=entry.address,
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+            head_timeout=head_timeout,
+        )
+
+    async def _take(
+        self,
+        reply: Reply,
+        request: CallerRequest,
+        route: Route,
+        progress: Progress,
+        responder: Responder,
+    ) -> SendOutcome:
+        """Pass an answer on, unless another target should be asked instead."""
+        if wire.says_not_run(reply):
+            return SendOutcome.NOT_RUN
+        if not wire.answers_request(reply, request.request_id):
+            return SendOutcome.BROKEN
+        if wire.would_claim_not_run(reply.status):
+            return SendOutcome.BROKEN
+        failed = reply.status >= STATUS_SERVER_ERROR
+        if failed and (responder.started or self._may_resume(route, progress)):
+            return SendOutcome.BROKEN
+        if not responder.started:
+            await responder.start(reply.status, wire.caller_headers(reply.headers))
+            took = self._clock.monotonic() - request.arrived
+            self._metrics.first_byte(route.kind.value, took)
+        async for chunk in self._body(reply, route, progress):
+            await responder.write(chunk)
+        await responder.finish()
+        return SendOutcome.DELIVERED
+
+    async def _body(
+        self, reply: Reply, route: Route, progress: Progress
+    ) -> AsyncIterator[bytes]:
+        """Yield an answer's body; only whole events where it may be resumed."""
+        if not (route.resumable and route.is_repeatable):
+            async for chunk in reply.chunks:
+                yield chunk
+            return
+        splitter = progress.splitter
+        splitter.drop_partial()
+        while True:
+            received = await self._next_chunk(reply, route, progress)
+            if received is None:
+                break
+            if whole := splitter.feed(received):
+                yield whole
+        if splitter.has_partial:
+            reason = "the stream ended within an event"
+            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+
+    async def _next_chunk(
+        self, reply: Reply, route: Route, progress: Progress
+    ) -> bytes | None:
+        """Return the next chunk, None at the end.
+
+        :raises ChivespanError: ``stream_broken`` after a pause that another target
+            may make shorter.
+        """
+        patience = None
+        if self._may_resume(route, progress):
+            patience = route.longest_gap.total_seconds() or None
+        with anyio.move_on_after(patience):
+            return await anext(reply.chunks, None)
+        raise ChivespanError(ErrorKind.STREAM_BROKEN, "the stream paused for too long")
+
+    def _may_resume(self, route: Route, progress: Progress) -> bool:
+        """Return whether another target may be asked if this one fails."""
+        return route.is_repeatable and progress.sends + 1 < route.max_attempts
+
+    def _judge(
+        self,
+        request: CallerRequest,
+        entry: TargetEntry,
+        outcome: SendOutcome,
+        reason: str,
+        began: timedelta,
+    ) -> None:
+        """Let a target's health know, and say so where it is bad."""
+        if outcome is SendOutcome.DELIVERED:
+            took = self._clock.monotonic() - began
+            self._picker.succeeded(entry.target_id, took)
+            return
+        self._metrics.incr(f"send_{outcome.value}")
+        left_out = False
+        if outcome is not SendOutcome.NOT_RUN:
+            left_out = self._picker.failed(entry.target_id)
+        _log.info(
+            "send_failed",
+            request=request.request_id,
+            target=entry.target_id,
+            outcome=outcome.value,
+            reason=reason,
+            entry_sequence=entry.sequence,
+            left_out=left_out,
+        )
+
+    async def _give_up(self, error: ChivespanError, responder: Responder) -> None:
+        """Tell the caller; an answer that has begun is broken off instead."""
+        if not responder.started:
+            await responder.refuse(error)
+
+    def _time_left(self, progress: Progress) -> timedelta:
+        return progress.time_left(self._clock.monotonic())
+
+    def _note(
+        self, request: CallerRequest, route: Route, progress: Progress, outcome: str
+    ) -> None:
+        took = self._clock.monotonic() - request.arrived
+        self._metrics.answered(route.kind.value, outcome, took)
+        _log.info(
+            "request_ended",
+            request=request.request_id,
+            route=route.name,
+            outcome=outcome,
+            took_ms=round(took.total_seconds() * 1000, 1),
+            sends=progress.sends,
+            targets=sorted(progress.tried),
+            last_event=progress.splitter.last_id,
+            may_have_run=progress.ran_or_may_run,
+        )
+
+
+def _timed_out(progress: Progress) -> ChivespanError:
+    if progress.ran_or_may_run:
+        reason = "no whole answer of a target in time"
+        return ChivespanError(ErrorKind.TARGET_TIMEOUT, reason)
+    return ChivespanError(ErrorKind.NO_CAPACITY, "no target was free in time")
--- a/chivespan/httpapi.py
+++ b/chivespan/httpapi.py
@@ -13,7 +13,7 @@
 from starlette.routing import BaseRoute, Route
 from starlette.types import ASGIApp, Receive, Scope, Send
 
-from chivespan.answers import error_answer, error_response, json_response
+from chivespan.answers import error_response, json_response
 from chivespan.callerapi import (
     ChatRequest,
     CompletionRequest,
@@ -33,6 +33,7 @@
 from chivespan.documents import Owner, Service, ServiceKind
 from chivespan.engineclient import Token
 from chivespan.entrycontext import EntryContext
+from chivespan.errorbody import error_answer
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.messages import WorkClass
 from chivespan.online import OnlineRequest
--- a/chivespan/httplog.py
+++ b/chivespan/httplog.py
@@ -10,7 +10,7 @@
 import httpcore
 
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.platform import LogNotReached, LogPage, LogRecord
+from chivespan.platformservices import LogNotReached, LogPage, LogRecord
 
 APPEND_TIMEOUT = timedelta(seconds=3)
 READ_TIMEOUT = timedelta(seconds=3)
--- a/chivespan/httpserver.py
+++ b/chivespan/httpserver.py
@@ -60,14 +60,14 @@
 
     async def run(self) -> None:
         """Serve until :meth:`stop`; then finish what is in progress and return."""
-        await self._server.serve([_listening(self._address, self._patience)])
+        await self._server.serve([listening(self._address, self._patience)])
 
     def stop(self) -> None:
         """Take no new connections, and end once all requests have been answered."""
         self._server.should_exit = True
 
 
-def _listening(address: tuple[str, int], patience: timedelta) -> socket.socket:
+def listening(address: tuple[str, int], patience: timedelta) -> socket.socket:
     """Return a listening socket; connections that it accepts inherit its options."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     listener = socket.create_server(address, family=family, backlog=BACKLOG)
--- a/chivespan/httpvmlist.py
+++ b/chivespan/httpvmlist.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.platform import ListedVm
+from chivespan.platformservices import ListedVm
 
 FETCH_TIMEOUT_S = 2.0
 _TIMEOUTS = {
--- a/chivespan/jobfold.py
+++ b/chivespan/jobfold.py
@@ -11,7 +11,7 @@
 from chivespan.codec import decode, encode
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.jobmessages import JobPhase, JobState
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.recordfold import RecordFold, RecordHandlers
 from chivespan.records import (
     CarriedChunk,
--- a/chivespan/listpoll.py
+++ b/chivespan/listpoll.py
@@ -8,7 +8,7 @@
 from chivespan.logs import logger
 from chivespan.membership import Membership
 from chivespan.peerlink import Counters
-from chivespan.platform import ListedVm, VmList
+from chivespan.platformservices import ListedVm, VmList
 
 LIST_INTERVAL = timedelta(seconds=1)
 LISTED_VM_TIME = timedelta(milliseconds=22)
--- /dev/null
+++ b/chivespan/loadboard.py
@@ -0,0 +1,112 @@
+"""How many requests all nodes have in progress at each target.
+
+Every node tells the others its own counts. The sum says where slots are free, without
+anybody who owns them: what it knows is as old as the last reports.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+
+import anyio
+
+from chivespan.nodemessages import TargetLoad
+
+
+class LoadBoard:
+    """Counts of requests in progress, own ones and those of peers."""
+
+    def __init__(self) -> None:
+        self._own_online: dict[str, int] = defaultdict(int)
+        self._own_batch: dict[str, int] = defaultdict(int)
+        self._peers: dict[str, tuple[TargetLoad, ...]] = {}
+        self._peer_online: dict[str, int] = defaultdict(int)
+        self._peer_batch: dict[str, int] = defaultdict(int)
+        self._changed = anyio.Event()
+        self._own_changed = anyio.Event()
+
+    def online(self, target_id: str) -> int:
+        """Return the online requests in progress at a target."""
+        return self._own_online[target_id] + self._peer_online[target_id]
+
+    def batch(self, target_id: str) -> int:
+        """Return the batch items in progress at a target."""
+        return self._own_batch[target_id] + self._peer_batch[target_id]
+
+    def total(self, target_id: str) -> int:
+        """Return all requests in progress at a target."""
+        return self.online(target_id) + self.batch(target_id)
+
+    def own_loads(self) -> list[TargetLoad]:
+        """Return this node's own counts, as its reports tell them."""
+        targets = {*self._own_online, *self._own_batch}
+        loads = (
+            TargetLoad(
+                target_id=target_id,
+                online=self._own_online[target_id],
+                batch=self._own_batch[target_id],
+            )
+            for target_id in sorted(targets)
+        )
+        return [load for load in loads if load.online or load.batch]
+
+    @contextmanager
+    def hold_online(self, target_id: str) -> Iterator[None]:
+        """Count an online request for the time of the block."""
+        with self._hold(self._own_online, target_id):
+            yield
+
+    @contextmanager
+    def hold_batch(self, target_id: str) -> Iterator[None]:
+        """Count a batch item for the time of the block."""
+        with self._hold(self._own_batch, target_id):
+            yield
+
+    def report(self, peer: str, loads: Iterable[TargetLoad]) -> None:
+        """Replace the counts of one peer."""
+        self._subtract(peer)
+        kept = tuple(loads)
+        self._peers[peer] = kept
+        for load in kept:
+            self._peer_online[load.target_id] += load.online
+            self._peer_batch[load.target_id] += load.batch
+        self._tell()
+
+    def forget(self, peer: str) -> None:
+        """Drop the counts of a peer that is gone."""
+        self._subtract(peer)
+        self._tell()
+
+    async def wait_changed(self) -> None:
+        """Wait for any change of the counts."""
+        await self._changed.wait()
+
+    async def wait_own_changed(self) -> None:
+        """Wait for a change of this node's own counts."""
+        await self._own_changed.wait()
+
+    @contextmanager
+    def _hold(self, counts: dict[str, int], target_id: str) -> Iterator[None]:
+        counts[target_id] += 1
+        self._tell_own()
+        try:
+            yield
+        finally:
+            counts[target_id] -= 1
+            if not counts[target_id]:
+                del counts[target_id]
+            self._tell_own()
+
+    def _subtract(self, peer: str) -> None:
+        for load in self._peers.pop(peer, ()):
+            self._peer_online[load.target_id] -= load.online
+            self._peer_batch[load.target_id] -= load.batch
+
+    def _tell_own(self) -> None:
+        self._own_changed.set()
+        self._own_changed = anyio.Event()
+        self._tell()
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
--- a/chivespan/membership.py
+++ b/chivespan/membership.py
@@ -20,7 +20,7 @@
     VmView,
 )
 from chivespan.placement import ranked
-from chivespan.platform import ListedVm
+from chivespan.platformservices import ListedVm
 from chivespan.settings import NodeSettings
 
 REMOTE_PEERS = 1
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -30,6 +30,7 @@
     dispatch = 'dispatch'
     batch = 'batch'
     operator = 'operator'
+    node = 'node'
 
 
 class Outcome(StrEnum):
--- /dev/null
+++ b/chivespan/node.py
@@ -0,0 +1,199 @@
+"""All parts of one node, wired, and its life from start to end."""
+
+import signal
+from datetime import timedelta
+from pathlib import Path
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.addresses import parse_address
+from chivespan.callerapp import CallerApp, Listener
+from chivespan.callerserver import CallerServer
+from chivespan.clock import Clock
+from chivespan.errors import ChivespanError
+from chivespan.fleetlinks import FleetLinks
+from chivespan.fleetwatch import FleetSources, FleetWatch
+from chivespan.forwarding import Forwarder
+from chivespan.jsonlog import LineWriter
+from chivespan.keyedstore import Partition
+from chivespan.loadboard import LoadBoard
+from chivespan.loadreports import LoadReports
+from chivespan.logs import logger
+from chivespan.messages import Hello, Program
+from chivespan.nobatch import NoBatch
+from chivespan.nodemetrics import NodeMetrics
+from chivespan.nodesettings import FleetNodeSettings
+from chivespan.nodestanding import Standing
+from chivespan.peerlink import LinkEnd, LinkOptions
+from chivespan.platform import documents
+from chivespan.platform.settingsfile import read_settings
+from chivespan.platform.store import PlatformStore
+from chivespan.routes import CallerLimits
+from chivespan.routingstate import RoutingState
+from chivespan.targetpick import TARGET_CHOICES, TargetPicker
+from chivespan.targetset import TargetSet
+
+LINK_OPTIONS = LinkOptions(
+    peer_key="",
+    heartbeat=timedelta(milliseconds=400),
+    silence=timedelta(seconds=1),
+)
+UPKEEP_INTERVAL_S = 0.25
+TARGET_CHOICE = "shared_counts"
+
+_log = logger("node")
+
+
+class Node:
+    """One node.
+
+    :param path: the settings file, which may change while the node runs.
+    """
+
+    def __init__(
+        self,
+        settings: FleetNodeSettings,
+        path: Path,
+        clock: Clock,
+        writer: LineWriter,
+        incarnation: str,
+        protocol: int,
+    ) -> None:
+        self._settings = settings
+        self._path = path
+        self._clock = clock
+        self._writer = writer
+        self.metrics = NodeMetrics()
+        self.board = LoadBoard()
+        self.targets = TargetSet(clock)
+        self.routing = RoutingState(documents.decode_config)
+        hello = _hello(settings, incarnation, protocol)
+        end = LinkEnd(hello, LINK_OPTIONS, clock, self.metrics)
+        self.links = FleetLinks(settings, end)
+        self.store = PlatformStore(settings.store.address)
+        self.watch = FleetWatch(
+            self.store, _sources(), self.links, self.routing, self.targets, clock
+        )
+        self.standing = Standing(
+            settings, self.links, self.watch, self.routing, self.board, clock
+        )
+        self.reports = LoadReports(self.links, self.board, clock, self.standing.report)
+        self.picker = TargetPicker(
+            self.targets,
+            self.board,
+            settings.data_centre,
+            clock,
+            TARGET_CHOICES[TARGET_CHOICE],
+        )
+        forwarder = Forwarder(self.picker, self.board, clock, self.metrics)
+        listeners = _listeners(settings)
+        app = CallerApp(
+            {parse_address(address).port: use for address, use in listeners.items()},
+            self.standing,
+            self.routing,
+            forwarder,
+            NoBatch(),
+            self.metrics,
+            clock,
+        )
+        self.server = CallerServer(app, list(listeners), self._limits)
+
+    async def run(self) -> None:
+        """Serve until told to end."""
+        _log.notice("started", vm=self._settings.vm, settings=str(self._path))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.links.run)
+            tasks.start_soon(self.watch.run)
+            tasks.start_soon(self.reports.run)
+            tasks.start_soon(self._keep_up)
+            tasks.start_soon(self._heed_signals, tasks)
+            self.links.learn_seeds(self._settings.seeds)
+            await self.server.run()
+            tasks.cancel_scope.cancel()
+        _log.notice("stopped")
+        self._writer.flush()
+
+    def _limits(self) -> CallerLimits:
+        table = self.routing.table
+        return CallerLimits() if table is None else table.limits
+
+    async def _heed_signals(self, tasks: TaskGroup) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
+            async for number in received:
+                if number == signal.SIGHUP:
+                    self._reload()
+                elif not self.standing.is_leaving:
+                    _log.notice("leaving", signal=number.name)
+                    self.standing.leave()
+                    self.reports.send_now()
+                    tasks.start_soon(self._leave)
+
+    async def _leave(self) -> None:
+        """End once callers have gone elsewhere, or when the time is up."""
+        await self.watch.unlist()
+        while not self.standing.must_end:
+            if self.standing.callers_have_left and not self.server.in_progress:
+                break
+            await anyio.sleep(UPKEEP_INTERVAL_S)
+        if self.standing.must_end:
+            _log.warning("time_is_up", in_progress=self.server.in_progress)
+            self.server.stop_at_once()
+        self.server.stop()
+
+    async def _keep_up(self) -> None:
+        """Do what is due now and then."""
+        modified = self._modified()
+        while True:
+            await anyio.sleep(UPKEEP_INTERVAL_S)
+            self._writer.flush()
+            if (now := self._modified()) != modified:
+                modified = now
+                self._reload()
+
+    def _modified(self) -> int:
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError as error:
+            _log.warning("settings_unreadable", reason=repr(error))
+            return 0
+
+    def _reload(self) -> None:
+        """Take in new seeds; nothing else of the settings changes while running."""
+        try:
+            fresh = read_settings(self._path)
+        except ChivespanError as error:
+            _log.error("reload_failed", reason=error.message)
+            return
+        self.links.learn_seeds(fresh.seeds)
+        _log.notice("reloaded", seeds=len(fresh.seeds))
+
+
+def _hello(settings: FleetNodeSettings, incarnation: str, protocol: int) -> Hello:
+    return Hello(
+        vm=settings.vm,
+        program=Program.node,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        incarnation=incarnation,
+        serving_port=parse_address(settings.front_address).port,
+        protocol=protocol,
+    )
+
+
+def _sources() -> FleetSources:
+    return FleetSources(
+        routing=Partition(documents.OPERATOR_TOPIC),
+        routing_key=documents.CONFIG_KEY,
+        targets=Partition(documents.TARGETS_TOPIC),
+        decode_target=documents.decode_target,
+    )
+
+
+def _listeners(settings: FleetNodeSettings) -> dict[str, Listener]:
+    return {
+        settings.front_address: Listener.FRONT,
+        settings.ready_address: Listener.READY,
+        settings.directory_address: Listener.DIRECTORY,
+        f"{settings.vm}:{settings.metrics_port}": Listener.METRICS,
+    }
--- /dev/null
+++ b/chivespan/nodemessages.py
@@ -0,0 +1,251 @@
+"""Data classes generated from schema/nodemessages.yaml; do not edit."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, TypeAlias
+
+NodeMessages: TypeAlias = Any
+"""
+What the nodes of a fleet say to each other over websockets in CBOR.
+"""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLoad:
+    """
+    Requests that one node has in progress at one target.
+    """
+
+    target_id: str
+    online: int
+    batch: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadReport:
+    """
+    All that a node has in progress, and how it stands; replaces its last report.
+    """
+
+    config_version: int
+    """
+    Version of the routing table in force; -1 for none.
+    """
+    leaving: bool
+    store_reached: bool
+    """
+    Whether its last call to the store went well.
+    """
+    loads: list[TargetLoad]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetValue:
+    """
+    One target's entry in the store.
+    """
+
+    target_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    sequence: int
+    started_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NodeValue:
+    """
+    Where one node of the fleet is.
+    """
+
+    vm: str
+    """
+    IP number of the node's VM.
+    """
+    data_centre: str
+    front_address: str
+    """
+    Where it takes callers.
+    """
+    control_address: str
+    """
+    Where it takes links.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetQuery:
+    """
+    Asks a peer for what the store would say, while the store can't be reached.
+    """
+
+    config_version: int
+    """
+    Version that the sender has; -1 for none.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetAnswer:
+    """
+    What the peer knows; from the store a short while ago.
+    """
+
+    config: bytes
+    """
+    The newest configuration; empty when the sender has it.
+    """
+    targets: list[TargetValue]
+    targets_known: bool
+    """
+    Whether the peer has just read the targets from the store.
+    """
+    nodes: list[NodeValue]
+
+
+class BatchVerb(StrEnum):
+    """
+    What is asked of a batch partition's owner.
+    """
+
+    submit = 'submit'
+    page = 'page'
+    body = 'body'
+    end = 'end'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BatchQuestion:
+    """
+    A caller's call on a batch job, passed on to the owner of its partition.
+    """
+
+    question: int
+    """
+    Unique to the sender's run.
+    """
+    verb: BatchVerb
+    partition: int
+    host: str
+    route: str
+    """
+    Name of the route of a submission.
+    """
+    job_id: str
+    item_id: str
+    """
+    Item whose body is wanted.
+    """
+    start: int
+    """
+    First position of a page.
+    """
+    wait_ms: int
+    """
+    How long a page may wait for its first result.
+    """
+    body: bytes
+    """
+    Items of a submission.
+    """
+    patience_ms: int
+    """
+    How long the sender waits for the answer.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BatchReply:
+    """
+    The owner's answer.
+    """
+
+    question: int
+    kind: str
+    """
+    Kind of error; empty when all went well.
+    """
+    body: bytes
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemHeader:
+    """
+    One header of an item's request.
+    """
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemStart:
+    """
+    Leases an item of a batch job to a node, which runs it at one target.
+    """
+
+    lease: int
+    """
+    Unique to the owner's run.
+    """
+    job_id: str
+    item_id: str
+    target_id: str
+    host: str
+    path: str
+    headers: list[ItemHeader]
+    body: bytes
+    last_event: int
+    """
+    The run goes on behind this event; 0 for the start.
+    """
+    patience_ms: int
+    """
+    How long the run may take.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemStop:
+    """
+    Ends a lease; whatever was produced is not wanted.
+    """
+
+    lease: int
+
+
+class ItemEnding(StrEnum):
+    """
+    How a leased run ended.
+    """
+
+    done = 'done'
+    yielded = 'yielded'
+    broken = 'broken'
+    failed = 'failed'
+    impossible = 'impossible'
+    not_run = 'not_run'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemOutput:
+    """
+    Events of a leased run, in order and without gaps, and its end if it has ended.
+    """
+
+    lease: int
+    last_event: int
+    """
+    Id of the last event in the text.
+    """
+    text: list[str]
+    """
+    Data of the events since the last output.
+    """
+    ending: ItemEnding | None
--- /dev/null
+++ b/chivespan/nodestanding.py
@@ -0,0 +1,101 @@
+"""How a node stands: whether it takes requests, and which nodes callers should use."""
+
+from datetime import timedelta
+
+from chivespan.clock import Clock
+from chivespan.fleetlinks import FleetLinks
+from chivespan.fleetwatch import FleetWatch
+from chivespan.loadboard import LoadBoard
+from chivespan.nodemessages import LoadReport
+from chivespan.nodesettings import FleetNodeSettings
+from chivespan.platform import wire
+from chivespan.routingstate import NO_VERSION, RoutingState
+
+ADDRESS_LIFETIME = timedelta(seconds=1)
+ADDRESS_LIFETIMES_KEPT = 3
+MAX_ADDRESSES = 64
+# Time that requests in progress get behind the last one that is taken.
+LAST_REQUEST_TIME = timedelta(seconds=5)
+END_MARGIN = timedelta(milliseconds=600)
+
+
+class Standing:
+    """This node as its callers and peers see it."""
+
+    def __init__(
+        self,
+        settings: FleetNodeSettings,
+        links: FleetLinks,
+        watch: FleetWatch,
+        routing: RoutingState,
+        board: LoadBoard,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._links = links
+        self._watch = watch
+        self._routing = routing
+        self._board = board
+        self._clock = clock
+        self._leaving_since: timedelta | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes requests."""
+        return not self.is_leaving and self._routing.version != NO_VERSION
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it has been told to end."""
+        return self._leaving_since is not None
+
+    @property
+    def refuses_new(self) -> bool:
+        """Whether a request taken now might be cut by the node's end."""
+        return self.is_leaving and self._time_leaving() >= self._takes_requests_for()
+
+    @property
+    def callers_have_left(self) -> bool:
+        """Whether no caller still holds an answer that names this node."""
+        kept = ADDRESS_LIFETIME * ADDRESS_LIFETIMES_KEPT
+        return self.is_leaving and self._time_leaving() >= kept
+
+    @property
+    def must_end(self) -> bool:
+        """Whether the time to leave is nearly over."""
+        grace = timedelta(seconds=self._settings.grace_s) - END_MARGIN
+        return self.is_leaving and self._time_leaving() >= grace
+
+    def leave(self) -> None:
+        """Note that the node has been told to end."""
+        if self._leaving_since is None:
+            self._leaving_since = self._clock.monotonic()
+
+    def address_answer(self) -> bytes:
+        """Return the front addresses of the live nodes, and how long they hold."""
+        peers = self._links.peers.values()
+        addresses = [
+            peer.node.front_address for peer in peers if not peer.report.leaving
+        ]
+        if not self.is_leaving or not addresses:
+            addresses.append(self._settings.front_address)
+        lifetime = ADDRESS_LIFETIME.total_seconds()
+        return wire.encode_addresses(sorted(addresses)[:MAX_ADDRESSES], lifetime)
+
+    def report(self) -> LoadReport:
+        """Return what peers are told."""
+        return LoadReport(
+            config_version=self._routing.version,
+            leaving=self.is_leaving,
+            store_reached=self._watch.store_reached,
+            loads=self._board.own_loads(),
+        )
+
+    def _time_leaving(self) -> timedelta:
+        since = self._leaving_since
+        return timedelta(0) if since is None else self._clock.monotonic() - since
+
+    def _takes_requests_for(self) -> timedelta:
+        kept = ADDRESS_LIFETIME * ADDRESS_LIFETIMES_KEPT
+        grace = timedelta(seconds=self._settings.grace_s)
+        return max(kept, grace - LAST_REQUEST_TIME)
--- a/chivespan/nodeview.py
+++ b/chivespan/nodeview.py
@@ -26,7 +26,7 @@
 )
 from chivespan.peerlink import Backoff, LinkEnd, PeerLink, dial_once
 from chivespan.placement import ranked
-from chivespan.platform import VmList
+from chivespan.platformservices import VmList
 from chivespan.settings import NodeSettings
 from chivespan.slices import Slice, slices_of
 
--- a/chivespan/operatorlog.py
+++ b/chivespan/operatorlog.py
@@ -14,7 +14,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.operatorresults import ApplyOutcome, OutcomeResult
 from chivespan.orderaudit import NotedOrder, read_orders
-from chivespan.platform import LogService
+from chivespan.platformservices import LogService
 from chivespan.records import (
     AuditEntry,
     ConfigChange,
--- a/chivespan/orderaudit.py
+++ b/chivespan/orderaudit.py
@@ -13,7 +13,7 @@
 from chivespan.envelope import decode_envelope, encode_record, open_envelope
 from chivespan.errors import ChivespanError
 from chivespan.peerlink import Counters
-from chivespan.platform import LogPage, LogService
+from chivespan.platformservices import LogPage, LogService
 from chivespan.records import OrderRecord, RecordId
 
 ORDER_STREAM = "orders"
--- a/chivespan/partitions.py
+++ b/chivespan/partitions.py
@@ -21,7 +21,7 @@
 from chivespan.jobrunner import START_GRACE, JobRunner, PartitionParts
 from chivespan.jobstore import JobStore
 from chivespan.metrics import Metrics
-from chivespan.platform import LogService
+from chivespan.platformservices import LogService
 from chivespan.resultbuffer import ResultBuffer
 from chivespan.settings import NodeSettings
 from chivespan.snapshots import SnapshotStore
--- a/chivespan/partitionstore.py
+++ b/chivespan/partitionstore.py
@@ -4,7 +4,7 @@
 
 from chivespan.appender import Appender
 from chivespan.follower import Follower
-from chivespan.platform import LogService
+from chivespan.platformservices import LogService
 from chivespan.snapshots import Fold
 
 AnyFold = TypeVar("AnyFold", bound=Fold)
--- /dev/null
+++ b/chivespan/platform/documents.py
@@ -0,0 +1,190 @@
+"""What the operator and the runners write into the store, decoded."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+
+import msgspec
+
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.routes import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    ServiceShare,
+)
+from chivespan.targetentry import TargetEntry
+
+OPERATOR_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+TARGETS_TOPIC = "keyed.servers"
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "stream": RouteKind.STREAM,
+    "batch_job": RouteKind.BATCH,
+}
+_STATES = {"ready": False, "draining": True}
+
+
+class _Weighted(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    pathPrefix: str  # noqa: N815
+    kind: str
+    # How long the operator wants a request kept waiting at most.
+    timeoutMs: float = 5000  # noqa: N815
+    # Time within which an answer earns its full credit.
+    goalMs: float = 1000  # noqa: N815
+    priority: int = 0
+    service: str = ""
+    weightedServices: list[_Weighted] = []  # noqa: N815
+    maxAttempts: int = 1  # noqa: N815
+    resumable: bool = False
+    gapAimMs: float = 0  # noqa: N815
+    dueMs: float = 0  # noqa: N815
+    # Of a route: when items may be given up. In the settings: the store's history.
+    retentionS: float = 0  # noqa: N815
+    # Of a route: tokens that may wait. Of an engine: event calls that may wait.
+    cap: int = 0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    healthPath: str = ""  # noqa: N815
+    maxConns: int = 0  # noqa: N815
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    maxHeaderBytes: int = 16384  # noqa: N815
+    maxBodyBytes: int = 4194304  # noqa: N815
+    headerTimeoutMs: float = 3000  # noqa: N815
+    idleTimeoutMs: float = 15000  # noqa: N815
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    # Counts the runner's writes, also those that change nothing else.
+    seq: int
+    # The version of the runner's software, not of its weights.
+    version: str
+    # How much longer the runner stays slow after its start.
+    coldLeftMs: float  # noqa: N815
+    # Unix millisecond of the runner's start.
+    born: int = 0
+
+
+_CONFIGS = msgspec.json.Decoder(_Config)
+_ENTRIES = msgspec.json.Decoder(_Entry)
+
+
+def decode_config(value: bytes) -> RoutingTable:
+    """Return the routing table of the operator's document.
+
+    :raises ChivespanError: ``invalid_document`` when it can't be read.
+    """
+    try:
+        config = _CONFIGS.decode(value)
+        return RoutingTable(
+            version=config.version,
+            routes=tuple(_routes(config)),
+            services=tuple(_service(service) for service in config.services),
+            limits=_limits(config.limits),
+        )
+    except (msgspec.DecodeError, KeyError) as error:
+        reason = f"configuration can't be read: {error!r}"
+        raise ChivespanError(ErrorKind.INVALID_DOCUMENT, reason) from error
+
+
+def decode_target(target_id: str, value: bytes) -> TargetEntry:
+    """Return a runner's entry.
+
+    :raises ChivespanError: ``invalid_document`` when it names no runner to use.
+    """
+    try:
+        entry = _ENTRIES.decode(value)
+        host, _, port = entry.address.rpartition(":")
+        if not host or not port.isdecimal() or entry.slots < 1:
+            raise ValueError(f"address {entry.address!r}, slots {entry.slots}")
+        return TargetEntry(
+            target_id=target_id,
+            service=entry.service,
+            address=entry.address,
+            data_centre=entry.zone,
+            slots=entry.slots,
+            draining=_STATES[entry.state],
+            sequence=entry.seq,
+            started_ms=entry.born,
+        )
+    except (msgspec.DecodeError, ValueError, KeyError) as error:
+        reason = f"entry of {target_id!r} can't be read: {error!r}"
+        raise ChivespanError(ErrorKind.INVALID_DOCUMENT, reason) from error
+
+
+def _routes(config: _Config) -> Iterator[Route]:
+    for route in config.routes:
+        yield Route(
+            name=route.name,
+            host=route.host.lower(),
+            path_prefix=route.pathPrefix,
+            kind=_KINDS.get(route.kind, RouteKind.NON_IDEMPOTENT),
+            timeout=_ms(route.timeoutMs),
+            objective=_ms(route.goalMs),
+            priority=route.priority,
+            shares=_shares(route),
+            max_attempts=max(1, route.maxAttempts),
+            resumable=route.resumable,
+            longest_gap=_ms(route.gapAimMs),
+            due=_ms(route.dueMs),
+            abandon_after=timedelta(seconds=route.retentionS),
+            waiting_tokens_limit=route.cap,
+        )
+
+
+def _shares(route: _Route) -> tuple[ServiceShare, ...]:
+    if not route.weightedServices:
+        return (ServiceShare(route.service, 1),)
+    return tuple(
+        ServiceShare(share.service, share.weight) for share in route.weightedServices
+    )
+
+
+def _service(service: _Service) -> Service:
+    slots = service.engine.slots if service.engine else 0
+    return Service(service.name, service.healthPath, service.maxConns, slots)
+
+
+def _limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        max_header_bytes=limits.maxHeaderBytes,
+        max_body_bytes=limits.maxBodyBytes,
+        header_timeout=_ms(limits.headerTimeoutMs),
+        idle_timeout=_ms(limits.idleTimeoutMs),
+    )
+
+
+def _ms(value: float) -> timedelta:
+    return timedelta(milliseconds=value)
--- /dev/null
+++ b/chivespan/platform/settingsfile.py
@@ -0,0 +1,71 @@
+"""The settings file that the platform writes for each process."""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.nodesettings import FleetNodeSettings, StoreSettings
+
+PATH_VARIABLE = "CHIVESPAN_SETTINGS"
+DEFAULT_PATH = "/etc/chivespan/local.toml"
+
+
+def settings_path(environment: Mapping[str, str]) -> Path:
+    """Return where the settings file is."""
+    return Path(environment.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def read_settings(path: Path) -> FleetNodeSettings:
+    """Return the settings that the file holds; fields not known are ignored.
+
+    :raises ChivespanError: ``invalid_setting`` where the file can't be used.
+    """
+    try:
+        return decode_settings(tomllib.loads(path.read_text()))
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        reason = f"{path} can't be read: {error}"
+        raise ChivespanError(ErrorKind.INVALID_SETTING, reason) from error
+
+
+def decode_settings(document: Mapping[str, Any]) -> FleetNodeSettings:
+    """Return the settings of a parsed file.
+
+    :raises ChivespanError: ``invalid_setting`` naming the field that is wrong.
+    """
+    try:
+        return _decode(document)
+    except (KeyError, TypeError, ValueError) as error:
+        reason = f"settings file: {error!r}"
+        raise ChivespanError(ErrorKind.INVALID_SETTING, reason) from error
+
+
+def _decode(document: Mapping[str, Any]) -> FleetNodeSettings:
+    listen = document["listenAddrs"]
+    bounds = document.get("bounds", {})
+    limits = document.get("limits", {})
+    platform = document["platform"]
+    store = StoreSettings(
+        address=str(platform["address"]),
+        max_record_bytes=int(platform.get("recordBytes", 262144)),
+        max_call_bytes=int(platform.get("callBytes", 2097152)),
+    )
+    return FleetNodeSettings(
+        name=str(document["nodeName"]),
+        vm=str(document["ip"]),
+        data_centre=str(document["zone"]),
+        region=str(document["region"]),
+        front_address=str(listen["front"]),
+        ready_address=str(listen["ready"]),
+        control_address=str(listen["control"]),
+        directory_address=str(listen["directory"]),
+        seeds=[str(seed) for seed in document.get("seeds", ())],
+        store=store,
+        grace_s=float(bounds.get("graceS", 8.0)),
+        target_heartbeat_ms=int(document.get("heartbeatMs", 1200)),
+        address_lifetime_limit_s=float(bounds.get("ttl_max_s", 5.0)),
+        job_status_s=float(bounds.get("statusS", 120.0)),
+        quota_overage=float(bounds.get("quotaOverage", 0.1)),
+        memory_mb=int(limits.get("memoryMb", 330)),
+    )
--- /dev/null
+++ b/chivespan/routes.py
@@ -0,0 +1,165 @@
+"""Which service a request goes to, and what its route allows: the routing table."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import StrEnum
+from functools import cached_property
+from random import Random
+
+
+class RouteKind(StrEnum):
+    """What may be done with the requests of a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """One of the services that share a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one host whose paths begin alike.
+
+    :param timeout: longest time that a request may be kept waiting.
+    :param objective: time within which an answer earns its full worth.
+    :param priority: rank of its requests; 0 is the most urgent.
+    :param max_attempts: most targets that one request may be sent to.
+    :param resumable: whether a broken stream may go on at another target.
+    :param longest_gap: longest pause between events of a stream that is on time.
+    :param due: time after a job's submission at which all its results are due.
+    :param abandon_after: time after a job's submission at which items may be given up.
+    :param waiting_tokens_limit: most tokens of all accepted items; 0 for no limit.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout: timedelta
+    objective: timedelta
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int
+    resumable: bool = False
+    longest_gap: timedelta = timedelta(0)
+    due: timedelta = timedelta(0)
+    abandon_after: timedelta = timedelta(0)
+    waiting_tokens_limit: int = 0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or (
+            self.kind is RouteKind.STREAM and self.resumable
+        )
+
+    def pick_service(self, random: Random) -> str:
+        """Return the service of one request, drawn by the shares' weights."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        names = [share.service for share in self.shares]
+        weights = [share.weight for share in self.shares]
+        if not sum(weights):
+            return names[0]
+        return random.choices(names, weights)[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A group of targets that serve alike.
+
+    :param slots: requests that each target runs at a time; 0 where unknown.
+    :param max_connections: connections that a target takes from all callers.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout: timedelta = timedelta(seconds=3)
+    idle_timeout: timedelta = timedelta(seconds=15)
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """All routes and services of one version of the configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path.
+
+        >>> short = example_route(path_prefix="/a/")
+        >>> long = example_route(path_prefix="/a/b/")
+        >>> table = RoutingTable(1, (short, long), ())
+        >>> table.find("h", "/a/b/c").path_prefix, table.find("h", "/b/")
+        ('/a/b/', None)
+        """
+        prefixes = self._by_host.get(host, {})
+        for candidate in _prefixes(path):
+            if candidate in prefixes:
+                return prefixes[candidate]
+        return None
+
+    def batch_routes(self, host: str) -> Iterator[Route]:
+        """Yield the routes of a host that take batch jobs."""
+        routes = self._by_host.get(host, {}).values()
+        yield from (route for route in routes if route.kind is RouteKind.BATCH)
+
+    def route_named(self, name: str) -> Route | None:
+        """Return the route of that name."""
+        return self._by_name.get(name)
+
+    @cached_property
+    def _by_host(self) -> dict[str, dict[str, Route]]:
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, {})[route.path_prefix] = route
+        return by_host
+
+    @cached_property
+    def _by_name(self) -> dict[str, Route]:
+        return {route.name: route for route in self.routes}
+
+
+def _prefixes(path: str) -> Iterable[str]:
+    """Yield the parts of a path that end with a slash, the longest first."""
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield path[: end + 1]
+
+
+def example_route(path_prefix: str = "/a/") -> Route:
+    """Return a route for examples and tests."""
+    second = timedelta(seconds=1)
+    return Route(
+        name="r",
+        host="h",
+        path_prefix=path_prefix,
+        kind=RouteKind.STREAM,
+        timeout=5 * second,
+        objective=second,
+        priority=0,
+        shares=(ServiceShare("s", 1),),
+        max_attempts=1,
+    )
--- a/chivespan/snapshots.py
+++ b/chivespan/snapshots.py
@@ -16,7 +16,7 @@
 from chivespan.clock import NO_WAIT
 from chivespan.envelope import decode_envelope, encode_record, open_envelope
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.platform import LogRecord, LogService
+from chivespan.platformservices import LogRecord, LogService
 from chivespan.records import RecordId, Snapshot
 
 PART_BYTES = 512 * 1024
--- /dev/null
+++ b/chivespan/targetpick.py
@@ -0,0 +1,174 @@
+"""Which target an online request goes to, or that it is refused.
+
+Free slots of this data centre come first, then free slots elsewhere. When no slot is
+free, a request may wait at the target with the shortest queue of online requests: batch
+there makes room. A request that would wait too long there is refused.
+"""
+
+from collections.abc import Callable, Container, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import TypeAlias
+
+from chivespan.clock import Clock
+from chivespan.loadboard import LoadBoard
+from chivespan.registry import Registry
+from chivespan.targetentry import TargetEntry
+from chivespan.targethealth import HealthState, TargetHealth
+from chivespan.targetset import TargetSet
+
+QUEUE_SHARE_OF_SLOTS = 0.5
+RETURN_SPREAD = 0.4
+FIRST_SERVICE_TIME = timedelta(milliseconds=700)
+SERVICE_TIME_SMOOTHING = 0.05
+SHORTEST_RETURN = timedelta(milliseconds=100)
+LONGEST_RETURN = timedelta(seconds=2)
+NO_TARGET_RETURN = timedelta(milliseconds=500)
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """One target that a request may go to.
+
+    :param slots: how many of its slots may be used now.
+    """
+
+    entry: TargetEntry
+    slots: int
+    online: int
+    batch: int
+    near: bool
+
+    @property
+    def free(self) -> int:
+        """Slots that nothing uses."""
+        return self.slots - self.online - self.batch
+
+    @property
+    def waits_long(self) -> bool:
+        """Whether too many online requests are there already."""
+        return self.online >= self.slots * (1 + QUEUE_SHARE_OF_SLOTS)
+
+
+TargetChoice: TypeAlias = Callable[[Sequence[Candidate], Random], Candidate | None]
+TARGET_CHOICES: Registry[TargetChoice] = Registry("target choice")
+
+
+@TARGET_CHOICES.register("shared_counts")
+def choose_by_shared_counts(
+    candidates: Sequence[Candidate], random: Random
+) -> Candidate | None:
+    """Return the best target by what all nodes have in progress; None to refuse."""
+    free = [candidate for candidate in candidates if candidate.free > 0]
+    near = [candidate for candidate in free if candidate.near]
+    if near or free:
+        return _most(near or free, random, lambda candidate: candidate.free)
+    short = [candidate for candidate in candidates if not candidate.waits_long]
+    return _most(short, random, lambda candidate: candidate.slots - candidate.online)
+
+
+@TARGET_CHOICES.register("least_in_progress")
+def choose_least_in_progress(
+    candidates: Sequence[Candidate], random: Random
+) -> Candidate | None:
+    """Return the target with the fewest requests; never refuses."""
+    return _most(
+        candidates, random, lambda candidate: -candidate.online - candidate.batch
+    )
+
+
+def _most(
+    candidates: Sequence[Candidate], random: Random, score: Callable[[Candidate], int]
+) -> Candidate | None:
+    """Return one of the candidates with the highest score."""
+    if not candidates:
+        return None
+    best = max(score(candidate) for candidate in candidates)
+    return random.choice([each for each in candidates if score(each) == best])
+
+
+class TargetPicker:
+    """Picks targets for this node's online requests.
+
+    :param choose: the policy that decides.
+    """
+
+    def __init__(
+        self,
+        targets: TargetSet,
+        board: LoadBoard,
+        data_centre: str,
+        clock: Clock,
+        choose: TargetChoice,
+    ) -> None:
+        self._targets = targets
+        self._board = board
+        self._data_centre = data_centre
+        self._clock = clock
+        self._choose = choose
+        self._random = Random()
+        self._health: dict[str, TargetHealth] = {}
+        self._service_time = FIRST_SERVICE_TIME
+
+    def pick(self, service: str, excluded: Container[str] = ()) -> TargetEntry | None:
+        """Return the target for one request; None to refuse it.
+
+        :param excluded: ids of targets that have had it already.
+        """
+        candidates = [
+            candidate
+            for candidate in self.candidates(service)
+            if candidate.entry.target_id not in excluded
+        ]
+        chosen = self._choose(candidates, self._random)
+        return None if chosen is None else chosen.entry
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return all targets of a service that may be given work."""
+        now = self._clock.monotonic()
+        return [
+            self._candidate(entry, slots)
+            for entry in self._targets.usable(service)
+            if (slots := self._slots(entry, now)) > 0
+        ]
+
+    def return_after(self, service: str) -> timedelta:
+        """Return when a refused request has a chance, spread over callers."""
+        candidates = self.candidates(service)
+        slots = sum(candidate.slots for candidate in candidates)
+        if not slots:
+            return NO_TARGET_RETURN * self._random.uniform(1, 1 + RETURN_SPREAD)
+        waiting = sum(max(0, -candidate.free) for candidate in candidates)
+        wait = self._service_time * ((waiting + 1) / slots)
+        wait = min(max(wait, SHORTEST_RETURN), LONGEST_RETURN)
+        return wait * self._random.uniform(1, 1 + RETURN_SPREAD)
+
+    def succeeded(self, target_id: str, took: timedelta) -> None:
+        """Note a whole answer of a target."""
+        self._health_of(target_id).record_success()
+        change = (took - self._service_time) * SERVICE_TIME_SMOOTHING
+        self._service_time += change
+
+    def failed(self, target_id: str) -> bool:
+        """Note a failure of a target; return whether it is left out from now on."""
+        health = self._health_of(target_id)
+        was_left_out = health.state is HealthState.EJECTED
+        health.record_failure(self._clock.monotonic())
+        return health.state is HealthState.EJECTED and not was_left_out
+
+    def _candidate(self, entry: TargetEntry, slots: int) -> Candidate:
+        return Candidate(
+            entry=entry,
+            slots=slots,
+            online=self._board.online(entry.target_id),
+            batch=self._board.batch(entry.target_id),
+            near=entry.data_centre == self._data_centre,
+        )
+
+    def _slots(self, entry: TargetEntry, now: timedelta) -> int:
+        health = self._health.get(entry.target_id)
+        return entry.slots if health is None else health.slots(entry.slots, now)
+
+    def _health_of(self, target_id: str) -> TargetHealth:
+        return self._health.setdefault(target_id, TargetHealth())
--- /dev/null
+++ b/chivespan/targetset.py
@@ -0,0 +1,90 @@
+"""The targets that this node may send requests to, as far as it knows.
+
+Entries come from the store, or from a peer while the store can't be reached. A target
+whose entry lapsed while the store was away gets a while to renew it.
+"""
+
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+
+from chivespan.clock import Clock
+from chivespan.logs import logger
+from chivespan.targetentry import TargetEntry
+
+RENEWAL_TIME = timedelta(seconds=2)
+# Entries lapse only when the store is away for longer than this.
+SHORT_GAP = timedelta(seconds=2.5)
+REMEMBER_GONE = timedelta(seconds=60)
+
+_log = logger("targets")
+
+
+class TargetSet:
+    """All targets by id, with what the newest entries say."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._entries: dict[str, TargetEntry] = {}
+        self._gone: dict[str, tuple[TargetEntry, timedelta]] = {}
+        self._replaced: timedelta | None = None
+        self._lapses_count_from = timedelta(0)
+
+    @property
+    def entries(self) -> tuple[TargetEntry, ...]:
+        """All entries, also of targets that are draining."""
+        return tuple(self._entries.values())
+
+    def find(self, target_id: str) -> TargetEntry | None:
+        """Return the entry of a target that may be sent to."""
+        entry = self._entries.get(target_id)
+        return None if entry is None or entry.draining else entry
+
+    def usable(self, service: str) -> Iterator[TargetEntry]:
+        """Yield the targets of a service that take new requests."""
+        for entry in self._entries.values():
+            if entry.service == service and not entry.draining:
+                yield entry
+
+    def replace(self, entries: Iterable[TargetEntry]) -> None:
+        """Take in all entries that the store has now."""
+        now = self._clock.monotonic()
+        if self._replaced is not None and now - self._replaced > SHORT_GAP:
+            self._lapses_count_from = now + RENEWAL_TIME
+        self._replaced = now
+        listed = {entry.target_id: entry for entry in entries}
+        for entry in listed.values():
+            self._take(entry, now)
+        if now >= self._lapses_count_from:
+            self._drop_missing(listed.keys(), now)
+
+    def _take(self, entry: TargetEntry, now: timedelta) -> None:
+        if self._is_old(entry, now):
+            return
+        known = self._entries.get(entry.target_id)
+        self._entries[entry.target_id] = entry
+        self._gone.pop(entry.target_id, None)
+        if known is None or known.draining != entry.draining:
+            _log.info(
+                "target_seen",
+                target=entry.target_id,
+                service=entry.service,
+                address=entry.address,
+                draining=entry.draining,
+                sequence=entry.sequence,
+            )
+
+    def _is_old(self, entry: TargetEntry, now: timedelta) -> bool:
+        known = self._entries.get(entry.target_id)
+        if known is not None:
+            return entry.age < known.age
+        gone = self._gone.get(entry.target_id)
+        if gone is None:
+            return False
+        last, gone_at = gone
+        return entry.age <= last.age and now - gone_at < REMEMBER_GONE
+
+    def _drop_missing(self, listed: Iterable[str], now: timedelta) -> None:
+        for target_id in self._entries.keys() - set(listed):
+            entry = self._entries.pop(target_id)
+            self._gone[target_id] = (entry, now)
+            _log.info("target_gone", target=target_id, sequence=entry.sequence)
--- a/chivespan/upkeep.py
+++ b/chivespan/upkeep.py
@@ -24,7 +24,7 @@
 from chivespan.jobstore import JobStore
 from chivespan.logs import logger
 from chivespan.peerlink import Counters
-from chivespan.platform import LogService
+from chivespan.platformservices import LogService
 from chivespan.records import (
     CarriedChunk,
     CarriedOutcome,
--- a/tests/controlnodes.py
+++ b/tests/controlnodes.py
@@ -32,7 +32,7 @@
 from chivespan.metrics import Metrics
 from chivespan.nodeview import NodeView
 from chivespan.peerlink import LinkEnd, LinkOptions, new_hello
-from chivespan.platform import ListedVm
+from chivespan.platformservices import ListedVm
 from chivespan.policies import Policies
 from chivespan.records import ConfigChange, DocumentChange, RecordId
 from chivespan.settings import NodeSettings
--- a/tests/fakelog.py
+++ b/tests/fakelog.py
@@ -10,7 +10,7 @@
 
 from chivespan.envelope import decode_envelope
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.platform import LogNotReached, LogPage, LogRecord
+from chivespan.platformservices import LogNotReached, LogPage, LogRecord
 
 
 @dataclass
--- a/tests/faults/config_cells.py
+++ b/tests/faults/config_cells.py
@@ -14,7 +14,7 @@
 from chivespan.httplog import HttpLog
 from chivespan.operatorlog import OperatorLog, Published
 from chivespan.operatorresults import ApplyOutcome
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.records import ConfigChange, DocumentChange
 from standins.logservice import AppendHook, LogFaults, LogStandIn
 from standins.serving import serving
--- a/tests/faults/operator_cells.py
+++ b/tests/faults/operator_cells.py
@@ -11,7 +11,7 @@
 from chivespan.envelope import decode_envelope
 from chivespan.operatorlog import OperatorLog, Published
 from chivespan.operatorresults import ApplyOutcome
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.records import ConfigChange, DocumentChange, RecordId
 from chivespan.snapshots import SnapshotStore, replay
 from tests.fakelog import FakeLog
--- a/tests/faults/snapshot_cells.py
+++ b/tests/faults/snapshot_cells.py
@@ -19,7 +19,7 @@
 from chivespan.membership import Membership
 from chivespan.metrics import Metrics
 from chivespan.placement import owner
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.records import ConfigChange, DocumentChange, Snapshot
 from chivespan.snapshots import snapshots_stream
 from standins.logservice import LogFaults, LogStandIn
--- a/tests/faults/staterig.py
+++ b/tests/faults/staterig.py
@@ -31,7 +31,7 @@
 from chivespan.metrics import Metrics
 from chivespan.partitions import ClaimPartition, JobPartition, Partitions
 from chivespan.plainclient import PlainRequest
-from chivespan.platform import LogPage
+from chivespan.platformservices import LogPage
 from chivespan.records import ItemAnswer
 from chivespan.targethttp import HttpAnswer
 from standins.enginetext import length, token
--- a/tests/test_appender.py
+++ b/tests/test_appender.py
@@ -15,7 +15,7 @@
 from chivespan.clock import SystemClock
 from chivespan.envelope import OpenedRecord, RecordReader
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.platform import LogNotReached
+from chivespan.platformservices import LogNotReached
 from chivespan.records import JobCancel
 from tests.fakelog import FakeLog
 
--- a/tests/test_folds.py
+++ b/tests/test_folds.py
@@ -16,7 +16,7 @@
 from chivespan.errors import ErrorKind
 from chivespan.jobfold import ENDED, Job, JobFold
 from chivespan.jobmessages import JobPhase
-from chivespan.platform import LogRecord
+from chivespan.platformservices import LogRecord
 from chivespan.records import (
     CarriedChunk,
     CarriedOutcome,
--- a/tests/test_httplog.py
+++ b/tests/test_httplog.py
@@ -7,7 +7,7 @@
 
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.httplog import MAX_CONNECTIONS, HttpLog
-from chivespan.platform import LogNotReached, LogRecord
+from chivespan.platformservices import LogNotReached, LogRecord
 from tools.cluster import Cluster, Site, free_block, put
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_httpvmlist.py
+++ b/tests/test_httpvmlist.py
@@ -4,7 +4,7 @@
 
 from chivespan.httpvmlist import HttpVmList
 from chivespan.messages import VmState
-from chivespan.platform import ListedVm
+from chivespan.platformservices import ListedVm
 from standins.serving import serving
 from standins.vmlist import VmEntry, VmListStandIn
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -21,7 +21,7 @@
     VmState,
     VmView,
 )
-from chivespan.platform import ListedVm
+from chivespan.platformservices import ListedVm
 from tests.controlnodes import (
     CENTRE,
     REGION,
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -17,6 +17,9 @@
     "records",
     "documents",
     "settings",
+    "nodesettings",
+    "nodemessages",
+    "batchrecords",
     "callerapi",
     "engineapi",
 )
