--- /dev/null
+++ b/chivespan/batchchanges.py
@@ -0,0 +1,127 @@
+"""The changes of batch jobs, each checked against the ledger before its append."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import datetime
+
+from chivespan.batchledger import (
+    Ledger,
+    LedgerJob,
+    end_key,
+    job_records,
+    result_key,
+)
+from chivespan.batchrecords import BatchEnd, BatchItem, BatchResult
+from chivespan.codec import encode
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.keyedstore import KeyedRecord
+from chivespan.ledgerstore import Staged
+
+
+def waiting_tokens(ledger: Ledger, route: str) -> int:
+    """Return the tokens of all items of a route that are still to be run."""
+    return sum(
+        item.tokens
+        for job in ledger.open_jobs()
+        if job.head.route == route
+        for item in job.waiting_items()
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptJob:
+    """Accepts a job, once, if its tokens fit.
+
+    :param tokens_limit: most tokens that may wait on the route; 0 for no limit.
+    """
+
+    job_id: str
+    route: str
+    host: str
+    items: tuple[BatchItem, ...]
+    submitted: datetime
+    tokens_limit: int
+    max_record_bytes: int
+
+    def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
+        """Return the job's records; none when it has been accepted before.
+
+        :raises ChivespanError: ``owner_limit`` when it doesn't fit.
+        """
+        if self.job_id in ledger.jobs or self.job_id in staged.jobs:
+            return ()
+        tokens = sum(item.tokens for item in self.items)
+        claimed = staged.tokens.get(self.route, 0)
+        if self.tokens_limit:
+            waiting = waiting_tokens(ledger, self.route) + claimed
+            if waiting + tokens > self.tokens_limit:
+                reason = f"{waiting} of {self.tokens_limit} tokens wait already"
+                raise ChivespanError(ErrorKind.OWNER_LIMIT, reason)
+        staged.jobs.add(self.job_id)
+        staged.tokens[self.route] = claimed + tokens
+        return job_records(
+            self.job_id,
+            self.route,
+            self.host,
+            list(self.items),
+            self.submitted,
+            self.max_record_bytes,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ListResult:
+    """Gives an item its final result, at the next position of its job."""
+
+    job_id: str
+    item_id: str
+    done: bool
+    text: str
+
+    def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
+        """Return the result's record; none when the item needs none."""
+        job = ledger.jobs.get(self.job_id)
+        claimed = staged.results.setdefault(self.job_id, set())
+        if job is None or job.ended or self.item_id not in job.items:
+            return ()
+        if self.item_id in job.listed or self.item_id in claimed:
+            return ()
+        position = len(job.results) + len(claimed)
+        claimed.add(self.item_id)
+        result = BatchResult(item_id=self.item_id, done=self.done, text=self.text)
+        return (KeyedRecord(result_key(self.job_id, position), encode(result)),)
+
+
+@dataclass(frozen=True, slots=True)
+class EndJob:
+    """Ends a job: what isn't listed yet never will be."""
+
+    job_id: str
+    ended: datetime
+
+    def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
+        """Return the record of the end; none when it has ended.
+
+        :raises ChivespanError: ``not_found`` without such a job.
+        """
+        job = ledger.jobs.get(self.job_id)
+        if job is None:
+            raise ChivespanError(ErrorKind.NOT_FOUND, f"no job {self.job_id}")
+        if job.ended:
+            return ()
+        end = BatchEnd(ended_ms=round(self.ended.timestamp() * 1000))
+        return (KeyedRecord(end_key(self.job_id), encode(end)),)
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetJob:
+    """Drops all records of a job that needn't be kept."""
+
+    job: LedgerJob
+
+    def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
+        """Return a record without value for each of the job's keys."""
+        known = ledger.jobs.get(self.job.job_id)
+        if known is None:
+            return ()
+        return [KeyedRecord(key, b"") for key in known.keys()]  # noqa: SIM118
--- /dev/null
+++ b/chivespan/batchexecutor.py
@@ -0,0 +1,292 @@
+"""Runs leased batch items on this node, and holds what they have produced.
+
+An item yields its slot as soon as its target has none left for online requests: the
+connection is closed, the events are kept, and the run goes on behind the last of them
+when the owner of the item's partition says so. When that owner is lost, the next one
+is told of every item held here.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.clock import Clock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.eventstream import EventSplitter, parse_events
+from chivespan.exchange import Call, NotSent, Reply, exchange
+from chivespan.loadboard import LoadBoard
+from chivespan.logs import logger
+from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
+from chivespan.nodemetrics import NodeMetrics
+from chivespan.platform import wire
+from chivespan.targetentry import TargetEntry
+from chivespan.targetpick import TargetPicker
+from chivespan.targetset import TargetSet
+
+RUN_TIME = timedelta(seconds=30)
+HEAD_PATIENCE = timedelta(seconds=1)
+GAP_PATIENCE = timedelta(seconds=1)
+YIELD_PROBABILITY = 0.3
+STATUS_OK = 200
+STATUS_IMPOSSIBLE = 422
+
+_log = logger("executor")
+
+
+class _Yielded(Exception):
+    """The item's slot is needed."""
+
+
+@dataclass(slots=True)
+class HeldItem:
+    """One item that this node holds.
+
+    :ivar events: data of all its events so far.
+    :ivar state: how it stands, as the owner is told.
+    """
+
+    start: ItemStart
+    events: list[str]
+    state: ItemState = ItemState.paused
+    scope: anyio.CancelScope | None = field(default=None, repr=False)
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """What tells it from all other items."""
+        return (self.start.job_id, self.start.item_id)
+
+    def status(self) -> ItemStatus:
+        """Return what the owner is told."""
+        whole = self.state in (ItemState.done, ItemState.returned)
+        return ItemStatus(
+            partition=self.start.partition,
+            job_id=self.start.job_id,
+            item_id=self.start.item_id,
+            target_id=self.start.target_id,
+            state=self.state,
+            events=len(self.events),
+            text=self.events if whole else [],
+        )
+
+
+class BatchExecutor:
+    """The items that this node holds.
+
+    :param tell: sends a status to the owner of its partition.
+    """
+
+    def __init__(
+        self,
+        targets: TargetSet,
+        picker: TargetPicker,
+        board: LoadBoard,
+        clock: Clock,
+        metrics: NodeMetrics,
+        tell: Callable[[ItemStatus], None],
+    ) -> None:
+        self._targets = targets
+        self._picker = picker
+        self._board = board
+        self._clock = clock
+        self._metrics = metrics
+        self._tell = tell
+        self._random = Random()
+        self._items: dict[tuple[str, str], HeldItem] = {}
+        self._tasks: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Run items until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await anyio.sleep_forever()
+
+    def start(self, message: ItemStart) -> None:
+        """Run an item, or go on with one that is held."""
+        key = (message.job_id, message.item_id)
+        held = self._items.get(key)
+        if held is not None and held.state is ItemState.running:
+            self._tell(held.status())
+            return
+        if held is None and not message.path:
+            self._tell(_unknown(message))
+            return
+        if held is None:
+            held = self._items[key] = HeldItem(message, list(message.events))
+        else:
+            held.start = _retargeted(held.start, message)
+        if held.state is ItemState.done:
+            self._tell(held.status())
+            return
+        held.state = ItemState.running
+        if self._tasks is not None:
+            self._tasks.start_soon(self._run_item, held)
+
+    def stop(self, message: ItemStop) -> None:
+        """Drop an item."""
+        held = self._items.pop((message.job_id, message.item_id), None)
+        if held is not None and held.scope is not None:
+            held.scope.cancel()
+
+    def statuses(self, partition: int) -> list[ItemStatus]:
+        """Return how all items of a partition stand that are held here."""
+        return [
+            held.status()
+            for held in self._items.values()
+            if held.start.partition == partition
+        ]
+
+    def give_back(self) -> None:
+        """Stop all runs and hand what they have produced to the owners."""
+        for held in list(self._items.values()):
+            if held.state is not ItemState.done:
+                if held.scope is not None:
+                    held.scope.cancel()
+                held.state = ItemState.returned
+            self._tell(held.status())
+        self._items.clear()
+
+    async def _run_item(self, held: HeldItem) -> None:
+        with anyio.CancelScope() as scope:
+            held.scope = scope
+            state = await self._attempt(held)
+        held.scope = None
+        if scope.cancelled_caught or self._items.get(held.key) is not held:
+            return
+        held.state = state
+        self._metrics.incr(f"item_{state.value}")
+        _log.info(
+            "item_run_ended",
+            job=held.start.job_id,
+            item=held.start.item_id,
+            target=held.start.target_id,
+            state=state.value,
+            events=len(held.events),
+        )
+        self._tell(held.status())
+
+    async def _attempt(self, held: HeldItem) -> ItemState:
+        entry = self._targets.find(held.start.target_id)
+        if entry is None:
+            return ItemState.not_run
+        if self._is_full(entry):
+            return ItemState.paused
+        with self._board.hold_batch(entry.target_id):
+            try:
+                return await self._exchange(held, entry)
+            except _Yielded:
+                return ItemState.paused
+            except NotSent:
+                self._picker.failed(entry.target_id)
+                return ItemState.not_run
+            except ChivespanError as error:
+                self._picker.failed(entry.target_id)
+                _log.info(
+                    "item_broken",
+                    item=held.start.item_id,
+                    target=entry.target_id,
+                    reason=error.message,
+                )
+                return ItemState.broken
+
+    async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
+        began = self._clock.monotonic()
+        async with exchange(_call(held, entry)) as reply:
+            if wire.says_not_run(reply):
+                return ItemState.not_run
+            if not wire.answers_request(reply, held.start.item_id):
+                reason = "the answer is not to this item"
+                raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
+            if reply.status == STATUS_IMPOSSIBLE:
+                return ItemState.impossible
+            if reply.status != STATUS_OK:
+                return ItemState.failed
+            await self._take_events(held, entry, reply)
+        self._picker.succeeded(entry.target_id, self._clock.monotonic() - began)
+        return ItemState.done
+
+    async def _take_events(
+        self, held: HeldItem, entry: TargetEntry, reply: Reply
+    ) -> None:
+        """Keep the events as they come.
+
+        :raises _Yielded: when the slot is needed.
+        :raises ChivespanError: ``stream_broken`` when the stream isn't whole.
+        """
+        splitter = EventSplitter()
+        while True:
+            chunk: bytes | None = None
+            with anyio.move_on_after(GAP_PATIENCE.total_seconds()) as gap:
+                chunk = await anext(reply.chunks, None)
+            if gap.cancelled_caught:
+                reason = "the stream paused for too long"
+                raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+            if chunk is None:
+                break
+            for event in parse_events(splitter.feed(chunk)):
+                if event.event_id != len(held.events) + 1:
+                    reason = f"event {event.event_id} behind {len(held.events)}"
+                    raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+                held.events.append(event.data)
+            if self._must_yield(entry):
+                raise _Yielded
+        if splitter.has_partial:
+            reason = "the stream ended within an event"
+            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+
+    def _is_full(self, entry: TargetEntry) -> bool:
+        return self._board.total(entry.target_id) >= entry.slots
+
+    def _must_yield(self, entry: TargetEntry) -> bool:
+        """Return whether this item makes room; not all items of a target do at once."""
+        return self._is_full(entry) and self._random.random() < YIELD_PROBABILITY
+
+
+def _call(held: HeldItem, entry: TargetEntry) -> Call:
+    start = held.start
+    headers = wire.item_headers(
+        [(header.name, header.value) for header in start.headers],
+        start.item_id,
+        start.host,
+        entry.target_id,
+        RUN_TIME,
+        len(held.events),
+    )
+    return Call(
+        address=entry.address,
+        method="POST",
+        target=start.path.encode(),
+        headers=headers,
+        body=start.body,
+        head_timeout=HEAD_PATIENCE,
+    )
+
+
+def _retargeted(known: ItemStart, message: ItemStart) -> ItemStart:
+    return ItemStart(
+        partition=message.partition,
+        job_id=known.job_id,
+        item_id=known.item_id,
+        target_id=message.target_id,
+        host=known.host,
+        path=known.path,
+        headers=known.headers,
+        body=known.body,
+        events=[],
+    )
+
+
+def _unknown(message: ItemStart) -> ItemStatus:
+    """Return the status of an item that isn't held here any more."""
+    return ItemStatus(
+        partition=message.partition,
+        job_id=message.job_id,
+        item_id=message.item_id,
+        target_id=message.target_id,
+        state=ItemState.returned,
+        events=0,
+        text=[],
+    )
--- /dev/null
+++ b/chivespan/batchfront.py
@@ -0,0 +1,142 @@
+"""The calls of callers on batch jobs: submit, read results, read a body, end."""
+
+from datetime import timedelta
+from urllib.parse import parse_qs
+
+from chivespan.batchledger import MAX_ID_CHARS
+from chivespan.batchnode import BatchNode
+from chivespan.batchplacement import partition_of
+from chivespan.callerrequest import CallerRequest, Responder, milliseconds
+from chivespan.clock import MILLISECOND, Clock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.nodemessages import BatchQuestion, BatchVerb
+from chivespan.nodemetrics import NodeMetrics
+from chivespan.platform import wire
+from chivespan.routes import Route
+
+MAX_ITEMS = 200
+LONGEST_PAGE_WAIT = timedelta(seconds=1)
+READ_PATIENCE = timedelta(seconds=2.5)
+SUBMIT_PATIENCE = timedelta(seconds=3.5)
+END_PATIENCE = timedelta(seconds=3.5)
+STATUS_OK = 200
+STATUS_ACCEPTED = 202
+
+
+class BatchFront:
+    """Serves callers' batch calls by asking the owners of partitions."""
+
+    def __init__(self, batch: BatchNode, clock: Clock, metrics: NodeMetrics) -> None:
+        self._batch = batch
+        self._clock = clock
+        self._metrics = metrics
+
+    async def submit(
+        self, request: CallerRequest, route: Route, responder: Responder
+    ) -> None:
+        """Take a job; the answer says "accepted" once the store has it."""
+        _check_submission(request)
+        await self._ask(request, BatchVerb.submit, SUBMIT_PATIENCE, route=route.name)
+        await responder.answer(STATUS_ACCEPTED)
+        self._note("submit", request)
+
+    async def show(self, request: CallerRequest, responder: Responder) -> None:
+        """Answer any other call on a job."""
+        if request.path.startswith(wire.ITEM_PATH):
+            await self._show_body(request, responder)
+        elif request.method == "DELETE":
+            await self._end(request, responder)
+        else:
+            await self._show_page(request, responder)
+
+    async def _show_page(self, request: CallerRequest, responder: Responder) -> None:
+        start = _query(request, "after")
+        wait = milliseconds(request.header(wire.WAIT_MS)) or timedelta(0)
+        wait = min(wait, LONGEST_PAGE_WAIT)
+        body = await self._ask(
+            request,
+            BatchVerb.page,
+            READ_PATIENCE,
+            job_id=_last_part(request, wire.JOB_PATH),
+            start=int(start) if start.isdecimal() else 0,
+            wait_ms=wait // MILLISECOND,
+        )
+        await responder.answer_json(STATUS_OK, body)
+        self._note("page", request)
+
+    async def _show_body(self, request: CallerRequest, responder: Responder) -> None:
+        body = await self._ask(
+            request,
+            BatchVerb.body,
+            READ_PATIENCE,
+            job_id=_last_part(request, wire.ITEM_PATH),
+            item_id=_query(request, "id"),
+        )
+        await responder.answer(STATUS_OK, body)
+        self._note("body", request)
+
+    async def _end(self, request: CallerRequest, responder: Responder) -> None:
+        job_id = _last_part(request, wire.JOB_PATH)
+        await self._ask(request, BatchVerb.end, END_PATIENCE, job_id=job_id)
+        await responder.answer(STATUS_OK)
+        self._note("end", request)
+
+    async def _ask(
+        self,
+        request: CallerRequest,
+        verb: BatchVerb,
+        patience: timedelta,
+        *,
+        route: str = "",
+        job_id: str = "",
+        item_id: str = "",
+        start: int = 0,
+        wait_ms: int = 0,
+    ) -> bytes:
+        deadline = milliseconds(request.header(wire.DEADLINE_MS)) or patience
+        question = BatchQuestion(
+            question=self._batch.new_question(),
+            verb=verb,
+            partition=partition_of(request.host),
+            host=request.host,
+            route=route,
+            job_id=job_id or request.request_id,
+            item_id=item_id,
+            start=start,
+            wait_ms=wait_ms,
+            body=request.body if verb is BatchVerb.submit else b"",
+            patience_ms=min(patience, deadline) // MILLISECOND,
+        )
+        return await self._batch.ask(question)
+
+    def _note(self, call: str, request: CallerRequest) -> None:
+        took = self._clock.monotonic() - request.arrived
+        self._metrics.answered(f"batch_{call}", "delivered", took)
+
+
+def _check_submission(request: CallerRequest) -> None:
+    """Refuse what can never be accepted.
+
+    :raises ChivespanError: ``bad_request``.
+    """
+    if not request.request_id or len(request.request_id) > MAX_ID_CHARS:
+        raise ChivespanError(ErrorKind.BAD_REQUEST, "no usable request id")
+    try:
+        items = wire.decode_submission(request.body)
+    except ValueError as error:
+        reason = f"the items can't be read: {error}"
+        raise ChivespanError(ErrorKind.BAD_REQUEST, reason) from error
+    if len(items) > MAX_ITEMS:
+        reason = f"{len(items)} items, where {MAX_ITEMS} are the most"
+        raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
+
+
+def _last_part(request: CallerRequest, path: str) -> str:
+    return request.path.removeprefix(path)
+
+
+def _query(request: CallerRequest, name: str) -> str:
+    """Return the first value of a query's parameter; empty without one."""
+    _, _, query = request.target.partition(b"?")
+    values = parse_qs(query.decode("latin-1")).get(name, [""])
+    return values[0]
--- /dev/null
+++ b/chivespan/batchnode.py
@@ -0,0 +1,350 @@
+"""Batch work of one node: the partitions it owns, the items it holds, and questions.
+
+Questions of callers go to the owner of the partition, here or at a peer; a question
+whose owner is lost meanwhile is asked again of the next one.
+"""
+
+from collections.abc import Iterator
+from datetime import timedelta
+from itertools import count
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chivespan.batchexecutor import BatchExecutor
+from chivespan.batchowner import BatchOwner
+from chivespan.batchplacement import PARTITIONS, BatchPlacement
+from chivespan.batchschedule import NodeRoom, RoomOfTarget, TargetRoom, place_items
+from chivespan.clock import MILLISECOND, Clock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
+from chivespan.keyedstore import KeyedStore, Partition
+from chivespan.ledgerstore import LedgerStore
+from chivespan.loadboard import LoadBoard
+from chivespan.logs import logger
+from chivespan.nodemessages import (
+    BatchQuestion,
+    BatchReply,
+    ItemStart,
+    ItemStatus,
+    ItemStop,
+    LoadReport,
+    NodeValue,
+)
+from chivespan.nodesettings import FleetNodeSettings
+from chivespan.routingstate import RoutingState
+from chivespan.targetpick import TargetPicker
+
+TOPIC = "keyed.batch"
+TICK = timedelta(milliseconds=25)
+UPKEEP_INTERVAL = timedelta(milliseconds=500)
+ASK_AGAIN_PAUSE = timedelta(milliseconds=60)
+ANSWER_MARGIN = timedelta(milliseconds=150)
+# Kinds after which the same question may be put to an owner again.
+ASK_AGAIN = frozenset({ErrorKind.NOT_READY})
+
+_log = logger("batch")
+
+
+class _Asked:
+    """A question that waits for a peer's reply."""
+
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
+        self.reply: BatchReply | None = None
+        self.settled = anyio.Event()
+
+
+class BatchNode(FleetListener):
+    """All batch work of this node.
+
+    :param room_of: the policy that says how many items a target takes.
+    """
+
+    def __init__(
+        self,
+        settings: FleetNodeSettings,
+        store: KeyedStore,
+        links: FleetLinks,
+        placement: BatchPlacement,
+        routing: RoutingState,
+        picker: TargetPicker,
+        board: LoadBoard,
+        executor: BatchExecutor,
+        clock: Clock,
+        room_of: RoomOfTarget,
+    ) -> None:
+        self._links = links
+        self._placement = placement
+        self._settings = settings
+        self._picker = picker
+        self._board = board
+        self._executor = executor
+        self._clock = clock
+        self._room_of = room_of
+        self._stores = [
+            LedgerStore(
+                store,
+                Partition(TOPIC, number),
+                clock,
+                settings.store.max_call_bytes,
+            )
+            for number in range(PARTITIONS)
+        ]
+        self._owners = [
+            BatchOwner(
+                number,
+                ledger,
+                routing,
+                clock,
+                self._send_to_node,
+                timedelta(seconds=settings.job_status_s),
+                settings.store.max_record_bytes,
+            )
+            for number, ledger in enumerate(self._stores)
+        ]
+        self._scheduling: set[int] = set()
+        self._numbers = count(1)
+        self._asked: dict[int, _Asked] = {}
+        self._owned_by: dict[str, list[int]] = {}
+        self._taken = anyio.Event()
+        self._tasks: TaskGroup | None = None
+        links.add_listener(self)
+
+    async def run(self) -> None:
+        """Own, schedule and answer until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            for ledger, owner in zip(self._stores, self._owners, strict=True):
+                tasks.start_soon(ledger.run)
+                tasks.start_soon(owner.list_finished)
+            tasks.start_soon(self._schedule)
+            await self._keep_up()
+
+    def owned_changed(self) -> None:
+        """Take over the partitions that are this node's now, and leave the others."""
+        owned = self._placement.owned
+        for number in self._scheduling - owned:
+            _log.notice("partition_released", partition=number)
+            self._owners[number].release()
+        taken = owned - self._scheduling
+        self._scheduling = set(owned)
+        for number in taken:
+            _log.notice("partition_taken", partition=number)
+            self._owners[number].take_over()
+            for status in self._executor.statuses(number):
+                self._owners[number].take_status(self._own_vm, status)
+        if taken:
+            self._taken.set()
+
+    async def ask(self, question: BatchQuestion) -> bytes:
+        """Return the answer of a partition's owner.
+
+        :raises ChivespanError: what the caller is told instead.
+        """
+        until = self._clock.monotonic() + question.patience_ms * MILLISECOND
+        sent = False
+        while True:
+            left = until - self._clock.monotonic()
+            if left <= ANSWER_MARGIN:
+                raise _no_answer(sent)
+            vm = self._placement.owner_of(question.partition)
+            reply: BatchReply | None
+            if vm == self._own_vm:
+                reply = await self._reply_to(question)
+            elif vm is not None:
+                sent = True
+                reply = await self._ask_peer(vm, question, left - ANSWER_MARGIN)
+            else:
+                reply = None
+            if reply is not None and reply.kind not in ASK_AGAIN:
+                return _taken(reply)
+            await anyio.sleep(ASK_AGAIN_PAUSE.total_seconds())
+
+    def new_question(self) -> int:
+        """Return the number of the next question."""
+        return next(self._numbers)
+
+    def leave(self) -> None:
+        """Hand over the items that are held here."""
+        self._executor.give_back()
+
+    def peer_left(self, peer: Peer) -> None:
+        """Let its items run elsewhere, and ask its questions again."""
+        vm = peer.node.vm
+        self._owned_by.pop(vm, None)
+        for owner in self._owners:
+            owner.node_lost(vm)
+        for asked in self._asked.values():
+            if asked.vm == vm:
+                asked.settled.set()
+
+    async def take(self, peer: Peer, message: object) -> None:
+        """Take a message on batch work."""
+        vm = peer.node.vm
+        if isinstance(message, ItemStart):
+            self._executor.start(message)
+        elif isinstance(message, ItemStop):
+            self._executor.stop(message)
+        elif isinstance(message, ItemStatus):
+            self._owners[message.partition].take_status(vm, message)
+        elif isinstance(message, BatchQuestion) and self._tasks is not None:
+            self._tasks.start_soon(self._answer_peer, peer, message)
+        elif isinstance(message, BatchReply):
+            self._take_reply(message)
+        elif isinstance(message, LoadReport):
+            self._heed_owned(peer, message)
+
+    def tell_owner(self, status: ItemStatus) -> None:
+        """Tell the owner of an item's partition how it stands."""
+        vm = self._placement.owner_of(status.partition)
+        if vm == self._own_vm:
+            self._owners[status.partition].take_status(vm, status)
+        elif vm is not None:
+            self._send_to_node(vm, status)
+
+    @property
+    def _own_vm(self) -> str:
+        return self._settings.vm
+
+    def _heed_owned(self, peer: Peer, report: LoadReport) -> None:
+        """Tell a node that has just become an owner what is held here for it."""
+        before = self._owned_by.get(peer.node.vm, [])
+        self._owned_by[peer.node.vm] = report.owned
+        for number in report.owned:
+            if number not in before:
+                for status in self._executor.statuses(number):
+                    peer.send(status)
+
+    async def _answer_peer(self, peer: Peer, question: BatchQuestion) -> None:
+        reply = await self._reply_to(question)
+        peer.send(reply)
+
+    async def _reply_to(self, question: BatchQuestion) -> BatchReply:
+        """Answer a question here, whether or not this node owns the partition."""
+        kind, body, retry_after = "", b"", timedelta(0)
+        try:
+            body = await self._owners[question.partition].answer(question)
+        except ChivespanError as error:
+            kind = error.kind.value
+            body = error.message.encode()
+            retry_after = error.retry_after or retry_after
+        return BatchReply(
+            question=question.question,
+            kind=kind,
+            body=body,
+            retry_after_ms=retry_after // MILLISECOND,
+        )
+
+    async def _ask_peer(
+        self, vm: str, question: BatchQuestion, patience: timedelta
+    ) -> BatchReply | None:
+        """Return a peer's reply; None when it is lost or takes too long."""
+        asked = _Asked(vm)
+        self._asked[question.question] = asked
+        try:
+            if not self._send_to_node(vm, question):
+                return None
+            with anyio.move_on_after(patience.total_seconds()):
+                await asked.settled.wait()
+            return asked.reply
+        finally:
+            del self._asked[question.question]
+
+    def _take_reply(self, reply: BatchReply) -> None:
+        asked = self._asked.get(reply.question)
+        if asked is not None:
+            asked.reply = reply
+            asked.settled.set()
+
+    def _send_to_node(self, vm: str, message: object) -> bool:
+        if vm == self._own_vm:
+            if isinstance(message, ItemStart):
+                self._executor.start(message)
+            elif isinstance(message, ItemStop):
+                self._executor.stop(message)
+            return True
+        peer = self._links.peers.get(vm)
+        return peer is not None and peer.send(message)
+
+    async def _schedule(self) -> None:
+        while True:
+            await anyio.sleep(TICK.total_seconds())
+            if self._scheduling:
+                self._start_items()
+
+    def _start_items(self) -> None:
+        owners = [self._owners[number] for number in self._scheduling]
+        waiting = [item for owner in owners for item in owner.waiting()]
+        if not waiting:
+            return
+        targets = list(self._target_rooms({item.service for item in waiting}))
+        nodes = list(self._node_rooms())
+        for placement in place_items(waiting, targets, nodes, self._room_of):
+            self._owners[placement.item.partition].start(placement)
+
+    def _target_rooms(self, services: set[str]) -> Iterator[TargetRoom]:
+        for service in services:
+            for candidate in self._picker.candidates(service):
+                started = sum(
+                    owner.running_at(candidate.entry.target_id)
+                    for owner in self._owners
+                )
+                yield TargetRoom(
+                    entry=candidate.entry,
+                    slots=candidate.slots,
+                    online=candidate.online,
+                    batch=max(candidate.batch, started),
+                )
+
+    def _node_rooms(self) -> Iterator[NodeRoom]:
+        yield self._node_room(self._links.own)
+        for peer in self._links.peers.values():
+            if not peer.report.leaving:
+                yield self._node_room(peer.node)
+
+    def _node_room(self, node: NodeValue) -> NodeRoom:
+        items = sum(owner.running_on(node.vm) for owner in self._owners)
+        return NodeRoom(node.vm, node.data_centre, items)
+
+    async def _keep_up(self) -> None:
+        """Keep owned partitions current, for ever."""
+        while True:
+            with anyio.move_on_after(UPKEEP_INTERVAL.total_seconds()):
+                await self._taken.wait()
+            self._taken = anyio.Event()
+            for number in tuple(self._scheduling):
+                await self._keep_up_one(self._owners[number])
+
+    async def _keep_up_one(self, owner: BatchOwner) -> None:
+        try:
+            await owner.load()
+            owner.give_up_abandoned()
+            await owner.forget_past_jobs()
+        except ChivespanError as error:
+            _log.warning(
+                "partition_not_current",
+                partition=owner.partition,
+                reason=error.message,
+            )
+
+
+def _taken(reply: BatchReply) -> bytes:
+    """Return what a reply holds.
+
+    :raises ChivespanError: what it says instead.
+    """
+    if not reply.kind:
+        return reply.body
+    raise ChivespanError(
+        ErrorKind(reply.kind),
+        reply.body.decode(),
+        retry_after=reply.retry_after_ms * MILLISECOND,
+    )
+
+
+def _no_answer(sent: bool) -> ChivespanError:
+    if sent:
+        reason = "the partition's owner gave no answer in time"
+        return ChivespanError(ErrorKind.UNCONFIRMED, reason)
+    return ChivespanError(ErrorKind.NO_DISPATCHER, "no owner of the partition is known")
--- /dev/null
+++ b/chivespan/batchowner.py
@@ -0,0 +1,444 @@
+"""One partition of batch jobs at its owner: callers' questions, and items to run."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+
+import anyio
+
+from chivespan.batchchanges import AcceptJob, EndJob, ForgetJob, ListResult
+from chivespan.batchledger import LedgerJob, is_past
+from chivespan.batchrecords import BatchHeader, BatchItem
+from chivespan.batchschedule import Placement, WaitingItem
+from chivespan.clock import NO_WAIT, Clock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.ledgerstore import LedgerStore
+from chivespan.logs import logger
+from chivespan.nodemessages import (
+    BatchQuestion,
+    ItemHeader,
+    ItemStart,
+    ItemState,
+    ItemStatus,
+    ItemStop,
+)
+from chivespan.platform import wire
+from chivespan.routes import Route, RouteKind
+from chivespan.routingstate import RoutingState
+
+MAX_AGE_OF_PAGE = timedelta(milliseconds=500)
+MAX_AGE_WITH_OPEN_JOBS = timedelta(seconds=1)
+MAX_PAGE_BYTES = 1_000_000
+TAKEOVER_TIME = timedelta(milliseconds=300)
+HOLD_OFF = timedelta(milliseconds=100)
+ABANDON_MARGIN = timedelta(seconds=3)
+KEEP_MARGIN = timedelta(seconds=20)
+QUOTA_RETURN = timedelta(seconds=1)
+
+_log = logger("batch")
+
+SendToNode = Callable[[str, object], bool]
+
+
+@dataclass(slots=True)
+class Run:
+    """What the owner knows of an item that some node holds.
+
+    :ivar vm: the node that holds it; empty for none.
+    :ivar target_id: where it runs; empty while it doesn't.
+    :ivar failures: answers of targets that failed it.
+    :ivar not_before: when it may be started again, on the monotonic clock.
+    :ivar events: what a node that left has handed back.
+    """
+
+    vm: str = ""
+    target_id: str = ""
+    failures: int = 0
+    not_before: timedelta = NO_WAIT
+    events: tuple[str, ...] = ()
+    settled: bool = False
+
+
+class BatchOwner:
+    """One partition.
+
+    :param send: sends a message to a node; returns whether it was there.
+    """
+
+    def __init__(
+        self,
+        partition: int,
+        store: LedgerStore,
+        routing: RoutingState,
+        clock: Clock,
+        send: SendToNode,
+        job_status: timedelta,
+        max_record_bytes: int,
+    ) -> None:
+        self.partition = partition
+        self._store = store
+        self._routing = routing
+        self._clock = clock
+        self._send = send
+        self._keep = job_status + KEEP_MARGIN
+        self._max_record_bytes = max_record_bytes
+        self._runs: dict[tuple[str, str], Run] = {}
+        self._starts_from = NO_WAIT
+        self._caught_up = False
+        self._early: list[tuple[str, ItemStatus]] = []
+        self._finished: list[ListResult] = []
+        self._results = anyio.Event()
+        self._wake = anyio.Event()
+
+    async def answer(self, question: BatchQuestion) -> bytes:
+        """Return the answer to a caller's question.
+
+        :raises ChivespanError: what the caller is told instead.
+        """
+        verb = question.verb.value
+        answers = {
+            "submit": self._submit,
+            "page": self._page,
+            "body": self._body,
+            "end": self._end,
+        }
+        return await answers[verb](question)
+
+    async def _submit(self, question: BatchQuestion) -> bytes:
+        route = self._route(question.route)
+        if route is None:
+            reason = f"route {question.route} isn't known here"
+            raise ChivespanError(ErrorKind.NOT_READY, reason)
+        if not self._store.is_loaded:
+            await self._store.refresh(NO_WAIT)
+        submitted = wire.decode_submission(question.body)
+        change = AcceptJob(
+            job_id=question.job_id,
+            route=question.route,
+            host=question.host,
+            items=tuple(_batch_item(item) for item in submitted),
+            submitted=self._clock.now(),
+            tokens_limit=route.waiting_tokens_limit,
+            max_record_bytes=self._max_record_bytes,
+        )
+        patience = timedelta(milliseconds=question.patience_ms)
+        try:
+            await self._store.commit(change, patience)
+        except ChivespanError as error:
+            _log.info(
+                "job_refused",
+                job=question.job_id,
+                route=question.route,
+                kind=error.kind.value,
+                reason=error.message,
+                ledger_end=self._store.ledger.end,
+            )
+            raise _as_told(error) from error
+        _log.info(
+            "job_accepted",
+            job=question.job_id,
+            route=question.route,
+            items=len(change.items),
+            ledger_end=self._store.ledger.end,
+        )
+        self._wake.set()
+        return b""
+
+    async def _page(self, question: BatchQuestion) -> bytes:
+        wait = timedelta(milliseconds=question.wait_ms)
+        job = await self._job(question.job_id)
+        with anyio.move_on_after(wait.total_seconds()):
+            while len(job.results) <= question.start and job.is_open:
+                await self._store.wait_changed()
+                job = self._store.ledger.jobs.get(question.job_id, job)
+        return _page(job, question.start)
+
+    async def _body(self, question: BatchQuestion) -> bytes:
+        job = await self._job(question.job_id)
+        item = job.items.get(question.item_id)
+        if item is None or job.ended or item.item_id in job.listed:
+            reason = f"item {question.item_id} is listed, or there is none"
+            raise ChivespanError(ErrorKind.NOT_FOUND, reason)
+        return item.body
+
+    async def _end(self, question: BatchQuestion) -> bytes:
+        await self._job(question.job_id)
+        patience = timedelta(milliseconds=question.patience_ms)
+        change = EndJob(question.job_id, self._clock.now())
+        try:
+            await self._store.commit(change, patience)
+        except ChivespanError as error:
+            raise _as_told(error) from error
+        _log.info("job_ended", job=question.job_id, ledger_end=self._store.ledger.end)
+        self._stop_runs_of_ended()
+        return b""
+
+    async def _job(self, job_id: str) -> LedgerJob:
+        """Return a job as the store has it now.
+
+        :raises ChivespanError: ``not_found`` only when the store surely has none.
+        """
+        job = self._store.ledger.jobs.get(job_id)
+        await self._store.refresh(MAX_AGE_OF_PAGE if job else NO_WAIT)
+        job = self._store.ledger.jobs.get(job_id)
+        if job is None:
+            raise ChivespanError(ErrorKind.NOT_FOUND, f"no job {job_id}")
+        return job
+
+    async def load(self) -> None:
+        """Have the ledger, and look for changes of others while jobs are open.
+
+        :raises ChivespanError: when the store can't be read.
+        """
+        if not self._caught_up:
+            await self._catch_up()
+        elif any(True for _ in self._store.ledger.open_jobs()):
+            await self._store.refresh(MAX_AGE_WITH_OPEN_JOBS)
+            self._stop_runs_of_ended()
+
+    async def _catch_up(self) -> None:
+        """Read what earlier owners wrote, then take what nodes said meanwhile."""
+        await self._store.refresh(NO_WAIT)
+        self._caught_up = True
+        early, self._early = self._early, []
+        for vm, status in early:
+            self.take_status(vm, status)
+
+    def running_at(self, target_id: str) -> int:
+        """Return how many items this partition has at a target."""
+        runs = self._runs.values()
+        return sum(1 for run in runs if run.target_id == target_id)
+
+    def running_on(self, vm: str) -> int:
+        """Return how many items this partition has on a node."""
+        return sum(1 for run in self._runs.values() if run.vm == vm and run.target_id)
+
+    def waiting(self) -> Iterator[WaitingItem]:
+        """Yield the items that could be started now."""
+        now = self._clock.monotonic()
+        if now < self._starts_from or not self._caught_up:
+            return
+        for job in self._store.ledger.open_jobs():
+            route = self._route_of(job)
+            if route is None:
+                continue
+            for order, item in enumerate(job.waiting_items()):
+                run = self._runs.get((job.job_id, item.item_id))
+                if run and (run.settled or run.target_id or run.not_before > now):
+                    continue
+                yield WaitingItem(
+                    partition=self.partition,
+                    job_id=job.job_id,
+                    item_id=item.item_id,
+                    service=route.main_service,
+                    due=job.submitted + route.due,
+                    order=order,
+                    holder=run.vm if run else "",
+                )
+
+    def start(self, placement: Placement) -> None:
+        """Have a node run an item."""
+        waiting = placement.item
+        job = self._store.ledger.jobs[waiting.job_id]
+        item = job.items[waiting.item_id]
+        key = (waiting.job_id, waiting.item_id)
+        run = self._runs.setdefault(key, Run())
+        holds = run.vm == placement.vm
+        message = ItemStart(
+            partition=self.partition,
+            job_id=waiting.job_id,
+            item_id=waiting.item_id,
+            target_id=placement.entry.target_id,
+            host=job.head.host,
+            path="" if holds else item.path,
+            headers=[] if holds else _headers(item),
+            body=b"" if holds else item.body,
+            events=[] if holds else list(run.events),
+        )
+        run.vm = placement.vm
+        run.target_id = placement.entry.target_id
+        if not self._send(placement.vm, message):
+            self._runs[key] = replace(run, vm="", target_id="")
+
+    def take_status(self, vm: str, status: ItemStatus) -> None:
+        """Take in how an item stands at the node that holds it."""
+        if not self._caught_up:
+            self._early.append((vm, status))
+            return
+        key = (status.job_id, status.item_id)
+        job = self._store.ledger.jobs.get(status.job_id)
+        if job is None or not job.is_open or status.item_id in job.listed:
+            if status.state is not ItemState.returned:
+                self._send(vm, _stop(key))
+            self._runs.pop(key, None)
+            return
+        run = self._runs.setdefault(key, Run())
+        if run.settled or (run.target_id and run.vm not in ("", vm)):
+            # Another node has it by now.
+            self._send(vm, _stop(key))
+            return
+        self._note(key, run, vm, status)
+        self._wake.set()
+
+    def node_lost(self, vm: str) -> None:
+        """Let items of a lost node be started elsewhere."""
+        for key, run in list(self._runs.items()):
+            if run.vm == vm and not run.settled:
+                self._runs[key] = replace(run, vm="", target_id="")
+        self._wake.set()
+
+    def take_over(self) -> None:
+        """Start nothing before the nodes could say what they hold."""
+        self._starts_from = self._clock.monotonic() + TAKEOVER_TIME
+
+    def release(self) -> None:
+        """Forget which nodes hold what: another node owns the partition now."""
+        self._runs.clear()
+        self._early.clear()
+        self._caught_up = False
+
+    async def list_finished(self) -> None:
+        """Write results to the store for ever; with no result lost by an outage."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                while self._finished:
+                    tasks.start_soon(self._list, self._finished.pop())
+                self._results = anyio.Event()
+                await self._results.wait()
+
+    async def forget_past_jobs(self) -> None:
+        """Drop jobs whose time to be read is over."""
+        now = self._clock.now()
+        for job in list(self._store.ledger.jobs.values()):
+            if is_past(job, now, self._keep):
+                await self._store.commit(ForgetJob(job), MAX_AGE_WITH_OPEN_JOBS)
+
+    def give_up_abandoned(self) -> None:
+        """List as given up what is too old, or whose route is gone."""
+        now = self._clock.now()
+        for job in self._store.ledger.open_jobs():
+            if not self._is_abandoned(job, now):
+                continue
+            for item in job.waiting_items():
+                self._settle((job.job_id, item.item_id), done=False, text="")
+
+    def _is_abandoned(self, job: LedgerJob, now: datetime) -> bool:
+        """Return whether a job's items needn't be run any longer."""
+        if self._routing.table is None:
+            return False
+        route = self._route_of(job)
+        if route is None:
+            return True
+        age = now - job.submitted
+        return bool(route.abandon_after) and age > route.abandon_after + ABANDON_MARGIN
+
+    def _note(
+        self, key: tuple[str, str], run: Run, vm: str, status: ItemStatus
+    ) -> None:
+        run.vm = vm
+        run.target_id = ""
+        if status.state is ItemState.running:
+            run.target_id = status.target_id
+        elif status.state is ItemState.done:
+            self._settle(key, done=True, text="\n".join(status.text))
+        elif status.state is ItemState.impossible:
+            self._settle(key, done=False, text="")
+        elif status.state is ItemState.failed:
+            self._count_failure(key, run)
+        elif status.state is ItemState.returned:
+            run.vm = ""
+            run.events = tuple(status.text)
+        else:
+            run.not_before = self._clock.monotonic() + HOLD_OFF
+
+    def _count_failure(self, key: tuple[str, str], run: Run) -> None:
+        run.failures += 1
+        run.not_before = self._clock.monotonic() + HOLD_OFF
+        route = self._route_of(self._store.ledger.jobs[key[0]])
+        if route is not None and run.failures >= route.max_attempts:
+            self._settle(key, done=False, text="")
+
+    def _settle(self, key: tuple[str, str], done: bool, text: str) -> None:
+        """Have an item's final result written."""
+        run = self._runs.setdefault(key, Run())
+        if run.settled:
+            return
+        run.settled = True
+        run.target_id = ""
+        self._finished.append(ListResult(key[0], key[1], done, text))
+        self._results.set()
+
+    async def _list(self, result: ListResult) -> None:
+        key = (result.job_id, result.item_id)
+        await self._store.commit(result)
+        _log.info(
+            "item_listed", job=result.job_id, item=result.item_id, done=result.done
+        )
+        run = self._runs.pop(key, None)
+        if run is not None and run.vm:
+            self._send(run.vm, _stop(key))
+
+    def _stop_runs_of_ended(self) -> None:
+        for key, run in list(self._runs.items()):
+            job = self._store.ledger.jobs.get(key[0])
+            if job is None or job.ended:
+                del self._runs[key]
+                if run.vm:
+                    self._send(run.vm, _stop(key))
+
+    def _route_of(self, job: LedgerJob) -> Route | None:
+        """Return the route that a job's items fall under now."""
+        table = self._routing.table
+        first = next(iter(job.items.values()), None)
+        if table is None or first is None:
+            return None
+        route = table.find(job.head.host, first.path)
+        return route if route is not None and route.kind is RouteKind.BATCH else None
+
+    def _route(self, name: str) -> Route | None:
+        table = self._routing.table
+        return None if table is None else table.route_named(name)
+
+    async def wait_work(self) -> None:
+        """Wait until something has changed that may let an item start."""
+        await self._wake.wait()
+        self._wake = anyio.Event()
+
+
+def _as_told(error: ChivespanError) -> ChivespanError:
+    """Return an error as a caller is told it: "not done" only where that is so."""
+    if error.kind is ErrorKind.ACCEPTANCE_UNKNOWN:
+        return ChivespanError(ErrorKind.UNCONFIRMED, error.message)
+    if error.kind is ErrorKind.OWNER_LIMIT:
+        return ChivespanError(error.kind, error.message, retry_after=QUOTA_RETURN)
+    return error
+
+
+def _page(job: LedgerJob, start: int) -> bytes:
+    """Return the results from a position on, at least one if there is one."""
+    results: list[wire.ListedResult] = []
+    size = 0
+    for result in job.results[start:]:
+        size += len(result.text)
+        if results and size > MAX_PAGE_BYTES:
+            break
+        results.append(wire.ListedResult(result.item_id, result.done, result.text))
+    return wire.encode_results(len(job.items), start, results)
+
+
+def _batch_item(item: wire.SubmittedItem) -> BatchItem:
+    return BatchItem(
+        item_id=item.item_id,
+        path=item.path,
+        headers=[BatchHeader(name=name, value=value) for name, value in item.headers],
+        body=item.body,
+        tokens=item.tokens,
+    )
+
+
+def _headers(item: BatchItem) -> list[ItemHeader]:
+    return [ItemHeader(name=each.name, value=each.value) for each in item.headers]
+
+
+def _stop(key: tuple[str, str]) -> ItemStop:
+    return ItemStop(job_id=key[0], item_id=key[1])
--- /dev/null
+++ b/chivespan/batchplacement.py
@@ -0,0 +1,96 @@
+"""Which node owns a partition of batch jobs, as this node sees it.
+
+Ownership is a hint that keeps work in one place; the conditions of appends decide. An
+owner stays one while it is live and reaches the store, so that a node which joins takes
+nothing over from others.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chivespan.clock import Clock
+from chivespan.fleetlinks import FleetLinks
+from chivespan.placement import owner, weight
+
+PARTITIONS = 4
+SETTLE_TIME = timedelta(milliseconds=1500)
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One live node as an owner.
+
+    :param store_reached: whether it reaches the store.
+    :param owned: partitions that it says are its own.
+    """
+
+    vm: str
+    store_reached: bool
+    owned: frozenset[int]
+
+
+def partition_of(host: str) -> int:
+    """Return the partition of a host's jobs."""
+    return weight("batch", host) % PARTITIONS
+
+
+def choose_owner(partition: int, members: list[Member]) -> str | None:
+    """Return the owner of a partition; None without members.
+
+    >>> first = Member("10.0.0.1", True, frozenset())
+    >>> second = Member("10.0.0.2", True, frozenset({3}))
+    >>> choose_owner(3, [first, second])
+    '10.0.0.2'
+    """
+    pool = [member for member in members if member.store_reached] or members
+    claiming = [member for member in pool if partition in member.owned]
+    names = [member.vm for member in claiming or pool]
+    return owner(f"batch/{partition}", names)
+
+
+class BatchPlacement:
+    """Says who owns each partition."""
+
+    def __init__(self, links: FleetLinks, clock: Clock) -> None:
+        self._links = links
+        self._clock = clock
+        self._started = clock.monotonic()
+        self._owned: frozenset[int] = frozenset()
+
+    @property
+    def owned(self) -> frozenset[int]:
+        """The partitions that this node owns."""
+        return self._owned
+
+    def update(self, store_reached: bool, leaving: bool) -> bool:
+        """Work out anew what this node owns; return whether that has changed."""
+        settled = self._clock.monotonic() - self._started >= SETTLE_TIME
+        owned: frozenset[int] = frozenset()
+        if settled and not leaving:
+            members = list(self._members(store_reached))
+            owned = frozenset(
+                partition
+                for partition in range(PARTITIONS)
+                if choose_owner(partition, members) == self._links.own.vm
+            )
+        changed = owned != self._owned
+        self._owned = owned
+        return changed
+
+    def owner_of(self, partition: int) -> str | None:
+        """Return the IP number of the node to ask; None when nobody is known."""
+        if partition in self._owned:
+            return self._links.own.vm
+        return choose_owner(partition, list(self._peers()))
+
+    def _members(self, store_reached: bool) -> Iterator[Member]:
+        yield Member(self._links.own.vm, store_reached, self._owned)
+        yield from self._peers()
+
+    def _peers(self) -> Iterator[Member]:
+        for peer in self._links.peers.values():
+            report = peer.report
+            if not report.leaving:
+                owned = frozenset(report.owned)
+                yield Member(peer.node.vm, report.store_reached, owned)
--- a/chivespan/errors.py
+++ b/chivespan/errors.py
@@ -44,6 +44,7 @@
     STREAM_BROKEN = "stream_broken"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ACCEPTANCE_UNKNOWN = "acceptance_unknown"
+    UNCONFIRMED = "unconfirmed"
     ITEM_FAILED = "item_failed"
     CANCELLED = "cancelled"
     REVOKED = "revoked"
@@ -93,6 +94,7 @@
     ErrorKind.STREAM_BROKEN: Answer(502, True, SOON),
     ErrorKind.OUTCOME_UNKNOWN: Answer(409, True),
     ErrorKind.ACCEPTANCE_UNKNOWN: Answer(503, True, LATER),
+    ErrorKind.UNCONFIRMED: Answer(504, True, SOON),
     ErrorKind.ITEM_FAILED: Answer(422, True),
     ErrorKind.CANCELLED: Answer(409, True),
     ErrorKind.REVOKED: Answer(503, True, SOON),
--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -21,7 +21,9 @@
 from chivespan.peerlink import Backoff, LinkEnd, PeerLink, dial_once, listen
 
 DIAL_TURN_S = 0.2
-NO_REPORT = LoadReport(config_version=-1, leaving=False, store_reached=False, loads=[])
+NO_REPORT = LoadReport(
+    config_version=-1, leaving=False, store_reached=False, owned=[], loads=[]
+)
 
 _log = logger("links")
 
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -8,6 +8,11 @@
 from anyio.abc import TaskGroup
 
 from chivespan.addresses import parse_address
+from chivespan.batchexecutor import BatchExecutor
+from chivespan.batchfront import BatchFront
+from chivespan.batchnode import BatchNode
+from chivespan.batchplacement import BatchPlacement
+from chivespan.batchschedule import BATCH_ROOMS
 from chivespan.callerapp import CallerApp, Listener
 from chivespan.callerserver import CallerServer
 from chivespan.clock import Clock
@@ -21,7 +26,7 @@
 from chivespan.loadreports import LoadReports
 from chivespan.logs import logger
 from chivespan.messages import Hello, Program
-from chivespan.nobatch import NoBatch
+from chivespan.nodemessages import ItemStatus
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.nodestanding import Standing
@@ -34,13 +39,17 @@
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 
+# Control addresses are reachable from VMs of the fleet only.
+PEER_KEY = "chivespan-node"
 LINK_OPTIONS = LinkOptions(
-    peer_key="",
+    peer_key=PEER_KEY,
     heartbeat=timedelta(milliseconds=400),
     silence=timedelta(seconds=1),
 )
 UPKEEP_INTERVAL_S = 0.25
 TARGET_CHOICE = "shared_counts"
+BATCH_ROOM = "spare_slots"
+OWNERSHIP_INTERVAL_S = 0.05
 
 _log = logger("node")
 
@@ -75,8 +84,15 @@
         self.watch = FleetWatch(
             self.store, _sources(), self.links, self.routing, self.targets, clock
         )
+        self.placement = BatchPlacement(self.links, clock)
         self.standing = Standing(
-            settings, self.links, self.watch, self.routing, self.board, clock
+            settings,
+            self.links,
+            self.watch,
+            self.routing,
+            self.board,
+            self.placement,
+            clock,
         )
         self.reports = LoadReports(self.links, self.board, clock, self.standing.report)
         self.picker = TargetPicker(
@@ -86,6 +102,26 @@
             clock,
             TARGET_CHOICES[TARGET_CHOICE],
         )
+        self.executor = BatchExecutor(
+            self.targets,
+            self.picker,
+            self.board,
+            clock,
+            self.metrics,
+            self._tell_owner,
+        )
+        self.batch = BatchNode(
+            settings,
+            self.store,
+            self.links,
+            self.placement,
+            self.routing,
+            self.picker,
+            self.board,
+            self.executor,
+            clock,
+            BATCH_ROOMS[BATCH_ROOM],
+        )
         forwarder = Forwarder(self.picker, self.board, clock, self.metrics)
         listeners = _listeners(settings)
         app = CallerApp(
@@ -93,7 +129,7 @@
             self.standing,
             self.routing,
             forwarder,
-            NoBatch(),
+            BatchFront(self.batch, clock, self.metrics),
             self.metrics,
             clock,
         )
@@ -106,6 +142,9 @@
             tasks.start_soon(self.links.run)
             tasks.start_soon(self.watch.run)
             tasks.start_soon(self.reports.run)
+            tasks.start_soon(self.executor.run)
+            tasks.start_soon(self.batch.run)
+            tasks.start_soon(self._update_ownership)
             tasks.start_soon(self._keep_up)
             tasks.start_soon(self._heed_signals, tasks)
             self.links.learn_seeds(self._settings.seeds)
@@ -118,6 +157,18 @@
         table = self.routing.table
         return CallerLimits() if table is None else table.limits
 
+    def _tell_owner(self, status: ItemStatus) -> None:
+        self.batch.tell_owner(status)
+
+    async def _update_ownership(self) -> None:
+        """Follow who owns which batch partition, for ever."""
+        while True:
+            await anyio.sleep(OWNERSHIP_INTERVAL_S)
+            leaving = self.standing.is_leaving
+            if self.placement.update(self.watch.store_reached, leaving):
+                self.batch.owned_changed()
+                self.reports.send_now()
+
     async def _heed_signals(self, tasks: TaskGroup) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
             async for number in received:
@@ -126,7 +177,10 @@
                 elif not self.standing.is_leaving:
                     _log.notice("leaving", signal=number.name)
                     self.standing.leave()
+                    self.placement.update(self.watch.store_reached, leaving=True)
+                    self.batch.owned_changed()
                     self.reports.send_now()
+                    self.batch.leave()
                     tasks.start_soon(self._leave)
 
     async def _leave(self) -> None:
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -36,7 +36,11 @@
     leaving: bool
     store_reached: bool
     """
-    Whether its last call to the store went well.
+    Whether its last calls to the store went well.
+    """
+    owned: list[int]
+    """
+    Batch partitions that it owns.
     """
     loads: list[TargetLoad]
 
@@ -187,65 +191,70 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ItemStart:
     """
-    Leases an item of a batch job to a node, which runs it at one target.
+    Has a node run an item of a batch job at one target; or go on with one that it holds.
     """
 
-    lease: int
-    """
-    Unique to the owner's run.
-    """
+    partition: int
     job_id: str
     item_id: str
     target_id: str
     host: str
     path: str
-    headers: list[ItemHeader]
-    body: bytes
-    last_event: int
     """
-    The run goes on behind this event; 0 for the start.
+    Empty to go on with an item that the node holds.
     """
-    patience_ms: int
+    headers: list[ItemHeader]
+    body: bytes
+    events: list[str]
     """
-    How long the run may take.
+    Data of the events that are there already.
     """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ItemStop:
     """
-    Ends a lease; whatever was produced is not wanted.
+    Has a node drop an item; whatever was produced is not wanted.
     """
 
-    lease: int
+    job_id: str
+    item_id: str
 
 
-class ItemEnding(StrEnum):
+class ItemState(StrEnum):
     """
-    How a leased run ended.
+    How an item stands at the node that holds it. Broken and not run are paused ones whose target is to blame.
     """
 
-    done = 'done'
-    yielded = 'yielded'
+    running = 'running'
+    paused = 'paused'
     broken = 'broken'
+    not_run = 'not_run'
     failed = 'failed'
     impossible = 'impossible'
-    not_run = 'not_run'
+    done = 'done'
+    returned = 'returned'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ItemOutput:
+class ItemStatus:
     """
-    Events of a leased run, in order and without gaps, and its end if it has ended.
+    Tells the owner of a partition of an item that the sender holds.
     """
 
-    lease: int
-    last_event: int
+    partition: int
+    job_id: str
+    item_id: str
+    target_id: str
+    """
+    Where it runs or ran last.
+    """
+    state: ItemState
+    events: int
     """
-    Id of the last event in the text.
+    Events that are there.
     """
     text: list[str]
     """
-    Data of the events since the last output.
+    Data of all events of an item that is done or returned; else empty.
     """
-    ending: ItemEnding | None
--- a/chivespan/nodestanding.py
+++ b/chivespan/nodestanding.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from chivespan.batchplacement import BatchPlacement
 from chivespan.clock import Clock
 from chivespan.fleetlinks import FleetLinks
 from chivespan.fleetwatch import FleetWatch
@@ -29,6 +30,7 @@
         watch: FleetWatch,
         routing: RoutingState,
         board: LoadBoard,
+        placement: BatchPlacement,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -36,6 +38,7 @@
         self._watch = watch
         self._routing = routing
         self._board = board
+        self._placement = placement
         self._clock = clock
         self._leaving_since: timedelta | None = None
 
@@ -88,6 +91,7 @@
             config_version=self._routing.version,
             leaving=self.is_leaving,
             store_reached=self._watch.store_reached,
+            owned=sorted(self._placement.owned),
             loads=self._board.own_loads(),
         )
 
--- a/chivespan/routes.py
+++ b/chivespan/routes.py
@@ -62,6 +62,11 @@
             self.kind is RouteKind.STREAM and self.resumable
         )
 
+    @property
+    def main_service(self) -> str:
+        """The service with the largest share of the requests."""
+        return max(self.shares, key=lambda share: share.weight).service
+
     def pick_service(self, random: Random) -> str:
         """Return the service of one request, drawn by the shares' weights."""
         if len(self.shares) == 1:
--- /dev/null
+++ b/standins/platformstore.py
@@ -0,0 +1,454 @@
+"""Stand-in for the platform's store: logs with conditions, and troubles to order."""
+
+import base64
+import struct
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import anyio
+import fire
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from standins.serving import (
+    NoAnswer,
+    Silence,
+    body_as,
+    json_answer,
+    options_of,
+    serve_until_stopped,
+)
+
+KEYED = "keyed."
+READ_ONLY_TOPICS = frozenset({"keyed.op", "keyed.servers"})
+REPEATS_KEPT = 5
+NEWEST_ITEMS = 500
+NEWEST_BYTES = 1 << 20
+LONGEST_WAIT_MS = 30_000
+_LENGTH = struct.Struct(">I")
+_BOUNDS = struct.Struct(">QQ")
+
+
+@dataclass(frozen=True)
+class StoreOptions:
+    """Flags of the store.
+
+    :param retention_s: seconds for which records that are not the newest are kept.
+    :param record_bytes: largest record.
+    :param call_bytes: largest sum of records in a call.
+    :param append_ms: time that each append takes.
+    """
+
+    retention_s: float = 20.0
+    record_bytes: int = 262144
+    call_bytes: int = 2097152
+    append_ms: float = 1.0
+
+
+@dataclass
+class StoreFaults:
+    """Troubles in force, replaced as a whole by ``PUT /faults``.
+
+    :param down: "busy" answers 503, "many" 429, "reset" breaks off, "silent" holds.
+    :param down_for: IP numbers of callers that ``down`` is for; empty for all.
+    :param slow_ms: every call takes this much longer.
+    :param lose_answers: so many appends are done and not answered.
+    :param late_appends: so many appends are done ``late_ms`` later, not answered.
+    """
+
+    down: str = ""
+    down_for: list[str] = field(default_factory=list)
+    slow_ms: float = 0
+    lose_answers: int = 0
+    late_appends: int = 0
+    late_ms: float = 0
+
+
+@dataclass
+class _Producer:
+    epoch: int = -1
+    sequence: int = -1
+    answers: dict[int, dict[str, int]] = field(default_factory=dict)
+
+
+@dataclass
+class _Part:
+    records: list[tuple[bytes, float]] = field(default_factory=list)
+    first: int = 0
+    newest: dict[bytes, tuple[int, bytes]] = field(default_factory=dict)
+    producers: dict[str, _Producer] = field(default_factory=dict)
+    turn: anyio.Lock = field(default_factory=anyio.Lock)
+    appended: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def expire(self, before: float) -> None:
+        while self.records and self.records[0][1] < before:
+            self.records.pop(0)
+            self.first += 1
+
+
+@dataclass
+class _Member:
+    ttl_s: float
+    seen: float
+    parts: set[tuple[str, int]] = field(default_factory=set)
+
+
+@dataclass
+class _Group:
+    generation: int = 0
+    members: dict[str, _Member] = field(default_factory=dict)
+    committed: dict[tuple[str, int], int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class _Refusal(Exception):
+    status: int
+    body: dict[str, object]
+
+
+class StoreStandIn:
+    """The platform's store in memory.
+
+    :ivar calls: names of all calls taken, in order.
+    """
+
+    def __init__(self, options: StoreOptions | None = None) -> None:
+        self.options = options or StoreOptions()
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+        self._parts: dict[tuple[str, int], _Part] = {}
+        self._groups: dict[str, _Group] = {}
+        self._late = anyio.create_memory_object_stream[
+            tuple[dict[str, str], list[bytes]]
+        ](1000)
+        self.app = Starlette(
+            routes=[
+                Route("/-/log-append", self._append, methods=["POST"]),
+                Route("/-/log-read", self._read),
+                Route("/-/log-newest", self._newest),
+                Route("/-/log-trim", self._trim, methods=["POST"]),
+                Route("/-/log-join", self._join, methods=["POST"]),
+                Route("/-/log-leave", self._leave, methods=["POST"]),
+                Route("/-/log-commit", self._commit, methods=["POST"]),
+                Route("/-/log-owners", self._owners),
+                Route("/faults", self._set_faults, methods=["PUT"]),
+                Route("/records/{topic}/{key}", self._put_record, methods=["PUT"]),
+            ]
+        )
+
+    async def run(self) -> None:
+        """Let late appends take effect."""
+        async with anyio.create_task_group() as tasks:
+            async for query, records in self._late[1]:
+                tasks.start_soon(self._append_late, query, records)
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write a record as the operator or a server does."""
+        name = key.encode()
+        self._add(self._part(topic, 0), topic, [bytes((len(name),)) + name + value])
+
+    def drop_history(self, topic: str, part: int = 0) -> None:
+        """Forget all records but the newest of each key."""
+        kept = self._part(topic, part)
+        kept.first = kept.end
+        kept.records.clear()
+
+    def rebalance(self, group: str) -> None:
+        """Deal all partitions of a group anew."""
+        known = self._groups[group]
+        for member in known.members.values():
+            member.parts.clear()
+        known.generation += 1
+
+    def rewind(self, group: str, records: int) -> None:
+        """Move the committed offsets of a group back."""
+        committed = self._groups[group].committed
+        for place in committed:
+            committed[place] = max(0, committed[place] - records)
+
+    def newest(self, topic: str, part: int = 0) -> dict[str, bytes]:
+        """Return the newest value of each key."""
+        rows = self._part(topic, part).newest
+        return {key.decode(): value for key, (_, value) in rows.items()}
+
+    def _part(self, topic: str, part: int) -> _Part:
+        return self._parts.setdefault((topic, part), _Part())
+
+    def _add(self, part: _Part, topic: str, records: list[bytes]) -> dict[str, int]:
+        offset = part.end
+        part.expire(time.monotonic() - self.options.retention_s)
+        for record in records:
+            if topic.startswith(KEYED):
+                self._note_newest(part, record)
+            part.records.append((record, time.monotonic()))
+        part.appended.set()
+        part.appended = anyio.Event()
+        return {"offset": offset, "end": part.end}
+
+    def _note_newest(self, part: _Part, record: bytes) -> None:
+        key_end = 1 + record[0]
+        key, value = record[1:key_end], record[key_end:]
+        if value:
+            part.newest[key] = (part.end, value)
+        else:
+            part.newest.pop(key, None)
+
+    async def _trouble(self, request: Request) -> Response | None:
+        """Return the answer of a store in trouble; None without trouble."""
+        self.calls.append(request.url.path)
+        faults = self.faults
+        if faults.slow_ms:
+            await anyio.sleep(faults.slow_ms / 1000)
+        caller = request.client.host if request.client else ""
+        if not faults.down or (faults.down_for and caller not in faults.down_for):
+            return None
+        if faults.down == "busy":
+            return json_answer({"error": "busy"}, 503)
+        if faults.down == "many":
+            return json_answer({"error": "many"}, 429)
+        return NoAnswer() if faults.down == "reset" else Silence()
+
+    async def _append(self, request: Request) -> Response:
+        if trouble := await self._trouble(request):
+            return trouble
+        query = dict(request.query_params)
+        records = list(_unframed(await request.body()))
+        if query["topic"] in READ_ONLY_TOPICS:
+            return json_answer({"error": "read only"}, 403)
+        if self._is_too_large(records):
+            return json_answer({"error": "too large"}, 413)
+        if self.faults.late_appends > 0:
+            self.faults.late_appends -= 1
+            self._late[0].send_nowait((query, records))
+            return Silence()
+        try:
+            body = await self._append_now(query, records)
+        except _Refusal as refusal:
+            return json_answer(refusal.body, refusal.status)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return NoAnswer()
+        return json_answer(body)
+
+    def _is_too_large(self, records: list[bytes]) -> bool:
+        sizes = [len(record) for record in records]
+        options = self.options
+        return sum(sizes) > options.call_bytes or any(
+            size > options.record_bytes for size in sizes
+        )
+
+    async def _append_late(self, query: dict[str, str], records: list[bytes]) -> None:
+        await anyio.sleep(self.faults.late_ms / 1000)
+        try:
+            await self._append_now(query, records)
+        except _Refusal:
+            # The condition no longer holds; nobody waits for the answer.
+            return
+
+    async def _append_now(
+        self, query: dict[str, str], records: list[bytes]
+    ) -> dict[str, int]:
+        part = self._part(query["topic"], int(query["part"]))
+        async with part.turn:
+            await anyio.sleep(self.options.append_ms / 1000)
+            repeated = _check_producer(part, query, bool(records))
+            if repeated is not None:
+                return repeated
+            if "asOf" in query and int(query["asOf"]) != part.end:
+                raise _Refusal(412, {"end": part.end})
+            body = self._add(part, query["topic"], records)
+            _note_producer(part, query, body)
+            return body
+
+    async def _read(self, request: Request) -> Response:
+        if trouble := await self._trouble(request):
+            return trouble
+        query = request.query_params
+        part = self._part(query["topic"], int(query["part"]))
+        start = int(query["from"])
+        wait_ms = min(float(query.get("waitMs", 0)), LONGEST_WAIT_MS)
+        with anyio.move_on_after(wait_ms / 1000):
+            while part.end <= start and start >= part.first:
+                await part.appended.wait()
+        part.expire(time.monotonic() - self.options.retention_s)
+        if start < part.first:
+            return json_answer({"first": part.first}, 410)
+        content = _BOUNDS.pack(part.end, part.first)
+        limit = int(query.get("maxKb", 1024)) * 1024
+        for record, _ in part.records[start - part.first :]:
+            framed = _LENGTH.pack(len(record)) + record
+            if len(content) > _BOUNDS.size and len(content) + len(framed) > limit:
+                break
+            content += framed
+        return Response(content, media_type="application/octet-stream")
+
+    async def _newest(self, request: Request) -> Response:
+        if trouble := await self._trouble(request):
+            return trouble
+        query = request.query_params
+        part = self._part(query["topic"], int(query["part"]))
+        after = query.get("after", "").encode()
+        items: list[dict[str, object]] = []
+        size = 0
+        more = False
+        for key in sorted(each for each in part.newest if each > after):
+            offset, value = part.newest[key]
+            size += len(value)
+            if items and (len(items) == NEWEST_ITEMS or size > NEWEST_BYTES):
+                more = True
+                break
+            encoded = base64.b64encode(value).decode()
+            items.append({"key": key.decode(), "value": encoded, "offset": offset})
+        return json_answer({"items": items, "hasMore": more, "end": part.end})
+
+    async def _trim(self, request: Request) -> Response:
+        if trouble := await self._trouble(request):
+            return trouble
+        query = request.query_params
+        part = self._part(query["topic"], int(query["part"]))
+        drop = max(0, min(int(query["before"]), part.end) - part.first)
+        del part.records[:drop]
+        part.first += drop
+        return json_answer({"first": part.first})
+
+    async def _join(self, request: Request) -> Response:
+        if trouble := await self._trouble(request):
+            return trouble
+        call = msgspec.json.decode(await request.body())
+        group = self._groups.setdefault(call["group"], _Group())
+        now = time.monotonic()
+        self._drop_silent(group, now)
+        if call["member"] not in group.members:
+            group.members[call["member"]] = _Member(call["ttlMs"] / 1000, now)
+            group.generation += 1
+        member = group.members[call["member"]]
+        member.seen = now
+        places = [place for place in self._parts if place[0] in call["topics"]]
+        _deal(group, sorted(places))
+        rows = [
+            [topic, part, group.committed.get((topic, part), 0)]
+            for topic, part in sorted(member.parts)
+        ]
+        body = {"generation": group.generation, "ttlMs": call["ttlMs"], "parts": rows}
+        return json_answer(body)
+
+    def _drop_silent(self, group: _Group, now: float) -> None:
+        silent = [
+            name
+            for name, member in group.members.items()
+            if now - member.seen > member.ttl_s
+        ]
+        for name in silent:
+            del group.members[name]
+            group.generation += 1
+
+    async def _leave(self, request: Request) -> Response:
+        if trouble := await self._trouble(request):
+            return trouble
+        call = msgspec.json.decode(await request.body())
+        group = self._groups.setdefault(call["group"], _Group())
+        if group.members.pop(call["member"], None):
+            group.generation += 1
+        return json_answer({})
+
+    async def _commit(self, request: Request) -> Response:
+        if trouble := await self._trouble(request):
+            return trouble
+        call = msgspec.json.decode(await request.body())
+        group = self._groups.setdefault(call["group"], _Group())
+        member = group.members.get(call["member"])
+        place = (call["topic"], call["part"])
+        if member is None or place not in member.parts:
+            return json_answer({"error": "not held"}, 409)
+        group.committed[place] = call["offset"]
+        return json_answer({})
+
+    async def _owners(self, request: Request) -> Response:
+        if trouble := await self._trouble(request):
+            return trouble
+        group = self._groups.get(request.query_params["group"], _Group())
+        rows = [
+            [topic, part, name, group.committed.get((topic, part), 0)]
+            for name, member in sorted(group.members.items())
+            for topic, part in sorted(member.parts)
+        ]
+        return json_answer(rows)
+
+    async def _set_faults(self, request: Request) -> Response:
+        self.faults = await body_as(request, StoreFaults)
+        return json_answer(self.faults)
+
+    async def _put_record(self, request: Request) -> Response:
+        names = request.path_params
+        self.put(names["topic"], names["key"], await request.body())
+        return json_answer({})
+
+
+def _unframed(body: bytes) -> Iterator[bytes]:
+    start = 0
+    while start < len(body):
+        (length,) = _LENGTH.unpack_from(body, start)
+        start += _LENGTH.size
+        yield body[start : start + length]
+        start += length
+
+
+def _check_producer(
+    part: _Part, query: dict[str, str], appends: bool
+) -> dict[str, int] | None:
+    """Return the first answer to a repeat; None where the call is to be done."""
+    if "producer" not in query:
+        return None
+    known = part.producers.setdefault(query["producer"], _Producer())
+    epoch = int(query["epoch"])
+    if epoch < known.epoch:
+        raise _Refusal(409, {"why": "fenced"})
+    if epoch > known.epoch or not appends:
+        return None
+    sequence = int(query["seq"])
+    if sequence in known.answers:
+        return known.answers[sequence]
+    if known.sequence >= 0 and sequence != known.sequence + 1:
+        raise _Refusal(409, {"why": "seq", "seq": known.sequence + 1})
+    return None
+
+
+def _note_producer(part: _Part, query: dict[str, str], body: dict[str, int]) -> None:
+    if "producer" not in query:
+        return
+    known = part.producers[query["producer"]]
+    if int(query["epoch"]) > known.epoch:
+        known.epoch = int(query["epoch"])
+        known.sequence = -1
+        known.answers.clear()
+    if "seq" in query:
+        known.sequence = int(query["seq"])
+        known.answers[known.sequence] = body
+        known.answers.pop(known.sequence - REPEATS_KEPT, None)
+
+
+def _deal(group: _Group, places: list[tuple[str, int]]) -> None:
+    """Give each place one member, as evenly as may be, moving few."""
+    names = sorted(group.members)
+    for member in group.members.values():
+        member.parts = set()
+    for number, place in enumerate(places):
+        group.members[names[number % len(names)]].parts.add(place)
+
+
+def main(address: str, **flags: object) -> None:
+    """Serve the store at ``address``."""
+    store = StoreStandIn(options_of(StoreOptions, flags))
+    serve_until_stopped([(address, store)])
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/tools/pages.py
+++ b/tools/pages.py
@@ -47,6 +47,7 @@
     ErrorKind.TARGET_TIMEOUT: "The target gave no answer in time.",
     ErrorKind.STREAM_BROKEN: "The stream broke and could not be resumed.",
     ErrorKind.OUTCOME_UNKNOWN: "It was sent once; nobody can know if it ran.",
+    ErrorKind.UNCONFIRMED: "It may hold; send the same again.",
     ErrorKind.ACCEPTANCE_UNKNOWN: "It may be accepted later; ask by its id.",
     ErrorKind.ITEM_FAILED: "A batch item failed for good.",
     ErrorKind.CANCELLED: "The job or request was cancelled.",
