Settle a change only once its append is done; test nodes as processes

While the store was down, the second sending of a job found the first among what the same append would write, and was called accepted although that append failed. Ruled out: a stale ledger, since no record of the job was in the store.

A stream also no longer ends after a pause when no other target could go on with it.

--- a/chivespan/batchchanges.py
+++ b/chivespan/batchchanges.py
@@ -15,7 +15,7 @@
 from chivespan.codec import encode
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.keyedstore import KeyedRecord
-from chivespan.ledgerstore import Staged
+from chivespan.ledgerstore import Staged, WaitsForStaged
 
 
 def waiting_tokens(ledger: Ledger, route: str) -> int:
@@ -48,8 +48,10 @@
 
         :raises ChivespanError: ``owner_limit`` when it doesn't fit.
         """
-        if self.job_id in ledger.jobs or self.job_id in staged.jobs:
+        if self.job_id in ledger.jobs:
             return ()
+        if self.job_id in staged.jobs:
+            raise WaitsForStaged
         tokens = sum(item.tokens for item in self.items)
         claimed = staged.tokens.get(self.route, 0)
         if self.tokens_limit:
@@ -84,8 +86,10 @@
         claimed = staged.results.setdefault(self.job_id, set())
         if job is None or job.ended or self.item_id not in job.items:
             return ()
-        if self.item_id in job.listed or self.item_id in claimed:
+        if self.item_id in job.listed:
             return ()
+        if self.item_id in claimed:
+            raise WaitsForStaged
         position = len(job.results) + len(claimed)
         claimed.add(self.item_id)
         result = BatchResult(item_id=self.item_id, done=self.done, text=self.text)
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -259,16 +259,18 @@
         :raises ChivespanError: ``stream_broken`` after a pause that another target
             may make shorter.
         """
-        patience = None
-        if self._may_resume(route, progress):
-            patience = route.longest_gap.total_seconds() or None
+        if not (route.longest_gap and self._may_resume(route, progress)):
+            return await anext(reply.chunks, None)
+        patience = route.longest_gap.total_seconds()
         with anyio.move_on_after(patience):
             return await anext(reply.chunks, None)
         raise ChivespanError(ErrorKind.STREAM_BROKEN, "the stream paused for too long")
 
     def _may_resume(self, route: Route, progress: Progress) -> bool:
-        """Return whether another target may be asked if this one fails."""
-        return route.is_repeatable and progress.sends + 1 < route.max_attempts
+        """Return whether another target can be asked if this one fails."""
+        if not route.is_repeatable or progress.sends + 1 >= route.max_attempts:
+            return False
+        return self._picker.pick(progress.service, progress.tried) is not None
 
     def _judge(
         self,
--- a/chivespan/ledgerstore.py
+++ b/chivespan/ledgerstore.py
@@ -48,12 +48,17 @@
     tokens: dict[str, int] = field(default_factory=dict)
 
 
+class WaitsForStaged(Exception):
+    """The change says the same as one that is about to be written."""
+
+
 class Change(Protocol):
     """Something to be written."""
 
     def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
         """Return the records that bring it about; none when it already holds.
 
+        :raises WaitsForStaged: when it will hold once what is staged does.
         :raises ChivespanError: when it can't be done.
         """
         ...
@@ -222,6 +227,8 @@
         for pending in tuple(self._pending):
             try:
                 wanted = pending.change.records(self._ledger, staged)
+            except WaitsForStaged:
+                continue
             except ChivespanError as error:
                 self._pending.remove(pending)
                 pending.settle(error)
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -62,7 +62,8 @@
 class _Item(msgspec.Struct):
     id: str
     path: str
-    body: str
+    # Decoded from base64.
+    body: bytes
     tokens: int
     headers: dict[str, str] = {}
 
@@ -85,7 +86,7 @@
             item_id=item.id,
             path=item.path,
             headers=tuple(item.headers.items()),
-            body=msgspec.json.decode(f'"{item.body}"'.encode(), type=bytes),
+            body=item.body,
             tokens=item.tokens,
         )
         for item in submission.items
--- /dev/null
+++ b/tests/fakestore.py
@@ -0,0 +1,130 @@
+"""A store in memory at the ``KeyedStore`` interface, with troubles a test orders."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import anyio
+
+from chivespan.keyedstore import (
+    KeyedPage,
+    KeyedRecord,
+    NewestPage,
+    Partition,
+    StoreEndMoved,
+    StoreExpired,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+
+
+@dataclass
+class _Log:
+    records: list[KeyedRecord] = field(default_factory=list)
+    first: int = 0
+
+
+@dataclass
+class FakeStore:
+    """Logs by partition.
+
+    :ivar down: whether every call is refused.
+    :ivar lose_answers: so many appends are done and not answered.
+    :ivar hold_back: so many appends aren't answered, and done by :meth:`let_late`.
+    :ivar page_size: most records of a page of the newest.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+    hold_back: int = 0
+    page_size: int = 500
+    appends: int = 0
+    logs: dict[Partition, _Log] = field(default_factory=dict)
+    _late: list[tuple[Partition, tuple[KeyedRecord, ...], int | None]] = field(
+        default_factory=list
+    )
+
+    def end(self, partition: Partition) -> int:
+        log = self._log(partition)
+        return log.first + len(log.records)
+
+    async def append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        expected_end: int | None = None,
+    ) -> int:
+        await anyio.lowlevel.checkpoint()
+        self._check_up()
+        self.appends += 1
+        if self.hold_back > 0:
+            self.hold_back -= 1
+            self._late.append((partition, tuple(records), expected_end))
+            raise StoreOutcomeUnknown("no answer")
+        end = self._append(partition, records, expected_end)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise StoreOutcomeUnknown("no answer")
+        return end
+
+    async def read(
+        self, partition: Partition, start: int, wait: timedelta
+    ) -> KeyedPage:
+        await anyio.lowlevel.checkpoint()
+        self._check_up()
+        log = self._log(partition)
+        if start < log.first:
+            raise StoreExpired("dropped")
+        return KeyedPage(tuple(log.records[start - log.first :]), self.end(partition))
+
+    async def newest(self, partition: Partition, after: str = "") -> NewestPage:
+        await anyio.lowlevel.checkpoint()
+        self._check_up()
+        rows = [row for row in self.kept(partition) if row.key > after]
+        page = tuple(rows[: self.page_size])
+        return NewestPage(page, self.end(partition), len(rows) > len(page))
+
+    def kept(self, partition: Partition) -> list[KeyedRecord]:
+        """Return the newest record of each key, by key."""
+        newest = {record.key: record for record in self._kept_and_dropped(partition)}
+        return [newest[key] for key in sorted(newest) if newest[key].value]
+
+    def let_late(self) -> None:
+        """Let the appends held back take effect where their condition holds."""
+        late, self._late = self._late, []
+        for partition, records, expected_end in late:
+            try:
+                self._append(partition, records, expected_end)
+            except StoreEndMoved:
+                continue
+
+    def drop_history(self, partition: Partition) -> None:
+        """Forget all records but the newest of each key."""
+        kept = self.kept(partition)
+        log = self._log(partition)
+        log.first += len(log.records)
+        log.records.clear()
+        self._snapshots[partition] = kept
+
+    _snapshots: dict[Partition, list[KeyedRecord]] = field(default_factory=dict)
+
+    def _kept_and_dropped(self, partition: Partition) -> list[KeyedRecord]:
+        return [*self._snapshots.get(partition, []), *self._log(partition).records]
+
+    def _append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        expected_end: int | None,
+    ) -> int:
+        if expected_end is not None and expected_end != self.end(partition):
+            raise StoreEndMoved(self.end(partition))
+        self._log(partition).records.extend(records)
+        return self.end(partition)
+
+    def _log(self, partition: Partition) -> _Log:
+        return self.logs.setdefault(partition, _Log())
+
+    def _check_up(self) -> None:
+        if self.down:
+            raise StoreUnavailable("down")
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,254 @@
+"""Nodes as processes before stand-ins of the users' platform, on loopback."""
+
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpcore
+from anyio.abc import Process
+
+from standins.platformstore import StoreStandIn
+from standins.platformtarget import TargetStandIn, entry_value
+from standins.serving import StandIn, serving_at
+
+SERVICE = "svc"
+HOST = "caller.example"
+STREAM = "/stream/"
+ONCE = "/once/"
+BATCH = "/batch/"
+FRONT, READY, CONTROL, DIRECTORY = 8161, 8167, 8166, 8164
+ROOT = Path(__file__).parent.parent
+_blocks = count(1)
+
+
+def route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
+    base = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": "stream",
+        "timeoutMs": 5000,
+        "goalMs": 300,
+        "priority": 0,
+        "service": SERVICE,
+        "maxAttempts": 2,
+        "sticky": True,
+        "resumable": True,
+        "gapAimMs": 250,
+    }
+    return base | fields
+
+
+def batch_route(**fields: Any) -> dict[str, Any]:
+    base = {"kind": "batch_job", "dueMs": 18000, "retentionS": 60, "maxAttempts": 3}
+    return route("r-batch", BATCH, **(base | {"timeoutMs": 15000} | fields))
+
+
+def config(version: int, *routes: dict[str, Any]) -> bytes:
+    if not routes:
+        routes = (
+            route("r-stream", STREAM),
+            route("r-once", ONCE, resumable=False, maxAttempts=1),
+            batch_route(),
+        )
+    services = [{"name": SERVICE, "maxConns": 300, "engine": {"slots": 8}}]
+    document = {"version": version, "routes": list(routes), "services": services}
+    return json.dumps(document).encode()
+
+
+@dataclass
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Fleet:
+    """Addresses, stand-ins and processes of one test."""
+
+    block: str
+    store: StoreStandIn
+    targets: list[TargetStandIn]
+    folder: Path
+    processes: dict[int, Process] = field(default_factory=dict)
+    logs: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
+    sequence: int = 1
+
+    def vm(self, number: int) -> str:
+        return f"{self.block}.{number}"
+
+    def target_address(self, number: int) -> str:
+        return f"{self.block}.{101 + number}:9000"
+
+    def list_target(self, number: int, state: str = "ready") -> None:
+        """Write a target's entry as the target does."""
+        self.sequence += 1
+        options = self.targets[number].options
+        value = entry_value(
+            SERVICE,
+            self.target_address(number),
+            "dc-1",
+            options.slots,
+            self.sequence,
+            state,
+        )
+        self.store.put("keyed.servers", options.target_id, value)
+
+    def publish(self, document: bytes) -> None:
+        self.store.put("keyed.op", "config", document)
+
+    async def start(self, number: int, tasks: anyio.abc.TaskGroup) -> None:
+        """Start a node's process and wait until it is ready."""
+        path = self.folder / f"{self.block}-{number}.toml"
+        path.write_text(self._settings(number))
+        process = await anyio.open_process(
+            [sys.executable, "-m", "chivespan.node_main"],
+            cwd=ROOT,
+            env=os.environ | {"CHIVESPAN_SETTINGS": str(path)},
+            stderr=None,
+        )
+        self.processes[number] = process
+        self.logs.setdefault(number, [])
+        tasks.start_soon(self._collect, number, process)
+        await self.wait_ready(number)
+
+    async def wait_ready(self, number: int) -> None:
+        with anyio.fail_after(15):
+            while True:
+                try:
+                    answer = await self.call(number, "GET", "/-/readiness", port=READY)
+                    if answer.status == 200:
+                        return
+                except httpcore.ConnectError:
+                    pass
+                await anyio.sleep(0.05)
+
+    async def kill(self, number: int) -> None:
+        process = self.processes.pop(number)
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+
+    async def stop(self, number: int) -> int:
+        """Send SIGTERM; return the exit code."""
+        process = self.processes.pop(number)
+        process.send_signal(signal.SIGTERM)
+        return await process.wait()
+
+    async def call(
+        self,
+        number: int,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        port: int = FRONT,
+        timeout_s: float = 8,
+    ) -> Answer:
+        url = f"http://{self.vm(number)}:{port}{path}"
+        sent = {"Host": HOST, "Content-Length": str(len(body))} | (headers or {})
+        async with httpcore.AsyncConnectionPool() as pool:
+            with anyio.fail_after(timeout_s):
+                response = await pool.request(
+                    method, url, headers=list(sent.items()), content=body
+                )
+        found = {
+            name.decode().lower(): value.decode() for name, value in response.headers
+        }
+        return Answer(response.status, found, response.content)
+
+    async def submit(self, number: int, job_id: str, items: int) -> Answer:
+        rows = [
+            {
+                "id": f"{job_id}-{index}",
+                "path": f"{BATCH}{index}",
+                "headers": {"X-Chivespan-Model": "m"},
+                "body": "q83vEjRWeJA=",
+                "tokens": 100,
+            }
+            for index in range(items)
+        ]
+        body = json.dumps({"items": rows}).encode()
+        headers = {"X-Chivespan-Request-Id": job_id}
+        return await self.call(number, "POST", f"{BATCH}{job_id}", headers, body)
+
+    async def results(self, number: int, job_id: str, total: int) -> list[Any]:
+        """Read until a job has all its results."""
+        with anyio.fail_after(20):
+            while True:
+                headers = {"X-Chivespan-Wait-Ms": "500"}
+                path = f"/-/lots/{job_id}?after=0"
+                answer = await self.call(number, "GET", path, headers)
+                if answer.status == 200:
+                    page = json.loads(answer.body)
+                    assert page["total"] == total
+                    if page["next"] == total:
+                        return list(page["results"])
+                await anyio.sleep(0.05)
+
+    def events(self, number: int, event: str) -> list[dict[str, Any]]:
+        """Return a node's log lines of one event."""
+        return [line for line in self.logs[number] if line["event"] == event]
+
+    async def _collect(self, number: int, process: Process) -> None:
+        assert process.stdout is not None
+        rest = b""
+        async for chunk in process.stdout:
+            *lines, rest = (rest + chunk).split(b"\n")
+            self.logs[number].extend(json.loads(line) for line in lines)
+
+    def _settings(self, number: int) -> str:
+        vm = self.vm(number)
+        return f"""
+nodeName = "n{number}"
+ip = "{vm}"
+zone = "dc-1"
+region = "r"
+heartbeatMs = 1200
+seeds = ["{self.vm(1)}:{CONTROL}"]
+[listenAddrs]
+front = "{vm}:{FRONT}"
+ready = "{vm}:{READY}"
+control = "{vm}:{CONTROL}"
+directory = "{vm}:{DIRECTORY}"
+[bounds]
+graceS = 8
+[platform]
+address = "{self.block}.100:8169"
+"""
+
+
+@asynccontextmanager
+async def fleet(
+    folder: Path, nodes: int, *targets: TargetStandIn
+) -> AsyncIterator[tuple[Fleet, anyio.abc.TaskGroup]]:
+    """Run stand-ins and nodes; end the processes that were started, by their ids."""
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    block = f"127.{20 + worker}.{next(_blocks)}"
+    store = StoreStandIn()
+    site = Fleet(block, store, list(targets), folder)
+    places: list[tuple[str, StandIn]] = [(f"{block}.100:8169", store)]
+    places += [(site.target_address(n), each) for n, each in enumerate(targets)]
+    async with serving_at(places), anyio.create_task_group() as tasks:
+        site.publish(config(1))
+        for number in range(len(targets)):
+            site.list_target(number)
+        async with anyio.create_task_group() as starting:
+            for number in range(1, nodes + 1):
+                starting.start_soon(site.start, number, tasks)
+        try:
+            yield site, tasks
+        finally:
+            with anyio.CancelScope(shield=True):
+                for process in site.processes.values():
+                    process.kill()
+                    await process.wait()
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_batchschedule.py
@@ -0,0 +1,88 @@
+"""Which batch items start, and where, for the load patterns that the tests name."""
+
+from datetime import UTC, datetime, timedelta
+
+from chivespan.batchschedule import (
+    NodeRoom,
+    TargetRoom,
+    WaitingItem,
+    fixed_items,
+    place_items,
+)
+from chivespan.targetentry import TargetEntry
+
+START = datetime(2026, 12, 4, tzinfo=UTC)
+
+
+def entry(target_id: str, data_centre: str = "a", service: str = "s") -> TargetEntry:
+    return TargetEntry(
+        target_id=target_id,
+        service=service,
+        address="10.0.0.1:1",
+        data_centre=data_centre,
+        slots=8,
+        draining=False,
+        sequence=1,
+        started_ms=1,
+    )
+
+
+def room(target_id: str, online: int, batch: int = 0, centre: str = "a") -> TargetRoom:
+    return TargetRoom(entry(target_id, centre), 8, online, batch)
+
+
+def item(job_id: str, order: int, due_s: float, holder: str = "") -> WaitingItem:
+    return WaitingItem(
+        partition=0,
+        job_id=job_id,
+        item_id=f"{job_id}-{order}",
+        service="s",
+        due=START + timedelta(seconds=due_s),
+        order=order,
+        holder=holder,
+    )
+
+
+def test_valley_is_filled_but_for_the_slot_of_the_next_online_request() -> None:
+    targets = [room("t1", online=3), room("t2", online=0)]
+    nodes = [NodeRoom("n1", "a", 0), NodeRoom("n2", "a", 0)]
+    items = [item("j", order, 18) for order in range(30)]
+    placed = list(place_items(items, targets, nodes))
+    assert [target.spare for target in targets] == [0, 0]
+    assert len(placed) == 4 + 7
+    assert {node.items for node in nodes} <= {5, 6}
+
+
+def test_burst_of_online_requests_starts_no_item() -> None:
+    targets = [room("t1", online=7), room("t2", online=9), room("t3", 4, batch=3)]
+    nodes = [NodeRoom("n1", "a", 0)]
+    assert not list(place_items([item("j", 0, 18)], targets, nodes))
+
+
+def test_burst_of_jobs_runs_in_the_order_in_which_they_are_due() -> None:
+    items = [item("late", order, 30) for order in range(20)]
+    items += [item("soon", order, 5) for order in range(7)]
+    nodes = [NodeRoom("n1", "a", 0)]
+    placed = list(place_items(items, [room("t1", 0)], nodes))
+    assert [each.item.item_id for each in placed] == [f"soon-{n}" for n in range(7)]
+
+
+def test_yielded_item_goes_on_at_the_node_that_holds_its_events() -> None:
+    targets = [room("far", 0, centre="b"), room("near", 5, centre="a")]
+    nodes = [NodeRoom("n1", "a", 9), NodeRoom("n2", "b", 0)]
+    (placed,) = place_items([item("j", 0, 5, holder="n1")], targets, nodes)
+    assert (placed.vm, placed.entry.target_id) == ("n1", "near")
+
+
+def test_item_whose_holder_is_gone_starts_near_its_target() -> None:
+    targets = [room("t1", 0, centre="b")]
+    nodes = [NodeRoom("n1", "a", 0), NodeRoom("n2", "b", 3)]
+    (placed,) = place_items([item("j", 0, 5, holder="n9")], targets, nodes)
+    assert placed.vm == "n2"
+
+
+def test_fixed_number_of_items_is_there_for_comparison() -> None:
+    targets = [room("t1", online=8)]
+    nodes = [NodeRoom("n1", "a", 0)]
+    items = [item("j", order, 18) for order in range(30)]
+    assert len(list(place_items(items, targets, nodes, fixed_items))) == 6
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,260 @@
+"""Whole nodes as processes: what callers and targets see."""
+
+import json
+from pathlib import Path
+
+import anyio
+import pytest
+
+from standins.platformstore import StoreFaults
+from standins.platformtarget import TargetFaults, TargetOptions, TargetStandIn
+from tests.fleet import DIRECTORY, ONCE, STREAM, batch_route, config, fleet, route
+
+pytestmark = pytest.mark.anyio
+
+
+def target(number: int, **options: float) -> TargetStandIn:
+    return TargetStandIn(TargetOptions(target_id=f"i-{number}", **options))  # type: ignore[arg-type]
+
+
+def request(name: str, deadline_ms: int = 5000) -> dict[str, str]:
+    return {
+        "X-Chivespan-Request-Id": name,
+        "X-Chivespan-Deadline-Ms": str(deadline_ms),
+    }
+
+
+def whole_stream(name: str, events: int = 5) -> bytes:
+    parts = [f"id: {n}\ndata: {name}-{n}\n\n" for n in range(1, events + 1)]
+    return "".join(parts).encode()
+
+
+async def test_stream_is_passed_on_whole_with_the_targets_mark(tmp_path: Path) -> None:
+    one = target(1)
+    async with fleet(tmp_path, 1, one) as (site, _):
+        answer = await site.call(1, "POST", f"{STREAM}x?q=1", request("a"), b"body")
+        assert (answer.status, answer.body) == (200, whole_stream("a"))
+        assert answer.headers["x-chivespan-server-seal"] == "seal-a"
+        (arrival,) = one.arrivals
+        assert arrival.body == b"body"
+        assert 4500 < arrival.deadline_ms <= 5000
+        missing = await site.call(1, "POST", "/none/x", request("b"))
+        assert missing.status == 404
+
+
+async def test_resumable_stream_goes_on_at_another_target(tmp_path: Path) -> None:
+    bad = target(1)
+    bad.faults = TargetFaults(break_after=2)
+    good = target(2, slots=1)
+    async with fleet(tmp_path, 1, bad, good) as (site, _):
+        answer = await site.call(1, "POST", f"{STREAM}x", request("a"))
+        assert answer.body == whole_stream("a")
+        assert good.arrivals[-1].last_event == 2
+
+
+async def test_stream_that_runs_once_is_not_sent_again(tmp_path: Path) -> None:
+    bad, good = target(1), target(2, slots=1)
+    bad.faults = TargetFaults(status=500)
+    async with fleet(tmp_path, 1, bad, good) as (site, _):
+        answer = await site.call(1, "POST", f"{ONCE}x", request("a"))
+        assert answer.status == 500
+        bad.faults = TargetFaults(other_id=True)
+        answer = await site.call(1, "POST", f"{ONCE}x", request("b"))
+        assert answer.status == 502
+        assert not good.ran
+
+
+async def test_refusal_of_all_targets_says_when_to_come_back(tmp_path: Path) -> None:
+    one = target(1)
+    one.faults = TargetFaults(full=True)
+    async with fleet(tmp_path, 1, one) as (site, _):
+        answer = await site.call(1, "POST", f"{ONCE}x", request("a"))
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert not one.ran
+
+
+async def test_caller_that_leaves_ends_the_run(tmp_path: Path) -> None:
+    slow = target(1, gap_ms=300, events=50)
+    async with fleet(tmp_path, 1, slow) as (site, _):
+        with anyio.move_on_after(0.8):
+            await site.call(1, "POST", f"{STREAM}x", request("a"))
+        with anyio.fail_after(0.5):
+            while slow.left != ["a"]:
+                await anyio.sleep(0.01)
+
+
+async def test_draining_target_gets_nothing_new(tmp_path: Path) -> None:
+    one, two = target(1), target(2)
+    async with fleet(tmp_path, 1, one, two) as (site, _):
+        site.list_target(0, "draining")
+        await anyio.sleep(1.5)
+        for number in range(10):
+            await site.call(1, "POST", f"{ONCE}x", request(f"a{number}"))
+        assert not one.ran
+        assert len(two.ran) == 10
+
+
+async def test_configuration_spreads_and_never_goes_back(tmp_path: Path) -> None:
+    async with fleet(tmp_path, 2, target(1)) as (site, _):
+        site.publish(config(5, route("r-new", "/new/")))
+        await anyio.sleep(0.5)
+        site.publish(config(3))
+        await anyio.sleep(2)
+        for number in (1, 2):
+            found = await site.call(number, "POST", "/new/x", request("a"))
+            gone = await site.call(number, "POST", f"{STREAM}x", request("b"))
+            assert (found.status, gone.status) == (200, 404)
+
+
+async def test_node_that_the_store_turns_away_hears_of_it_from_a_peer(
+    tmp_path: Path,
+) -> None:
+    one, two = target(1), target(2)
+    async with fleet(tmp_path, 2, one, two) as (site, _):
+        site.store.faults = StoreFaults(down="busy", down_for=[site.vm(1)])
+        await anyio.sleep(1)
+        site.publish(config(5, route("r-new", "/new/", resumable=False)))
+        site.list_target(0, "draining")
+        await anyio.sleep(2)
+        for number in range(5):
+            answer = await site.call(1, "POST", "/new/x", request(f"a{number}"))
+            assert answer.status == 200
+        assert not one.ran
+
+
+async def test_requests_are_served_while_the_store_is_down(tmp_path: Path) -> None:
+    async with fleet(tmp_path, 1, target(1)) as (site, _):
+        site.store.faults = StoreFaults(down="silent")
+        await anyio.sleep(3)
+        answer = await site.call(1, "POST", f"{ONCE}x", request("a"))
+        assert answer.status == 200
+
+
+async def test_directory_names_live_nodes_and_forgets_one_that_leaves(
+    tmp_path: Path,
+) -> None:
+    async with fleet(tmp_path, 2, target(1)) as (site, tasks):
+        await anyio.sleep(0.5)
+
+        async def named() -> list[str]:
+            answer = await site.call(1, "GET", "/-/resolve?name=h", port=DIRECTORY)
+            return list(json.loads(answer.body)["frontAddrs"])
+
+        assert len(await named()) == 2
+        tasks.start_soon(site.stop, 2)
+        await anyio.sleep(0.3)
+        assert await named() == [f"{site.vm(1)}:8161"]
+        served = await site.call(2, "POST", f"{ONCE}x", request("a"))
+        assert served.status == 200
+
+
+async def test_job_runs_and_its_results_stand_at_every_node(tmp_path: Path) -> None:
+    async with fleet(tmp_path, 2, target(1)) as (site, _):
+        assert (await site.submit(1, "job", 12)).status == 202
+        assert (await site.submit(2, "job", 12)).status == 202
+        results = await site.results(1, "job", 12)
+        assert results == await site.results(2, "job", 12)
+        assert {row["state"] for row in results} == {"completed"}
+        texts = {row["id"]: row["text"] for row in results}
+        assert texts["job-3"] == "\n".join(f"job-3-{n}" for n in range(1, 6))
+        unknown = await site.call(1, "GET", "/-/lots/none?after=0")
+        assert unknown.status == 404
+        assert (await site.call(2, "DELETE", "/-/lots/job")).status == 200
+
+
+async def test_job_survives_a_kill_of_all_nodes(tmp_path: Path) -> None:
+    slow = target(1, gap_ms=60, events=20)
+    async with fleet(tmp_path, 2, slow) as (site, tasks):
+        assert (await site.submit(1, "job", 10)).status == 202
+        await anyio.sleep(0.5)
+        for number in (1, 2):
+            await site.kill(number)
+        for number in (1, 2):
+            await site.start(number, tasks)
+        results = await site.results(2, "job", 10)
+        assert {row["state"] for row in results} == {"completed"}
+
+
+async def test_items_go_on_under_the_next_owner(tmp_path: Path) -> None:
+    """The owner is killed; the other node holds events that aren't made again."""
+    slow = target(1, gap_ms=50, events=60)
+    async with fleet(tmp_path, 3, slow) as (site, _):
+        await anyio.sleep(1.5)
+        assert (await site.submit(1, "job", 6)).status == 202
+        await anyio.sleep(0.8)
+        owner = next(n for n in (1, 2, 3) if site.events(n, "job_accepted"))
+        other = next(n for n in (1, 2, 3) if n != owner)
+        await site.kill(owner)
+        await site.results(other, "job", 6)
+        assert len(slow.ran) < 12
+
+
+async def test_online_request_makes_batch_yield(tmp_path: Path) -> None:
+    one = target(1, slots=4, gap_ms=20, events=100)
+    async with fleet(tmp_path, 1, one) as (site, _):
+        await site.submit(1, "job", 6)
+        await anyio.sleep(1)
+        async with anyio.create_task_group() as tasks:
+            for number in range(4):
+                name = request(f"a{number}")
+                tasks.start_soon(site.call, 1, "POST", f"{ONCE}x", name)
+        starts = [each for each in one.ran if each.startswith("a")]
+        assert len(starts) == 4
+        await site.results(1, "job", 6)
+        resumed = [arrival for arrival in one.arrivals if arrival.last_event > 0]
+        assert resumed, "no item yielded"
+
+
+async def test_poison_item_is_given_up_and_failing_one_tried_again(
+    tmp_path: Path,
+) -> None:
+    one = target(1)
+    async with fleet(tmp_path, 1, one) as (site, _):
+        one.faults = TargetFaults(status=422)
+        await site.submit(1, "poison", 1)
+        (result,) = await site.results(1, "poison", 1)
+        assert (result["state"], len(one.ran)) == ("dead_letter", 1)
+        one.faults = TargetFaults(status=500)
+        await site.submit(1, "failing", 1)
+        (result,) = await site.results(1, "failing", 1)
+        assert (result["state"], len(one.ran)) == ("dead_letter", 4)
+
+
+async def test_ended_job_stops_and_lists_nothing_more(tmp_path: Path) -> None:
+    slow = target(1, gap_ms=100, events=100)
+    async with fleet(tmp_path, 2, slow) as (site, _):
+        await site.submit(1, "job", 4)
+        await anyio.sleep(0.6)
+        assert (await site.call(2, "DELETE", "/-/lots/job")).status == 200
+        await anyio.sleep(0.5)
+        assert len(slow.left) == len(slow.ran)
+        body = await site.call(1, "GET", "/-/items/job?id=job-1")
+        assert body.status == 404
+
+
+async def test_submission_is_refused_truly_while_the_store_is_down(
+    tmp_path: Path,
+) -> None:
+    one = target(1)
+    async with fleet(tmp_path, 1, one) as (site, _):
+        await site.submit(1, "first", 1)
+        site.store.faults = StoreFaults(down="busy")
+        refused = await site.submit(1, "job", 2)
+        assert refused.status == 503
+        site.store.faults = StoreFaults()
+        await anyio.sleep(1.5)
+        unknown = await site.call(1, "GET", "/-/lots/job?after=0")
+        assert unknown.status == 404
+
+
+async def test_tokens_over_the_limit_are_refused(tmp_path: Path) -> None:
+    slow = target(1, gap_ms=100, events=100)
+    async with fleet(tmp_path, 2, slow) as (site, _):
+        site.publish(config(9, batch_route(cap=500)))
+        await anyio.sleep(1)
+        assert (await site.submit(1, "one", 4)).status == 202
+        refused = await site.submit(2, "two", 2)
+        assert refused.status == 429
+        assert float(refused.headers["retry-after"]) > 0
+        assert (await site.submit(2, "three", 1)).status == 202
