Let online requests wait only as long as they can be on time

A request now waits for at most three quarters of its objective by the measured service time, and is else refused at once with when to come back.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -121,7 +121,7 @@
         responder: Responder,
     ) -> None:
         while True:
-            entry = self._picker.pick(progress.service, progress.tried)
+            entry = self._pick(route, progress)
             if entry is None:
                 raise self._refusal(progress, "no target with a short enough queue")
             progress.tried.add(entry.target_id)
@@ -270,7 +270,10 @@
         """Return whether another target can be asked if this one fails."""
         if not route.is_repeatable or progress.sends + 1 >= route.max_attempts:
             return False
-        return self._picker.pick(progress.service, progress.tried) is not None
+        return self._pick(route, progress) is not None
+
+    def _pick(self, route: Route, progress: Progress) -> TargetEntry | None:
+        return self._picker.pick(progress.service, route.objective, progress.tried)
 
     def _judge(
         self,
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -2,7 +2,8 @@
 
 Free slots of this data centre come first, then free slots elsewhere. When no slot is
 free, a request may wait at the target with the shortest queue of online requests: batch
-there makes room. A request that would wait too long there is refused.
+there makes room. A request that would be late by then is refused, so that it can come
+back while others are served in time.
 """
 
 from collections.abc import Callable, Container, Sequence
@@ -18,7 +19,8 @@
 from chivespan.targethealth import HealthState, TargetHealth
 from chivespan.targetset import TargetSet
 
-QUEUE_SHARE_OF_SLOTS = 0.5
+# Share of the objective that a request may wait; the rest is for its first event.
+WAIT_SHARE_OF_OBJECTIVE = 0.75
 RETURN_SPREAD = 0.4
 FIRST_SERVICE_TIME = timedelta(milliseconds=700)
 SERVICE_TIME_SMOOTHING = 0.05
@@ -45,37 +47,50 @@
         """Slots that nothing uses."""
         return self.slots - self.online - self.batch
 
-    @property
-    def waits_long(self) -> bool:
-        """Whether too many online requests are there already."""
-        return self.online >= self.slots * (1 + QUEUE_SHARE_OF_SLOTS)
+    def wait(self, service_time: timedelta) -> timedelta:
+        """Return how long a request that is sent now waits for a slot."""
+        ahead = max(0, self.online + 1 - self.slots)
+        return service_time * (ahead / self.slots)
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """What a choice of a target goes by.
+
+    :param longest_wait: a request that waits longer will be late.
+    :param service_time: how long a target's slot is taken by a request.
+    """
+
+    candidates: Sequence[Candidate]
+    longest_wait: timedelta
+    service_time: timedelta
+    random: Random
 
 
-TargetChoice: TypeAlias = Callable[[Sequence[Candidate], Random], Candidate | None]
+TargetChoice: TypeAlias = Callable[[Choice], Candidate | None]
 TARGET_CHOICES: Registry[TargetChoice] = Registry("target choice")
 
 
 @TARGET_CHOICES.register("shared_counts")
-def choose_by_shared_counts(
-    candidates: Sequence[Candidate], random: Random
-) -> Candidate | None:
+def choose_by_shared_counts(choice: Choice) -> Candidate | None:
     """Return the best target by what all nodes have in progress; None to refuse."""
-    free = [candidate for candidate in candidates if candidate.free > 0]
+    free = [candidate for candidate in choice.candidates if candidate.free > 0]
     near = [candidate for candidate in free if candidate.near]
     if near or free:
-        return _most(near or free, random, lambda candidate: candidate.free)
-    short = [candidate for candidate in candidates if not candidate.waits_long]
-    return _most(short, random, lambda candidate: candidate.slots - candidate.online)
+        return _most(near or free, choice.random, lambda each: each.free)
+    short = [
+        candidate
+        for candidate in choice.candidates
+        if candidate.wait(choice.service_time) <= choice.longest_wait
+    ]
+    return _most(short, choice.random, lambda each: each.slots - each.online)
 
 
 @TARGET_CHOICES.register("least_in_progress")
-def choose_least_in_progress(
-    candidates: Sequence[Candidate], random: Random
-) -> Candidate | None:
+def choose_least_in_progress(choice: Choice) -> Candidate | None:
     """Return the target with the fewest requests; never refuses."""
-    return _most(
-        candidates, random, lambda candidate: -candidate.online - candidate.batch
-    )
+    candidates = choice.candidates
+    return _most(candidates, choice.random, lambda each: -each.online - each.batch)
 
 
 def _most(
@@ -111,9 +126,12 @@
         self._health: dict[str, TargetHealth] = {}
         self._service_time = FIRST_SERVICE_TIME
 
-    def pick(self, service: str, excluded: Container[str] = ()) -> TargetEntry | None:
+    def pick(
+        self, service: str, objective: timedelta, excluded: Container[str] = ()
+    ) -> TargetEntry | None:
         """Return the target for one request; None to refuse it.
 
+        :param objective: time within which the first event should be there.
         :param excluded: ids of targets that have had it already.
         """
         candidates = [
@@ -121,7 +139,13 @@
             for candidate in self.candidates(service)
             if candidate.entry.target_id not in excluded
         ]
-        chosen = self._choose(candidates, self._random)
+        choice = Choice(
+            candidates,
+            objective * WAIT_SHARE_OF_OBJECTIVE,
+            self._service_time,
+            self._random,
+        )
+        chosen = self._choose(choice)
         return None if chosen is None else chosen.entry
 
     def candidates(self, service: str) -> list[Candidate]:
--- /dev/null
+++ b/tests/test_targetpick.py
@@ -0,0 +1,108 @@
+"""Where online requests go, for the load patterns that the tests name."""
+
+from contextlib import ExitStack
+from datetime import timedelta
+
+from chivespan.clock import ManualClock
+from chivespan.loadboard import LoadBoard
+from chivespan.nodemessages import TargetLoad
+from chivespan.targetentry import TargetEntry
+from chivespan.targetpick import TARGET_CHOICES, TargetPicker
+from chivespan.targetset import TargetSet
+
+OBJECTIVE = timedelta(milliseconds=300)
+SERVICE_TIME = timedelta(milliseconds=700)
+
+
+def entry(target_id: str, data_centre: str = "near", slots: int = 8) -> TargetEntry:
+    return TargetEntry(
+        target_id=target_id,
+        service="s",
+        address="10.0.0.1:1",
+        data_centre=data_centre,
+        slots=slots,
+        draining=False,
+        sequence=1,
+        started_ms=1,
+    )
+
+
+def picker(
+    *entries: TargetEntry, loads: dict[str, tuple[int, int]]
+) -> tuple[TargetPicker, LoadBoard]:
+    clock = ManualClock()
+    targets = TargetSet(clock)
+    targets.replace(entries)
+    board = LoadBoard()
+    board.report(
+        "peer",
+        [
+            TargetLoad(target_id=name, online=online, batch=batch)
+            for name, (online, batch) in loads.items()
+        ],
+    )
+    choose = TARGET_CHOICES["shared_counts"]
+    return TargetPicker(targets, board, "near", clock, choose), board
+
+
+def picked(chooser: TargetPicker) -> str | None:
+    found = chooser.pick("s", OBJECTIVE)
+    return None if found is None else found.target_id
+
+
+def test_free_slot_of_this_data_centre_goes_first() -> None:
+    entries = (entry("far", "far"), entry("busy"), entry("idle"))
+    chooser, _ = picker(*entries, loads={"busy": (5, 2), "idle": (3, 3)})
+    assert picked(chooser) == "idle"
+
+
+def test_free_slot_elsewhere_goes_before_a_queue_here() -> None:
+    chooser, _ = picker(entry("far", "far"), entry("full"), loads={"full": (8, 0)})
+    assert picked(chooser) == "far"
+
+
+def test_full_targets_take_it_where_batch_will_make_room() -> None:
+    loads = {"online": (8, 0), "batch": (3, 5)}
+    chooser, _ = picker(entry("online"), entry("batch"), loads=loads)
+    assert picked(chooser) == "batch"
+
+
+def test_burst_over_all_slots_is_refused_before_everybody_is_late() -> None:
+    """Arrivals stay above what the slots serve; those taken must be on time."""
+    entries = [entry(f"t{number}") for number in range(4)]
+    chooser, board = picker(*entries, loads={})
+    taken = 0
+    with ExitStack() as held:
+        while taken < 100 and (name := picked(chooser)) is not None:
+            held.enter_context(board.hold_online(name))
+            taken += 1
+    waiting = taken - 4 * 8
+    assert 4 <= waiting <= 4 * 3
+    longest_wait = SERVICE_TIME * (waiting / 4 / 8)
+    assert longest_wait < OBJECTIVE
+
+
+def test_refused_callers_come_back_spread_over_time() -> None:
+    chooser, _ = picker(entry("t"), loads={"t": (16, 0)})
+    times = {chooser.return_after("s") for _ in range(20)}
+    assert len(times) > 10
+    assert max(times) <= min(times) * 1.4
+
+
+def test_target_that_fails_is_left_out() -> None:
+    chooser, _ = picker(entry("bad"), entry("good"), loads={"good": (8, 0)})
+    for _ in range(3):
+        chooser.failed("bad")
+    assert picked(chooser) == "good"
+
+
+def test_baseline_of_least_requests_never_refuses() -> None:
+    chooser, board = picker(entry("t"), entry("u"), loads={"t": (90, 0), "u": (91, 0)})
+    baseline = TargetPicker(
+        chooser._targets,
+        board,
+        "near",
+        ManualClock(),
+        TARGET_CHOICES["least_in_progress"],
+    )
+    assert picked(baseline) == "t"
