--- a/chivespan/batchfront.py
+++ b/chivespan/batchfront.py
@@ -9,6 +9,7 @@
 from chivespan.callerrequest import CallerRequest, Responder, milliseconds
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.logs import logger
 from chivespan.nodemessages import BatchQuestion, BatchVerb
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
@@ -23,6 +24,9 @@
 STATUS_ACCEPTED = 202
 
 
+_log = logger("batch")
+
+
 class BatchFront:
     """Serves callers' batch calls by asking the owners of partitions."""
 
@@ -64,7 +68,7 @@
             wait_ms=wait // MILLISECOND,
         )
         await responder.answer_json(STATUS_OK, body)
-        self._note("page", request)
+        self._note("page", request, body)
 
     async def _show_body(self, request: CallerRequest, responder: Responder) -> None:
         body = await self._ask(
@@ -75,7 +79,7 @@
             item_id=_query(request, "id"),
         )
         await responder.answer(STATUS_OK, body)
-        self._note("body", request)
+        self._note("body", request, body)
 
     async def _end(self, request: CallerRequest, responder: Responder) -> None:
         job_id = _last_part(request, wire.JOB_PATH)
@@ -111,9 +115,17 @@
         )
         return await self._questions.ask(question)
 
-    def _note(self, call: str, request: CallerRequest) -> None:
+    def _note(self, call: str, request: CallerRequest, body: bytes = b"") -> None:
         took = self._clock.monotonic() - request.arrived
         self._metrics.answered(f"batch_{call}", "delivered", took)
+        _log.info(
+            "batch_call_answered",
+            request=request.request_id,
+            call=call,
+            path=request.path,
+            size=len(body),
+            took_ms=round(took / MILLISECOND, 1),
+        )
 
 
 def _check_submission(request: CallerRequest) -> None:
--- /dev/null
+++ b/tests/test_callerserver.py
@@ -0,0 +1,67 @@
+"""Limits on what callers send: heads and bodies that are too large or too slow."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import anyio
+import pytest
+from starlette.types import Receive, Scope, Send
+
+from chivespan.callerserver import CallerServer
+from chivespan.routes import CallerLimits
+
+pytestmark = pytest.mark.anyio
+LIMITS = CallerLimits(
+    max_header_bytes=500,
+    header_timeout=timedelta(milliseconds=200),
+    idle_timeout=timedelta(seconds=1),
+)
+
+
+async def _app(_scope: Scope, _receive: Receive, send: Send) -> None:
+    await send({"type": "http.response.start", "status": 204, "headers": []})
+    await send({"type": "http.response.body", "body": b""})
+
+
+@asynccontextmanager
+async def connected() -> AsyncIterator[anyio.abc.SocketStream]:
+    address = "127.0.19.1:8161"
+    server = CallerServer(_app, [address], lambda: LIMITS)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        for _ in range(100):
+            try:
+                stream = await anyio.connect_tcp("127.0.19.1", 8161)
+                break
+            except OSError:
+                await anyio.sleep(0.02)
+        async with stream:
+            yield stream
+        server.stop()
+
+
+async def status_of(stream: anyio.abc.SocketStream) -> int:
+    with anyio.fail_after(2):
+        return int((await stream.receive()).split(b" ")[1])
+
+
+async def test_request_within_the_limits_and_another_behind_it() -> None:
+    async with connected() as stream:
+        for _ in range(2):
+            await stream.send(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            assert await status_of(stream) == 204
+
+
+@pytest.mark.parametrize("whole", [True, False])
+async def test_head_that_is_too_large_is_refused(whole: bool) -> None:
+    head = b"GET / HTTP/1.1\r\nhost: h\r\nx: " + b"y" * 600
+    async with connected() as stream:
+        await stream.send(head + (b"\r\n\r\n" if whole else b""))
+        assert await status_of(stream) == 431
+
+
+async def test_head_that_takes_too_long_is_refused() -> None:
+    async with connected() as stream:
+        await stream.send(b"GET / HTTP/1.1\r\nhost:")
+        assert await status_of(stream) == 408
--- /dev/null
+++ b/tests/test_targetset.py
@@ -0,0 +1,65 @@
+"""Which targets may be sent to, as entries come, change, lapse and return."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+from chivespan.clock import ManualClock
+from chivespan.targetentry import TargetEntry
+from chivespan.targetset import TargetSet
+
+POLL = timedelta(milliseconds=700)
+ONE = TargetEntry(
+    target_id="i-1",
+    service="s",
+    address="10.0.0.1:1",
+    data_centre="a",
+    slots=8,
+    draining=False,
+    sequence=5,
+    started_ms=100,
+)
+TWO = replace(ONE, target_id="i-2")
+
+
+def ids(targets: TargetSet) -> list[str]:
+    return sorted(entry.target_id for entry in targets.usable("s"))
+
+
+def test_target_gone_in_steady_state_gets_nothing_more() -> None:
+    clock = ManualClock()
+    targets = TargetSet(clock)
+    targets.replace([ONE, TWO])
+    clock.advance(POLL)
+    targets.replace([TWO])
+    assert ids(targets) == ["i-2"]
+
+
+def test_entries_that_lapsed_while_the_store_was_away_have_two_seconds() -> None:
+    clock = ManualClock()
+    targets = TargetSet(clock)
+    targets.replace([ONE, TWO])
+    clock.advance(timedelta(seconds=6))
+    targets.replace([])
+    assert ids(targets) == ["i-1", "i-2"]
+    clock.advance(POLL)
+    targets.replace([ONE])
+    clock.advance(timedelta(seconds=2))
+    targets.replace([ONE])
+    assert ids(targets) == ["i-1"]
+
+
+def test_old_entry_neither_ends_a_drain_nor_brings_a_target_back() -> None:
+    clock = ManualClock()
+    targets = TargetSet(clock)
+    targets.replace([replace(ONE, draining=True, sequence=6)])
+    clock.advance(POLL)
+    targets.replace([ONE])
+    assert ids(targets) == []
+    clock.advance(POLL)
+    targets.replace([])
+    clock.advance(POLL)
+    targets.replace([ONE])
+    assert ids(targets) == []
+    clock.advance(POLL)
+    targets.replace([replace(ONE, sequence=0, started_ms=200)])
+    assert ids(targets) == ["i-1"]
