--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -14,7 +14,7 @@
 import anyio
 
 from chivespan.callerrequest import CallerRequest, Responder, left, milliseconds
-from chivespan.clock import Clock
+from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import EventSplitter
 from chivespan.exchange import Call, NotSent, Reply, exchange
@@ -132,6 +132,7 @@
         while True:
             entry = self._pick(route, progress)
             if entry is None:
+                self._note_not_placed(request, progress)
                 raise self._refusal(progress, "no target with a short enough queue")
             progress.tried.add(entry.target_id)
             with self._board.hold_online(entry.target_id):
@@ -140,6 +141,18 @@
                 return
             self._check_may_repeat(route, progress, outcome)
 
+    def _note_not_placed(self, request: CallerRequest, progress: Progress) -> None:
+        """Log what the choice of a target went by."""
+        candidates = self._picker.candidates(progress.service)
+        _log.info(
+            "no_target_chosen",
+            request=request.request_id,
+            service=progress.service,
+            tried=sorted(progress.tried),
+            loads=[candidate.summary for candidate in candidates],
+            oldest_count_ms=round(self._board.oldest_report_age() / MILLISECOND),
+        )
+
     def _check_may_repeat(
         self, route: Route, progress: Progress, outcome: SendOutcome
     ) -> None:
--- a/chivespan/loadboard.py
+++ b/chivespan/loadboard.py
@@ -7,10 +7,12 @@
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
+from datetime import timedelta
 from itertools import chain
 
 import anyio
 
+from chivespan.clock import Clock
 from chivespan.nodemessages import TargetLoad
 
 
@@ -35,7 +37,9 @@
 class LoadBoard:
     """Counts of requests in progress, own ones and those of peers."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._reported: dict[str, timedelta] = {}
         self._own_online: dict[str, int] = defaultdict(int)
         self._own_batch: dict[str, int] = defaultdict(int)
         self._peers: dict[str, tuple[TargetLoad, ...]] = {}
@@ -56,6 +60,11 @@
         """Return all requests in progress at a target."""
         return self.online(target_id) + self.batch(target_id)
 
+    def oldest_report_age(self) -> timedelta:
+        """Return how old the oldest of the last reports is; none without peers."""
+        now = self._clock.monotonic()
+        return max((now - at for at in self._reported.values()), default=timedelta(0))
+
     def own_loads(self) -> list[TargetLoad]:
         """Return this node's own counts, as its reports tell them."""
         targets = {*self._own_online, *self._own_batch}
@@ -85,6 +94,7 @@
         """Replace the counts of one peer."""
         self._subtract(peer)
         kept = tuple(loads)
+        self._reported[peer] = self._clock.monotonic()
         self._peers[peer] = kept
         for load in kept:
             self._peer_online[load.target_id] += load.online
@@ -93,6 +103,7 @@
 
     def forget(self, peer: str) -> None:
         """Drop the counts of a peer that is gone."""
+        self._reported.pop(peer, None)
         self._subtract(peer)
         self._tell()
 
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -1,6 +1,8 @@
 """All parts of one node, wired, and its life from start to end."""
 
 import signal
+from collections.abc import Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 
@@ -49,13 +51,36 @@
     silence=timedelta(seconds=1),
 )
 UPKEEP_INTERVAL_S = 0.25
-TARGET_CHOICE = "shared_counts"
-BATCH_ROOM = "spare_slots"
 OWNERSHIP_INTERVAL_S = 0.05
+TARGET_CHOICE_VARIABLE = "CHIVESPAN_TARGET_CHOICE"
+BATCH_ROOM_VARIABLE = "CHIVESPAN_BATCH_ROOM"
 
 _log = logger("node")
 
 
+@dataclass(frozen=True, slots=True)
+class NodePolicies:
+    """Names of the registered policies that decide on a node.
+
+    :param target_choice: which target an online request goes to.
+    :param batch_room: how many batch items a target takes.
+    """
+
+    target_choice: str = "shared_counts"
+    batch_room: str = "spare_slots"
+
+    @classmethod
+    def from_environment(cls, environment: Mapping[str, str]) -> "NodePolicies":
+        """Return the policies that environment variables name."""
+        return cls(
+            environment.get(TARGET_CHOICE_VARIABLE, cls().target_choice),
+            environment.get(BATCH_ROOM_VARIABLE, cls().batch_room),
+        )
+
+
+DEFAULT_POLICIES = NodePolicies()
+
+
 class Node:
     """One node.
 
@@ -70,13 +95,14 @@
         writer: LineWriter,
         incarnation: str,
         protocol: int,
+        policies: NodePolicies = DEFAULT_POLICIES,
     ) -> None:
         self._settings = settings
         self._path = path
         self._clock = clock
         self._writer = writer
         self.metrics = NodeMetrics()
-        self.board = LoadBoard()
+        self.board = LoadBoard(clock)
         self.targets = TargetSet(clock)
         self.routing = RoutingState(documents.decode_config)
         hello = _hello(settings, incarnation, protocol)
@@ -107,7 +133,7 @@
             settings.data_centre,
             clock,
             self.silence,
-            TARGET_CHOICES[TARGET_CHOICE],
+            TARGET_CHOICES[policies.target_choice],
         )
         self.executor = BatchExecutor(
             self.targets,
@@ -128,7 +154,7 @@
             self.board,
             self.executor,
             clock,
-            BATCH_ROOMS[BATCH_ROOM],
+            BATCH_ROOMS[policies.batch_room],
         )
         questions = BatchQuestions(
             self.links, self.watch, self.placement, clock, self.batch.reply_to
--- a/chivespan/node_main.py
+++ b/chivespan/node_main.py
@@ -9,7 +9,7 @@
 from chivespan.clock import SystemClock
 from chivespan.codec import PROTOCOL
 from chivespan.jsonlog import JsonLineHandler, stdout_writer
-from chivespan.node import Node
+from chivespan.node import Node, NodePolicies
 from chivespan.platform.settingsfile import read_settings, settings_path
 
 
@@ -22,7 +22,8 @@
     JsonLineHandler(settings.name, writer, clock).push_application()
     _silence_libraries()
     incarnation = secrets.token_hex(6)
-    node = Node(settings, path, clock, writer, incarnation, PROTOCOL)
+    policies = NodePolicies.from_environment(os.environ)
+    node = Node(settings, path, clock, writer, incarnation, PROTOCOL, policies)
     anyio.run(node.run, backend_options={"use_uvloop": True})
 
 
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -48,6 +48,11 @@
         """Slots that nothing uses."""
         return self.slots - self.online - self.batch
 
+    @property
+    def summary(self) -> str:
+        """What uses it, for log lines: id, online and batch requests, slots."""
+        return f"{self.entry.target_id}:{self.online}+{self.batch}/{self.slots}"
+
     def wait(self, service_time: timedelta) -> timedelta:
         """Return how long a request that is sent now waits for a slot."""
         ahead = max(0, self.online + 1 - self.slots)
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -23,7 +23,7 @@
         self.value = NodeValue(
             vm=vm, data_centre=data_centre, front_address="", control_address=""
         )
-        self.board = LoadBoard()
+        self.board = LoadBoard(ManualClock())
         self.peers: dict[str, Peer] = {}
         self.sent: list[tuple[str, object]] = []
         links = SimpleNamespace(
--- a/tests/test_targetpick.py
+++ b/tests/test_targetpick.py
@@ -34,7 +34,7 @@
     clock = ManualClock()
     targets = TargetSet(clock)
     targets.replace(entries)
-    board = LoadBoard()
+    board = LoadBoard(clock)
     board.report(
         "peer",
         [
