--- /dev/null
+++ b/chivespan/batchanswers.py
@@ -0,0 +1,177 @@
+"""Answers callers' questions on the batch jobs of one partition, from its ledger.
+
+Any node can answer: what is told comes from the store, as it is now or was just before.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import anyio
+
+from chivespan.batchchanges import AcceptJob, EndJob
+from chivespan.batchledger import LedgerJob
+from chivespan.batchrecords import BatchHeader, BatchItem
+from chivespan.clock import NO_WAIT, Clock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.ledgerstore import LedgerStore
+from chivespan.logs import logger
+from chivespan.nodemessages import BatchQuestion
+from chivespan.platform import wire
+from chivespan.routes import Route
+from chivespan.routingstate import RoutingState
+
+MAX_AGE_OF_PAGE = timedelta(milliseconds=500)
+MAX_PAGE_BYTES = 1_000_000
+QUOTA_RETURN = timedelta(seconds=1)
+
+_log = logger("batch")
+
+
+class BatchAnswers:
+    """One partition's answers.
+
+    :param job_ended: called when a caller has ended a job.
+    """
+
+    def __init__(
+        self,
+        store: LedgerStore,
+        routing: RoutingState,
+        clock: Clock,
+        max_record_bytes: int,
+        job_ended: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._routing = routing
+        self._clock = clock
+        self._max_record_bytes = max_record_bytes
+        self._job_ended = job_ended
+
+    async def answer(self, question: BatchQuestion) -> bytes:
+        """Return the answer to a caller's question.
+
+        :raises ChivespanError: what the caller is told instead.
+        """
+        verb = question.verb.value
+        answers = {
+            "submit": self._submit,
+            "page": self._page,
+            "body": self._body,
+            "end": self._end,
+        }
+        return await answers[verb](question)
+
+    async def _submit(self, question: BatchQuestion) -> bytes:
+        route = self._route(question.route)
+        if route is None:
+            reason = f"route {question.route} isn't known here"
+            raise ChivespanError(ErrorKind.NOT_READY, reason)
+        if not self._store.is_loaded:
+            await self._store.refresh(NO_WAIT)
+        submitted = wire.decode_submission(question.body)
+        change = AcceptJob(
+            job_id=question.job_id,
+            route=question.route,
+            host=question.host,
+            items=tuple(_batch_item(item) for item in submitted),
+            submitted=self._clock.now(),
+            tokens_limit=route.waiting_tokens_limit,
+            max_record_bytes=self._max_record_bytes,
+        )
+        patience = timedelta(milliseconds=question.patience_ms)
+        try:
+            await self._store.commit(change, patience)
+        except ChivespanError as error:
+            _log.info(
+                "job_refused",
+                job=question.job_id,
+                route=question.route,
+                kind=error.kind.value,
+                reason=error.message,
+                ledger_end=self._store.ledger.end,
+            )
+            raise _as_told(error) from error
+        _log.info(
+            "job_accepted",
+            job=question.job_id,
+            route=question.route,
+            items=len(change.items),
+            ledger_end=self._store.ledger.end,
+        )
+        return b""
+
+    async def _page(self, question: BatchQuestion) -> bytes:
+        wait = timedelta(milliseconds=question.wait_ms)
+        job = await self._job(question.job_id)
+        with anyio.move_on_after(wait.total_seconds()):
+            while len(job.results) <= question.start and job.is_open:
+                await self._store.wait_changed()
+                job = self._store.ledger.jobs.get(question.job_id, job)
+        return _page(job, question.start)
+
+    async def _body(self, question: BatchQuestion) -> bytes:
+        job = await self._job(question.job_id)
+        item = job.items.get(question.item_id)
+        if item is None or job.ended or item.item_id in job.listed:
+            reason = f"item {question.item_id} is listed, or there is none"
+            raise ChivespanError(ErrorKind.NOT_FOUND, reason)
+        return item.body
+
+    async def _end(self, question: BatchQuestion) -> bytes:
+        await self._job(question.job_id)
+        patience = timedelta(milliseconds=question.patience_ms)
+        change = EndJob(question.job_id, self._clock.now())
+        try:
+            await self._store.commit(change, patience)
+        except ChivespanError as error:
+            raise _as_told(error) from error
+        _log.info("job_ended", job=question.job_id, ledger_end=self._store.ledger.end)
+        self._job_ended()
+        return b""
+
+    async def _job(self, job_id: str) -> LedgerJob:
+        """Return a job as the store has it now.
+
+        :raises ChivespanError: ``not_found`` only when the store surely has none.
+        """
+        job = self._store.ledger.jobs.get(job_id)
+        await self._store.refresh(MAX_AGE_OF_PAGE if job else NO_WAIT)
+        job = self._store.ledger.jobs.get(job_id)
+        if job is None:
+            raise ChivespanError(ErrorKind.NOT_FOUND, f"no job {job_id}")
+        return job
+
+    def _route(self, name: str) -> Route | None:
+        table = self._routing.table
+        return None if table is None else table.route_named(name)
+
+
+def _as_told(error: ChivespanError) -> ChivespanError:
+    """Return an error as a caller is told it: "not done" only where that is so."""
+    if error.kind is ErrorKind.ACCEPTANCE_UNKNOWN:
+        return ChivespanError(ErrorKind.UNCONFIRMED, error.message)
+    if error.kind is ErrorKind.OWNER_LIMIT:
+        return ChivespanError(error.kind, error.message, retry_after=QUOTA_RETURN)
+    return error
+
+
+def _page(job: LedgerJob, start: int) -> bytes:
+    """Return the results from a position on, at least one if there is one."""
+    results: list[wire.ListedResult] = []
+    size = 0
+    for result in job.results[start:]:
+        size += len(result.text)
+        if results and size > MAX_PAGE_BYTES:
+            break
+        results.append(wire.ListedResult(result.item_id, result.done, result.text))
+    return wire.encode_results(len(job.items), start, results)
+
+
+def _batch_item(item: wire.SubmittedItem) -> BatchItem:
+    return BatchItem(
+        item_id=item.item_id,
+        path=item.path,
+        headers=[BatchHeader(name=name, value=value) for name, value in item.headers],
+        body=item.body,
+        tokens=item.tokens,
+    )
--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -196,7 +196,6 @@
                 return ItemState.broken
 
     async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
-        began = self._clock.monotonic()
         watching = self._silence.watching(entry.target_id)
         async with exchange(_call(held, entry)) as reply:
             if wire.says_not_run(reply):
@@ -210,7 +209,7 @@
                 return ItemState.failed
             with watching as watch:
                 await self._take_events(held, entry, reply, watch)
-        self._picker.succeeded(entry.target_id, self._clock.monotonic() - began)
+        self._picker.succeeded(entry.target_id)
         return ItemState.done
 
     async def _take_events(
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -6,6 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from chivespan.batchanswers import BatchAnswers
 from chivespan.batchexecutor import BatchExecutor
 from chivespan.batchowner import BatchOwner
 from chivespan.batchplacement import PARTITIONS, BatchPlacement
@@ -85,6 +86,16 @@
             )
             for number, ledger in enumerate(self._stores)
         ]
+        self._answers = [
+            BatchAnswers(
+                ledger,
+                routing,
+                clock,
+                settings.store.max_record_bytes,
+                owner.stop_runs_of_ended,
+            )
+            for ledger, owner in zip(self._stores, self._owners, strict=True)
+        ]
         self._scheduling: set[int] = set()
         self._owned_by: dict[str, list[int]] = {}
         self._taken = anyio.Event()
@@ -170,7 +181,7 @@
         """Answer a question here, whether or not this node owns the partition."""
         kind, body, retry_after = "", b"", timedelta(0)
         try:
-            body = await self._owners[question.partition].answer(question)
+            body = await self._answers[question.partition].answer(question)
         except ChivespanError as error:
             kind = error.kind.value
             body = error.message.encode()
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -1,4 +1,4 @@
-"""One partition of batch jobs at its owner: callers' questions, and items to run."""
+"""The items of one partition of batch jobs at its owner: who runs them, and results."""
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
@@ -6,36 +6,31 @@
 
 import anyio
 
-from chivespan.batchchanges import AcceptJob, EndJob, ForgetJob, ListResult
+from chivespan.batchchanges import ForgetJob, ListResult
 from chivespan.batchledger import LedgerJob, is_past
-from chivespan.batchrecords import BatchHeader, BatchItem
+from chivespan.batchrecords import BatchItem
 from chivespan.batchschedule import Placement, WaitingItem
 from chivespan.clock import NO_WAIT, Clock
-from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.errors import ChivespanError
 from chivespan.itempace import ItemPace
 from chivespan.ledgerstore import LedgerStore
 from chivespan.logs import logger
 from chivespan.nodemessages import (
-    BatchQuestion,
     ItemHeader,
     ItemStart,
     ItemState,
     ItemStatus,
     ItemStop,
 )
-from chivespan.platform import wire
 from chivespan.routes import Route, RouteKind
 from chivespan.routingstate import RoutingState
 
-MAX_AGE_OF_PAGE = timedelta(milliseconds=500)
 MAX_AGE_WITH_OPEN_JOBS = timedelta(seconds=1)
-MAX_PAGE_BYTES = 1_000_000
 TAKEOVER_TIME = timedelta(milliseconds=300)
 FAILED_HOLD_OFF = timedelta(milliseconds=200)
 YIELDED_HOLD_OFF = timedelta(milliseconds=40)
 ABANDON_MARGIN = timedelta(seconds=3)
 KEEP_MARGIN = timedelta(seconds=20)
-QUOTA_RETURN = timedelta(seconds=1)
 
 _log = logger("batch")
 
@@ -95,102 +90,6 @@
         self._early: list[tuple[str, ItemStatus]] = []
         self._finished: list[ListResult] = []
         self._results = anyio.Event()
-        self._wake = anyio.Event()
-
-    async def answer(self, question: BatchQuestion) -> bytes:
-        """Return the answer to a caller's question.
-
-        :raises ChivespanError: what the caller is told instead.
-        """
-        verb = question.verb.value
-        answers = {
-            "submit": self._submit,
-            "page": self._page,
-            "body": self._body,
-            "end": self._end,
-        }
-        return await answers[verb](question)
-
-    async def _submit(self, question: BatchQuestion) -> bytes:
-        route = self._route(question.route)
-        if route is None:
-            reason = f"route {question.route} isn't known here"
-            raise ChivespanError(ErrorKind.NOT_READY, reason)
-        if not self._store.is_loaded:
-            await self._store.refresh(NO_WAIT)
-        submitted = wire.decode_submission(question.body)
-        change = AcceptJob(
-            job_id=question.job_id,
-            route=question.route,
-            host=question.host,
-            items=tuple(_batch_item(item) for item in submitted),
-            submitted=self._clock.now(),
-            tokens_limit=route.waiting_tokens_limit,
-            max_record_bytes=self._max_record_bytes,
-        )
-        patience = timedelta(milliseconds=question.patience_ms)
-        try:
-            await self._store.commit(change, patience)
-        except ChivespanError as error:
-            _log.info(
-                "job_refused",
-                job=question.job_id,
-                route=question.route,
-                kind=error.kind.value,
-                reason=error.message,
-                ledger_end=self._store.ledger.end,
-            )
-            raise _as_told(error) from error
-        _log.info(
-            "job_accepted",
-            job=question.job_id,
-            route=question.route,
-            items=len(change.items),
-            ledger_end=self._store.ledger.end,
-        )
-        self._wake.set()
-        return b""
-
-    async def _page(self, question: BatchQuestion) -> bytes:
-        wait = timedelta(milliseconds=question.wait_ms)
-        job = await self._job(question.job_id)
-        with anyio.move_on_after(wait.total_seconds()):
-            while len(job.results) <= question.start and job.is_open:
-                await self._store.wait_changed()
-                job = self._store.ledger.jobs.get(question.job_id, job)
-        return _page(job, question.start)
-
-    async def _body(self, question: BatchQuestion) -> bytes:
-        job = await self._job(question.job_id)
-        item = job.items.get(question.item_id)
-        if item is None or job.ended or item.item_id in job.listed:
-            reason = f"item {question.item_id} is listed, or there is none"
-            raise ChivespanError(ErrorKind.NOT_FOUND, reason)
-        return item.body
-
-    async def _end(self, question: BatchQuestion) -> bytes:
-        await self._job(question.job_id)
-        patience = timedelta(milliseconds=question.patience_ms)
-        change = EndJob(question.job_id, self._clock.now())
-        try:
-            await self._store.commit(change, patience)
-        except ChivespanError as error:
-            raise _as_told(error) from error
-        _log.info("job_ended", job=question.job_id, ledger_end=self._store.ledger.end)
-        self._stop_runs_of_ended()
-        return b""
-
-    async def _job(self, job_id: str) -> LedgerJob:
-        """Return a job as the store has it now.
-
-        :raises ChivespanError: ``not_found`` only when the store surely has none.
-        """
-        job = self._store.ledger.jobs.get(job_id)
-        await self._store.refresh(MAX_AGE_OF_PAGE if job else NO_WAIT)
-        job = self._store.ledger.jobs.get(job_id)
-        if job is None:
-            raise ChivespanError(ErrorKind.NOT_FOUND, f"no job {job_id}")
-        return job
 
     async def load(self) -> None:
         """Have the ledger, and look for changes of others while jobs are open.
@@ -201,7 +100,7 @@
             await self._catch_up()
         elif any(True for _ in self._store.ledger.open_jobs()):
             await self._store.refresh(MAX_AGE_WITH_OPEN_JOBS)
-            self._stop_runs_of_ended()
+            self.stop_runs_of_ended()
 
     async def _catch_up(self) -> None:
         """Read what earlier owners wrote, then take what nodes said meanwhile."""
@@ -289,14 +188,12 @@
             self._send(vm, _stop(key))
             return
         self._note(key, run, vm, status)
-        self._wake.set()
 
     def node_lost(self, vm: str) -> None:
         """Let items of a lost node be started elsewhere."""
         for key, run in list(self._runs.items()):
             if run.vm == vm and not run.settled:
                 self._runs[key] = _loose(run)
-        self._wake.set()
 
     def take_over(self) -> None:
         """Start nothing before the nodes could say what they hold."""
@@ -309,7 +206,7 @@
         self._caught_up = False
 
     async def list_finished(self) -> None:
-        """Write results to the store for ever; with no result lost by an outage."""
+        """Write results to the store for ever; an outage loses none of them."""
         async with anyio.create_task_group() as tasks:
             while True:
                 while self._finished:
@@ -415,7 +312,8 @@
         if run is not None and run.vm:
             self._send(run.vm, _stop(key))
 
-    def _stop_runs_of_ended(self) -> None:
+    def stop_runs_of_ended(self) -> None:
+        """Have no item of an ended job run on."""
         for key, run in list(self._runs.items()):
             job = self._store.ledger.jobs.get(key[0])
             if job is None or job.ended:
@@ -432,46 +330,6 @@
         route = table.find(job.head.host, first.path)
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
-    def _route(self, name: str) -> Route | None:
-        table = self._routing.table
-        return None if table is None else table.route_named(name)
-
-    async def wait_work(self) -> None:
-        """Wait until something has changed that may let an item start."""
-        await self._wake.wait()
-        self._wake = anyio.Event()
-
-
-def _as_told(error: ChivespanError) -> ChivespanError:
-    """Return an error as a caller is told it: "not done" only where that is so."""
-    if error.kind is ErrorKind.ACCEPTANCE_UNKNOWN:
-        return ChivespanError(ErrorKind.UNCONFIRMED, error.message)
-    if error.kind is ErrorKind.OWNER_LIMIT:
-        return ChivespanError(error.kind, error.message, retry_after=QUOTA_RETURN)
-    return error
-
-
-def _page(job: LedgerJob, start: int) -> bytes:
-    """Return the results from a position on, at least one if there is one."""
-    results: list[wire.ListedResult] = []
-    size = 0
-    for result in job.results[start:]:
-        size += len(result.text)
-        if results and size > MAX_PAGE_BYTES:
-            break
-        results.append(wire.ListedResult(result.item_id, result.done, result.text))
-    return wire.encode_results(len(job.items), start, results)
-
-
-def _batch_item(item: wire.SubmittedItem) -> BatchItem:
-    return BatchItem(
-        item_id=item.item_id,
-        path=item.path,
-        headers=[BatchHeader(name=name, value=value) for name, value in item.headers],
-        body=item.body,
-        tokens=item.tokens,
-    )
-
 
 def _headers(item: BatchItem) -> list[ItemHeader]:
     return [ItemHeader(name=each.name, value=each.value) for each in item.headers]
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -24,7 +24,7 @@
 from chivespan.platform import wire
 from chivespan.routes import Route
 from chivespan.targetentry import TargetEntry
-from chivespan.targetpick import TargetPicker
+from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import StreamWatch, TargetSilence
 
 MAX_UNREACHED = 4
@@ -49,6 +49,8 @@
 
     :ivar may_have_run: whether a target may have begun to work on it.
     :ivar sends: targets that it was sent to.
+    :ivar expects_slot: whether the target had a free slot when it was chosen.
+    :ivar began: when the answer of the last target began.
     :ivar in_flight: whether a send is out whose outcome isn't known.
     """
 
@@ -57,6 +59,8 @@
     tried: set[str] = field(default_factory=set)
     may_have_run: bool = False
     in_flight: bool = False
+    expects_slot: bool = False
+    began: timedelta = timedelta(0)
     sends: int = 0
     unreached: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -130,11 +134,13 @@
         responder: Responder,
     ) -> None:
         while True:
-            entry = self._pick(route, progress)
-            if entry is None:
+            candidate = self._pick(route, progress)
+            if candidate is None:
                 self._note_not_placed(request, progress)
                 raise self._refusal(progress, "no target with a short enough queue")
+            entry = candidate.entry
             progress.tried.add(entry.target_id)
+            progress.expects_slot = candidate.free > 0
             with self._board.hold_online(entry.target_id):
                 outcome = await self._send(request, route, entry, progress, responder)
             if outcome is SendOutcome.DELIVERED:
@@ -185,7 +191,6 @@
         responder: Responder,
     ) -> SendOutcome:
         """Send a request to one target, and pass its answer on."""
-        began = self._clock.monotonic()
         progress.in_flight = True
         try:
             call = self._call(request, route, entry, progress)
@@ -204,7 +209,7 @@
             reason = str(reply.status)
         progress.in_flight = False
         progress.may_have_run |= outcome is SendOutcome.BROKEN
-        self._judge(request, entry, outcome, reason, began)
+        self._judge(request, entry, progress, outcome, reason)
         return outcome
 
     def _call(
@@ -216,7 +221,7 @@
     ) -> Call:
         time_left = self._time_left(progress)
         head_timeout = time_left
-        if self._may_resume(route, progress):
+        if progress.expects_slot and self._may_resume(route, progress):
             head_timeout = min(time_left, route.objective * HEAD_PATIENCE_OBJECTIVES)
         headers = wire.target_headers(
             request.headers, entry.target_id, time_left, progress.splitter.last_id
@@ -248,6 +253,7 @@
         failed = reply.status >= STATUS_SERVER_ERROR
         if failed and (responder.started or self._may_resume(route, progress)):
             return SendOutcome.BROKEN
+        progress.began = self._clock.monotonic()
         if not responder.started:
             await responder.start(reply.status, wire.caller_headers(reply.headers))
             took = self._clock.monotonic() - request.arrived
@@ -300,21 +306,25 @@
             return False
         return self._pick(route, progress) is not None
 
-    def _pick(self, route: Route, progress: Progress) -> TargetEntry | None:
-        return self._picker.pick(progress.service, route.objective, progress.tried)
+    def _pick(self, route: Route, progress: Progress) -> Candidate | None:
+        """Return the next target; after a failure a late one is better than none."""
+        wait = route.objective
+        if progress.may_have_run:
+            wait = self._time_left(progress)
+        return self._picker.pick(progress.service, wait, progress.tried)
 
     def _judge(
         self,
         request: CallerRequest,
         entry: TargetEntry,
+        progress: Progress,
         outcome: SendOutcome,
         reason: str,
-        began: timedelta,
     ) -> None:
         """Let a target's health know, and say so where it is bad."""
         if outcome is SendOutcome.DELIVERED:
-            took = self._clock.monotonic() - began
-            self._picker.succeeded(entry.target_id, took)
+            self._picker.succeeded(entry.target_id)
+            self._picker.note_service_time(self._clock.monotonic() - progress.began)
             return
         self._metrics.incr(f"send_{outcome.value}")
         left_out = False
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -14,6 +14,7 @@
 
 from chivespan.clock import Clock
 from chivespan.loadboard import LoadBoard
+from chivespan.overload import OverloadEpisodes
 from chivespan.registry import Registry
 from chivespan.targetentry import TargetEntry
 from chivespan.targethealth import HealthState, TargetHealth
@@ -129,6 +130,7 @@
         self._data_centre = data_centre
         self._clock = clock
         self._silence = silence
+        self._overload = OverloadEpisodes(clock)
         self._choose = choose
         self._random = Random()
         self._health: dict[str, TargetHealth] = {}
@@ -136,7 +138,7 @@
 
     def pick(
         self, service: str, objective: timedelta, excluded: Container[str] = ()
-    ) -> TargetEntry | None:
+    ) -> Candidate | None:
         """Return the target for one request; None to refuse it.
 
         :param objective: time within which the first event should be there.
@@ -153,8 +155,7 @@
             self._service_time,
             self._random,
         )
-        chosen = self._choose(choice)
-        return None if chosen is None else chosen.entry
+        return self._choose(choice)
 
     def candidates(self, service: str) -> list[Candidate]:
         """Return all targets of a service that may be given work."""
@@ -175,19 +176,27 @@
         ] or healthy
 
     def return_after(self, service: str) -> timedelta:
-        """Return when a refused request has a chance, spread over callers."""
+        """Return when a refused request has a chance, spread over callers.
+
+        That is when the queues of now are served and the overload is likely over.
+        """
+        self._overload.refused()
         candidates = self.candidates(service)
         slots = sum(candidate.slots for candidate in candidates)
         if not slots:
             return NO_TARGET_RETURN * self._random.uniform(1, 1 + RETURN_SPREAD)
         waiting = sum(max(0, -candidate.free) for candidate in candidates)
         wait = self._service_time * ((waiting + 1) / slots)
-        wait = min(max(wait, SHORTEST_RETURN), LONGEST_RETURN)
+        wait = max(wait, self._overload.expected_left(), SHORTEST_RETURN)
+        wait = min(wait, LONGEST_RETURN)
         return wait * self._random.uniform(1, 1 + RETURN_SPREAD)
 
-    def succeeded(self, target_id: str, took: timedelta) -> None:
+    def succeeded(self, target_id: str) -> None:
         """Note a whole answer of a target."""
         self._health_of(target_id).record_success()
+
+    def note_service_time(self, took: timedelta) -> None:
+        """Note how long an online request took its slot, without its wait for it."""
         change = (took - self._service_time) * SERVICE_TIME_SMOOTHING
         self._service_time += change
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -258,3 +258,23 @@
         assert refused.status == 429
         assert float(refused.headers["retry-after"]) > 0
         assert (await site.submit(2, "three", 1)).status == 202
+
+
+async def test_queued_request_is_served_late_rather_than_broken_off(
+    tmp_path: Path,
+) -> None:
+    """All slots are taken; the first event comes behind the objective, but comes."""
+    one = target(1, slots=1, gap_ms=150, events=5)
+    two = target(2, slots=1, gap_ms=150, events=5)
+    async with fleet(tmp_path, 1, one, two) as (site, _):
+        answers: list[int] = []
+
+        async def ask(number: int) -> None:
+            answer = await site.call(1, "POST", f"{STREAM}x", request(f"a{number}"))
+            answers.append(answer.status)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(4):
+                tasks.start_soon(ask, number)
+        assert 502 not in answers
+        assert answers.count(200) >= 2
--- a/tools/results.py
+++ b/tools/results.py
@@ -20,8 +20,8 @@
 # Results on the users' bench
 
 Written by `python -m tools.results` from `journal/`; the newest score of each site.
-Worth is what users were served, less prices; the marks are the site files'. Figures under
-0.03 apart are noise. "Dirty" means that the tree had changes beyond the commit named.
+Worth is what users were served, less prices; the marks are the site files'. Figures
+under 0.03 apart are noise. "Dirty": the tree had changes beyond the commit named.
 """
 
 
