Repeat how held items stand, and look for jobs of other nodes also when idle

Nodes now repeat every second how each item stands, failures excepted, and an owner that hears nothing of an item for 3 s starts it again. An owner without open jobs also reads on every 1.5 s, as another node may have accepted one.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -31,6 +31,7 @@
 RUN_TIME = timedelta(seconds=30)
 HEAD_PATIENCE = timedelta(seconds=1)
 GAP_PATIENCE = timedelta(milliseconds=600)
+REPEAT_INTERVAL = timedelta(seconds=1)
 YIELD_PROBABILITY = 0.3
 STATUS_OK = 200
 STATUS_IMPOSSIBLE = 422
@@ -38,6 +39,9 @@
 _log = logger("executor")
 
 
+_REPEATED = frozenset({ItemState.running, ItemState.done, ItemState.impossible})
+
+
 class _Yielded(Exception):
     """The item's slot is needed."""
 
@@ -62,15 +66,27 @@
 
     def status(self) -> ItemStatus:
         """Return what the owner is told."""
-        whole = self.state in (ItemState.done, ItemState.returned)
+        return self._status(self.state, repeated=False)
+
+    def repeated_status(self) -> ItemStatus:
+        """Return what the owner is told again, in case that it was lost.
+
+        A failure isn't repeated, since it would count twice: the item only waits.
+        """
+        state = self.state if self.state in _REPEATED else ItemState.paused
+        return self._status(state, repeated=True)
+
+    def _status(self, state: ItemState, repeated: bool) -> ItemStatus:
+        whole = state in (ItemState.done, ItemState.returned)
         return ItemStatus(
             partition=self.start.partition,
             job_id=self.start.job_id,
             item_id=self.start.item_id,
             target_id=self.start.target_id,
-            state=self.state,
+            state=state,
             events=len(self.events),
             text=self.events if whole else [],
+            repeated=repeated,
         )
 
 
@@ -102,10 +118,13 @@
         self._tasks: TaskGroup | None = None
 
     async def run(self) -> None:
-        """Run items until cancelled."""
+        """Run items until cancelled, and say again how they stand."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            await anyio.sleep_forever()
+            while True:
+                await anyio.sleep(REPEAT_INTERVAL.total_seconds())
+                for held in list(self._items.values()):
+                    self._tell(held.repeated_status())
 
     def start(self, message: ItemStart) -> None:
         """Run an item, or go on with one that is held."""
@@ -294,4 +313,5 @@
         state=ItemState.returned,
         events=0,
         text=[],
+        repeated=False,
     )
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -255,6 +255,7 @@
     async def _keep_up_one(self, owner: BatchOwner) -> None:
         try:
             await owner.load()
+            owner.loosen_unheard()
             owner.give_up_abandoned()
             await owner.forget_past_jobs()
         except ChivespanError as error:
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -10,7 +10,7 @@
 from chivespan.batchledger import LedgerJob, is_past
 from chivespan.batchrecords import BatchItem
 from chivespan.batchschedule import Placement, WaitingItem
-from chivespan.clock import NO_WAIT, Clock
+from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError
 from chivespan.itempace import ItemPace
 from chivespan.ledgerstore import LedgerStore
@@ -26,9 +26,13 @@
 from chivespan.routingstate import RoutingState
 
 MAX_AGE_WITH_OPEN_JOBS = timedelta(seconds=1)
+MAX_AGE_IDLE = timedelta(seconds=1.5)
 TAKEOVER_TIME = timedelta(milliseconds=300)
 FAILED_HOLD_OFF = timedelta(milliseconds=200)
 YIELDED_HOLD_OFF = timedelta(milliseconds=40)
+# A status that crosses an order to run is older than the order.
+IN_FLIGHT_TIME = timedelta(milliseconds=700)
+UNHEARD_TIME = timedelta(seconds=3)
 ABANDON_MARGIN = timedelta(seconds=3)
 KEEP_MARGIN = timedelta(seconds=20)
 
@@ -48,6 +52,7 @@
     :ivar events: what a node that left has handed back.
     :ivar event_count: events that are there, here or at the node that holds it.
     :ivar started: when its last run began, on the monotonic clock.
+    :ivar heard: when its node last spoke of it, or was told to run it.
     """
 
     vm: str = ""
@@ -57,6 +62,7 @@
     events: tuple[str, ...] = ()
     event_count: int = 0
     started: timedelta = NO_WAIT
+    heard: timedelta = NO_WAIT
     settled: bool = False
 
 
@@ -92,15 +98,16 @@
         self._results = anyio.Event()
 
     async def load(self) -> None:
-        """Have the ledger, and look for changes of others while jobs are open.
+        """Have the ledger, and look for what other nodes accepted or ended.
 
         :raises ChivespanError: when the store can't be read.
         """
         if not self._caught_up:
             await self._catch_up()
-        elif any(True for _ in self._store.ledger.open_jobs()):
-            await self._store.refresh(MAX_AGE_WITH_OPEN_JOBS)
-            self.stop_runs_of_ended()
+            return
+        busy = any(True for _ in self._store.ledger.open_jobs())
+        await self._store.refresh(MAX_AGE_WITH_OPEN_JOBS if busy else MAX_AGE_IDLE)
+        self.stop_runs_of_ended()
 
     async def _catch_up(self) -> None:
         """Read what earlier owners wrote, then take what nodes said meanwhile."""
@@ -166,7 +173,7 @@
         )
         run.vm = placement.vm
         run.target_id = placement.entry.target_id
-        run.started = self._clock.monotonic()
+        run.started = run.heard = self._clock.monotonic()
         if not self._send(placement.vm, message):
             self._runs[key] = _loose(run)
 
@@ -187,7 +194,32 @@
             # Another node has it by now.
             self._send(vm, _stop(key))
             return
-        self._note(key, run, vm, status)
+        run.heard = self._clock.monotonic()
+        if not status.repeated or self._was_missed(run, vm, status):
+            self._note(key, run, vm, status)
+
+    def _was_missed(self, run: Run, vm: str, status: ItemStatus) -> bool:
+        """Return whether a repeated status says what the first one could not."""
+        if status.state not in (ItemState.running, ItemState.paused):
+            return True
+        if run.heard - run.started < IN_FLIGHT_TIME:
+            return False
+        runs = status.state is ItemState.running
+        return run.vm != vm or bool(run.target_id) != runs
+
+    def loosen_unheard(self) -> None:
+        """Let items be started elsewhere of which their nodes say nothing any more."""
+        now = self._clock.monotonic()
+        for key, run in list(self._runs.items()):
+            if run.vm and not run.settled and now - run.heard > UNHEARD_TIME:
+                _log.warning(
+                    "item_unheard",
+                    job=key[0],
+                    item=key[1],
+                    vm=run.vm,
+                    silent_ms=(now - run.heard) // MILLISECOND,
+                )
+                self._runs[key] = _loose(run)
 
     def node_lost(self, vm: str) -> None:
         """Let items of a lost node be started elsewhere."""
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -272,3 +272,7 @@
     """
     Data of all events of an item that is done or returned; else empty.
     """
+    repeated: bool
+    """
+    Whether it was told before and is told again in case that was lost.
+    """
