--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import datetime
 from typing import TypeAlias
 
 from chivespan.registry import Registry
@@ -140,8 +140,3 @@
     """Return the node with the fewest items, near the target if it can be."""
     near = [node for node in nodes if node.data_centre == room.entry.data_centre]
     return min(near or nodes, key=lambda node: (node.items, node.vm))
-
-
-def due_at(submitted: datetime, due: timedelta) -> datetime:
-    """Return when a job's results are due."""
-    return submitted + due
--- a/chivespan/eventstream.py
+++ b/chivespan/eventstream.py
@@ -1,7 +1,6 @@
 """Server-sent events: whole events and their ids out of chunks of a stream."""
 
 from dataclasses import dataclass
-from typing import Protocol
 
 _END = b"\n\n"
 
@@ -18,14 +17,6 @@
     data: str
 
 
-class ChunkSink(Protocol):
-    """Takes chunks of a stream."""
-
-    def feed(self, chunk: bytes) -> bytes:
-        """Take a chunk; return the bytes of all events that it completes."""
-        ...
-
-
 class EventSplitter:
     r"""Cuts a stream where events end, and keeps the id of the last whole one.
 
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -28,6 +28,7 @@
 from chivespan.loadboard import LoadBoard
 from chivespan.loadreports import LoadReports
 from chivespan.logs import logger
+from chivespan.measuredstore import MeasuredStore
 from chivespan.messages import Hello, Program
 from chivespan.nodemessages import ItemStatus
 from chivespan.nodemetrics import NodeMetrics
@@ -109,7 +110,8 @@
         end = LinkEnd(hello, LINK_OPTIONS, clock, self.metrics)
         self.silence = TargetSilence(clock)
         self.links = FleetLinks(settings, end)
-        self.store = PlatformStore(settings.store.address)
+        platform = PlatformStore(settings.store.address)
+        self.store = MeasuredStore(platform, clock, self.metrics)
         self.watch = FleetWatch(
             self.store, _sources(), self.links, self.routing, self.targets, clock
         )
@@ -240,10 +242,16 @@
         while True:
             await anyio.sleep(UPKEEP_INTERVAL_S)
             self._writer.flush()
+            self._set_levels()
             if (now := self._modified()) != modified:
                 modified = now
                 self._reload()
 
+    def _set_levels(self) -> None:
+        self.metrics.gauge("requests_in_progress", self.server.in_progress)
+        self.metrics.gauge("live_peers", len(self.links.peers))
+        self.metrics.gauge("routing_version", self.routing.version)
+
     def _modified(self) -> int:
         try:
             return self._path.stat().st_mtime_ns
--- a/chivespan/nodesettings.py
+++ b/chivespan/nodesettings.py
@@ -78,10 +78,6 @@
     """
     Seconds from SIGTERM until the process is killed.
     """
-    target_heartbeat_ms: int = 1200
-    """
-    Interval at which targets renew their entries in the store.
-    """
     address_lifetime_limit_s: float = 5.0
     """
     Longest lifetime of an address answer that callers honour.
@@ -90,14 +86,6 @@
     """
     Seconds after its submission for which a job stays readable.
     """
-    quota_overage: float = 0.1
-    """
-    Share by which waiting tokens may exceed a route's limit.
-    """
-    memory_mb: int = 330
-    """
-    Memory of the process.
-    """
     metrics_port: int = 9464
     """
     Port on which metrics are served.
--- a/chivespan/nodestanding.py
+++ b/chivespan/nodestanding.py
@@ -95,7 +95,8 @@
         ]
         if not self.is_leaving or not addresses:
             addresses.append(self._settings.front_address)
-        lifetime = ADDRESS_LIFETIME.total_seconds()
+        longest = self._settings.address_lifetime_limit_s
+        lifetime = min(ADDRESS_LIFETIME.total_seconds(), longest)
         return wire.encode_addresses(sorted(addresses)[:MAX_ADDRESSES], lifetime)
 
     def report(self) -> LoadReport:
--- a/chivespan/platform/settingsfile.py
+++ b/chivespan/platform/settingsfile.py
@@ -44,7 +44,6 @@
 def _decode(document: Mapping[str, Any]) -> FleetNodeSettings:
     listen = document["listenAddrs"]
     bounds = document.get("bounds", {})
-    limits = document.get("limits", {})
     platform = document["platform"]
     store = StoreSettings(
         address=str(platform["address"]),
@@ -63,9 +62,6 @@
         seeds=[str(seed) for seed in document.get("seeds", ())],
         store=store,
         grace_s=float(bounds.get("graceS", 8.0)),
-        target_heartbeat_ms=int(document.get("heartbeatMs", 1200)),
         address_lifetime_limit_s=float(bounds.get("ttl_max_s", 5.0)),
         job_status_s=float(bounds.get("statusS", 120.0)),
-        quota_overage=float(bounds.get("quotaOverage", 0.1)),
-        memory_mb=int(limits.get("memoryMb", 330)),
     )
--- a/chivespan/routes.py
+++ b/chivespan/routes.py
@@ -1,6 +1,6 @@
 """Which service a request goes to, and what its route allows: the routing table."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
@@ -126,11 +126,6 @@
                 return prefixes[candidate]
         return None
 
-    def batch_routes(self, host: str) -> Iterator[Route]:
-        """Yield the routes of a host that take batch jobs."""
-        routes = self._by_host.get(host, {}).values()
-        yield from (route for route in routes if route.kind is RouteKind.BATCH)
-
     def route_named(self, name: str) -> Route | None:
         """Return the route of that name."""
         return self._by_name.get(name)
