--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -116,23 +116,7 @@
     return msgspec.json.encode({"frontAddrs": addresses, "ttlS": lifetime_s})
 
 
-# Headers that concern one connection only, and those that a request sets anew.
-_NOT_FORWARDED = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-        DEADLINE_MS,
-        EXPECT_TARGET,
-    }
-)
-_NOT_RETURNED = frozenset(
+_OF_ONE_CONNECTION = frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -143,6 +127,9 @@
         b"upgrade",
     }
 )
+# What each send to a runner sets anew.
+_SET_ANEW = frozenset({b"expect", b"content-length", DEADLINE_MS, EXPECT_TARGET})
+_NOT_FORWARDED = _OF_ONE_CONNECTION | _SET_ANEW
 _STATUS_OTHER_TARGET = 421
 _SAYS_NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -181,7 +168,9 @@
 def caller_headers(headers: Iterable[Header]) -> list[Header]:
     """Return the headers of a runner's answer as the client gets them."""
     return [
-        (name, value) for name, value in headers if name.lower() not in _NOT_RETURNED
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _OF_ONE_CONNECTION
     ]
 
 
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -13,23 +13,14 @@
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
 from chivespan.platform.documents import decode_config
 from chivespan.routingstate import RoutingState
-from chivespan.targetentry import TargetEntry
+from tests.entries import target_entry
 from tests.fakestore import FakeStore
 from tests.fleet import HOST, batch_route, config
 from tests.test_ledgerstore import job
 
 pytestmark = pytest.mark.anyio
 PARTITION = Partition("keyed.batch", 1)
-TARGET = TargetEntry(
-    target_id="t",
-    service="svc",
-    address="10.0.0.1:1",
-    data_centre="a",
-    slots=8,
-    draining=False,
-    sequence=1,
-    started_ms=1,
-)
+TARGET = target_entry("t", service="svc")
 
 
 class Site:
--- a/tests/test_batchschedule.py
+++ b/tests/test_batchschedule.py
@@ -10,26 +10,13 @@
     fixed_items,
     place_items,
 )
-from chivespan.targetentry import TargetEntry
+from tests.entries import target_entry
 
 START = datetime(2026, 12, 4, tzinfo=UTC)
 
 
-def entry(target_id: str, data_centre: str = "a", service: str = "s") -> TargetEntry:
-    return TargetEntry(
-        target_id=target_id,
-        service=service,
-        address="10.0.0.1:1",
-        data_centre=data_centre,
-        slots=8,
-        draining=False,
-        sequence=1,
-        started_ms=1,
-    )
-
-
 def room(target_id: str, online: int, batch: int = 0, centre: str = "a") -> TargetRoom:
-    return TargetRoom(entry(target_id, centre), 8, online, batch)
+    return TargetRoom(target_entry(target_id, data_centre=centre), 8, online, batch)
 
 
 def item(job_id: str, order: int, due_s: float, holder: str = "") -> WaitingItem:
--- a/tests/test_targetpick.py
+++ b/tests/test_targetpick.py
@@ -10,22 +10,14 @@
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SILENCE, TargetSilence
+from tests.entries import target_entry
 
 OBJECTIVE = timedelta(milliseconds=300)
 SERVICE_TIME = timedelta(milliseconds=700)
 
 
-def entry(target_id: str, data_centre: str = "near", slots: int = 8) -> TargetEntry:
-    return TargetEntry(
-        target_id=target_id,
-        service="s",
-        address="10.0.0.1:1",
-        data_centre=data_centre,
-        slots=slots,
-        draining=False,
-        sequence=1,
-        started_ms=1,
-    )
+def entry(target_id: str, data_centre: str = "near") -> TargetEntry:
+    return target_entry(target_id, data_centre=data_centre)
 
 
 def picker(
--- a/tests/test_targetset.py
+++ b/tests/test_targetset.py
@@ -4,20 +4,11 @@
 from datetime import timedelta
 
 from chivespan.clock import ManualClock
-from chivespan.targetentry import TargetEntry
 from chivespan.targetset import TargetSet
+from tests.entries import target_entry
 
 POLL = timedelta(milliseconds=700)
-ONE = TargetEntry(
-    target_id="i-1",
-    service="s",
-    address="10.0.0.1:1",
-    data_centre="a",
-    slots=8,
-    draining=False,
-    sequence=5,
-    started_ms=100,
-)
+ONE = target_entry("i-1", sequence=5, started_ms=100)
 TWO = replace(ONE, target_id="i-2")
 
 
