Never join a broken answer with one of another target

Cause: found in reading. An idempotent request whose answer broke off midway was sent to another target, and that answer written behind the first's bytes. Only a stream that may be resumed goes on within one answer now, and only with status 200. Two tests; the first failed before, the second held by another check.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -29,6 +29,7 @@
 
 MAX_UNREACHED = 4
 HEAD_PATIENCE_OBJECTIVES = 1.5
+STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
 
 _log = logger("online")
@@ -145,7 +146,7 @@
                 outcome = await self._send(request, route, entry, progress, responder)
             if outcome is SendOutcome.DELIVERED:
                 return
-            self._check_may_repeat(route, progress, outcome)
+            self._check_may_repeat(route, progress, outcome, responder.started)
 
     def _note_not_placed(self, request: CallerRequest, progress: Progress) -> None:
         """Log what the choice of a target went by."""
@@ -160,9 +161,12 @@
         )
 
     def _check_may_repeat(
-        self, route: Route, progress: Progress, outcome: SendOutcome
+        self, route: Route, progress: Progress, outcome: SendOutcome, started: bool
     ) -> None:
-        """Raise what the caller is told unless another target may be tried."""
+        """Raise what the caller is told unless another target may be tried.
+
+        :param started: whether a part of an answer has been passed on already.
+        """
         if outcome is SendOutcome.UNREACHED:
             progress.unreached += 1
             if progress.unreached >= MAX_UNREACHED:
@@ -170,7 +174,9 @@
             return
         progress.sends += 1
         spent = progress.sends >= route.max_attempts
-        if outcome is SendOutcome.BROKEN and (spent or not route.is_repeatable):
+        may_go_on = route.resumable if started else True
+        may_repeat = route.is_repeatable and may_go_on and not spent
+        if outcome is SendOutcome.BROKEN and not may_repeat:
             reason = "the target failed while it may have run the request"
             raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
         if spent:
@@ -250,8 +256,10 @@
             return SendOutcome.BROKEN
         if wire.would_claim_not_run(reply.status):
             return SendOutcome.BROKEN
+        if responder.started and reply.status != STATUS_OK:
+            return SendOutcome.BROKEN
         failed = reply.status >= STATUS_SERVER_ERROR
-        if failed and (responder.started or self._may_resume(route, progress)):
+        if failed and self._may_resume(route, progress):
             return SendOutcome.BROKEN
         progress.began = self._clock.monotonic()
         if not responder.started:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import anyio
+import httpcore
 import pytest
 
 from standins.platformstore import StoreFaults
@@ -278,3 +279,29 @@
                 tasks.start_soon(ask, number)
         assert 502 not in answers
         assert answers.count(200) >= 2
+
+
+async def test_answer_broken_midway_is_not_joined_with_another(tmp_path: Path) -> None:
+    """The request may be repeated, but its answer can't go on at another target."""
+    bad, good = target(1), target(2, slots=1)
+    bad.faults = TargetFaults(break_after=2)
+    async with fleet(tmp_path, 1, bad, good) as (site, _):
+        idempotent = route("r-i", "/i/", kind="idempotent", resumable=False)
+        site.publish(config(9, idempotent))
+        await anyio.sleep(0.5)
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await site.call(1, "POST", "/i/x", request("a"))
+        bad.faults = TargetFaults(status=500)
+        answer = await site.call(1, "POST", "/i/x", request("b"))
+        assert answer.body == whole_stream("b")
+
+
+async def test_refusal_of_a_resumed_run_is_no_part_of_the_stream(
+    tmp_path: Path,
+) -> None:
+    bad, worse = target(1), target(2, slots=1)
+    bad.faults = TargetFaults(break_after=2)
+    worse.faults = TargetFaults(status=404)
+    async with fleet(tmp_path, 1, bad, worse) as (site, _):
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await site.call(1, "POST", f"{STREAM}x", request("a"))
