--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -20,6 +20,8 @@
 
 STATUS_OK = 200
 STATUS_NOT_READY = 503
+# Another node takes the request at once.
+ELSEWHERE_RETURN = timedelta(milliseconds=20)
 NOT_READY_RETURN = timedelta(milliseconds=500)
 
 _log = logger("callers")
@@ -213,7 +215,7 @@
     async def _serve(self, request: CallerRequest, responder: Responder) -> None:
         if self._standing.refuses_new:
             raise ChivespanError(
-                ErrorKind.LEAVING, "this node ends", retry_after=timedelta(0)
+                ErrorKind.LEAVING, "this node ends", retry_after=ELSEWHERE_RETURN
             )
         if request.path.startswith((wire.JOB_PATH, wire.ITEM_PATH)):
             await self._batch.show(request, responder)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -305,3 +305,15 @@
     async with fleet(tmp_path, 1, bad, worse) as (site, _):
         with pytest.raises(httpcore.RemoteProtocolError):
             await site.call(1, "POST", f"{STREAM}x", request("a"))
+
+
+async def test_node_that_ends_sends_callers_elsewhere_at_once(tmp_path: Path) -> None:
+    async with fleet(tmp_path, 2, target(1, gap_ms=1500)) as (site, tasks):
+        tasks.start_soon(site.call, 2, "POST", f"{ONCE}x", request("long", 9000))
+        await anyio.sleep(0.3)
+        tasks.start_soon(site.stop, 2)
+        await anyio.sleep(3.3)
+        refused = await site.call(2, "POST", f"{ONCE}x", request("late"))
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) < 0.1
+        assert refused.headers["connection"] == "close"
