--- a/chivespan/batchanswers.py
+++ b/chivespan/batchanswers.py
@@ -10,17 +10,18 @@
 
 from chivespan.batchchanges import AcceptJob, EndJob
 from chivespan.batchledger import LedgerJob
-from chivespan.batchrecords import BatchHeader, BatchItem
+from chivespan.batchrecords import BatchItem, BatchResult
 from chivespan.clock import NO_WAIT, Clock
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.ledgerstore import LedgerStore
 from chivespan.logs import logger
-from chivespan.nodemessages import BatchQuestion
+from chivespan.nodemessages import BatchQuestion, BatchVerb
 from chivespan.platform import wire
 from chivespan.routes import Route
 from chivespan.routingstate import RoutingState
 
 MAX_AGE_OF_PAGE = timedelta(milliseconds=500)
+MAX_ITEMS = 200
 MAX_PAGE_BYTES = 1_000_000
 QUOTA_RETURN = timedelta(seconds=1)
 
@@ -52,14 +53,13 @@
 
         :raises ChivespanError: what the caller is told instead.
         """
-        verb = question.verb.value
         answers = {
-            "submit": self._submit,
-            "page": self._page,
-            "body": self._body,
-            "end": self._end,
+            BatchVerb.submit: self._submit,
+            BatchVerb.page: self._page,
+            BatchVerb.body: self._body,
+            BatchVerb.end: self._end,
         }
-        return await answers[verb](question)
+        return await answers[question.verb](question)
 
     async def _submit(self, question: BatchQuestion) -> bytes:
         route = self._route(question.route)
@@ -68,12 +68,11 @@
             raise ChivespanError(ErrorKind.NOT_READY, reason)
         if not self._store.is_loaded:
             await self._store.refresh(NO_WAIT)
-        submitted = wire.decode_submission(question.body)
         change = AcceptJob(
             job_id=question.job_id,
             route=question.route,
             host=question.host,
-            items=tuple(_batch_item(item) for item in submitted),
+            items=_items(question.body),
             submitted=self._clock.now(),
             tokens_limit=route.waiting_tokens_limit,
             max_record_bytes=self._max_record_bytes,
@@ -157,21 +156,27 @@
 
 def _page(job: LedgerJob, start: int) -> bytes:
     """Return the results from a position on, at least one if there is one."""
-    results: list[wire.ListedResult] = []
+    results: list[BatchResult] = []
     size = 0
     for result in job.results[start:]:
         size += len(result.text)
         if results and size > MAX_PAGE_BYTES:
             break
-        results.append(wire.ListedResult(result.item_id, result.done, result.text))
+        results.append(result)
     return wire.encode_results(len(job.items), start, results)
 
 
-def _batch_item(item: wire.SubmittedItem) -> BatchItem:
-    return BatchItem(
-        item_id=item.item_id,
-        path=item.path,
-        headers=[BatchHeader(name=name, value=value) for name, value in item.headers],
-        body=item.body,
-        tokens=item.tokens,
-    )
+def _items(body: bytes) -> tuple[BatchItem, ...]:
+    """Return the items of a submission.
+
+    :raises ChivespanError: ``bad_request`` when it can never be accepted.
+    """
+    try:
+        items = wire.decode_submission(body)
+    except ValueError as error:
+        reason = f"the items can't be read: {error}"
+        raise ChivespanError(ErrorKind.BAD_REQUEST, reason) from error
+    if len(items) > MAX_ITEMS:
+        reason = f"{len(items)} items, where {MAX_ITEMS} are the most"
+        raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
+    return items
--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from http import HTTPStatus
 from random import Random
 
 import anyio
@@ -20,10 +21,15 @@
 from chivespan.exchange import Call, NotSent, Reply, exchange
 from chivespan.loadboard import LoadBoard
 from chivespan.logs import logger
-from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
+from chivespan.nodemessages import (
+    ItemStart,
+    ItemState,
+    ItemStatus,
+    ItemStop,
+    TargetEntry,
+)
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
-from chivespan.targetentry import TargetEntry
 from chivespan.targetpick import TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import StreamWatch, TargetSilence
@@ -33,8 +39,6 @@
 GAP_PATIENCE = timedelta(milliseconds=600)
 REPEAT_INTERVAL = timedelta(seconds=1)
 YIELD_PROBABILITY = 0.3
-STATUS_OK = 200
-STATUS_IMPOSSIBLE = 422
 
 _log = logger("executor")
 
@@ -222,9 +226,9 @@
             if not wire.answers_request(reply, held.start.item_id):
                 reason = "the answer is not to this item"
                 raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
-            if reply.status == STATUS_IMPOSSIBLE:
+            if reply.status == HTTPStatus.UNPROCESSABLE_ENTITY:
                 return ItemState.impossible
-            if reply.status != STATUS_OK:
+            if reply.status != HTTPStatus.OK:
                 return ItemState.failed
             with watching as watch:
                 await self._take_events(held, entry, reply, watch)
--- a/chivespan/batchfront.py
+++ b/chivespan/batchfront.py
@@ -1,6 +1,7 @@
 """The calls of callers on batch jobs: submit, read results, read a body, end."""
 
 from datetime import timedelta
+from http import HTTPStatus
 from urllib.parse import parse_qs
 
 from chivespan.batchledger import MAX_ID_CHARS
@@ -15,13 +16,10 @@
 from chivespan.platform import wire
 from chivespan.routes import Route
 
-MAX_ITEMS = 200
 LONGEST_PAGE_WAIT = timedelta(seconds=1)
 READ_PATIENCE = timedelta(seconds=2.5)
 SUBMIT_PATIENCE = timedelta(seconds=3.5)
 END_PATIENCE = timedelta(seconds=3.5)
-STATUS_OK = 200
-STATUS_ACCEPTED = 202
 
 
 _log = logger("batch")
@@ -41,9 +39,9 @@
         self, request: CallerRequest, route: Route, responder: Responder
     ) -> None:
         """Take a job; the answer says "accepted" once the store has it."""
-        _check_submission(request)
+        _check_job_id(request)
         await self._ask(request, BatchVerb.submit, SUBMIT_PATIENCE, route=route.name)
-        await responder.answer(STATUS_ACCEPTED)
+        await responder.answer(HTTPStatus.ACCEPTED)
         self._note("submit", request)
 
     async def show(self, request: CallerRequest, responder: Responder) -> None:
@@ -67,7 +65,7 @@
             start=int(start) if start.isdecimal() else 0,
             wait_ms=wait // MILLISECOND,
         )
-        await responder.answer_json(STATUS_OK, body)
+        await responder.answer_json(HTTPStatus.OK, body)
         self._note("page", request, body)
 
     async def _show_body(self, request: CallerRequest, responder: Responder) -> None:
@@ -78,13 +76,13 @@
             job_id=_last_part(request, wire.ITEM_PATH),
             item_id=_query(request, "id"),
         )
-        await responder.answer(STATUS_OK, body)
+        await responder.answer(HTTPStatus.OK, body)
         self._note("body", request, body)
 
     async def _end(self, request: CallerRequest, responder: Responder) -> None:
         job_id = _last_part(request, wire.JOB_PATH)
         await self._ask(request, BatchVerb.end, END_PATIENCE, job_id=job_id)
-        await responder.answer(STATUS_OK)
+        await responder.answer(HTTPStatus.OK)
         self._note("end", request)
 
     async def _ask(
@@ -128,21 +126,13 @@
         )
 
 
-def _check_submission(request: CallerRequest) -> None:
-    """Refuse what can never be accepted.
+def _check_job_id(request: CallerRequest) -> None:
+    """Refuse a job that can't be named.
 
     :raises ChivespanError: ``bad_request``.
     """
     if not request.request_id or len(request.request_id) > MAX_ID_CHARS:
         raise ChivespanError(ErrorKind.BAD_REQUEST, "no usable request id")
-    try:
-        items = wire.decode_submission(request.body)
-    except ValueError as error:
-        reason = f"the items can't be read: {error}"
-        raise ChivespanError(ErrorKind.BAD_REQUEST, reason) from error
-    if len(items) > MAX_ITEMS:
-        reason = f"{len(items)} items, where {MAX_ITEMS} are the most"
-        raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
 
 
 def _last_part(request: CallerRequest, path: str) -> str:
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -185,7 +185,6 @@
         route=route,
         host=host,
         chunks=len(parts),
-        item_count=len(items),
         submitted_ms=round(submitted.timestamp() * 1000),
     )
     records = [
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -1,5 +1,6 @@
 """Batch work of one node: the partitions that it owns, and the items that it holds."""
 
+from collections import Counter
 from collections.abc import Iterator
 from datetime import timedelta
 
@@ -9,14 +10,13 @@
 from chivespan.batchanswers import BatchAnswers
 from chivespan.batchexecutor import BatchExecutor
 from chivespan.batchowner import BatchOwner
-from chivespan.batchplacement import PARTITIONS, BatchPlacement
+from chivespan.batchplacement import PARTITIONS, BatchPlacement, OwnershipChange
 from chivespan.batchschedule import NodeRoom, RoomOfTarget, TargetRoom, place_items
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
 from chivespan.keyedstore import KeyedStore, Partition
 from chivespan.ledgerstore import LedgerStore
-from chivespan.loadboard import LoadBoard
 from chivespan.logs import logger
 from chivespan.nodemessages import (
     BatchQuestion,
@@ -25,7 +25,6 @@
     ItemStatus,
     ItemStop,
     LoadReport,
-    NodeValue,
 )
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.routingstate import RoutingState
@@ -52,7 +51,6 @@
         placement: BatchPlacement,
         routing: RoutingState,
         picker: TargetPicker,
-        board: LoadBoard,
         executor: BatchExecutor,
         clock: Clock,
         room_of: RoomOfTarget,
@@ -61,9 +59,7 @@
         self._placement = placement
         self._settings = settings
         self._picker = picker
-        self._board = board
         self._executor = executor
-        self._clock = clock
         self._room_of = room_of
         self._stores = [
             LedgerStore(
@@ -96,7 +92,6 @@
             )
             for ledger, owner in zip(self._stores, self._owners, strict=True)
         ]
-        self._scheduling: set[int] = set()
         self._owned_by: dict[str, list[int]] = {}
         self._taken = anyio.Event()
         self._tasks: TaskGroup | None = None
@@ -112,20 +107,17 @@
             tasks.start_soon(self._schedule)
             await self._keep_up()
 
-    def owned_changed(self) -> None:
+    def owned_changed(self, change: OwnershipChange) -> None:
         """Take over the partitions that are this node's now, and leave the others."""
-        owned = self._placement.owned
-        for number in self._scheduling - owned:
+        for number in change.released:
             _log.notice("partition_released", partition=number)
             self._owners[number].release()
-        taken = owned - self._scheduling
-        self._scheduling = set(owned)
-        for number in taken:
+        for number in change.taken:
             _log.notice("partition_taken", partition=number)
             self._owners[number].take_over()
             for status in self._executor.statuses(number):
                 self._owners[number].take_status(self._own_vm, status)
-        if taken:
+        if change.taken:
             self._taken.set()
 
     def leave(self) -> None:
@@ -206,26 +198,28 @@
     async def _schedule(self) -> None:
         while True:
             await anyio.sleep(TICK.total_seconds())
-            if self._scheduling:
-                self._start_items()
+            self._start_items()
 
     def _start_items(self) -> None:
-        owners = [self._owners[number] for number in self._scheduling]
-        waiting = [item for owner in owners for item in owner.waiting()]
+        owned = [self._owners[number] for number in self._placement.owned]
+        waiting = [item for owner in owned for item in owner.waiting()]
         if not waiting:
             return
-        targets = list(self._target_rooms({item.service for item in waiting}))
-        nodes = list(self._node_rooms())
+        running = [run for owner in self._owners for run in owner.running()]
+        at_targets = Counter(run.target_id for run in running)
+        on_nodes = Counter(run.vm for run in running)
+        services = {item.service for item in waiting}
+        targets = list(self._target_rooms(services, at_targets))
+        nodes = list(self._node_rooms(on_nodes))
         for placement in place_items(waiting, targets, nodes, self._room_of):
             self._owners[placement.item.partition].start(placement)
 
-    def _target_rooms(self, services: set[str]) -> Iterator[TargetRoom]:
+    def _target_rooms(
+        self, services: set[str], running: Counter[str]
+    ) -> Iterator[TargetRoom]:
         for service in services:
             for candidate in self._picker.candidates(service):
-                started = sum(
-                    owner.running_at(candidate.entry.target_id)
-                    for owner in self._owners
-                )
+                started = running[candidate.entry.target_id]
                 yield TargetRoom(
                     entry=candidate.entry,
                     slots=candidate.slots,
@@ -233,15 +227,11 @@
                     batch=max(candidate.batch, started),
                 )
 
-    def _node_rooms(self) -> Iterator[NodeRoom]:
-        yield self._node_room(self._links.own)
-        for peer in self._links.peers.values():
-            if not peer.report.leaving:
-                yield self._node_room(peer.node)
-
-    def _node_room(self, node: NodeValue) -> NodeRoom:
-        items = sum(owner.running_on(node.vm) for owner in self._owners)
-        return NodeRoom(node.vm, node.data_centre, items)
+    def _node_rooms(self, running: Counter[str]) -> Iterator[NodeRoom]:
+        peers = self._links.peers.values()
+        staying = (peer.node for peer in peers if not peer.report.leaving)
+        for node in (self._links.own, *staying):
+            yield NodeRoom(node.vm, node.data_centre, running[node.vm])
 
     async def _keep_up(self) -> None:
         """Keep owned partitions current, for ever."""
@@ -249,7 +239,7 @@
             with anyio.move_on_after(UPKEEP_INTERVAL.total_seconds()):
                 await self._taken.wait()
             self._taken = anyio.Event()
-            for number in tuple(self._scheduling):
+            for number in self._placement.owned:
                 await self._keep_up_one(self._owners[number])
 
     async def _keep_up_one(self, owner: BatchOwner) -> None:
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -117,14 +117,9 @@
         for vm, status in early:
             self.take_status(vm, status)
 
-    def running_at(self, target_id: str) -> int:
-        """Return how many items this partition has at a target."""
-        runs = self._runs.values()
-        return sum(1 for run in runs if run.target_id == target_id)
-
-    def running_on(self, vm: str) -> int:
-        """Return how many items this partition has on a node."""
-        return sum(1 for run in self._runs.values() if run.vm == vm and run.target_id)
+    def running(self) -> Iterator[Run]:
+        """Yield the runs that are at a target now."""
+        return (run for run in self._runs.values() if run.target_id)
 
     def waiting(self) -> Iterator[WaitingItem]:
         """Yield the items that could be started now."""
--- a/chivespan/batchplacement.py
+++ b/chivespan/batchplacement.py
@@ -49,6 +49,17 @@
     return owner(f"batch/{partition}", names)
 
 
+@dataclass(frozen=True, slots=True)
+class OwnershipChange:
+    """Partitions that this node owns from now on, or no longer."""
+
+    taken: frozenset[int]
+    released: frozenset[int]
+
+    def __bool__(self) -> bool:
+        return bool(self.taken or self.released)
+
+
 class BatchPlacement:
     """Says who owns each partition."""
 
@@ -63,8 +74,8 @@
         """The partitions that this node owns."""
         return self._owned
 
-    def update(self, store_reached: bool, leaving: bool) -> bool:
-        """Work out anew what this node owns; return whether that has changed."""
+    def update(self, store_reached: bool, leaving: bool) -> OwnershipChange:
+        """Work out anew what this node owns; return what has changed."""
         settled = self._clock.monotonic() - self._started >= SETTLE_TIME
         owned: frozenset[int] = frozenset()
         if settled and not leaving:
@@ -74,9 +85,8 @@
                 for partition in range(PARTITIONS)
                 if choose_owner(partition, members) == self._links.own.vm
             )
-        changed = owned != self._owned
-        self._owned = owned
-        return changed
+        before, self._owned = self._owned, owned
+        return OwnershipChange(taken=owned - before, released=before - owned)
 
     def owner_of(self, partition: int) -> str | None:
         """Return the IP number of the node to ask; None when nobody is known."""
--- a/chivespan/batchquestions.py
+++ b/chivespan/batchquestions.py
@@ -76,7 +76,7 @@
         raise ChivespanError(
             ErrorKind(reply.kind),
             reply.body.decode(),
-            retry_after=reply.retry_after_ms * MILLISECOND,
+            retry_after=reply.retry_after_ms * MILLISECOND or None,
         )
 
     def out_of_time(self) -> ChivespanError:
--- a/chivespan/batchrecords.py
+++ b/chivespan/batchrecords.py
@@ -58,7 +58,6 @@
     """
     Records over which its items are spread.
     """
-    item_count: int
     submitted_ms: int
     """
     Unix milliseconds of its submission.
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -12,8 +12,8 @@
 from datetime import datetime
 from typing import TypeAlias
 
+from chivespan.nodemessages import TargetEntry
 from chivespan.registry import Registry
-from chivespan.targetentry import TargetEntry
 
 RESERVED_SLOTS = 1
 FIXED_ITEMS = 6
--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -3,23 +3,23 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from enum import StrEnum
-from typing import Protocol
+from http import HTTPStatus
 
 import anyio
 from starlette.types import Receive, Scope, Send
 
+from chivespan.batchfront import BatchFront
 from chivespan.callerrequest import CallerRequest, Responder
 from chivespan.clock import Clock
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.forwarding import Forwarder
 from chivespan.logs import logger
 from chivespan.nodemetrics import NodeMetrics
+from chivespan.nodestanding import Standing
 from chivespan.platform import wire
 from chivespan.routes import Route, RouteKind
 from chivespan.routingstate import RoutingState
 
-STATUS_OK = 200
-STATUS_NOT_READY = 503
 # Another node takes the request at once.
 ELSEWHERE_RETURN = timedelta(milliseconds=20)
 NOT_READY_RETURN = timedelta(milliseconds=500)
@@ -36,43 +36,6 @@
     METRICS = "metrics"
 
 
-class NodeStanding(Protocol):
-    """How a node stands towards its callers."""
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether it takes requests."""
-        ...
-
-    @property
-    def is_leaving(self) -> bool:
-        """Whether it is about to end."""
-        ...
-
-    @property
-    def refuses_new(self) -> bool:
-        """Whether it is so close to its end that it takes nothing more."""
-        ...
-
-    def address_answer(self) -> bytes | None:
-        """Return the answer to a caller that asks where to connect; None for none."""
-        ...
-
-
-class BatchCalls(Protocol):
-    """Serves the calls on batch jobs."""
-
-    async def submit(
-        self, request: CallerRequest, route: Route, responder: Responder
-    ) -> None:
-        """Take a job."""
-        ...
-
-    async def show(self, request: CallerRequest, responder: Responder) -> None:
-        """Answer any other call on a job."""
-        ...
-
-
 class CallerApp:
     """Answers all HTTP requests to one node.
 
@@ -82,10 +45,10 @@
     def __init__(
         self,
         listeners: dict[int, Listener],
-        standing: NodeStanding,
+        standing: Standing,
         routing: RoutingState,
         forwarder: Forwarder,
-        batch: BatchCalls,
+        batch: BatchFront,
         metrics: NodeMetrics,
         clock: Clock,
     ) -> None:
@@ -113,18 +76,20 @@
 
     async def _answer_ready(self, responder: Responder) -> None:
         ready = self._standing.is_ready
-        await responder.answer(STATUS_OK if ready else STATUS_NOT_READY)
+        await responder.answer(
+            HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        )
 
     async def _answer_directory(self, responder: Responder) -> None:
         body = self._standing.address_answer()
         if body is None:
-            await responder.answer(STATUS_NOT_READY)
+            await responder.answer(HTTPStatus.SERVICE_UNAVAILABLE)
         else:
-            await responder.answer_json(STATUS_OK, body)
+            await responder.answer_json(HTTPStatus.OK, body)
 
     async def _answer_metrics(self, responder: Responder) -> None:
         content_type = (b"content-type", b"text/plain; version=0.0.4")
-        await responder.answer(STATUS_OK, self._metrics.text(), [content_type])
+        await responder.answer(HTTPStatus.OK, self._metrics.text(), [content_type])
 
     async def _answer_front(
         self, scope: Scope, receive: Receive, responder: Responder
--- a/chivespan/callerrequest.py
+++ b/chivespan/callerrequest.py
@@ -101,11 +101,6 @@
         )
 
 
-def left(until: timedelta, now: timedelta) -> timedelta:
-    """Return the time that is left, at least none."""
-    return max(timedelta(0), until - now)
-
-
 def milliseconds(value: str) -> timedelta | None:
     """Return a time given in milliseconds; None where there is none.
 
--- a/chivespan/codec.py
+++ b/chivespan/codec.py
@@ -8,7 +8,7 @@
 import cbor2
 import msgspec
 
-from chivespan import jobmessages, messages, nodemessages, records
+from chivespan import jobmessages, messages, nodemessages
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.positional import PositionalClasses
 
@@ -38,7 +38,8 @@
         raise ChivespanError(ErrorKind.PROTOCOL, reason) from error
 
 
-def _data_classes(module: ModuleType) -> dict[str, type[Any]]:
+def data_classes(module: ModuleType) -> dict[str, type[Any]]:
+    """Return the data classes that a generated module defines, by name."""
     members = inspect.getmembers(module, inspect.isclass)
     return {
         name: cls
@@ -48,13 +49,11 @@
 
 
 MESSAGE_CLASSES = (
-    _data_classes(messages) | _data_classes(jobmessages) | _data_classes(nodemessages)
+    data_classes(messages) | data_classes(jobmessages) | data_classes(nodemessages)
 )
-RECORD_CLASSES = _data_classes(records)
 
 
 _POSITIONAL = PositionalClasses(messages.Hello)
-_FRAME_CLASSES = {cls: _POSITIONAL.of(cls) for cls in MESSAGE_CLASSES.values()}
 
 
 def encode_message(message: object) -> bytes:
@@ -62,7 +61,7 @@
 
     A Hello has its fields by name, since it says which protocol the sender speaks.
     """
-    frame_class = _FRAME_CLASSES[type(message)]
+    frame_class = _POSITIONAL.of(type(message))
     fields = msgspec.convert(message, frame_class, from_attributes=True)
     body = msgspec.to_builtins(fields, builtin_types=(bytes,))
     return cbor2.dumps([type(message).__name__, body])
@@ -79,7 +78,7 @@
     try:
         name, body = cbor2.loads(frame)
         cls = MESSAGE_CLASSES[name]
-        fields = msgspec.convert(body, _FRAME_CLASSES[cls], builtin_types=(bytes,))
+        fields = msgspec.convert(body, _POSITIONAL.of(cls), builtin_types=(bytes,))
         return msgspec.convert(fields, cls, from_attributes=True)
     except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as error:
         raise ChivespanError(ErrorKind.PROTOCOL, f"bad frame: {error}") from error
--- a/chivespan/entry.py
+++ b/chivespan/entry.py
@@ -6,6 +6,7 @@
 import anyio
 
 from chivespan.addressbook import AddressBook
+from chivespan.addresses import Address
 from chivespan.batchapi import BatchApi
 from chivespan.batchlinks import BatchLinks
 from chivespan.claimclient import ClaimClient
@@ -92,7 +93,9 @@
             *OperatorJobs(self.context, jobs).routes(),
         ]
         app = application(self.context, routes)
-        self.server = HttpServer(app, settings.vm, settings.entry_port, patience)
+        self.server = HttpServer(
+            app, [Address(settings.vm, settings.entry_port)], patience
+        )
 
     async def serve(self) -> None:
         """Serve until the server is stopped and nothing is in progress."""
--- a/chivespan/envelope.py
+++ b/chivespan/envelope.py
@@ -10,11 +10,13 @@
 from dataclasses import dataclass, field
 from datetime import datetime
 
-from chivespan.codec import RECORD_CLASSES, decode, encode
+from chivespan import records
+from chivespan.codec import data_classes, decode, encode
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platformservices import LogRecord
 from chivespan.records import Envelope, RecordId, SeenWriter, VoidRecord
 
+RECORD_CLASSES = data_classes(records)
 SEQUENCE_WINDOW = 4096
 MAX_WRITERS = 8192
 
--- a/chivespan/errors.py
+++ b/chivespan/errors.py
@@ -123,7 +123,9 @@
         super().__init__(f"{kind.value}: {message}")
         self.kind = kind
         self.message = message
-        self.retry_after = retry_after or ANSWERS[kind].retry_after
+        if retry_after is None:
+            retry_after = ANSWERS[kind].retry_after
+        self.retry_after = retry_after
         self.shares = tuple(shares)
 
     @property
--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -24,10 +24,9 @@
     FleetQuery,
     LoadReport,
     NodeValue,
-    TargetValue,
+    TargetEntry,
 )
 from chivespan.routingstate import RoutingState
-from chivespan.targetentry import TargetEntry
 from chivespan.targetset import TargetSet
 
 CONFIG_WAIT = timedelta(milliseconds=1500)
@@ -216,7 +215,7 @@
         targets = self._targets.entries if fresh else ()
         return FleetAnswer(
             config=self._routing.document_newer_than(query.config_version),
-            targets=[_target_value(entry) for entry in targets],
+            targets=list(targets),
             targets_known=fresh,
             nodes=self._links.nodes,
         )
@@ -225,16 +224,8 @@
         if answer.config:
             self._routing.offer(answer.config, f"peer {peer.node.vm}")
         if answer.targets_known and self._failing_since is not None:
-            self._targets.replace(_target_entry(value) for value in answer.targets)
+            self._targets.replace(answer.targets)
         self._links.learn(answer.nodes)
 
     async def _sleep(self, about: timedelta) -> None:
         await anyio.sleep(about.total_seconds() * self._random.uniform(0.85, 1.15))
-
-
-def _target_value(entry: TargetEntry) -> TargetValue:
-    return msgspec.convert(entry, TargetValue, from_attributes=True)
-
-
-def _target_entry(value: TargetValue) -> TargetEntry:
-    return msgspec.convert(value, TargetEntry, from_attributes=True)
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -9,28 +9,27 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
+from http import HTTPStatus
 from random import Random
 
 import anyio
 
-from chivespan.callerrequest import CallerRequest, Responder, left, milliseconds
-from chivespan.clock import MILLISECOND, Clock
+from chivespan.callerrequest import CallerRequest, Responder, milliseconds
+from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import EventSplitter
 from chivespan.exchange import Call, NotSent, Reply, exchange
 from chivespan.loadboard import LoadBoard
 from chivespan.logs import logger
+from chivespan.nodemessages import TargetEntry
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
 from chivespan.routes import Route
-from chivespan.targetentry import TargetEntry
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import StreamWatch, TargetSilence
 
 MAX_UNREACHED = 4
 HEAD_PATIENCE_OBJECTIVES = 1.5
-STATUS_OK = 200
-STATUS_SERVER_ERROR = 500
 
 _log = logger("online")
 
@@ -72,10 +71,6 @@
         if self.watch is not None:
             self.watch.heard()
 
-    def time_left(self, now: timedelta) -> timedelta:
-        """Return how long the caller still waits."""
-        return left(self.until, now)
-
     @property
     def ran_or_may_run(self) -> bool:
         """Whether "not run" would not be true."""
@@ -256,9 +251,9 @@
             return SendOutcome.BROKEN
         if wire.would_claim_not_run(reply.status):
             return SendOutcome.BROKEN
-        if responder.started and reply.status != STATUS_OK:
+        if responder.started and reply.status != HTTPStatus.OK:
             return SendOutcome.BROKEN
-        failed = reply.status >= STATUS_SERVER_ERROR
+        failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if failed and self._may_resume(route, progress):
             return SendOutcome.BROKEN
         progress.began = self._clock.monotonic()
@@ -357,7 +352,7 @@
             await responder.refuse(error)
 
     def _time_left(self, progress: Progress) -> timedelta:
-        return progress.time_left(self._clock.monotonic())
+        return max(NO_WAIT, progress.until - self._clock.monotonic())
 
     def _note(
         self, request: CallerRequest, route: Route, progress: Progress, outcome: str
@@ -369,7 +364,7 @@
             request=request.request_id,
             route=route.name,
             outcome=outcome,
-            took_ms=round(took.total_seconds() * 1000, 1),
+            took_ms=round(took / MILLISECOND, 1),
             sends=progress.sends,
             targets=sorted(progress.tried),
             last_event=progress.splitter.last_id,
--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -403,6 +403,6 @@
     return ChivespanError(
         ErrorKind(refusal.error) if known else ErrorKind.NO_CAPACITY,
         "refused by the slice's owner",
-        retry_after=refusal.retry_after_ms * MILLISECOND,
+        retry_after=refusal.retry_after_ms * MILLISECOND or None,
         shares=refusal.shares,
     )
--- a/chivespan/httpserver.py
+++ b/chivespan/httpserver.py
@@ -4,14 +4,16 @@
 shutdown or a slot for good; the kernel ends its connection.
 """
 
+import asyncio
 import socket
-from collections.abc import Generator
+from collections.abc import Generator, Sequence
 from contextlib import contextmanager
 from datetime import timedelta
 
 import uvicorn
 from starlette.types import ASGIApp
 
+from chivespan.addresses import Address
 from chivespan.clock import MILLISECOND
 
 BACKLOG = 512
@@ -28,49 +30,52 @@
 
 
 class HttpServer:
-    """One listening address.
+    """Serves one application on some addresses.
 
     :param app: the ASGI application.
-    :param host: IP number to listen on.
-    :param port: port to listen on.
     :param patience: a caller that acknowledges nothing for this long is gone.
+    :param protocol: class of the connections; uvicorn's own for None.
+    :param with_date: whether answers carry the time of day.
     """
 
     def __init__(
         self,
         app: ASGIApp,
-        host: str,
-        port: int,
+        addresses: Sequence[Address],
         patience: timedelta = CALLER_PATIENCE,
+        *,
+        protocol: type[asyncio.Protocol] | None = None,
+        with_date: bool = True,
     ) -> None:
         config = uvicorn.Config(
             app,
-            host=host,
-            port=port,
-            backlog=BACKLOG,
+            http=protocol or "auto",
             log_config=None,
             access_log=False,
             lifespan="off",
             server_header=False,
+            date_header=with_date,
             ws="none",
         )
         self._server = _Server(config)
-        self._address = (host, port)
+        self._addresses = addresses
         self._patience = patience
 
     async def run(self) -> None:
         """Serve until :meth:`stop`; then finish what is in progress and return."""
-        await self._server.serve([listening(self._address, self._patience)])
+        sockets = [_listening(each, self._patience) for each in self._addresses]
+        await self._server.serve(sockets)
 
     def stop(self) -> None:
         """Take no new connections, and end once all requests have been answered."""
         self._server.should_exit = True
 
 
-def listening(address: tuple[str, int], patience: timedelta) -> socket.socket:
+def _listening(address: Address, patience: timedelta) -> socket.socket:
     """Return a listening socket; connections that it accepts inherit its options."""
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    listener = socket.create_server(address, family=family, backlog=BACKLOG)
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    place = (address.host, address.port)
+    listener = socket.create_server(place, family=family, backlog=BACKLOG)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     seconds = max(1, round(patience.total_seconds()))
     tcp_options = {
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -13,7 +13,7 @@
 
 from chivespan.clock import Clock
 from chivespan.codec import encode_message
-from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
+from chivespan.fleetlinks import NO_REPORT, FleetLinks, FleetListener, Peer
 from chivespan.loadboard import LoadBoard, summed
 from chivespan.logs import logger
 from chivespan.nodemessages import DataCentreReport, LoadReport, TargetLoad
@@ -44,14 +44,15 @@
         self._clock = clock
         self._describe = describe
         self._silence = silence
-        self._silent: list[str] = []
         self._far_sent: dict[str, list[TargetLoad]] = {}
-        self._standing: LoadReport | None = None
+        self._standing = NO_REPORT
         links.add_listener(self)
 
     def peer_joined(self, peer: Peer) -> None:
         """Tell a new peer at once."""
-        peer.send(self._report_for(peer))
+        report = self._describe()
+        near = self._links.is_near(peer)
+        peer.send(report if near else _without_loads(report))
         self._far_sent.clear()
 
     def peer_left(self, peer: Peer) -> None:
@@ -77,8 +78,9 @@
 
     def send_now(self) -> None:
         """Tell all peers at once, as something other than a count has changed."""
-        for peer in list(self._links.peers.values()):
-            peer.send(self._report_for(peer))
+        report = self._describe()
+        self._send(self._near_peers(), report)
+        self._send(self._far_peers(), _without_loads(report))
 
     async def run(self) -> None:
         """Report changes for ever."""
@@ -90,29 +92,29 @@
         while True:
             with anyio.move_on_after(1):
                 await self._board.wait_own_changed()
-            self._tell_of_silence()
             self._send(self._near_peers(), self._describe())
             await anyio.sleep(NEAR_INTERVAL.total_seconds())
 
     async def _report_far(self) -> None:
         while True:
             await anyio.sleep(FAR_INTERVAL.total_seconds())
-            self._tell_of_silence()
             self._tell_of_standing()
             if self._is_relay():
                 self._send_sums()
 
     def _tell_of_standing(self) -> None:
-        """Tell the nodes elsewhere how this one stands when that has changed."""
+        """Tell all peers at once how this node stands when that has changed."""
         standing = _without_loads(self._describe())
-        if standing != self._standing:
-            self._standing = standing
-            far = [
-                peer
-                for peer in self._links.peers.values()
-                if not self._links.is_near(peer)
-            ]
-            self._send(far, standing)
+        if standing == self._standing:
+            return
+        if standing.silent != self._standing.silent:
+            _log.info(
+                "silent_targets",
+                targets=standing.silent,
+                before=self._standing.silent,
+            )
+        self._standing = standing
+        self.send_now()
 
     def _send_sums(self) -> None:
         """Send this data centre's sums to the relays that don't have them."""
@@ -137,26 +139,15 @@
     def _near_peers(self) -> list[Peer]:
         return list(self._peers_in(self._links.own.data_centre))
 
+    def _far_peers(self) -> list[Peer]:
+        peers = self._links.peers.values()
+        return [peer for peer in peers if not self._links.is_near(peer)]
+
     def _peers_in(self, data_centre: str) -> Iterable[Peer]:
         for peer in self._links.peers.values():
             if peer.node.data_centre == data_centre:
                 yield peer
 
-    def _report_for(self, peer: Peer) -> LoadReport:
-        """Return what a peer is told; counts are for nodes of this data centre."""
-        report = self._describe()
-        if self._links.is_near(peer):
-            return report
-        return _without_loads(report)
-
-    def _tell_of_silence(self) -> None:
-        """Tell all peers at once of targets that fall silent or speak again."""
-        silent = self._silence.own()
-        if silent != self._silent:
-            _log.info("silent_targets", targets=silent, before=self._silent)
-            self._silent = silent
-            self.send_now()
-
     def _send(self, peers: Iterable[Peer], message: object) -> None:
         frame = encode_message(message)
         for peer in peers:
@@ -164,6 +155,7 @@
 
 
 def _without_loads(report: LoadReport) -> LoadReport:
+    """Return what nodes of other data centres are told; they get sums besides."""
     return replace(report, loads=[])
 
 
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -1,5 +1,6 @@
 """All parts of one node, wired, and its life from start to end."""
 
+import secrets
 import signal
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -9,7 +10,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivespan.addresses import parse_address
+from chivespan.absentmodules import note_absent_modules
+from chivespan.addresses import Address, parse_address
 from chivespan.batchexecutor import BatchExecutor
 from chivespan.batchfront import BatchFront
 from chivespan.batchnode import BatchNode
@@ -19,6 +21,7 @@
 from chivespan.callerapp import CallerApp, Listener
 from chivespan.callerserver import CallerServer
 from chivespan.clock import Clock
+from chivespan.codec import PROTOCOL
 from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks
 from chivespan.fleetwatch import FleetSources, FleetWatch
@@ -94,10 +97,9 @@
         path: Path,
         clock: Clock,
         writer: LineWriter,
-        incarnation: str,
-        protocol: int,
         policies: NodePolicies = DEFAULT_POLICIES,
     ) -> None:
+        note_absent_modules()
         self._settings = settings
         self._path = path
         self._clock = clock
@@ -106,8 +108,7 @@
         self.board = LoadBoard(clock)
         self.targets = TargetSet(clock)
         self.routing = RoutingState(documents.decode_config)
-        hello = _hello(settings, incarnation, protocol)
-        end = LinkEnd(hello, LINK_OPTIONS, clock, self.metrics)
+        end = LinkEnd(_hello(settings), LINK_OPTIONS, clock, self.metrics)
         self.silence = TargetSilence(clock)
         self.links = FleetLinks(settings, end)
         platform = PlatformStore(settings.store.address)
@@ -153,7 +154,6 @@
             self.placement,
             self.routing,
             self.picker,
-            self.board,
             self.executor,
             clock,
             BATCH_ROOMS[policies.batch_room],
@@ -166,7 +166,7 @@
         )
         listeners = _listeners(settings)
         app = CallerApp(
-            {parse_address(address).port: use for address, use in listeners.items()},
+            {address.port: use for address, use in listeners.items()},
             self.standing,
             self.routing,
             forwarder,
@@ -185,7 +185,7 @@
             tasks.start_soon(self.reports.run)
             tasks.start_soon(self.executor.run)
             tasks.start_soon(self.batch.run)
-            tasks.start_soon(self._update_ownership)
+            tasks.start_soon(self._follow_ownership)
             tasks.start_soon(self._keep_up)
             tasks.start_soon(self._heed_signals, tasks)
             self.links.learn_seeds(self._settings.seeds)
@@ -201,15 +201,21 @@
     def _tell_owner(self, status: ItemStatus) -> None:
         self.batch.tell_owner(status)
 
-    async def _update_ownership(self) -> None:
-        """Follow who owns which batch partition, for ever."""
+    async def _follow_ownership(self) -> None:
+        """Own the batch partitions that are this node's, for ever."""
         while True:
             await anyio.sleep(OWNERSHIP_INTERVAL_S)
-            leaving = self.standing.is_leaving
-            if self.placement.update(self.watch.store_reached, leaving):
-                self.batch.owned_changed()
+            if self._update_ownership():
                 self.reports.send_now()
 
+    def _update_ownership(self) -> bool:
+        """Own what is this node's now; return whether that has changed."""
+        leaving = self.standing.is_leaving
+        change = self.placement.update(self.watch.store_reached, leaving)
+        if change:
+            self.batch.owned_changed(change)
+        return bool(change)
+
     async def _heed_signals(self, tasks: TaskGroup) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
             async for number in received:
@@ -218,8 +224,7 @@
                 elif not self.standing.is_leaving:
                     _log.notice("leaving", signal=number.name)
                     self.standing.leave()
-                    self.placement.update(self.watch.store_reached, leaving=True)
-                    self.batch.owned_changed()
+                    self._update_ownership()
                     self.reports.send_now()
                     self.batch.leave()
                     tasks.start_soon(self._leave)
@@ -270,15 +275,16 @@
         _log.notice("reloaded", seeds=len(fresh.seeds))
 
 
-def _hello(settings: FleetNodeSettings, incarnation: str, protocol: int) -> Hello:
+def _hello(settings: FleetNodeSettings) -> Hello:
+    """Return the Hello of this run of the process."""
     return Hello(
         vm=settings.vm,
         program=Program.node,
         data_centre=settings.data_centre,
         region=settings.region,
-        incarnation=incarnation,
+        incarnation=secrets.token_hex(6),
         serving_port=parse_address(settings.front_address).port,
-        protocol=protocol,
+        protocol=PROTOCOL,
     )
 
 
@@ -291,10 +297,10 @@
     )
 
 
-def _listeners(settings: FleetNodeSettings) -> dict[str, Listener]:
+def _listeners(settings: FleetNodeSettings) -> dict[Address, Listener]:
     return {
-        settings.front_address: Listener.FRONT,
-        settings.ready_address: Listener.READY,
-        settings.directory_address: Listener.DIRECTORY,
-        f"{settings.vm}:{settings.metrics_port}": Listener.METRICS,
+        parse_address(settings.front_address): Listener.FRONT,
+        parse_address(settings.ready_address): Listener.READY,
+        parse_address(settings.directory_address): Listener.DIRECTORY,
+        Address(settings.vm, settings.metrics_port): Listener.METRICS,
     }
--- a/chivespan/node_main.py
+++ b/chivespan/node_main.py
@@ -2,12 +2,10 @@
 
 import logging
 import os
-import secrets
 
 import anyio
 
 from chivespan.clock import SystemClock
-from chivespan.codec import PROTOCOL
 from chivespan.jsonlog import JsonLineHandler, stdout_writer
 from chivespan.node import Node, NodePolicies
 from chivespan.platform.settingsfile import read_settings, settings_path
@@ -21,9 +19,8 @@
     writer = stdout_writer()
     JsonLineHandler(settings.name, writer, clock).push_application()
     _silence_libraries()
-    incarnation = secrets.token_hex(6)
     policies = NodePolicies.from_environment(os.environ)
-    node = Node(settings, path, clock, writer, incarnation, PROTOCOL, policies)
+    node = Node(settings, path, clock, writer, policies)
     anyio.run(node.run, backend_options={"use_uvloop": True})
 
 
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -60,19 +60,37 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class TargetValue:
+class TargetEntry:
     """
-    One target's entry in the store.
+    What a running target says of itself, in its entry in the store.
     """
 
     target_id: str
+    """
+    Names one run of the target; a restart mostly gets another.
+    """
     service: str
     address: str
+    """
+    IP number and port.
+    """
     data_centre: str
     slots: int
+    """
+    Requests that it runs at a time.
+    """
     draining: bool
+    """
+    Whether it takes no new requests.
+    """
     sequence: int
+    """
+    Counts up with each renewal of one run.
+    """
     started_ms: int
+    """
+    Unix milliseconds of its start; 0 where it does not say.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -118,7 +136,7 @@
     """
     The newest configuration; empty when the sender has it.
     """
-    targets: list[TargetValue]
+    targets: list[TargetEntry]
     targets_known: bool
     """
     Whether the peer has just read the targets from the store.
--- a/chivespan/platform/documents.py
+++ b/chivespan/platform/documents.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.nodemessages import TargetEntry
 from chivespan.routes import (
     CallerLimits,
     Route,
@@ -14,7 +15,6 @@
     Service,
     ServiceShare,
 )
-from chivespan.targetentry import TargetEntry
 
 OPERATOR_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
--- a/chivespan/platform/store.py
+++ b/chivespan/platform/store.py
@@ -3,6 +3,7 @@
 import struct
 from collections.abc import Iterator, Sequence
 from datetime import timedelta
+from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -29,9 +30,6 @@
 READ_LIMIT_KB = 1024
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
-_OK = 200
-_GONE = 410
-_END_MOVED = 412
 # The store says of these, and of no other, that it has done nothing.
 _NOTHING_DONE = frozenset({400, 403, 404, 409, 413, 429, 503, 507})
 
@@ -86,9 +84,9 @@
             raise StoreUnavailable(error.message) from error
         except ChivespanError as error:
             raise StoreOutcomeUnknown(error.message) from error
-        if status == _OK:
+        if status == HTTPStatus.OK:
             return _decoded(content, _Appended).end
-        if status == _END_MOVED:
+        if status == HTTPStatus.PRECONDITION_FAILED:
             raise StoreEndMoved(_decoded(content, _Moved).end)
         if status in _NOTHING_DONE:
             raise StoreUnavailable(f"append refused with status {status}")
@@ -130,9 +128,9 @@
             status, content = await self._call("GET", path, query, b"", wait)
         except ChivespanError as error:
             raise StoreUnavailable(error.message) from error
-        if status == _GONE:
+        if status == HTTPStatus.GONE:
             raise StoreExpired(f"{path} of {query}: no longer kept")
-        if status != _OK:
+        if status != HTTPStatus.OK:
             raise StoreUnavailable(f"{path} answered with status {status}")
         return content
 
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -1,12 +1,13 @@
 """Headers, paths and bodies of the calls that clients and runners make or take."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from datetime import timedelta
+from http import HTTPStatus
 from typing import Any
 
 import msgspec
 
+from chivespan.batchrecords import BatchHeader, BatchItem, BatchResult
 from chivespan.clock import MILLISECOND
 from chivespan.exchange import Header, Reply
 
@@ -32,33 +33,6 @@
 STATE_DEAD = "dead_letter"
 
 
-@dataclass(frozen=True, slots=True)
-class SubmittedItem:
-    """One item of a submission, as the client sent it.
-
-    :param headers: name and value of the headers that its run gets.
-    :param tokens: tokens of the prompt and most of the output, summed.
-    """
-
-    item_id: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class ListedResult:
-    """One result at its position.
-
-    :param done: whether the item was completed, or else given up.
-    """
-
-    item_id: str
-    done: bool
-    text: str
-
-
 class _Item(msgspec.Struct):
     id: str
     path: str
@@ -75,25 +49,27 @@
 _SUBMISSIONS = msgspec.json.Decoder(_Submission)
 
 
-def decode_submission(body: bytes) -> tuple[SubmittedItem, ...]:
+def decode_submission(body: bytes) -> tuple[BatchItem, ...]:
     """Return the items of a submission's body.
 
     :raises ValueError: where it is none.
     """
     submission = _SUBMISSIONS.decode(body)
-    return tuple(
-        SubmittedItem(
-            item_id=item.id,
-            path=item.path,
-            headers=tuple(item.headers.items()),
-            body=item.body,
-            tokens=item.tokens,
-        )
-        for item in submission.items
+    return tuple(_batch_item(item) for item in submission.items)
+
+
+def _batch_item(item: _Item) -> BatchItem:
+    headers = item.headers.items()
+    return BatchItem(
+        item_id=item.id,
+        path=item.path,
+        headers=[BatchHeader(name=name, value=value) for name, value in headers],
+        body=item.body,
+        tokens=item.tokens,
     )
 
 
-def encode_results(total: int, start: int, results: list[ListedResult]) -> bytes:
+def encode_results(total: int, start: int, results: list[BatchResult]) -> bytes:
     """Return the body that lists the results from position ``start`` on."""
     rows = [
         {
@@ -130,8 +106,14 @@
 # What each send to a runner sets anew.
 _SET_ANEW = frozenset({b"expect", b"content-length", DEADLINE_MS, EXPECT_TARGET})
 _NOT_FORWARDED = _OF_ONE_CONNECTION | _SET_ANEW
-_STATUS_OTHER_TARGET = 421
-_SAYS_NOT_RUN = frozenset({408, 421, 429, 503})
+_SAYS_NOT_RUN = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 
 
 def target_headers(
@@ -176,7 +158,8 @@
 
 def says_not_run(reply: Reply) -> bool:
     """Return whether the runner says that it did not run the request."""
-    return reply.status == _STATUS_OTHER_TARGET or reply.header(NOT_RUN) is not None
+    other_target = reply.status == HTTPStatus.MISDIRECTED_REQUEST
+    return other_target or reply.header(NOT_RUN) is not None
 
 
 def would_claim_not_run(status: int) -> bool:
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -14,9 +14,9 @@
 
 from chivespan.clock import Clock
 from chivespan.loadboard import LoadBoard
+from chivespan.nodemessages import TargetEntry
 from chivespan.overload import OverloadEpisodes
 from chivespan.registry import Registry
-from chivespan.targetentry import TargetEntry
 from chivespan.targethealth import HealthState, TargetHealth
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import TargetSilence
--- a/chivespan/targetset.py
+++ b/chivespan/targetset.py
@@ -5,11 +5,12 @@
 """
 
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from datetime import timedelta
 
 from chivespan.clock import Clock
 from chivespan.logs import logger
-from chivespan.targetentry import TargetEntry
+from chivespan.nodemessages import TargetEntry
 
 RENEWAL_TIME = timedelta(seconds=2)
 # Entries lapse only when the store is away for longer than this.
@@ -19,13 +20,26 @@
 _log = logger("targets")
 
 
+@dataclass(frozen=True, slots=True)
+class _Gone:
+    """The last entry of a target that is gone."""
+
+    entry: TargetEntry
+    since: timedelta
+
+
+def age(entry: TargetEntry) -> tuple[int, int]:
+    """Return how new an entry is among all entries of its id."""
+    return (entry.started_ms, entry.sequence)
+
+
 class TargetSet:
     """All targets by id, with what the newest entries say."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._entries: dict[str, TargetEntry] = {}
-        self._gone: dict[str, tuple[TargetEntry, timedelta]] = {}
+        self._gone: dict[str, _Gone] = {}
         self._replaced: timedelta | None = None
         self._lapses_count_from = timedelta(0)
 
@@ -81,15 +95,19 @@
     def _is_old(self, entry: TargetEntry, now: timedelta) -> bool:
         known = self._entries.get(entry.target_id)
         if known is not None:
-            return entry.age < known.age
+            return age(entry) < age(known)
         gone = self._gone.get(entry.target_id)
-        if gone is None:
+        if gone is None or now - gone.since >= REMEMBER_GONE:
             return False
-        last, gone_at = gone
-        return entry.age <= last.age and now - gone_at < REMEMBER_GONE
+        return age(entry) <= age(gone.entry)
 
     def _drop_missing(self, listed: Iterable[str], now: timedelta) -> None:
+        self._gone = {
+            target_id: gone
+            for target_id, gone in self._gone.items()
+            if now - gone.since < REMEMBER_GONE
+        }
         for target_id in self._entries.keys() - set(listed):
             entry = self._entries.pop(target_id)
-            self._gone[target_id] = (entry, now)
+            self._gone[target_id] = _Gone(entry, now)
             _log.info("target_gone", target=target_id, sequence=entry.sequence)
--- a/standins/platformtarget.py
+++ b/standins/platformtarget.py
@@ -7,7 +7,7 @@
 import fire
 import msgspec
 from starlette.applications import Starlette
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.responses import PlainTextResponse, Response, StreamingResponse
 from starlette.routing import Route
 
@@ -91,8 +91,6 @@
     arrivals: list[Arrival] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     left: list[str] = field(default_factory=list)
-    most_running: int = 0
-    _running: int = 0
     _waiting: int = 0
 
     def __post_init__(self) -> None:
@@ -130,9 +128,9 @@
         )
         if self.faults.full or self._waiting >= self.options.queue:
             return PlainTextResponse("full", 503, NOT_RUN)
-        return await self._run(request, request_id, last_event)
+        return self._run(request_id, last_event)
 
-    async def _run(self, request: Request, request_id: str, last: int) -> Response:
+    def _run(self, request_id: str, last: int) -> Response:
         headers = {
             "X-Chivespan-Request-Id": "other" if self.faults.other_id else request_id,
             SEAL: f"seal-{request_id}",
@@ -143,31 +141,24 @@
         if self.faults.status:
             self.ran.append(request_id)
             return PlainTextResponse("failed", self.faults.status, headers)
-        events = self._events(request, request_id, last)
+        events = self._events(request_id, last)
         return StreamingResponse(
             events, headers=headers, media_type="text/event-stream"
         )
 
-    async def _events(
-        self, request: Request, request_id: str, last: int
-    ) -> AsyncIterator[bytes]:
+    async def _events(self, request_id: str, last: int) -> AsyncIterator[bytes]:
         self._waiting += 1
         try:
             await self._slots.acquire()
         finally:
             self._waiting -= 1
-        self._running += 1
-        self.most_running = max(self.most_running, self._running)
         self.ran.append(request_id)
         done = False
         try:
             async for event in self._stream(request_id, last):
                 yield event
             done = True
-        except (ClientDisconnect, anyio.get_cancelled_exc_class()):
-            raise
         finally:
-            self._running -= 1
             self._slots.release()
             if not done:
                 self.left.append(request_id)
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from typing import Any
 
-from chivespan.targetentry import TargetEntry
+from chivespan.nodemessages import TargetEntry
 
 _ENTRY = TargetEntry(
     target_id="t",
--- a/tests/test_batchquestions.py
+++ b/tests/test_batchquestions.py
@@ -8,8 +8,8 @@
 import pytest
 
 from chivespan.batchquestions import BatchQuestions
-from chivespan.clock import SystemClock
-from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.clock import NO_WAIT, SystemClock
+from chivespan.errors import SOON, ChivespanError, ErrorKind
 from chivespan.fleetlinks import FleetLinks, Peer
 from chivespan.nodemessages import BatchQuestion, BatchReply, BatchVerb, NodeValue
 
@@ -117,3 +117,9 @@
     with pytest.raises(ChivespanError) as told:
         await site.ask()
     assert told.value.kind is ErrorKind.UNCONFIRMED
+
+
+def test_time_of_none_to_come_back_is_not_taken_for_a_missing_one() -> None:
+    at_once = ChivespanError(ErrorKind.LEAVING, "", retry_after=NO_WAIT)
+    assert at_once.retry_after == NO_WAIT
+    assert ChivespanError(ErrorKind.LEAVING, "").retry_after == SOON
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -8,6 +8,7 @@
 import pytest
 from starlette.types import Receive, Scope, Send
 
+from chivespan.addresses import Address
 from chivespan.callerserver import CallerServer
 from chivespan.routes import CallerLimits
 
@@ -26,7 +27,7 @@
 
 @asynccontextmanager
 async def connected() -> AsyncIterator[anyio.abc.SocketStream]:
-    address = "127.0.19.1:8161"
+    address = Address("127.0.19.1", 8161)
     server = CallerServer(_app, [address], lambda: LIMITS)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.run)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -11,6 +11,7 @@
 from chivespan.platform.documents import decode_config, decode_target
 from chivespan.platform.settingsfile import decode_settings
 from chivespan.routes import RouteKind
+from chivespan.targetset import age
 
 ENTRY: dict[str, Any] = {
     "service": "s",
@@ -103,7 +104,7 @@
 def test_restart_under_the_same_id_counts_as_newer() -> None:
     before = decode_target("i-1", json.dumps(ENTRY).encode())
     again = decode_target("i-1", json.dumps(ENTRY | {"born": 18, "seq": 0}).encode())
-    assert again.age > before.age
+    assert age(again) > age(before)
 
 
 def test_bytes_that_are_no_entry_name_no_target() -> None:
@@ -139,7 +140,8 @@
     )
     (item,) = wire.decode_submission(body)
     assert item.body == bytes.fromhex("abcdef1234567890")
-    assert item.headers == (("A", "b"),)
+    (header,) = item.headers
+    assert (header.name, header.value) == ("A", "b")
     for wrong in (b"{}", b"[]", b'{"items":[{"id":1}]}', b"\xff"):
         with pytest.raises(ValueError, match=r"\w"):
             wire.decode_submission(wrong)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,16 @@
 
 from standins.platformstore import StoreFaults
 from standins.platformtarget import TargetFaults, TargetOptions, TargetStandIn
-from tests.fleet import DIRECTORY, ONCE, STREAM, batch_route, config, fleet, route
+from tests.fleet import (
+    BATCH,
+    DIRECTORY,
+    ONCE,
+    STREAM,
+    batch_route,
+    config,
+    fleet,
+    route,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -317,3 +326,18 @@
         assert refused.status == 503
         assert float(refused.headers["retry-after"]) < 0.1
         assert refused.headers["connection"] == "close"
+
+
+async def test_submission_that_cant_be_read_is_refused_and_harms_no_node(
+    tmp_path: Path,
+) -> None:
+    async with fleet(tmp_path, 2, target(1)) as (site, _):
+        await site.submit(1, "job", 1)
+        for number in (1, 2):
+            for body in (b"{}", b"\xff", b'{"items":[{"id":1}]}'):
+                headers = {"X-Chivespan-Request-Id": "bad"}
+                answer = await site.call(number, "POST", f"{BATCH}bad", headers, body)
+                assert answer.status == 400
+            too_many = await site.submit(number, "many", 201)
+            assert too_many.status == 400
+        assert (await site.submit(2, "next", 1)).status == 202
--- a/tests/test_targetpick.py
+++ b/tests/test_targetpick.py
@@ -5,8 +5,7 @@
 
 from chivespan.clock import ManualClock
 from chivespan.loadboard import LoadBoard
-from chivespan.nodemessages import TargetLoad
-from chivespan.targetentry import TargetEntry
+from chivespan.nodemessages import TargetEntry, TargetLoad
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SILENCE, TargetSilence
