--- a/chivespan/batchchanges.py
+++ b/chivespan/batchchanges.py
@@ -9,7 +9,7 @@
     LedgerJob,
     end_key,
     job_records,
-    result_key,
+    result_records,
 )
 from chivespan.batchrecords import BatchEnd, BatchItem, BatchResult
 from chivespan.codec import encode
@@ -79,6 +79,7 @@
     item_id: str
     done: bool
     text: str
+    max_record_bytes: int
 
     def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
         """Return the result's record; none when the item needs none."""
@@ -93,7 +94,7 @@
         position = len(job.results) + len(claimed)
         claimed.add(self.item_id)
         result = BatchResult(item_id=self.item_id, done=self.done, text=self.text)
-        return (KeyedRecord(result_key(self.job_id, position), encode(result)),)
+        return result_records(self.job_id, position, result, self.max_record_bytes)
 
 
 @dataclass(frozen=True, slots=True)
--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -26,10 +26,11 @@
 from chivespan.targetentry import TargetEntry
 from chivespan.targetpick import TargetPicker
 from chivespan.targetset import TargetSet
+from chivespan.targetsilence import StreamWatch, TargetSilence
 
 RUN_TIME = timedelta(seconds=30)
 HEAD_PATIENCE = timedelta(seconds=1)
-GAP_PATIENCE = timedelta(seconds=1)
+GAP_PATIENCE = timedelta(milliseconds=600)
 YIELD_PROBABILITY = 0.3
 STATUS_OK = 200
 STATUS_IMPOSSIBLE = 422
@@ -84,6 +85,7 @@
         targets: TargetSet,
         picker: TargetPicker,
         board: LoadBoard,
+        silence: TargetSilence,
         clock: Clock,
         metrics: NodeMetrics,
         tell: Callable[[ItemStatus], None],
@@ -91,6 +93,7 @@
         self._targets = targets
         self._picker = picker
         self._board = board
+        self._silence = silence
         self._clock = clock
         self._metrics = metrics
         self._tell = tell
@@ -180,7 +183,7 @@
             except _Yielded:
                 return ItemState.paused
             except NotSent:
-                self._picker.failed(entry.target_id)
+                self._picker.unreachable(entry.target_id)
                 return ItemState.not_run
             except ChivespanError as error:
                 self._picker.failed(entry.target_id)
@@ -194,6 +197,7 @@
 
     async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
         began = self._clock.monotonic()
+        watching = self._silence.watching(entry.target_id)
         async with exchange(_call(held, entry)) as reply:
             if wire.says_not_run(reply):
                 return ItemState.not_run
@@ -204,12 +208,13 @@
                 return ItemState.impossible
             if reply.status != STATUS_OK:
                 return ItemState.failed
-            await self._take_events(held, entry, reply)
+            with watching as watch:
+                await self._take_events(held, entry, reply, watch)
         self._picker.succeeded(entry.target_id, self._clock.monotonic() - began)
         return ItemState.done
 
     async def _take_events(
-        self, held: HeldItem, entry: TargetEntry, reply: Reply
+        self, held: HeldItem, entry: TargetEntry, reply: Reply, watch: StreamWatch
     ) -> None:
         """Keep the events as they come.
 
@@ -226,6 +231,7 @@
                 raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
             if chunk is None:
                 break
+            watch.heard()
             for event in parse_events(splitter.feed(chunk)):
                 if event.event_id != len(held.events) + 1:
                     reason = f"event {event.event_id} behind {len(held.events)}"
--- a/chivespan/batchfront.py
+++ b/chivespan/batchfront.py
@@ -4,8 +4,8 @@
 from urllib.parse import parse_qs
 
 from chivespan.batchledger import MAX_ID_CHARS
-from chivespan.batchnode import BatchNode
 from chivespan.batchplacement import partition_of
+from chivespan.batchquestions import BatchQuestions
 from chivespan.callerrequest import CallerRequest, Responder, milliseconds
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError, ErrorKind
@@ -26,8 +26,10 @@
 class BatchFront:
     """Serves callers' batch calls by asking the owners of partitions."""
 
-    def __init__(self, batch: BatchNode, clock: Clock, metrics: NodeMetrics) -> None:
-        self._batch = batch
+    def __init__(
+        self, questions: BatchQuestions, clock: Clock, metrics: NodeMetrics
+    ) -> None:
+        self._questions = questions
         self._clock = clock
         self._metrics = metrics
 
@@ -95,7 +97,7 @@
     ) -> bytes:
         deadline = milliseconds(request.header(wire.DEADLINE_MS)) or patience
         question = BatchQuestion(
-            question=self._batch.new_question(),
+            question=self._questions.new_question(),
             verb=verb,
             partition=partition_of(request.host),
             host=request.host,
@@ -107,7 +109,7 @@
             body=request.body if verb is BatchVerb.submit else b"",
             patience_ms=min(patience, deadline) // MILLISECOND,
         )
-        return await self._batch.ask(question)
+        return await self._questions.ask(question)
 
     def _note(self, call: str, request: CallerRequest) -> None:
         took = self._clock.monotonic() - request.arrived
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -25,6 +25,9 @@
 _RESULT = "result"
 _END = "end"
 _POSITION_DIGITS = 6
+RECORD_OVERHEAD_BYTES = 300
+_MORE = b"+"
+_LAST = b"."
 
 
 def job_key(job_id: str) -> str:
@@ -32,14 +35,14 @@
     return f"{_JOB}/{job_id}"
 
 
-def items_key(job_id: str, chunk: int) -> str:
-    """Return the key of some of a job's items."""
-    return f"{_ITEMS}/{job_id}/{chunk}"
+def items_key(job_id: str, part: int) -> str:
+    """Return the key of a part of a job's items."""
+    return f"{_ITEMS}/{job_id}/{part}"
 
 
-def result_key(job_id: str, position: int) -> str:
-    """Return the key of the result at a position."""
-    return f"{_RESULT}/{job_id}/{position:0{_POSITION_DIGITS}}"
+def result_key(job_id: str, position: int, part: int = 0) -> str:
+    """Return the key of a part of the result at a position."""
+    return f"{_RESULT}/{job_id}/{position:0{_POSITION_DIGITS}}/{part}"
 
 
 def end_key(job_id: str) -> str:
@@ -52,6 +55,7 @@
     """One accepted job.
 
     :ivar results: in the order of their positions.
+    :ivar result_parts: records that each result takes.
     :ivar listed: ids of the items that have a result.
     """
 
@@ -59,6 +63,7 @@
     head: BatchJob
     items: dict[str, BatchItem]
     results: list[BatchResult] = field(default_factory=list)
+    result_parts: list[int] = field(default_factory=list)
     listed: set[str] = field(default_factory=set)
     ended: bool = False
 
@@ -80,10 +85,11 @@
 
     def keys(self) -> Iterator[str]:
         """Yield the keys of all records of the job, its own last."""
-        for chunk in range(self.head.chunks):
-            yield items_key(self.job_id, chunk)
-        for position in range(len(self.results)):
-            yield result_key(self.job_id, position)
+        for part in range(self.head.chunks):
+            yield items_key(self.job_id, part)
+        for position, parts in enumerate(self.result_parts):
+            for part in range(parts):
+                yield result_key(self.job_id, position, part)
         if self.ended:
             yield end_key(self.job_id)
         yield job_key(self.job_id)
@@ -94,8 +100,8 @@
     """Records of one job, before all that make it up are there."""
 
     head: BatchJob | None = None
-    items: dict[int, BatchItems] = field(default_factory=dict)
-    results: dict[int, BatchResult] = field(default_factory=dict)
+    items: dict[int, bytes] = field(default_factory=dict)
+    results: dict[int, dict[int, bytes]] = field(default_factory=dict)
     ended: bool = False
 
 
@@ -125,7 +131,7 @@
         :raises ChivespanError: ``protocol`` when it can't be read.
         """
         kind, _, rest = record.key.partition("/")
-        job_id, _, number = rest.partition("/")
+        job_id, *numbers = rest.split("/")
         if not record.value:
             self._drop(kind, job_id)
             return
@@ -133,9 +139,10 @@
         if kind == _JOB:
             parts.head = decode(record.value, BatchJob)
         elif kind == _ITEMS:
-            parts.items[int(number)] = decode(record.value, BatchItems)
+            parts.items[int(numbers[0])] = record.value
         elif kind == _RESULT:
-            parts.results[int(number)] = decode(record.value, BatchResult)
+            position, part = int(numbers[0]), int(numbers[1])
+            parts.results.setdefault(position, {})[part] = record.value
         elif kind == _END:
             decode(record.value, BatchEnd)
             parts.ended = True
@@ -150,14 +157,16 @@
         """Turn records into a job once all its items are there."""
         job = self._jobs.get(job_id)
         if job is None:
-            if parts.head is None or len(parts.items) < parts.head.chunks:
+            joined = _joined(parts.items)
+            if parts.head is None or joined is None:
                 return
-            chunks = (parts.items[number] for number in sorted(parts.items))
-            items = {item.item_id: item for chunk in chunks for item in chunk.items}
+            items = {item.item_id: item for item in decode(joined, BatchItems).items}
             job = self._jobs[job_id] = LedgerJob(job_id, parts.head, items)
+            parts.items.clear()
         job.ended = job.ended or parts.ended
-        while len(job.results) in parts.results:
-            result = parts.results.pop(len(job.results))
+        while (joined := _joined(parts.results.get(len(job.results), {}))) is not None:
+            job.result_parts.append(len(parts.results.pop(len(job.results))))
+            result = decode(joined, BatchResult)
             job.results.append(result)
             job.listed.add(result.item_id)
 
@@ -171,33 +180,45 @@
     max_record_bytes: int,
 ) -> list[KeyedRecord]:
     """Return the records that make a job, the one that accepts it last."""
-    chunks = list(_chunked(items, max_record_bytes // 2))
+    parts = list(_sliced(encode(BatchItems(items=items)), max_record_bytes))
     head = BatchJob(
         route=route,
         host=host,
-        chunks=len(chunks),
+        chunks=len(parts),
         item_count=len(items),
         submitted_ms=round(submitted.timestamp() * 1000),
     )
     records = [
-        KeyedRecord(items_key(job_id, number), encode(BatchItems(items=chunk)))
-        for number, chunk in enumerate(chunks)
+        KeyedRecord(items_key(job_id, number), part)
+        for number, part in enumerate(parts)
     ]
     return [*records, KeyedRecord(job_key(job_id), encode(head))]
 
 
-def _chunked(items: list[BatchItem], limit: int) -> Iterator[list[BatchItem]]:
-    """Yield runs of items whose bodies stay within a limit, at least one item each."""
-    chunk: list[BatchItem] = []
-    size = 0
-    for item in items:
-        if chunk and size + len(item.body) > limit:
-            yield chunk
-            chunk, size = [], 0
-        chunk.append(item)
-        size += len(item.body)
-    if chunk:
-        yield chunk
+def result_records(
+    job_id: str, position: int, result: BatchResult, max_record_bytes: int
+) -> list[KeyedRecord]:
+    """Return the records that list a result."""
+    return [
+        KeyedRecord(result_key(job_id, position, number), part)
+        for number, part in enumerate(_sliced(encode(result), max_record_bytes))
+    ]
+
+
+def _sliced(content: bytes, max_record_bytes: int) -> Iterator[bytes]:
+    """Yield parts that fit into records, each marked as the last or not."""
+    size = max_record_bytes - RECORD_OVERHEAD_BYTES
+    for start in range(0, len(content), size):
+        is_last = start + size >= len(content)
+        yield (_LAST if is_last else _MORE) + content[start : start + size]
+
+
+def _joined(parts: dict[int, bytes]) -> bytes | None:
+    """Return what was cut into parts; None unless all of them are there."""
+    ordered = [parts[number] for number in range(len(parts)) if number in parts]
+    if not ordered or len(ordered) < len(parts) or not ordered[-1].startswith(_LAST):
+        return None
+    return b"".join(part[1:] for part in ordered)
 
 
 def is_past(job: LedgerJob, now: datetime, keep: timedelta) -> bool:
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -1,12 +1,7 @@
-"""Batch work of one node: the partitions it owns, the items it holds, and questions.
-
-Questions of callers go to the owner of the partition, here or at a peer; a question
-whose owner is lost meanwhile is asked again of the next one.
-"""
+"""Batch work of one node: the partitions that it owns, and the items that it holds."""
 
 from collections.abc import Iterator
 from datetime import timedelta
-from itertools import count
 
 import anyio
 from anyio.abc import TaskGroup
@@ -16,7 +11,7 @@
 from chivespan.batchplacement import PARTITIONS, BatchPlacement
 from chivespan.batchschedule import NodeRoom, RoomOfTarget, TargetRoom, place_items
 from chivespan.clock import MILLISECOND, Clock
-from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
 from chivespan.keyedstore import KeyedStore, Partition
 from chivespan.ledgerstore import LedgerStore
@@ -38,23 +33,10 @@
 TOPIC = "keyed.batch"
 TICK = timedelta(milliseconds=25)
 UPKEEP_INTERVAL = timedelta(milliseconds=500)
-ASK_AGAIN_PAUSE = timedelta(milliseconds=60)
-ANSWER_MARGIN = timedelta(milliseconds=150)
-# Kinds after which the same question may be put to an owner again.
-ASK_AGAIN = frozenset({ErrorKind.NOT_READY})
 
 _log = logger("batch")
 
 
-class _Asked:
-    """A question that waits for a peer's reply."""
-
-    def __init__(self, vm: str) -> None:
-        self.vm = vm
-        self.reply: BatchReply | None = None
-        self.settled = anyio.Event()
-
-
 class BatchNode(FleetListener):
     """All batch work of this node.
 
@@ -104,8 +86,6 @@
             for number, ledger in enumerate(self._stores)
         ]
         self._scheduling: set[int] = set()
-        self._numbers = count(1)
-        self._asked: dict[int, _Asked] = {}
         self._owned_by: dict[str, list[int]] = {}
         self._taken = anyio.Event()
         self._tasks: TaskGroup | None = None
@@ -137,47 +117,16 @@
         if taken:
             self._taken.set()
 
-    async def ask(self, question: BatchQuestion) -> bytes:
-        """Return the answer of a partition's owner.
-
-        :raises ChivespanError: what the caller is told instead.
-        """
-        until = self._clock.monotonic() + question.patience_ms * MILLISECOND
-        sent = False
-        while True:
-            left = until - self._clock.monotonic()
-            if left <= ANSWER_MARGIN:
-                raise _no_answer(sent)
-            vm = self._placement.owner_of(question.partition)
-            reply: BatchReply | None
-            if vm == self._own_vm:
-                reply = await self._reply_to(question)
-            elif vm is not None:
-                sent = True
-                reply = await self._ask_peer(vm, question, left - ANSWER_MARGIN)
-            else:
-                reply = None
-            if reply is not None and reply.kind not in ASK_AGAIN:
-                return _taken(reply)
-            await anyio.sleep(ASK_AGAIN_PAUSE.total_seconds())
-
-    def new_question(self) -> int:
-        """Return the number of the next question."""
-        return next(self._numbers)
-
     def leave(self) -> None:
         """Hand over the items that are held here."""
         self._executor.give_back()
 
     def peer_left(self, peer: Peer) -> None:
-        """Let its items run elsewhere, and ask its questions again."""
+        """Let its items run elsewhere."""
         vm = peer.node.vm
         self._owned_by.pop(vm, None)
         for owner in self._owners:
             owner.node_lost(vm)
-        for asked in self._asked.values():
-            if asked.vm == vm:
-                asked.settled.set()
 
     async def take(self, peer: Peer, message: object) -> None:
         """Take a message on batch work."""
@@ -190,8 +139,6 @@
             self._owners[message.partition].take_status(vm, message)
         elif isinstance(message, BatchQuestion) and self._tasks is not None:
             self._tasks.start_soon(self._answer_peer, peer, message)
-        elif isinstance(message, BatchReply):
-            self._take_reply(message)
         elif isinstance(message, LoadReport):
             self._heed_owned(peer, message)
 
@@ -217,10 +164,9 @@
                     peer.send(status)
 
     async def _answer_peer(self, peer: Peer, question: BatchQuestion) -> None:
-        reply = await self._reply_to(question)
-        peer.send(reply)
+        peer.send(await self.reply_to(question))
 
-    async def _reply_to(self, question: BatchQuestion) -> BatchReply:
+    async def reply_to(self, question: BatchQuestion) -> BatchReply:
         """Answer a question here, whether or not this node owns the partition."""
         kind, body, retry_after = "", b"", timedelta(0)
         try:
@@ -236,27 +182,6 @@
             retry_after_ms=retry_after // MILLISECOND,
         )
 
-    async def _ask_peer(
-        self, vm: str, question: BatchQuestion, patience: timedelta
-    ) -> BatchReply | None:
-        """Return a peer's reply; None when it is lost or takes too long."""
-        asked = _Asked(vm)
-        self._asked[question.question] = asked
-        try:
-            if not self._send_to_node(vm, question):
-                return None
-            with anyio.move_on_after(patience.total_seconds()):
-                await asked.settled.wait()
-            return asked.reply
-        finally:
-            del self._asked[question.question]
-
-    def _take_reply(self, reply: BatchReply) -> None:
-        asked = self._asked.get(reply.question)
-        if asked is not None:
-            asked.reply = reply
-            asked.settled.set()
-
     def _send_to_node(self, vm: str, message: object) -> bool:
         if vm == self._own_vm:
             if isinstance(message, ItemStart):
@@ -327,24 +252,3 @@
                 partition=owner.partition,
                 reason=error.message,
             )
-
-
-def _taken(reply: BatchReply) -> bytes:
-    """Return what a reply holds.
-
-    :raises ChivespanError: what it says instead.
-    """
-    if not reply.kind:
-        return reply.body
-    raise ChivespanError(
-        ErrorKind(reply.kind),
-        reply.body.decode(),
-        retry_after=reply.retry_after_ms * MILLISECOND,
-    )
-
-
-def _no_answer(sent: bool) -> ChivespanError:
-    if sent:
-        reason = "the partition's owner gave no answer in time"
-        return ChivespanError(ErrorKind.UNCONFIRMED, reason)
-    return ChivespanError(ErrorKind.NO_DISPATCHER, "no owner of the partition is known")
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -12,6 +12,7 @@
 from chivespan.batchschedule import Placement, WaitingItem
 from chivespan.clock import NO_WAIT, Clock
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.itempace import ItemPace
 from chivespan.ledgerstore import LedgerStore
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -49,6 +50,8 @@
     :ivar failures: answers of targets that failed it.
     :ivar not_before: when it may be started again, on the monotonic clock.
     :ivar events: what a node that left has handed back.
+    :ivar event_count: events that are there, here or at the node that holds it.
+    :ivar started: when its last run began, on the monotonic clock.
     """
 
     vm: str = ""
@@ -56,6 +59,8 @@
     failures: int = 0
     not_before: timedelta = NO_WAIT
     events: tuple[str, ...] = ()
+    event_count: int = 0
+    started: timedelta = NO_WAIT
     settled: bool = False
 
 
@@ -85,6 +90,7 @@
         self._runs: dict[tuple[str, str], Run] = {}
         self._starts_from = NO_WAIT
         self._caught_up = False
+        self._pace = ItemPace()
         self._early: list[tuple[str, ItemStatus]] = []
         self._finished: list[ListResult] = []
         self._results = anyio.Event()
@@ -216,12 +222,14 @@
     def waiting(self) -> Iterator[WaitingItem]:
         """Yield the items that could be started now."""
         now = self._clock.monotonic()
+        wall_time = self._clock.now()
         if now < self._starts_from or not self._caught_up:
             return
         for job in self._store.ledger.open_jobs():
             route = self._route_of(job)
             if route is None:
                 continue
+            due = job.submitted + route.due
             for order, item in enumerate(job.waiting_items()):
                 run = self._runs.get((job.job_id, item.item_id))
                 if run and (run.settled or run.target_id or run.not_before > now):
@@ -231,9 +239,10 @@
                     job_id=job.job_id,
                     item_id=item.item_id,
                     service=route.main_service,
-                    due=job.submitted + route.due,
+                    due=due,
                     order=order,
                     holder=run.vm if run else "",
+                    will_be_late=wall_time + self._remaining(run) > due,
                 )
 
     def start(self, placement: Placement) -> None:
@@ -257,8 +266,9 @@
         )
         run.vm = placement.vm
         run.target_id = placement.entry.target_id
+        run.started = self._clock.monotonic()
         if not self._send(placement.vm, message):
-            self._runs[key] = replace(run, vm="", target_id="")
+            self._runs[key] = _loose(run)
 
     def take_status(self, vm: str, status: ItemStatus) -> None:
         """Take in how an item stands at the node that holds it."""
@@ -284,7 +294,7 @@
         """Let items of a lost node be started elsewhere."""
         for key, run in list(self._runs.items()):
             if run.vm == vm and not run.settled:
-                self._runs[key] = replace(run, vm="", target_id="")
+                self._runs[key] = _loose(run)
         self._wake.set()
 
     def take_over(self) -> None:
@@ -337,6 +347,8 @@
     ) -> None:
         run.vm = vm
         run.target_id = ""
+        self._learn(run, status)
+        run.event_count = status.events
         if status.state is ItemState.running:
             run.target_id = status.target_id
         elif status.state is ItemState.done:
@@ -351,6 +363,17 @@
         else:
             run.not_before = self._clock.monotonic() + HOLD_OFF
 
+    def _learn(self, run: Run, status: ItemStatus) -> None:
+        """Let the pace of items know how a run went."""
+        if run.started:
+            took = self._clock.monotonic() - run.started
+            self._pace.ran(status.events - run.event_count, took)
+        if status.state is ItemState.done:
+            self._pace.finished(status.events)
+
+    def _remaining(self, run: Run | None) -> timedelta:
+        return self._pace.remaining(run.event_count if run else 0)
+
     def _count_failure(self, key: tuple[str, str], run: Run) -> None:
         run.failures += 1
         run.not_before = self._clock.monotonic() + HOLD_OFF
@@ -365,12 +388,23 @@
             return
         run.settled = True
         run.target_id = ""
-        self._finished.append(ListResult(key[0], key[1], done, text))
+        result = ListResult(
+            job_id=key[0],
+            item_id=key[1],
+            done=done,
+            text=text,
+            max_record_bytes=self._max_record_bytes,
+        )
+        self._finished.append(result)
         self._results.set()
 
     async def _list(self, result: ListResult) -> None:
         key = (result.job_id, result.item_id)
-        await self._store.commit(result)
+        try:
+            await self._store.commit(result)
+        except ChivespanError as error:
+            _log.error("result_refused", item=result.item_id, reason=error.message)
+            await self._store.commit(replace(result, done=False, text=""))
         _log.info(
             "item_listed", job=result.job_id, item=result.item_id, done=result.done
         )
@@ -440,5 +474,10 @@
     return [ItemHeader(name=each.name, value=each.value) for each in item.headers]
 
 
+def _loose(run: Run) -> Run:
+    """Return what is left of a run whose node is lost."""
+    return Run(failures=run.failures, events=run.events, event_count=len(run.events))
+
+
 def _stop(key: tuple[str, str]) -> ItemStop:
     return ItemStop(job_id=key[0], item_id=key[1])
--- a/chivespan/batchrecords.py
+++ b/chivespan/batchrecords.py
@@ -37,7 +37,7 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BatchItems:
     """
-    Some of a job's items.
+    All items of a job; cut into parts that fit into records.
     """
 
     items: list[BatchItem]
@@ -56,7 +56,7 @@
     host: str
     chunks: int
     """
-    Records that hold its items.
+    Records over which its items are spread.
     """
     item_count: int
     submitted_ms: int
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -1,8 +1,10 @@
 """Which batch items run, at which target and on which node.
 
-Items go by the time at which they are due. One starts only at a target with slots to
-spare beyond the one that the next online request takes, as the sum of all nodes' counts
-says; batch thereby fills what online work leaves free, and never waits at a target.
+Items go by the time at which they are due; those that can't be done by then go behind
+all that can, so that being late isn't handed on from job to job. One starts only at a
+target with slots to spare beyond the one that the next online request takes, as the sum
+of all nodes' counts says; batch thereby fills what online work leaves free, and never
+waits at a target.
 """
 
 from collections.abc import Callable, Iterable, Iterator, Sequence
@@ -24,6 +26,7 @@
     :param due: when its job's results are due.
     :param holder: the node that holds what it has produced; empty for none.
     :param order: its place within its job.
+    :param will_be_late: whether it can't be done in time even if it starts now.
     """
 
     partition: int
@@ -33,6 +36,12 @@
     due: datetime
     order: int
     holder: str = ""
+    will_be_late: bool = False
+
+    @property
+    def urgency(self) -> tuple[bool, datetime, str, int]:
+        """What items are sorted by, the first to run first."""
+        return (self.will_be_late, self.due, self.job_id, self.order)
 
 
 @dataclass(slots=True)
@@ -99,7 +108,7 @@
     """Yield what to start now; the rooms given are filled meanwhile."""
     if not nodes:
         return
-    for item in sorted(items, key=lambda item: (item.due, item.job_id, item.order)):
+    for item in sorted(items, key=lambda item: item.urgency):
         fitting = [
             room
             for room in targets
--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -52,8 +52,8 @@
         """Whether it is so close to its end that it takes nothing more."""
         ...
 
-    def address_answer(self) -> bytes:
-        """Return the answer to a caller that asks where to connect."""
+    def address_answer(self) -> bytes | None:
+        """Return the answer to a caller that asks where to connect; None for none."""
         ...
 
 
@@ -114,7 +114,11 @@
         await responder.answer(STATUS_OK if ready else STATUS_NOT_READY)
 
     async def _answer_directory(self, responder: Responder) -> None:
-        await responder.answer_json(STATUS_OK, self._standing.address_answer())
+        body = self._standing.address_answer()
+        if body is None:
+            await responder.answer(STATUS_NOT_READY)
+        else:
+            await responder.answer_json(STATUS_OK, body)
 
     async def _answer_metrics(self, responder: Responder) -> None:
         content_type = (b"content-type", b"text/plain; version=0.0.4")
--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -17,7 +17,8 @@
 
 Header: TypeAlias = tuple[bytes, bytes]
 
-CONNECT_TIMEOUT = timedelta(milliseconds=400)
+# A few round trips; behind it another target can still be in time.
+CONNECT_TIMEOUT = timedelta(milliseconds=150)
 WRITE_TIMEOUT = timedelta(seconds=2)
 
 
--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -22,7 +22,7 @@
 
 DIAL_TURN_S = 0.2
 NO_REPORT = LoadReport(
-    config_version=-1, leaving=False, store_reached=False, owned=[], loads=[]
+    config_version=-1, leaving=False, store_reached=False, owned=[], silent=[], loads=[]
 )
 
 _log = logger("links")
--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -37,6 +37,7 @@
 START_TIME = timedelta(seconds=3)
 RETRY_INTERVAL = timedelta(milliseconds=400)
 PEER_QUERY_INTERVAL = timedelta(milliseconds=250)
+SHORT_TROUBLE = timedelta(seconds=1.2)
 TARGETS_FRESH = timedelta(seconds=1.5)
 NODES = Partition("keyed.nodes")
 
@@ -79,9 +80,23 @@
         self._targets_read: timedelta | None = None
         self._asked = timedelta(0)
         self._unreadable: dict[str, bytes] = {}
-        self.store_reached = False
+        self._reached = False
+        self._failing_since: timedelta | None = None
         links.add_listener(self)
 
+    @property
+    def store_reached(self) -> bool:
+        """Whether the store can be reached, but for a short trouble."""
+        since = self._failing_since
+        if since is None:
+            return self._reached
+        return self._reached and self._clock.monotonic() - since < SHORT_TROUBLE
+
+    @property
+    def targets_known(self) -> bool:
+        """Whether the targets have been read, here or by a peer."""
+        return self._targets.known
+
     async def run(self) -> None:
         """Watch for ever."""
         async with anyio.create_task_group() as tasks:
@@ -176,13 +191,14 @@
         return KeyedRecord(own.vm, msgspec.json.encode(own))
 
     def _store_answered(self) -> None:
-        if not self.store_reached:
-            self.store_reached = True
+        if not self._reached or self._failing_since is not None:
             _log.notice("store_reached")
+        self._reached = True
+        self._failing_since = None
 
     def _store_failed(self, what: str, error: ChivespanError) -> None:
-        if self.store_reached:
-            self.store_reached = False
+        if self._failing_since is None:
+            self._failing_since = self._clock.monotonic()
             _log.warning("store_lost", reading=what, reason=error.message)
         peers = [peer for peer in self._links.peers.values()]
         if peers:
@@ -208,7 +224,7 @@
     def _take_answer(self, peer: Peer, answer: FleetAnswer) -> None:
         if answer.config:
             self._routing.offer(answer.config, f"peer {peer.node.vm}")
-        if answer.targets_known and not self.store_reached:
+        if answer.targets_known and self._failing_since is not None:
             self._targets.replace(_target_entry(value) for value in answer.targets)
         self._links.learn(answer.nodes)
 
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -25,9 +25,10 @@
 from chivespan.routes import Route
 from chivespan.targetentry import TargetEntry
 from chivespan.targetpick import TargetPicker
+from chivespan.targetsilence import StreamWatch, TargetSilence
 
 MAX_UNREACHED = 4
-HEAD_PATIENCE_OBJECTIVES = 2
+HEAD_PATIENCE_OBJECTIVES = 1.5
 STATUS_SERVER_ERROR = 500
 
 _log = logger("online")
@@ -59,6 +60,12 @@
     sends: int = 0
     unreached: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    watch: StreamWatch | None = None
+
+    def heard(self) -> None:
+        """Note that bytes came from the target that has the request now."""
+        if self.watch is not None:
+            self.watch.heard()
 
     def time_left(self, now: timedelta) -> timedelta:
         """Return how long the caller still waits."""
@@ -77,11 +84,13 @@
         self,
         picker: TargetPicker,
         board: LoadBoard,
+        silence: TargetSilence,
         clock: Clock,
         metrics: NodeMetrics,
     ) -> None:
         self._picker = picker
         self._board = board
+        self._silence = silence
         self._clock = clock
         self._metrics = metrics
         self._random = Random()
@@ -166,8 +175,12 @@
         began = self._clock.monotonic()
         progress.in_flight = True
         try:
-            async with exchange(self._call(request, route, entry, progress)) as reply:
-                outcome = await self._take(reply, request, route, progress, responder)
+            call = self._call(request, route, entry, progress)
+            with self._silence.watching(entry.target_id) as progress.watch:
+                async with exchange(call) as reply:
+                    outcome = await self._take(
+                        reply, request, route, progress, responder
+                    )
         except NotSent as error:
             outcome = SendOutcome.UNREACHED
             reason = error.message
@@ -237,6 +250,7 @@
         """Yield an answer's body; only whole events where it may be resumed."""
         if not (route.resumable and route.is_repeatable):
             async for chunk in reply.chunks:
+                progress.heard()
                 yield chunk
             return
         splitter = progress.splitter
@@ -245,6 +259,7 @@
             received = await self._next_chunk(reply, route, progress)
             if received is None:
                 break
+            progress.heard()
             if whole := splitter.feed(received):
                 yield whole
         if splitter.has_partial:
@@ -290,7 +305,10 @@
             return
         self._metrics.incr(f"send_{outcome.value}")
         left_out = False
-        if outcome is not SendOutcome.NOT_RUN:
+        if outcome is SendOutcome.UNREACHED:
+            left_out = True
+            self._picker.unreachable(entry.target_id)
+        elif outcome is SendOutcome.BROKEN:
             left_out = self._picker.failed(entry.target_id)
         _log.info(
             "send_failed",
--- a/chivespan/ledgerstore.py
+++ b/chivespan/ledgerstore.py
@@ -30,6 +30,8 @@
 RETRY_PAUSE = timedelta(milliseconds=100)
 LONGEST_RETRY_PAUSE = timedelta(seconds=1)
 READ_ROUNDS = 1000
+# Lengths of record and key, as the store counts them.
+RECORD_FRAME_BYTES = 5
 
 _log = logger("ledger")
 
@@ -237,8 +239,13 @@
                 self._pending.remove(pending)
                 pending.settle()
                 continue
-            wanted_size = sum(len(record.value) + len(record.key) for record in wanted)
-            if chosen and size + wanted_size > self._max_call_bytes // 2:
+            wanted_size = sum(map(_size, wanted))
+            if wanted_size > self._max_call_bytes:
+                reason = f"{wanted_size} bytes are more than the store takes at once"
+                self._pending.remove(pending)
+                pending.settle(ChivespanError(ErrorKind.BODY_TOO_LARGE, reason))
+                continue
+            if chosen and size + wanted_size > self._max_call_bytes:
                 break
             chosen.append(pending)
             records.extend(wanted)
@@ -296,3 +303,7 @@
     def _tell(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
+
+
+def _size(record: KeyedRecord) -> int:
+    return len(record.key) + len(record.value) + RECORD_FRAME_BYTES
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -13,11 +13,15 @@
 from chivespan.codec import encode_message
 from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
 from chivespan.loadboard import LoadBoard
+from chivespan.logs import logger
 from chivespan.nodemessages import LoadReport
+from chivespan.targetsilence import TargetSilence
 
 NEAR_INTERVAL = timedelta(milliseconds=30)
 FAR_INTERVAL = timedelta(milliseconds=250)
 
+_log = logger("reports")
+
 
 class LoadReports(FleetListener):
     """Sends and takes load reports.
@@ -31,11 +35,14 @@
         board: LoadBoard,
         clock: Clock,
         describe: Callable[[], LoadReport],
+        silence: TargetSilence,
     ) -> None:
         self._links = links
         self._board = board
         self._clock = clock
         self._describe = describe
+        self._silence = silence
+        self._silent: list[str] = []
         links.add_listener(self)
 
     def peer_joined(self, peer: Peer) -> None:
@@ -45,12 +52,14 @@
     def peer_left(self, peer: Peer) -> None:
         """Forget what a lost peer had in progress."""
         self._board.forget(peer.node.vm)
+        self._silence.forget(peer.node.vm)
 
     async def take(self, peer: Peer, message: object) -> None:
         """Take in a report."""
         if isinstance(message, LoadReport):
             peer.report = message
             self._board.report(peer.node.vm, message.loads)
+            self._silence.told(peer.node.vm, message.silent)
 
     def send_now(self) -> None:
         """Tell all peers at once, as something other than a count has changed."""
@@ -68,6 +77,7 @@
             changed = not quiet.cancelled_caught
             far_stale = far_stale or changed
             now = self._clock.monotonic()
+            self._tell_of_silence()
             with_far = far_stale and now - far_sent >= FAR_INTERVAL
             if changed or with_far:
                 self._send(with_far, with_near=changed)
@@ -77,6 +87,14 @@
                 await anyio.sleep(NEAR_INTERVAL.total_seconds())
                 self._send(with_far=False, with_near=True)
 
+    def _tell_of_silence(self) -> None:
+        """Tell all peers at once of targets that fall silent or speak again."""
+        silent = self._silence.own()
+        if silent != self._silent:
+            _log.info("silent_targets", targets=silent, before=self._silent)
+            self._silent = silent
+            self.send_now()
+
     def _send(self, with_far: bool, with_near: bool) -> None:
         frame = encode_message(self._describe())
         for peer in list(self._links.peers.values()):
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -12,6 +12,7 @@
 from chivespan.batchfront import BatchFront
 from chivespan.batchnode import BatchNode
 from chivespan.batchplacement import BatchPlacement
+from chivespan.batchquestions import BatchQuestions
 from chivespan.batchschedule import BATCH_ROOMS
 from chivespan.callerapp import CallerApp, Listener
 from chivespan.callerserver import CallerServer
@@ -38,6 +39,7 @@
 from chivespan.routingstate import RoutingState
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
+from chivespan.targetsilence import TargetSilence
 
 # Control addresses are reachable from VMs of the fleet only.
 PEER_KEY = "chivespan-node"
@@ -79,6 +81,7 @@
         self.routing = RoutingState(documents.decode_config)
         hello = _hello(settings, incarnation, protocol)
         end = LinkEnd(hello, LINK_OPTIONS, clock, self.metrics)
+        self.silence = TargetSilence(clock)
         self.links = FleetLinks(settings, end)
         self.store = PlatformStore(settings.store.address)
         self.watch = FleetWatch(
@@ -92,20 +95,25 @@
             self.routing,
             self.board,
             self.placement,
+            self.silence,
             clock,
         )
-        self.reports = LoadReports(self.links, self.board, clock, self.standing.report)
+        self.reports = LoadReports(
+            self.links, self.board, clock, self.standing.report, self.silence
+        )
         self.picker = TargetPicker(
             self.targets,
             self.board,
             settings.data_centre,
             clock,
+            self.silence,
             TARGET_CHOICES[TARGET_CHOICE],
         )
         self.executor = BatchExecutor(
             self.targets,
             self.picker,
             self.board,
+            self.silence,
             clock,
             self.metrics,
             self._tell_owner,
@@ -122,14 +130,19 @@
             clock,
             BATCH_ROOMS[BATCH_ROOM],
         )
-        forwarder = Forwarder(self.picker, self.board, clock, self.metrics)
+        questions = BatchQuestions(
+            self.links, self.watch, self.placement, clock, self.batch.reply_to
+        )
+        forwarder = Forwarder(
+            self.picker, self.board, self.silence, clock, self.metrics
+        )
         listeners = _listeners(settings)
         app = CallerApp(
             {parse_address(address).port: use for address, use in listeners.items()},
             self.standing,
             self.routing,
             forwarder,
-            BatchFront(self.batch, clock, self.metrics),
+            BatchFront(questions, clock, self.metrics),
             self.metrics,
             clock,
         )
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -42,6 +42,10 @@
     """
     Batch partitions that it owns.
     """
+    silent: list[str]
+    """
+    Targets whose streams have fallen silent.
+    """
     loads: list[TargetLoad]
 
 
--- a/chivespan/nodestanding.py
+++ b/chivespan/nodestanding.py
@@ -11,10 +11,12 @@
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.platform import wire
 from chivespan.routingstate import NO_VERSION, RoutingState
+from chivespan.targetsilence import TargetSilence
 
 ADDRESS_LIFETIME = timedelta(seconds=1)
 ADDRESS_LIFETIMES_KEPT = 3
 MAX_ADDRESSES = 64
+FIND_PEERS_TIME = timedelta(seconds=1.5)
 # Time that requests in progress get behind the last one that is taken.
 LAST_REQUEST_TIME = timedelta(seconds=5)
 END_MARGIN = timedelta(milliseconds=600)
@@ -31,6 +33,7 @@
         routing: RoutingState,
         board: LoadBoard,
         placement: BatchPlacement,
+        silence: TargetSilence,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -39,13 +42,16 @@
         self._routing = routing
         self._board = board
         self._placement = placement
+        self._silence = silence
+        self._started = clock.monotonic()
         self._clock = clock
         self._leaving_since: timedelta | None = None
 
     @property
     def is_ready(self) -> bool:
         """Whether it takes requests."""
-        return not self.is_leaving and self._routing.version != NO_VERSION
+        knows_routes = self._routing.version != NO_VERSION
+        return not self.is_leaving and knows_routes and self._watch.targets_known
 
     @property
     def is_leaving(self) -> bool:
@@ -74,8 +80,15 @@
         if self._leaving_since is None:
             self._leaving_since = self._clock.monotonic()
 
-    def address_answer(self) -> bytes:
-        """Return the front addresses of the live nodes, and how long they hold."""
+    def address_answer(self) -> bytes | None:
+        """Return the front addresses of the live nodes, and how long they hold.
+
+        None while this node has only begun to look for the others: naming itself alone
+        would bring it all callers.
+        """
+        alone = not self._links.peers
+        if alone and self._clock.monotonic() - self._started < FIND_PEERS_TIME:
+            return None
         peers = self._links.peers.values()
         addresses = [
             peer.node.front_address for peer in peers if not peer.report.leaving
@@ -92,6 +105,7 @@
             leaving=self.is_leaving,
             store_reached=self._watch.store_reached,
             owned=sorted(self._placement.owned),
+            silent=self._silence.own(),
             loads=self._board.own_loads(),
         )
 
--- a/chivespan/platform/store.py
+++ b/chivespan/platform/store.py
@@ -33,7 +33,7 @@
 _GONE = 410
 _END_MOVED = 412
 # The store says of these, and of no other, that it has done nothing.
-_NOTHING_DONE = frozenset({403, 404, 409, 429, 503, 507})
+_NOTHING_DONE = frozenset({400, 403, 404, 409, 413, 429, 503, 507})
 
 
 class _Appended(msgspec.Struct):
--- a/chivespan/targethealth.py
+++ b/chivespan/targethealth.py
@@ -69,6 +69,11 @@
         if returning or (self.state is HealthState.HEALTHY and self._is_bad()):
             self._eject(now)
 
+    def record_unreachable(self, now: timedelta) -> None:
+        """Count that no connection could be made: the target is left out at once."""
+        if self.state is not HealthState.EJECTED:
+            self._eject(now)
+
     def _is_bad(self) -> bool:
         return (
             self._failures_in_a_row >= EJECT_AFTER_FAILURES
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -18,6 +18,7 @@
 from chivespan.targetentry import TargetEntry
 from chivespan.targethealth import HealthState, TargetHealth
 from chivespan.targetset import TargetSet
+from chivespan.targetsilence import TargetSilence
 
 # Share of the objective that a request may wait; the rest is for its first event.
 WAIT_SHARE_OF_OBJECTIVE = 0.75
@@ -115,12 +116,14 @@
         board: LoadBoard,
         data_centre: str,
         clock: Clock,
+        silence: TargetSilence,
         choose: TargetChoice,
     ) -> None:
         self._targets = targets
         self._board = board
         self._data_centre = data_centre
         self._clock = clock
+        self._silence = silence
         self._choose = choose
         self._random = Random()
         self._health: dict[str, TargetHealth] = {}
@@ -151,11 +154,20 @@
     def candidates(self, service: str) -> list[Candidate]:
         """Return all targets of a service that may be given work."""
         now = self._clock.monotonic()
-        return [
+        healthy = [
             self._candidate(entry, slots)
             for entry in self._targets.usable(service)
             if (slots := self._slots(entry, now)) > 0
         ]
+        silent = self._silence.all()
+        if not silent:
+            return healthy
+        # When all seem silent, it is more likely this node that was held up.
+        return [
+            candidate
+            for candidate in healthy
+            if candidate.entry.target_id not in silent
+        ] or healthy
 
     def return_after(self, service: str) -> timedelta:
         """Return when a refused request has a chance, spread over callers."""
@@ -181,6 +193,10 @@
         health.record_failure(self._clock.monotonic())
         return health.state is HealthState.EJECTED and not was_left_out
 
+    def unreachable(self, target_id: str) -> None:
+        """Note that a target took no connection."""
+        self._health_of(target_id).record_unreachable(self._clock.monotonic())
+
     def _candidate(self, entry: TargetEntry, slots: int) -> Candidate:
         return Candidate(
             entry=entry,
--- a/chivespan/targetset.py
+++ b/chivespan/targetset.py
@@ -29,6 +29,11 @@
         self._replaced: timedelta | None = None
         self._lapses_count_from = timedelta(0)
 
+    @property
+    def known(self) -> bool:
+        """Whether the entries have been read at all."""
+        return self._replaced is not None
+
     @property
     def entries(self) -> tuple[TargetEntry, ...]:
         """All entries, also of targets that are draining."""
--- a/tests/test_batchschedule.py
+++ b/tests/test_batchschedule.py
@@ -1,5 +1,6 @@
 """Which batch items start, and where, for the load patterns that the tests name."""
 
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
 from chivespan.batchschedule import (
@@ -86,3 +87,11 @@
     nodes = [NodeRoom("n1", "a", 0)]
     items = [item("j", order, 18) for order in range(30)]
     assert len(list(place_items(items, targets, nodes, fixed_items))) == 6
+
+
+def test_backlog_past_its_time_holds_up_no_job_that_can_still_be_done() -> None:
+    late = [replace(item("old", order, 1), will_be_late=True) for order in range(20)]
+    fresh = [item("new", order, 18) for order in range(3)]
+    nodes = [NodeRoom("n1", "a", 0)]
+    placed = list(place_items(late + fresh, [room("t1", online=4)], nodes))
+    assert [each.item.job_id for each in placed] == ["new"] * 3
