Keep batch partitions at their owners through an outage of the store

Nodes noticed within 0.8 s of each other; each owner, on noticing first, handed its partitions to a node that had not noticed yet, which could not load them. No item was started until the store was back. The same happened backwards at its return. Ruled out: links (no peer left in that time), targets (online work went on). Change: a claim stands until its holder has been without the store for 1.5 s while peers reach it; claims of nodes that reach the store go first.

--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -202,15 +202,16 @@
 
     def _start_items(self) -> None:
         owned = [self._owners[number] for number in self._placement.owned]
+        services = {service for owner in owned for service in owner.services()}
+        running = [run for owner in owned for run in owner.running()]
+        at_targets = Counter(run.target_id for run in running)
+        targets = list(self._target_rooms(services, at_targets))
+        if not any(self._room_of(target) > 0 for target in targets):
+            return
         waiting = [item for owner in owned for item in owner.waiting()]
         if not waiting:
             return
-        running = [run for owner in self._owners for run in owner.running()]
-        at_targets = Counter(run.target_id for run in running)
-        on_nodes = Counter(run.vm for run in running)
-        services = {item.service for item in waiting}
-        targets = list(self._target_rooms(services, at_targets))
-        nodes = list(self._node_rooms(on_nodes))
+        nodes = list(self._node_rooms(Counter(run.vm for run in running)))
         for placement in place_items(waiting, targets, nodes, self._room_of):
             self._owners[placement.item.partition].start(placement)
 
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -121,6 +121,11 @@
         """Yield the runs that are at a target now."""
         return (run for run in self._runs.values() if run.target_id)
 
+    def services(self) -> set[str]:
+        """Return the services that run items of open jobs."""
+        routes = map(self._route_of, self._store.ledger.open_jobs())
+        return {route.main_service for route in routes if route is not None}
+
     def waiting(self) -> Iterator[WaitingItem]:
         """Yield the items that could be started now."""
         now = self._clock.monotonic()
--- a/chivespan/batchplacement.py
+++ b/chivespan/batchplacement.py
@@ -1,8 +1,9 @@
 """Which node owns a partition of batch jobs, as this node sees it.
 
 Ownership is a hint that keeps work in one place; the conditions of appends decide. An
-owner stays one while it is live and reaches the store, so that a node which joins takes
-nothing over from others.
+owner stays one while it is live, so that a node which joins takes nothing over. It gives
+up only when others reach the store and it does not for a while: in an outage, which nodes
+notice one after the other, moving partitions would only lose what their owners know.
 """
 
 from collections.abc import Iterator
@@ -15,6 +16,8 @@
 
 PARTITIONS = 4
 SETTLE_TIME = timedelta(milliseconds=800)
+# Nodes notice the begin and the end of an outage up to a second apart.
+HAND_OVER_AFTER = timedelta(seconds=1.5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,9 +46,10 @@
     >>> choose_owner(3, [first, second])
     '10.0.0.2'
     """
-    pool = [member for member in members if member.store_reached] or members
-    claiming = [member for member in pool if partition in member.owned]
-    names = [member.vm for member in claiming or pool]
+    claiming = [member for member in members if partition in member.owned]
+    pool = claiming or members
+    reaching = [member for member in pool if member.store_reached]
+    names = [member.vm for member in reaching or pool]
     return owner(f"batch/{partition}", names)
 
 
@@ -68,15 +72,24 @@
         self._clock = clock
         self._started = clock.monotonic()
         self._owned: frozenset[int] = frozenset()
+        self._outreached_since: timedelta | None = None
 
     @property
     def owned(self) -> frozenset[int]:
         """The partitions that this node owns."""
         return self._owned
 
+    @property
+    def _must_hand_over(self) -> bool:
+        since = self._outreached_since
+        if since is None:
+            return False
+        return self._clock.monotonic() - since >= HAND_OVER_AFTER
+
     def update(self, store_reached: bool, leaving: bool) -> OwnershipChange:
         """Work out anew what this node owns; return what has changed."""
         settled = self._clock.monotonic() - self._started >= SETTLE_TIME
+        self._compare_reach(store_reached)
         owned: frozenset[int] = frozenset()
         if settled and not leaving:
             members = list(self._members(store_reached))
@@ -95,9 +108,17 @@
         return choose_owner(partition, list(self._peers()))
 
     def _members(self, store_reached: bool) -> Iterator[Member]:
-        yield Member(self._links.own.vm, store_reached, self._owned)
+        claimed = frozenset[int]() if self._must_hand_over else self._owned
+        yield Member(self._links.own.vm, store_reached, claimed)
         yield from self._peers()
 
+    def _compare_reach(self, store_reached: bool) -> None:
+        """Note since when peers reach the store that this node doesn't reach."""
+        if store_reached or not any(peer.store_reached for peer in self._peers()):
+            self._outreached_since = None
+        elif self._outreached_since is None:
+            self._outreached_since = self._clock.monotonic()
+
     def _peers(self) -> Iterator[Member]:
         for peer in self._links.peers.values():
             report = peer.report
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -7,6 +7,7 @@
 waits at a target.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from datetime import datetime
@@ -108,19 +109,22 @@
     """Yield what to start now; the rooms given are filled meanwhile."""
     if not nodes:
         return
-    for item in sorted(items, key=lambda item: item.urgency):
-        fitting = [
-            room
-            for room in targets
-            if room.entry.service == item.service and room_of(room) > 0
-        ]
+    open_rooms: dict[str, list[TargetRoom]] = defaultdict(list)
+    for room in targets:
+        if room_of(room) > 0:
+            open_rooms[room.entry.service].append(room)
+    holders = {node.vm: node for node in nodes}
+    for item in sorted(items, key=lambda item: item.urgency) if open_rooms else ():
+        fitting = open_rooms[item.service]
         if not fitting:
             continue
-        holder = next((node for node in nodes if node.vm == item.holder), None)
+        holder = holders.get(item.holder)
         room = _best_room(fitting, holder, room_of)
         node = holder or _best_node(nodes, room)
         room.batch += 1
         node.items += 1
+        if room_of(room) <= 0:
+            fitting.remove(room)
         yield Placement(item, room.entry, node.vm)
 
 
--- /dev/null
+++ b/tests/test_batchplacement.py
@@ -0,0 +1,102 @@
+"""Who owns a partition while nodes lose the store, each at a moment of its own."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import cast
+
+from chivespan.batchplacement import PARTITIONS, SETTLE_TIME, BatchPlacement
+from chivespan.clock import ManualClock
+from chivespan.fleetlinks import NO_REPORT, FleetLinks, Peer
+from chivespan.nodemessages import NodeValue
+
+STEP = timedelta(milliseconds=50)
+ALL = frozenset(range(PARTITIONS))
+
+
+def node(vm: str) -> NodeValue:
+    return NodeValue(vm=vm, data_centre="a", front_address="", control_address="")
+
+
+class Fleet:
+    """Nodes that tell each other at once what they own and whom they reach."""
+
+    def __init__(self, vms: Iterable[str]) -> None:
+        self.clock = ManualClock()
+        self.reached = dict.fromkeys(vms, True)
+        self._peers = {vm: Peer(node(vm), "1") for vm in self.reached}
+        self.placements = {
+            vm: BatchPlacement(self._links_of(vm), self.clock) for vm in self.reached
+        }
+
+    def _links_of(self, vm: str) -> FleetLinks:
+        peers = {other: peer for other, peer in self._peers.items() if other != vm}
+        return cast(FleetLinks, SimpleNamespace(own=node(vm), peers=peers))
+
+    def run(self, time: timedelta) -> set[str]:
+        """Let time pass; return the nodes that took a partition over meanwhile."""
+        took: set[str] = set()
+        for _ in range(time // STEP):
+            self.clock.advance(STEP)
+            for vm, placement in self.placements.items():
+                if placement.update(self.reached[vm], leaving=False).taken:
+                    took.add(vm)
+                self._peers[vm].report = replace(
+                    NO_REPORT,
+                    store_reached=self.reached[vm],
+                    owned=sorted(placement.owned),
+                )
+        return took
+
+    def owners(self) -> dict[str, frozenset[int]]:
+        return {
+            vm: placement.owned
+            for vm, placement in self.placements.items()
+            if placement.owned
+        }
+
+
+def settled_fleet() -> Fleet:
+    fleet = Fleet(["10.0.0.1", "10.0.0.2", "10.0.0.3"])
+    fleet.run(SETTLE_TIME + 10 * STEP)
+    assert frozenset().union(*fleet.owners().values()) == ALL
+    return fleet
+
+
+def test_an_outage_that_nodes_notice_one_after_the_other_moves_nothing() -> None:
+    fleet = settled_fleet()
+    before = fleet.owners()
+    took: set[str] = set()
+    for vm in fleet.reached:
+        fleet.reached[vm] = False
+        took |= fleet.run(timedelta(milliseconds=400))
+    took |= fleet.run(timedelta(seconds=5))
+    for vm in reversed(fleet.reached):
+        fleet.reached[vm] = True
+        took |= fleet.run(timedelta(milliseconds=400))
+    assert not took
+    assert fleet.owners() == before
+
+
+def test_an_owner_that_alone_has_lost_the_store_hands_over() -> None:
+    fleet = settled_fleet()
+    lost = next(iter(fleet.owners()))
+    fleet.reached[lost] = False
+    fleet.run(timedelta(seconds=3))
+    assert lost not in fleet.owners()
+    assert frozenset().union(*fleet.owners().values()) == ALL
+
+
+def test_an_owner_that_reaches_the_store_keeps_what_two_claim() -> None:
+    fleet = settled_fleet()
+    first, second, third = fleet.reached
+    for vm, owned in ((first, ALL), (second, ALL), (third, frozenset[int]())):
+        fleet.placements[vm]._owned = owned
+        fleet._peers[vm].report = replace(
+            NO_REPORT, store_reached=vm == second, owned=sorted(owned)
+        )
+    fleet.reached[first] = False
+    fleet.run(STEP)
+    assert fleet.placements[second].owned == ALL
+    assert not fleet.placements[first].owned
