Count through a relay in large data centres, and beat slower in large fleets

Cause: each node told every node of its data centre of each change, and every far node how it stands: with 25 nodes in a data centre messages grow with the square of the nodes, and heartbeats of 75 links did so too. Change: above 6 near peers nodes tell the relay, which sends sums every 60 ms; a sum names the reports it holds, so that a node's own counts are as of now.

--- a/chivespan/batchplacement.py
+++ b/chivespan/batchplacement.py
@@ -1,9 +1,9 @@
 """Which node owns a partition of batch jobs, as this node sees it.
 
 Ownership is a hint that keeps work in one place; the conditions of appends decide. An
-owner stays one while it is live, so that a node which joins takes nothing over. It gives
-up only when others reach the store and it does not for a while: in an outage, which nodes
-notice one after the other, moving partitions would only lose what their owners know.
+owner stays one while it is live, so that a node which joins takes nothing over. It
+gives up only when others reach the store and it does not for a while: nodes notice an
+outage one after the other, and moving partitions then would lose what owners know.
 """
 
 from collections.abc import Iterator
@@ -16,6 +16,9 @@
 
 PARTITIONS = 4
 SETTLE_TIME = timedelta(milliseconds=800)
+# All bodies and results of a partition go through its owner, so that it needs a link
+# with at least this share of the widest one's bandwidth.
+WIDE_LINK_SHARE = 0.5
 # Nodes notice the begin and the end of an outage up to a second apart.
 HAND_OVER_AFTER = timedelta(seconds=1.5)
 
@@ -26,11 +29,13 @@
 
     :param store_reached: whether it reaches the store.
     :param owned: partitions that it says are its own.
+    :param link_mbps: bandwidth of its link.
     """
 
     vm: str
     store_reached: bool
     owned: frozenset[int]
+    link_mbps: float = 0.0
 
 
 def partition_of(host: str) -> int:
@@ -48,8 +53,10 @@
     """
     claiming = [member for member in members if partition in member.owned]
     pool = claiming or members
-    reaching = [member for member in pool if member.store_reached]
-    names = [member.vm for member in reaching or pool]
+    pool = [member for member in pool if member.store_reached] or pool
+    widest = max((member.link_mbps for member in pool), default=0.0)
+    enough = widest * WIDE_LINK_SHARE
+    names = [member.vm for member in pool if member.link_mbps >= enough]
     return owner(f"batch/{partition}", names)
 
 
@@ -67,8 +74,9 @@
 class BatchPlacement:
     """Says who owns each partition."""
 
-    def __init__(self, links: FleetLinks, clock: Clock) -> None:
+    def __init__(self, links: FleetLinks, clock: Clock, link_mbps: float) -> None:
         self._links = links
+        self._link_mbps = link_mbps
         self._clock = clock
         self._started = clock.monotonic()
         self._owned: frozenset[int] = frozenset()
@@ -109,7 +117,8 @@
 
     def _members(self, store_reached: bool) -> Iterator[Member]:
         claimed = frozenset[int]() if self._must_hand_over else self._owned
-        yield Member(self._links.own.vm, store_reached, claimed)
+        own_vm = self._links.own.vm
+        yield Member(own_vm, store_reached, claimed, self._link_mbps)
         yield from self._peers()
 
     def _compare_reach(self, store_reached: bool) -> None:
@@ -124,4 +133,6 @@
             report = peer.report
             if not report.leaving:
                 owned = frozenset(report.owned)
-                yield Member(peer.node.vm, report.store_reached, owned)
+                yield Member(
+                    peer.node.vm, report.store_reached, owned, report.link_mbps
+                )
--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -15,6 +15,7 @@
 
 from chivespan.addresses import parse_address
 from chivespan.codec import encode_message
+from chivespan.linkpace import LinkPace
 from chivespan.logs import logger
 from chivespan.nodemessages import LoadReport, NodeValue
 from chivespan.nodesettings import FleetNodeSettings
@@ -22,7 +23,14 @@
 
 DIAL_TURN_S = 0.2
 NO_REPORT = LoadReport(
-    config_version=-1, leaving=False, store_reached=False, owned=[], silent=[], loads=[]
+    config_version=-1,
+    leaving=False,
+    store_reached=False,
+    owned=[],
+    link_mbps=0.0,
+    sequence=0,
+    silent=[],
+    loads=[],
 )
 
 _log = logger("links")
@@ -66,11 +74,15 @@
     """All links of this node.
 
     :param end: this node's side of them.
+    :param pace: told of the size of the fleet.
     """
 
-    def __init__(self, settings: FleetNodeSettings, end: LinkEnd) -> None:
+    def __init__(
+        self, settings: FleetNodeSettings, end: LinkEnd, pace: LinkPace
+    ) -> None:
         self._settings = settings
         self._end = end
+        self._pace = pace
         self._nodes: dict[str, NodeValue] = {}
         self._peers: dict[str, Peer] = {}
         self._dialling: set[str] = set()
@@ -216,5 +228,6 @@
         return f"{vm}:{parse_address(self._settings.control_address).port}"
 
     def _tell(self) -> None:
+        self._pace.note_fleet(len(self._nodes), len(self._peers))
         self._changed.set()
         self._changed = anyio.Event()
--- a/chivespan/loadboard.py
+++ b/chivespan/loadboard.py
@@ -34,6 +34,22 @@
     ]
 
 
+def without(
+    loads: Iterable[TargetLoad], part: Iterable[TargetLoad]
+) -> list[TargetLoad]:
+    """Return a sum less a part of it.
+
+    >>> one = TargetLoad(target_id="t", online=1, batch=0)
+    >>> without(summed([[one], [one]]), [one])
+    [TargetLoad(target_id='t', online=1, batch=0)]
+    """
+    negated = (
+        TargetLoad(target_id=load.target_id, online=-load.online, batch=-load.batch)
+        for load in part
+    )
+    return summed([loads, negated])
+
+
 class LoadBoard:
     """Counts of requests in progress, own ones and those of peers."""
 
@@ -102,10 +118,11 @@
         self._tell()
 
     def forget(self, peer: str) -> None:
-        """Drop the counts of a peer that is gone."""
-        self._reported.pop(peer, None)
-        self._subtract(peer)
-        self._tell()
+        """Drop the counts of a peer that is gone, or tells others of them."""
+        if peer in self._reported:
+            del self._reported[peer]
+            self._subtract(peer)
+            self._tell()
 
     async def wait_changed(self) -> None:
         """Wait for any change of the counts."""
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -1,10 +1,12 @@
 """Tells other nodes what this one has in progress, and takes in what they tell.
 
-Nodes of a data centre tell each other of each change at once. One of them, the relay,
-sends the sums of all to the relay of every other data centre, which passes them on to
-its neighbours: so little goes between data centres, and it hardly grows with the nodes.
+The few nodes of a small data centre tell each other of each change at once. In a large
+one they tell the relay, one of them, which sends all of them the sum: what each node
+sends and takes then doesn't grow with the nodes. The relay of each data centre also
+sends its sum to the other relays, which pass it on: little goes between data centres.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from datetime import timedelta
@@ -14,13 +16,24 @@
 from chivespan.clock import Clock
 from chivespan.codec import encode_message
 from chivespan.fleetlinks import NO_REPORT, FleetLinks, FleetListener, Peer
-from chivespan.loadboard import LoadBoard, summed
+from chivespan.loadboard import LoadBoard, summed, without
 from chivespan.logs import logger
-from chivespan.nodemessages import DataCentreReport, LoadReport, TargetLoad
+from chivespan.nodemessages import (
+    DataCentreReport,
+    FleetReport,
+    LoadReport,
+    SummedReport,
+    TargetLoad,
+)
 from chivespan.targetsilence import TargetSilence
 
-NEAR_INTERVAL = timedelta(milliseconds=30)
-FAR_INTERVAL = timedelta(milliseconds=60)
+CHANGE_INTERVAL = timedelta(milliseconds=30)
+RELAY_INTERVAL = timedelta(milliseconds=60)
+REPEAT_INTERVAL = timedelta(seconds=1)
+# Nodes of a data centre that tell each other directly, this one not counted.
+DIRECT_PEERS = 6
+# Own reports that a sum on its way may still hold.
+REMEMBERED_REPORTS = 100
 
 _log = logger("reports")
 
@@ -44,105 +57,208 @@
         self._clock = clock
         self._describe = describe
         self._silence = silence
-        self._far_sent: dict[str, list[TargetLoad]] = {}
+        self._told: OrderedDict[int, list[TargetLoad]] = OrderedDict()
+        self._sequence = 0
+        self._relay: str | None = None
         self._standing = NO_REPORT
+        self._silent: list[str] = []
+        self._sum_sent: dict[str, DataCentreReport] = {}
+        self._to_pass_on: dict[str, DataCentreReport] = {}
         links.add_listener(self)
 
     def peer_joined(self, peer: Peer) -> None:
         """Tell a new peer at once."""
-        report = self._describe()
-        near = self._links.is_near(peer)
-        peer.send(report if near else _without_loads(report))
-        self._far_sent.clear()
+        peer.send(self._standing_now())
+        self._repeat_all()
 
     def peer_left(self, peer: Peer) -> None:
         """Forget what a lost peer had in progress."""
-        self._board.forget(peer.node.vm)
-        self._silence.forget(peer.node.vm)
-        self._far_sent.clear()
+        vm = peer.node.vm
+        self._board.forget(vm)
+        self._silence.forget(vm)
         centre = peer.node.data_centre
-        if not any(self._peers_in(centre)):
-            self._board.forget(_sums_of(centre))
+        if vm == self._relay or not any(self._peers_in(centre)):
+            self._forget_sum(centre)
+        self._repeat_all()
 
     async def take(self, peer: Peer, message: object) -> None:
         """Take in a report, and pass sums on where this node is the relay."""
         if isinstance(message, LoadReport):
-            peer.report = message
-            if self._links.is_near(peer):
-                self._board.report(peer.node.vm, message.loads)
-            self._silence.told(peer.node.vm, message.silent)
+            self._take_report(peer, message)
         elif isinstance(message, DataCentreReport):
-            self._board.report(_sums_of(message.data_centre), message.loads)
-            if not self._links.is_near(peer):
-                self._send(self._near_peers(), message)
+            self._take_sum(message)
+            self._pass_on(message)
+        elif isinstance(message, FleetReport):
+            for report in message.reports:
+                self._take_sum(report)
 
     def send_now(self) -> None:
-        """Tell all peers at once, as something other than a count has changed."""
-        report = self._describe()
-        self._send(self._near_peers(), report)
-        self._send(self._far_peers(), _without_loads(report))
+        """Tell all peers at once how this node stands."""
+        self._standing = self._standing_now()
+        self._send(self._links.peers.values(), self._standing)
+        self._report_loads()
 
     async def run(self) -> None:
         """Report changes for ever."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._report_near)
-            tasks.start_soon(self._report_far)
+            tasks.start_soon(self._report_changes)
+            tasks.start_soon(self._relay_sums)
 
-    async def _report_near(self) -> None:
+    async def _report_changes(self) -> None:
         while True:
-            with anyio.move_on_after(1):
+            with anyio.move_on_after(REPEAT_INTERVAL.total_seconds()):
                 await self._board.wait_own_changed()
-            self._send(self._near_peers(), self._describe())
-            await anyio.sleep(NEAR_INTERVAL.total_seconds())
+            self._report_loads()
+            await anyio.sleep(CHANGE_INTERVAL.total_seconds())
 
-    async def _report_far(self) -> None:
+    async def _relay_sums(self) -> None:
         while True:
-            await anyio.sleep(FAR_INTERVAL.total_seconds())
-            self._tell_of_standing()
-            if self._is_relay():
+            await anyio.sleep(RELAY_INTERVAL.total_seconds())
+            self._tell_of_changes()
+            if self._relay == self._links.own.vm:
                 self._send_sums()
 
-    def _tell_of_standing(self) -> None:
-        """Tell all peers at once how this node stands when that has changed."""
-        standing = _without_loads(self._describe())
-        if standing == self._standing:
-            return
-        if standing.silent != self._standing.silent:
-            _log.info(
-                "silent_targets",
-                targets=standing.silent,
-                before=self._standing.silent,
+    def _take_report(self, peer: Peer, report: LoadReport) -> None:
+        """Take what a peer tells of itself; without a number, it tells no counts."""
+        if report.sequence == 0:
+            kept = peer.report
+            report = replace(
+                report, sequence=kept.sequence, silent=kept.silent, loads=kept.loads
             )
-        self._standing = standing
-        self.send_now()
+        elif self._counts_by_itself:
+            self._forget_sum(self._links.own.data_centre)
+            self._board.report(peer.node.vm, report.loads)
+            self._silence.told(peer.node.vm, report.silent)
+        peer.report = report
+
+    def _take_sum(self, report: DataCentreReport) -> None:
+        """Take what is in progress in a data centre, but for what this node has."""
+        centre = _sums_of(report.data_centre)
+        loads = report.loads
+        if report.data_centre == self._links.own.data_centre:
+            if self._counts_by_itself:
+                return
+            for peer in self._near_peers():
+                self._board.forget(peer.node.vm)
+                self._silence.forget(peer.node.vm)
+            loads = without(loads, self._own_part(report))
+        self._board.report(centre, loads)
+        self._silence.told(centre, report.silent)
+
+    def _own_part(self, report: DataCentreReport) -> list[TargetLoad]:
+        """Return what a sum holds of this node's own counts."""
+        own = self._links.own.vm
+        for part in report.summed:
+            if part.vm == own:
+                return self._told.get(part.sequence, [])
+        return []
+
+    def _pass_on(self, report: DataCentreReport) -> None:
+        """Send another data centre's sum on; among many nodes, at the next tick."""
+        if self._is_direct:
+            self._send(self._near_peers(), FleetReport(reports=[report]))
+        else:
+            self._to_pass_on[report.data_centre] = report
+
+    def _standing_now(self) -> LoadReport:
+        return replace(self._describe(), silent=[], loads=[])
+
+    def _report_loads(self) -> None:
+        """Tell those who sum it up what this node has in progress."""
+        self._sequence += 1
+        report = replace(self._describe(), sequence=self._sequence)
+        self._choose_relay(report)
+        self._silent = report.silent
+        self._told[self._sequence] = report.loads
+        if len(self._told) > REMEMBERED_REPORTS:
+            self._told.popitem(last=False)
+        self._send(self._listeners(), report)
+
+    def _listeners(self) -> list[Peer]:
+        """Return the peers that count this node's loads by themselves."""
+        if self._is_direct:
+            return self._near_peers()
+        return [peer for peer in self._near_peers() if peer.node.vm == self._relay]
+
+    def _tell_of_changes(self) -> None:
+        """Tell peers how this node stands, or which targets are silent, if changed."""
+        report = self._describe()
+        if replace(report, silent=[], loads=[]) != self._standing:
+            self.send_now()
+        elif report.silent != self._silent:
+            _log.info("silent_targets", targets=report.silent, before=self._silent)
+            self._report_loads()
 
     def _send_sums(self) -> None:
-        """Send this data centre's sums to the relays that don't have them."""
-        own = self._links.own
-        near = [peer.report.loads for peer in self._near_peers()]
-        loads = summed([self._board.own_loads(), *near])
+        """Send this data centre's sum to all that don't have it."""
+        own_sum = self._own_sum()
+        to_far = replace(own_sum, summed=[])
         for relay in self._far_relays():
-            if self._far_sent.get(relay.node.vm) != loads:
-                self._far_sent[relay.node.vm] = loads
-                relay.send(DataCentreReport(data_centre=own.data_centre, loads=loads))
+            if self._sum_sent.get(relay.node.vm) != to_far:
+                self._sum_sent[relay.node.vm] = to_far
+                relay.send(to_far)
+        if self._is_direct:
+            return
+        news = list(self._to_pass_on.values())
+        self._to_pass_on.clear()
+        if self._sum_sent.get(own_sum.data_centre) != own_sum:
+            self._sum_sent[own_sum.data_centre] = own_sum
+            news.append(own_sum)
+        if news:
+            self._send(self._near_peers(), FleetReport(reports=news))
 
-    def _is_relay(self) -> bool:
-        own = self._links.own.vm
-        return all(own < peer.node.vm for peer in self._near_peers())
+    def _own_sum(self) -> DataCentreReport:
+        near = [peer for peer in self._near_peers() if peer.report.sequence]
+        loads = [peer.report.loads for peer in near]
+        silent = set(self._silence.own()).union(*(peer.report.silent for peer in near))
+        return DataCentreReport(
+            data_centre=self._links.own.data_centre,
+            summed=[
+                SummedReport(vm=peer.node.vm, sequence=peer.report.sequence)
+                for peer in near
+            ],
+            silent=sorted(silent),
+            loads=summed([self._board.own_loads(), *loads]),
+        )
+
+    def _repeat_all(self) -> None:
+        """Send all that others count on again, as peers have changed."""
+        self._sum_sent.clear()
+        self._report_loads()
+
+    def _choose_relay(self, own_report: LoadReport) -> None:
+        candidates = {peer.node.vm: peer.report for peer in self._near_peers()}
+        candidates[self._links.own.vm] = own_report
+        relay = _relay_among(candidates)
+        if relay != self._relay:
+            _log.info("relay_chosen", relay=relay, before=self._relay)
+            self._relay = relay
+            self._sum_sent.clear()
+
+    def _forget_sum(self, data_centre: str) -> None:
+        self._board.forget(_sums_of(data_centre))
+        self._silence.forget(_sums_of(data_centre))
 
     def _far_relays(self) -> Iterable[Peer]:
         """Yield the node of each other data centre that passes sums on there."""
         centres = {peer.node.data_centre for peer in self._links.peers.values()}
         for centre in centres - {self._links.own.data_centre}:
-            yield min(self._peers_in(centre), key=lambda peer: peer.node.vm)
+            peers = {peer.node.vm: peer for peer in self._peers_in(centre)}
+            yield peers[_relay_among({vm: peers[vm].report for vm in peers})]
+
+    @property
+    def _is_direct(self) -> bool:
+        """Whether nodes of this data centre tell each other without a relay."""
+        return len(self._near_peers()) <= DIRECT_PEERS
+
+    @property
+    def _counts_by_itself(self) -> bool:
+        """Whether this node adds up the reports of its data centre's nodes."""
+        return self._is_direct or self._relay == self._links.own.vm
 
     def _near_peers(self) -> list[Peer]:
         return list(self._peers_in(self._links.own.data_centre))
 
-    def _far_peers(self) -> list[Peer]:
-        peers = self._links.peers.values()
-        return [peer for peer in peers if not self._links.is_near(peer)]
-
     def _peers_in(self, data_centre: str) -> Iterable[Peer]:
         for peer in self._links.peers.values():
             if peer.node.data_centre == data_centre:
@@ -154,11 +270,11 @@
             peer.send_frame(frame)
 
 
-def _without_loads(report: LoadReport) -> LoadReport:
-    """Return what nodes of other data centres are told; they get sums besides."""
-    return replace(report, loads=[])
+def _relay_among(reports: dict[str, LoadReport]) -> str:
+    """Return the node with the widest link, of several the lowest IP number."""
+    return min(reports, key=lambda vm: (-reports[vm].link_mbps, vm))
 
 
 def _sums_of(data_centre: str) -> str:
-    """Return under which name the board keeps another data centre's sums."""
+    """Return under which name the board keeps a data centre's sums."""
     return f"sums of {data_centre}"
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -4,7 +4,6 @@
 import signal
 from collections.abc import Mapping
 from dataclasses import dataclass
-from datetime import timedelta
 from pathlib import Path
 
 import anyio
@@ -28,6 +27,7 @@
 from chivespan.forwarding import Forwarder
 from chivespan.jsonlog import LineWriter
 from chivespan.keyedstore import Partition
+from chivespan.linkpace import SMALL_FLEET_INTERVAL, SMALL_FLEET_SILENCE, LinkPace
 from chivespan.loadboard import LoadBoard
 from chivespan.loadreports import LoadReports
 from chivespan.logs import logger
@@ -51,8 +51,8 @@
 PEER_KEY = "chivespan-node"
 LINK_OPTIONS = LinkOptions(
     peer_key=PEER_KEY,
-    heartbeat=timedelta(milliseconds=400),
-    silence=timedelta(seconds=1),
+    heartbeat=SMALL_FLEET_INTERVAL,
+    silence=SMALL_FLEET_SILENCE,
 )
 UPKEEP_INTERVAL_S = 0.25
 OWNERSHIP_INTERVAL_S = 0.05
@@ -108,15 +108,23 @@
         self.board = LoadBoard(clock)
         self.targets = TargetSet(clock)
         self.routing = RoutingState(documents.decode_config)
-        end = LinkEnd(_hello(settings), LINK_OPTIONS, clock, self.metrics)
+        pace = LinkPace(clock)
+        end = LinkEnd(
+            _hello(settings),
+            LINK_OPTIONS,
+            clock,
+            self.metrics,
+            pace=pace.interval,
+            patience=pace.silence,
+        )
         self.silence = TargetSilence(clock)
-        self.links = FleetLinks(settings, end)
+        self.links = FleetLinks(settings, end, pace)
         platform = PlatformStore(settings.store.address)
         self.store = MeasuredStore(platform, clock, self.metrics)
         self.watch = FleetWatch(
             self.store, _sources(), self.links, self.routing, self.targets, clock
         )
-        self.placement = BatchPlacement(self.links, clock)
+        self.placement = BatchPlacement(self.links, clock, settings.link_mbps)
         self.standing = Standing(
             settings,
             self.links,
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -26,7 +26,7 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReport:
     """
-    How a node stands, and towards nodes of its own data centre all that it has in progress; replaces its last report.
+    How a node stands, and towards those who sum it up all that it has in progress; replaces its last report.
     """
 
     config_version: int
@@ -42,13 +42,34 @@
     """
     Batch partitions that it owns.
     """
+    link_mbps: float
+    """
+    Bandwidth of its link.
+    """
+    sequence: int
+    """
+    Counts the reports of this node that hold its loads.
+    """
     silent: list[str]
     """
-    Targets whose streams have fallen silent.
+    Targets whose streams have fallen silent; only with its loads.
     """
     loads: list[TargetLoad]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SummedReport:
+    """
+    A report that a sum holds.
+    """
+
+    vm: str
+    """
+    IP number of the node that sent it.
+    """
+    sequence: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DataCentreReport:
     """
@@ -56,9 +77,26 @@
     """
 
     data_centre: str
+    summed: list[SummedReport]
+    """
+    The last report of each node there; empty towards other data centres.
+    """
+    silent: list[str]
+    """
+    Targets whose streams have fallen silent there.
+    """
     loads: list[TargetLoad]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetReport:
+    """
+    What a relay passes on to its own data centre; one report for each data centre of which there is news.
+    """
+
+    reports: list[DataCentreReport]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetEntry:
     """
--- a/chivespan/nodesettings.py
+++ b/chivespan/nodesettings.py
@@ -74,6 +74,10 @@
     """
     Control addresses of a few VMs; may be stale.
     """
+    link_mbps: float = 1000.0
+    """
+    Bandwidth of the VM's link.
+    """
     grace_s: float = 8.0
     """
     Seconds from SIGTERM until the process is killed.
--- a/chivespan/nodestanding.py
+++ b/chivespan/nodestanding.py
@@ -7,7 +7,7 @@
 from chivespan.fleetlinks import FleetLinks
 from chivespan.fleetwatch import FleetWatch
 from chivespan.loadboard import LoadBoard
-from chivespan.nodemessages import LoadReport
+from chivespan.nodemessages import LoadReport, NodeValue
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.platform import wire
 from chivespan.routingstate import NO_VERSION, RoutingState
@@ -80,24 +80,24 @@
         if self._leaving_since is None:
             self._leaving_since = self._clock.monotonic()
 
-    def address_answer(self) -> bytes | None:
-        """Return the front addresses of the live nodes, and how long they hold.
+    def address_answer(self, caller_centre: str) -> bytes | None:
+        """Return front addresses of live nodes for a caller, and how long they hold.
 
         None while this node has only begun to look for the others: naming itself alone
         would bring it all callers.
+
+        :param caller_centre: data centre of the caller; empty where it isn't known.
         """
         alone = not self._links.peers
         if alone and self._clock.monotonic() - self._started < FIND_PEERS_TIME:
             return None
         peers = self._links.peers.values()
-        addresses = [
-            peer.node.front_address for peer in peers if not peer.report.leaving
-        ]
-        if not self.is_leaving or not addresses:
-            addresses.append(self._settings.front_address)
+        nodes = [peer.node for peer in peers if not peer.report.leaving]
+        if not self.is_leaving or not nodes:
+            nodes.append(self._links.own)
         longest = self._settings.address_lifetime_limit_s
         lifetime = min(ADDRESS_LIFETIME.total_seconds(), longest)
-        return wire.encode_addresses(sorted(addresses)[:MAX_ADDRESSES], lifetime)
+        return wire.encode_addresses(_addresses(nodes, caller_centre), lifetime)
 
     def report(self) -> LoadReport:
         """Return what peers are told."""
@@ -106,6 +106,8 @@
             leaving=self.is_leaving,
             store_reached=self._watch.store_reached,
             owned=sorted(self._placement.owned),
+            link_mbps=self._settings.link_mbps,
+            sequence=0,
             silent=self._silence.own(),
             loads=self._board.own_loads(),
         )
@@ -118,3 +120,9 @@
         kept = ADDRESS_LIFETIME * ADDRESS_LIFETIMES_KEPT
         grace = timedelta(seconds=self._settings.grace_s)
         return max(kept, grace - LAST_REQUEST_TIME)
+
+
+def _addresses(nodes: list[NodeValue], caller_centre: str) -> list[str]:
+    """Return as many addresses as a caller takes, of its own data centre first."""
+    nodes.sort(key=lambda each: (each.data_centre != caller_centre, each.vm))
+    return [node.front_address for node in nodes[:MAX_ADDRESSES]]
--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -106,6 +106,7 @@
 
     :param heartbeat: gives the heartbeat frame for the process at the other end.
     :param pace: gives the interval of heartbeats to it; None for as rare as may be.
+    :param patience: gives how long silence is borne now; None for what options say.
     """
 
     hello: Hello
@@ -114,12 +115,17 @@
     counters: Counters
     heartbeat: Callable[[Hello], bytes] = idle_heartbeat
     pace: Callable[[Hello], timedelta] | None = None
+    patience: Callable[[], timedelta] | None = None
+
+    @property
+    def silence(self) -> timedelta:
+        """How long a link may bring nothing before it is left."""
+        return self.options.silence if self.patience is None else self.patience()
 
     def interval(self, remote: Hello) -> timedelta:
         """Return the interval of heartbeats to a process."""
-        if self.pace is None:
-            return self.options.longest_interval
-        return min(self.pace(remote), self.options.longest_interval)
+        longest = self.silence * HEARTBEAT_SHARE_OF_SILENCE
+        return longest if self.pace is None else min(self.pace(remote), longest)
 
 
 class PeerLink:
@@ -202,7 +208,7 @@
             now = clock.monotonic()
             if now >= self._beat_due and not self._put_off_beat(now):
                 self._beat()
-            patience = self._last_frame + self._end.options.silence - now
+            patience = self._last_frame + self._end.silence - now
             if patience <= timedelta(0):
                 self._end.counters.incr("peer.silent")
                 self.abort()
--- a/chivespan/platform/settingsfile.py
+++ b/chivespan/platform/settingsfile.py
@@ -44,6 +44,7 @@
 def _decode(document: Mapping[str, Any]) -> FleetNodeSettings:
     listen = document["listenAddrs"]
     bounds = document.get("bounds", {})
+    limits = document.get("limits", {})
     platform = document["platform"]
     store = StoreSettings(
         address=str(platform["address"]),
@@ -61,6 +62,7 @@
         directory_address=str(listen["directory"]),
         seeds=[str(seed) for seed in document.get("seeds", ())],
         store=store,
+        link_mbps=float(limits.get("linkMbps", 1000.0)),
         grace_s=float(bounds.get("graceS", 8.0)),
         address_lifetime_limit_s=float(bounds.get("ttl_max_s", 5.0)),
         job_status_s=float(bounds.get("statusS", 120.0)),
--- a/tests/test_batchplacement.py
+++ b/tests/test_batchplacement.py
@@ -6,12 +6,19 @@
 from types import SimpleNamespace
 from typing import cast
 
-from chivespan.batchplacement import PARTITIONS, SETTLE_TIME, BatchPlacement
+from chivespan.batchplacement import (
+    PARTITIONS,
+    SETTLE_TIME,
+    BatchPlacement,
+    Member,
+    choose_owner,
+)
 from chivespan.clock import ManualClock
 from chivespan.fleetlinks import NO_REPORT, FleetLinks, Peer
 from chivespan.nodemessages import NodeValue
 
 STEP = timedelta(milliseconds=50)
+LINK_MBPS = 30.0
 ALL = frozenset(range(PARTITIONS))
 
 
@@ -27,7 +34,8 @@
         self.reached = dict.fromkeys(vms, True)
         self._peers = {vm: Peer(node(vm), "1") for vm in self.reached}
         self.placements = {
-            vm: BatchPlacement(self._links_of(vm), self.clock) for vm in self.reached
+            vm: BatchPlacement(self._links_of(vm), self.clock, LINK_MBPS)
+            for vm in self.reached
         }
 
     def _links_of(self, vm: str) -> FleetLinks:
@@ -46,6 +54,7 @@
                     NO_REPORT,
                     store_reached=self.reached[vm],
                     owned=sorted(placement.owned),
+                    link_mbps=LINK_MBPS,
                 )
         return took
 
@@ -94,9 +103,19 @@
     for vm, owned in ((first, ALL), (second, ALL), (third, frozenset[int]())):
         fleet.placements[vm]._owned = owned
         fleet._peers[vm].report = replace(
-            NO_REPORT, store_reached=vm == second, owned=sorted(owned)
+            NO_REPORT,
+            store_reached=vm == second,
+            owned=sorted(owned),
+            link_mbps=LINK_MBPS,
         )
     fleet.reached[first] = False
     fleet.run(STEP)
     assert fleet.placements[second].owned == ALL
     assert not fleet.placements[first].owned
+
+
+def test_a_partition_without_owner_goes_to_a_node_with_a_wide_link() -> None:
+    narrow = [Member(f"10.0.0.{n}", True, frozenset(), 30.0) for n in range(1, 30)]
+    wide = Member("10.0.0.99", True, frozenset(), 600.0)
+    owners = {choose_owner(number, [*narrow, wide]) for number in range(PARTITIONS)}
+    assert owners == {wide.vm}
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -1,13 +1,16 @@
 """Counts of all nodes at every node, with little between data centres."""
 
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import replace
 from types import SimpleNamespace
-from typing import Any, cast
+from typing import cast
 
 import pytest
 
 from chivespan.clock import ManualClock
 from chivespan.codec import decode_message
-from chivespan.fleetlinks import FleetLinks, Peer
+from chivespan.fleetlinks import NO_REPORT, FleetLinks, Peer
 from chivespan.loadboard import LoadBoard
 from chivespan.loadreports import LoadReports
 from chivespan.nodemessages import LoadReport, NodeValue
@@ -50,27 +53,14 @@
             self.sent.append((other.value.vm, message))
             return True
 
-        report = LoadReport(
-            config_version=-1,
-            leaving=False,
-            store_reached=True,
-            owned=[],
-            silent=[],
-            loads=[],
-        )
         peer = SimpleNamespace(
-            node=other.value, report=report, send=send, send_frame=send_frame
+            node=other.value, report=NO_REPORT, send=send, send_frame=send_frame
         )
         self.peers[other.value.vm] = cast(Peer, peer)
 
     def _describe(self) -> LoadReport:
-        return LoadReport(
-            config_version=1,
-            leaving=False,
-            store_reached=True,
-            owned=[],
-            silent=[],
-            loads=self.board.own_loads(),
+        return replace(
+            NO_REPORT, config_version=1, loads=self.board.own_loads(), link_mbps=30.0
         )
 
 
@@ -81,49 +71,121 @@
         for node in nodes.values():
             sent, node.sent = node.sent, []
             for vm, message in sent:
-                to = nodes[vm]
+                if (to := nodes.get(vm)) is None:
+                    continue
                 between += to.value.data_centre != node.value.data_centre
                 await to.reports.take(to.peers[node.value.vm], message)
     return between
 
 
-def site() -> dict[str, Node]:
+async def site(nodes_each: int = 3) -> dict[str, Node]:
     nodes = {
         f"10.0.{c}.{n}": Node(f"10.0.{c}.{n}", f"dc{c}")
         for c in (1, 2)
-        for n in (1, 2, 3)
+        for n in range(1, nodes_each + 1)
     }
     for node in nodes.values():
         for other in nodes.values():
             if other is not node:
                 node.link(other)
+    for node in nodes.values():
+        for peer in node.peers.values():
+            node.reports.peer_joined(peer)
+    await deliver(nodes)
     return nodes
 
 
 async def report_round(nodes: dict[str, Node]) -> int:
+    """Have all nodes report once; return the messages between data centres."""
     for node in nodes.values():
-        node.reports._send(node.reports._near_peers(), node._describe())
+        node.reports._report_loads()
     between = await deliver(nodes)
     for node in nodes.values():
-        if node.reports._is_relay():
+        if node.reports._relay == node.value.vm:
+            node.reports._send_sums()
+    between += await deliver(nodes)
+    for node in nodes.values():
+        if node.reports._relay == node.value.vm:
             node.reports._send_sums()
     return between + await deliver(nodes)
 
 
 async def test_every_node_knows_the_sum_and_two_messages_cross() -> None:
-    nodes = site()
-    holds: list[Any] = []
-    for node in nodes.values():
-        hold = node.board.hold_online("t")
-        hold.__enter__()
-        holds.append(hold)
-    assert await report_round(nodes) == 2
-    assert {node.board.total("t") for node in nodes.values()} == {6}
-    assert await report_round(nodes) == 0, "nothing has changed"
+    nodes = await site()
+    await report_round(nodes)
+    with requests_at_all(nodes):
+        assert await report_round(nodes) == 2
+        assert {node.board.total("t") for node in nodes.values()} == {6}
+        assert await report_round(nodes) == 0, "nothing has changed"
+
+
+@contextmanager
+def requests_at_all(nodes: dict[str, Node]) -> Iterator[None]:
+    """Have one request in progress at every node."""
+    with ExitStack() as stack:
+        for node in nodes.values():
+            stack.enter_context(node.board.hold_online("t"))
+        yield
+
+
+async def test_messages_of_a_large_fleet_grow_with_its_nodes_not_their_square() -> None:
+    sent: dict[int, int] = {}
+    for nodes_each in (10, 30):
+        nodes = await site(nodes_each)
+        await report_round(nodes)
+        with requests_at_all(nodes):
+            sent[nodes_each] = 0
+            for node in nodes.values():
+                node.reports._report_loads()
+                sent[nodes_each] += len(node.sent)
+            await report_round(nodes)
+            totals = {node.board.total("t") for node in nodes.values()}
+            assert totals == {2 * nodes_each}
+    assert sent[30] <= 3.3 * sent[10]
+
+
+async def test_own_counts_are_as_of_now_whatever_the_relay_has_summed() -> None:
+    nodes = await site(10)
+    last = nodes["10.0.1.9"]
+    await report_round(nodes)
+    with requests_at_all(nodes):
+        await report_round(nodes)
+        with last.board.hold_online("t"):
+            assert last.board.total("t") == 21, "before any report"
+            await report_round(nodes)
+            assert {node.board.total("t") for node in nodes.values()} == {21}
+        assert last.board.total("t") == 20
+    assert last.board.total("t") == 19
+
+
+async def test_a_large_data_centre_counts_on_when_its_relay_is_lost() -> None:
+    nodes = await site(10)
+    await report_round(nodes)
+    with requests_at_all(nodes):
+        await report_round(nodes)
+        nodes.pop("10.0.1.1")
+        for node in nodes.values():
+            node.reports.peer_left(node.peers.pop("10.0.1.1"))
+        await report_round(nodes)
+        await report_round(nodes)
+        assert {node.board.total("t") for node in nodes.values()} == {19}
+
+
+async def test_a_data_centre_that_shrinks_counts_directly_again() -> None:
+    nodes = await site(8)
+    await report_round(nodes)
+    with requests_at_all(nodes):
+        await report_round(nodes)
+        for lost in ("10.0.1.7", "10.0.1.8"):
+            nodes.pop(lost)
+            for node in nodes.values():
+                node.reports.peer_left(node.peers.pop(lost))
+        await report_round(nodes)
+        assert {node.board.total("t") for node in nodes.values()} == {14}
 
 
 async def test_loss_of_a_relay_and_of_a_data_centre() -> None:
-    nodes = site()
+    nodes = await site()
     hold = nodes["10.0.2.3"].board.hold_batch("t")
     hold.__enter__()
     await report_round(nodes)
