--- a/chivespan/codec.py
+++ b/chivespan/codec.py
@@ -1,6 +1,7 @@
 """CBOR encoding and checked decoding of the schema's data classes."""
 
 import inspect
+import zlib
 from dataclasses import is_dataclass
 from types import ModuleType
 from typing import Any, TypeVar
@@ -12,7 +13,13 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.positional import PositionalClasses
 
-PROTOCOL = 2
+PROTOCOL = 3
+# Smaller frames gain little from compression.
+COMPRESSED_FROM_BYTES = 1000
+COMPRESSION_LEVEL = 1
+# Every zlib stream begins with this byte, and no frame of CBOR does: it is a list.
+_ZLIB_MARK = 0x78
+DECOMPRESSED_LIMIT_BYTES = 64 * 1024 * 1024
 
 T = TypeVar("T")
 
@@ -60,11 +67,15 @@
     """Return the frame of a message: its class name and its fields by position.
 
     A Hello has its fields by name, since it says which protocol the sender speaks.
+    Large frames, which mostly carry text, are compressed.
     """
     frame_class = _POSITIONAL.of(type(message))
     fields = msgspec.convert(message, frame_class, from_attributes=True)
     body = msgspec.to_builtins(fields, builtin_types=(bytes,))
-    return cbor2.dumps([type(message).__name__, body])
+    frame = cbor2.dumps([type(message).__name__, body])
+    if len(frame) < COMPRESSED_FROM_BYTES:
+        return frame
+    return zlib.compress(frame, COMPRESSION_LEVEL)
 
 
 def decode_message(frame: bytes) -> object:
@@ -76,9 +87,29 @@
     GrantAbandon(request_id='r1')
     """
     try:
-        name, body = cbor2.loads(frame)
+        name, body = cbor2.loads(_decompressed(frame))
         cls = MESSAGE_CLASSES[name]
         fields = msgspec.convert(body, _POSITIONAL.of(cls), builtin_types=(bytes,))
         return msgspec.convert(fields, cls, from_attributes=True)
-    except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as error:
+    except (
+        cbor2.CBORDecodeError,
+        zlib.error,
+        ValueError,
+        TypeError,
+        KeyError,
+    ) as error:
         raise ChivespanError(ErrorKind.PROTOCOL, f"bad frame: {error}") from error
+
+
+def _decompressed(frame: bytes) -> bytes:
+    """Return the CBOR of a frame.
+
+    :raises ValueError: when it is larger than any message.
+    """
+    if not frame or frame[0] != _ZLIB_MARK:
+        return frame
+    stream = zlib.decompressobj()
+    content = stream.decompress(frame, DECOMPRESSED_LIMIT_BYTES)
+    if not stream.eof:
+        raise ValueError("a compressed frame that is cut off or too large")
+    return content
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,44 @@
+"""Frames of messages between nodes: small ones, large ones, and broken ones."""
+
+import zlib
+
+import pytest
+
+from chivespan import codec
+from chivespan.codec import decode_message, encode_message
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.nodemessages import BatchReply
+
+
+def reply(body: bytes) -> BatchReply:
+    return BatchReply(question=1, kind="", body=body, retry_after_ms=0)
+
+
+@pytest.mark.parametrize("size", [0, 1, 100, 100_000])
+def test_a_message_of_any_size_comes_back(size: int) -> None:
+    message = reply(b"slot 7 is free\n" * size)
+    assert decode_message(encode_message(message)) == message
+
+
+def test_results_take_less_on_the_wire_than_they_are_long() -> None:
+    text = b"The pickup slot at gate 7 is confirmed.\n" * 250
+    assert len(encode_message(reply(text))) < len(text) / 2
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [b"", b"\x78", zlib.compress(b"x" * 2000)[:-3], zlib.compress(b"no CBOR list")],
+)
+def test_a_broken_frame_is_an_error_of_the_protocol(frame: bytes) -> None:
+    with pytest.raises(ChivespanError) as caught:
+        decode_message(frame)
+    assert caught.value.kind is ErrorKind.PROTOCOL
+
+
+def test_a_frame_that_grows_without_bound_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    frame = encode_message(reply(bytes(100_000)))
+    monkeypatch.setattr(codec, "DECOMPRESSED_LIMIT_BYTES", 1000)
+    with pytest.raises(ChivespanError, match="too large"):
+        decode_message(frame)
