--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -59,7 +59,7 @@
         self._batch = batch
         self._metrics = metrics
         self._clock = clock
-        self._answers: dict[Listener, Callable[[Responder], Awaitable[None]]] = {
+        self._answers: dict[Listener, Callable[[Scope, Responder], Awaitable[None]]] = {
             Listener.READY: self._answer_ready,
             Listener.DIRECTORY: self._answer_directory,
             Listener.METRICS: self._answer_metrics,
@@ -70,24 +70,25 @@
         listener = self._listeners[scope["server"][1]]
         responder = Responder(send, "", closes=self._standing.is_leaving)
         if listener is not Listener.FRONT:
-            await self._answers[listener](responder)
+            await self._answers[listener](scope, responder)
             return
         await self._answer_front(scope, receive, responder)
 
-    async def _answer_ready(self, responder: Responder) -> None:
+    async def _answer_ready(self, _scope: Scope, responder: Responder) -> None:
         ready = self._standing.is_ready
         await responder.answer(
             HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         )
 
-    async def _answer_directory(self, responder: Responder) -> None:
-        body = self._standing.address_answer()
+    async def _answer_directory(self, scope: Scope, responder: Responder) -> None:
+        caller_centre = wire.caller_data_centre(scope["query_string"])
+        body = self._standing.address_answer(caller_centre)
         if body is None:
             await responder.answer(HTTPStatus.SERVICE_UNAVAILABLE)
         else:
             await responder.answer_json(HTTPStatus.OK, body)
 
-    async def _answer_metrics(self, responder: Responder) -> None:
+    async def _answer_metrics(self, _scope: Scope, responder: Responder) -> None:
         content_type = (b"content-type", b"text/plain; version=0.0.4")
         await responder.answer(HTTPStatus.OK, self._metrics.text(), [content_type])
 
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import parse_qs
 
 import msgspec
 
@@ -87,6 +88,15 @@
     return msgspec.json.encode(page)
 
 
+def caller_data_centre(query: bytes) -> str:
+    """Return the data centre that a client names when it asks where to connect.
+
+    >>> caller_data_centre(b"name=h.example&region=r&zone=z-1"), caller_data_centre(b"")
+    ('z-1', '')
+    """
+    return parse_qs(query.decode("latin-1")).get("zone", [""])[0]
+
+
 def encode_addresses(addresses: list[str], lifetime_s: float) -> bytes:
     """Return the answer to a client that asks where to connect."""
     return msgspec.json.encode({"frontAddrs": addresses, "ttlS": lifetime_s})
