Draw among free targets, and go elsewhere while few slots are free here

Cause: each node took the freest target of its data centre. Change: a free target is drawn, by the square of its free slots; when under 15% of the slots here are free, targets elsewhere are drawn too. Near peers are kept in a list.

--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -57,6 +57,7 @@
         self._clock = clock
         self._describe = describe
         self._silence = silence
+        self._near: list[Peer] = []
         self._told: OrderedDict[int, list[TargetLoad]] = OrderedDict()
         self._sequence = 0
         self._relay: str | None = None
@@ -68,12 +69,16 @@
 
     def peer_joined(self, peer: Peer) -> None:
         """Tell a new peer at once."""
+        if self._links.is_near(peer):
+            self._near.append(peer)
         peer.send(self._standing_now())
         self._repeat_all()
 
     def peer_left(self, peer: Peer) -> None:
         """Forget what a lost peer had in progress."""
         vm = peer.node.vm
+        if peer in self._near:
+            self._near.remove(peer)
         self._board.forget(vm)
         self._silence.forget(vm)
         centre = peer.node.data_centre
@@ -138,7 +143,7 @@
         if report.data_centre == self._links.own.data_centre:
             if self._counts_by_itself:
                 return
-            for peer in self._near_peers():
+            for peer in self._near:
                 self._board.forget(peer.node.vm)
                 self._silence.forget(peer.node.vm)
             loads = without(loads, self._own_part(report))
@@ -156,7 +161,7 @@
     def _pass_on(self, report: DataCentreReport) -> None:
         """Send another data centre's sum on; among many nodes, at the next tick."""
         if self._is_direct:
-            self._send(self._near_peers(), FleetReport(reports=[report]))
+            self._send(self._near, FleetReport(reports=[report]))
         else:
             self._to_pass_on[report.data_centre] = report
 
@@ -177,8 +182,8 @@
     def _listeners(self) -> list[Peer]:
         """Return the peers that count this node's loads by themselves."""
         if self._is_direct:
-            return self._near_peers()
-        return [peer for peer in self._near_peers() if peer.node.vm == self._relay]
+            return self._near
+        return [peer for peer in self._near if peer.node.vm == self._relay]
 
     def _tell_of_changes(self) -> None:
         """Tell peers how this node stands, or which targets are silent, if changed."""
@@ -205,10 +210,10 @@
             self._sum_sent[own_sum.data_centre] = own_sum
             news.append(own_sum)
         if news:
-            self._send(self._near_peers(), FleetReport(reports=news))
+            self._send(self._near, FleetReport(reports=news))
 
     def _own_sum(self) -> DataCentreReport:
-        near = [peer for peer in self._near_peers() if peer.report.sequence]
+        near = [peer for peer in self._near if peer.report.sequence]
         loads = [peer.report.loads for peer in near]
         silent = set(self._silence.own()).union(*(peer.report.silent for peer in near))
         return DataCentreReport(
@@ -227,7 +232,7 @@
         self._report_loads()
 
     def _choose_relay(self, own_report: LoadReport) -> None:
-        candidates = {peer.node.vm: peer.report for peer in self._near_peers()}
+        candidates = {peer.node.vm: peer.report for peer in self._near}
         candidates[self._links.own.vm] = own_report
         relay = _relay_among(candidates)
         if relay != self._relay:
@@ -249,16 +254,13 @@
     @property
     def _is_direct(self) -> bool:
         """Whether nodes of this data centre tell each other without a relay."""
-        return len(self._near_peers()) <= DIRECT_PEERS
+        return len(self._near) <= DIRECT_PEERS
 
     @property
     def _counts_by_itself(self) -> bool:
         """Whether this node adds up the reports of its data centre's nodes."""
         return self._is_direct or self._relay == self._links.own.vm
 
-    def _near_peers(self) -> list[Peer]:
-        return list(self._peers_in(self._links.own.data_centre))
-
     def _peers_in(self, data_centre: str) -> Iterable[Peer]:
         for peer in self._links.peers.values():
             if peer.node.data_centre == data_centre:
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -1,9 +1,10 @@
 """Which target an online request goes to, or that it is refused.
 
-Free slots of this data centre come first, then free slots elsewhere. When no slot is
-free, a request may wait at the target with the shortest queue of online requests: batch
-there makes room. A request that would be late by then is refused, so that it can come
-back while others are served in time.
+Free slots of this data centre come first, then free slots elsewhere. Among them one is
+drawn, the freer the likelier: many nodes decide on counts that are some time old, and
+would all meet at the freest. When no slot is free, a request may wait at the target
+with the shortest queue of online requests: batch there makes room. A request that would
+be late by then is refused, so that it can come back while others are served in time.
 """
 
 from collections.abc import Callable, Container, Sequence
@@ -23,6 +24,8 @@
 
 # Share of the objective that a request may wait; the rest is for its first event.
 WAIT_SHARE_OF_OBJECTIVE = 0.75
+# With less of the slots of this data centre free, others are used as well.
+NEAR_SPARE_SHARE = 0.15
 RETURN_SPREAD = 0.4
 FIRST_SERVICE_TIME = timedelta(milliseconds=700)
 SERVICE_TIME_SMOOTHING = 0.05
@@ -82,9 +85,8 @@
 def choose_by_shared_counts(choice: Choice) -> Candidate | None:
     """Return the best target by what all nodes have in progress; None to refuse."""
     free = [candidate for candidate in choice.candidates if candidate.free > 0]
-    near = [candidate for candidate in free if candidate.near]
-    if near or free:
-        return _most(near or free, choice.random, lambda each: each.free)
+    if free:
+        return _drawn_by(_near_if_enough(choice, free), choice.random, _free_slots)
     short = [
         candidate
         for candidate in choice.candidates
@@ -93,6 +95,29 @@
     return _most(short, choice.random, lambda each: each.slots - each.online)
 
 
+def _near_if_enough(choice: Choice, free: list[Candidate]) -> list[Candidate]:
+    """Return the free targets here while a fair part of the slots here is free.
+
+    The last ones are likely to be taken by requests that aren't in the counts yet.
+    """
+    near = [candidate for candidate in free if candidate.near]
+    slots = sum(candidate.slots for candidate in choice.candidates if candidate.near)
+    spare = sum(candidate.free for candidate in near)
+    return near if near and spare >= slots * NEAR_SPARE_SHARE else free
+
+
+def _free_slots(candidate: Candidate) -> int:
+    return candidate.free
+
+
+def _drawn_by(
+    candidates: Sequence[Candidate], random: Random, score: Callable[[Candidate], int]
+) -> Candidate:
+    """Return one of the candidates, drawn by the squares of their scores."""
+    weights = [score(candidate) ** 2 for candidate in candidates]
+    return random.choices(candidates, weights)[0]
+
+
 @TARGET_CHOICES.register("least_in_progress")
 def choose_least_in_progress(choice: Choice) -> Candidate | None:
     """Return the target with the fewest requests; never refuses."""
