--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -33,6 +33,8 @@
 
 TOPIC = "keyed.batch"
 TICK = timedelta(milliseconds=25)
+# Of a node that owns no partition.
+IDLE_TICK = timedelta(milliseconds=200)
 UPKEEP_INTERVAL = timedelta(milliseconds=500)
 
 _log = logger("batch")
@@ -200,7 +202,8 @@
 
     async def _schedule(self) -> None:
         while True:
-            await anyio.sleep(TICK.total_seconds())
+            tick = TICK if self._placement.owned else IDLE_TICK
+            await anyio.sleep(tick.total_seconds())
             self._start_items()
 
     def _start_items(self) -> None:
--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -30,7 +30,10 @@
 from chivespan.targetset import TargetSet
 
 CONFIG_WAIT = timedelta(milliseconds=1500)
-TARGETS_INTERVAL = timedelta(milliseconds=700)
+# After so many waits the newest document is read, in case that the log has moved on.
+CONFIG_WAITS = 4
+# Share of the time in which a draining target must get nothing new.
+TARGETS_INTERVAL_SHARE = 0.35
 NODES_INTERVAL = timedelta(seconds=4)
 NODES_INTERVAL_AT_START = timedelta(milliseconds=400)
 START_TIME = timedelta(seconds=3)
@@ -67,7 +70,9 @@
         routing: RoutingState,
         targets: TargetSet,
         clock: Clock,
+        drain_bound: timedelta,
     ) -> None:
+        self._targets_interval = drain_bound * TARGETS_INTERVAL_SHARE
         self._store = store
         self._sources = sources
         self._links = links
@@ -118,20 +123,24 @@
     async def _watch_routing(self) -> None:
         while True:
             try:
-                await self._read_routing()
+                await self._follow_routing()
             except StoreExpired:
                 continue
             except ChivespanError as error:
                 self._store_failed("routing", error)
                 await self._sleep(RETRY_INTERVAL)
 
-    async def _read_routing(self) -> None:
-        """Read the newest document, then wait a while for a newer one."""
+    async def _follow_routing(self) -> None:
+        """Read the newest document, then wait for newer ones for a while."""
         newest = await load_newest(self._store, self._sources.routing)
         self._offer(newest.records)
         self._store_answered()
-        page = await self._store.read(self._sources.routing, newest.end, CONFIG_WAIT)
-        self._offer(page.records)
+        end = newest.end
+        for _ in range(CONFIG_WAITS):
+            page = await self._store.read(self._sources.routing, end, CONFIG_WAIT)
+            self._offer(page.records)
+            self._store_answered()
+            end += len(page.records)
 
     def _offer(self, records: Iterable[KeyedRecord]) -> None:
         for record in records:
@@ -149,7 +158,7 @@
             self._targets.replace(self._readable(page.records))
             self._targets_read = self._clock.monotonic()
             self._store_answered()
-            await self._sleep(TARGETS_INTERVAL)
+            await self._sleep(self._targets_interval)
 
     def _readable(self, records: Iterable[KeyedRecord]) -> Iterable[TargetEntry]:
         for record in records:
--- a/chivespan/linkpace.py
+++ b/chivespan/linkpace.py
@@ -12,18 +12,25 @@
 # Nodes of a fleet whose links are all checked often.
 SMALL_FLEET = 24
 SMALL_FLEET_SILENCE = timedelta(seconds=1)
-LARGE_FLEET_SILENCE = timedelta(seconds=2.5)
 SMALL_FLEET_INTERVAL = timedelta(milliseconds=450)
-LARGE_FLEET_INTERVAL = timedelta(milliseconds=1100)
+# In a large fleet, of links within a data centre and between data centres.
+NEAR_SILENCE = timedelta(seconds=2.5)
+NEAR_INTERVAL = timedelta(milliseconds=1100)
+FAR_SILENCE = timedelta(seconds=5)
+FAR_INTERVAL = timedelta(milliseconds=2200)
 # A node bears longer silence at once, but sends more rarely only after this, when
 # its peers know of the larger fleet as well.
 SLOW_DOWN_AFTER = timedelta(seconds=5)
 
 
 class LinkPace:
-    """Intervals of heartbeats, and how long silence is borne."""
+    """Intervals of heartbeats, and how long silence is borne.
 
-    def __init__(self, clock: Clock) -> None:
+    :param data_centre: of this node.
+    """
+
+    def __init__(self, data_centre: str, clock: Clock) -> None:
+        self._data_centre = data_centre
         self._clock = clock
         self._nodes = 0
         self._many_peers_since: timedelta | None = None
@@ -36,14 +43,18 @@
         elif self._many_peers_since is None:
             self._many_peers_since = self._clock.monotonic()
 
-    def silence(self) -> timedelta:
+    def silence(self, remote: Hello) -> timedelta:
         """Return for how long a link may bring nothing before it is left."""
-        small = self._nodes <= SMALL_FLEET
-        return SMALL_FLEET_SILENCE if small else LARGE_FLEET_SILENCE
+        if self._nodes <= SMALL_FLEET:
+            return SMALL_FLEET_SILENCE
+        return NEAR_SILENCE if self._is_near(remote) else FAR_SILENCE
 
-    def interval(self, _remote: Hello) -> timedelta:
+    def interval(self, remote: Hello) -> timedelta:
         """Return the longest time between two frames that this node sends."""
         since = self._many_peers_since
         if since is None or self._clock.monotonic() - since < SLOW_DOWN_AFTER:
             return SMALL_FLEET_INTERVAL
-        return LARGE_FLEET_INTERVAL
+        return NEAR_INTERVAL if self._is_near(remote) else FAR_INTERVAL
+
+    def _is_near(self, remote: Hello) -> bool:
+        return remote.data_centre == self._data_centre
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -29,6 +29,8 @@
 
 CHANGE_INTERVAL = timedelta(milliseconds=30)
 RELAY_INTERVAL = timedelta(milliseconds=60)
+# At which a node that only reports to a relay looks whether it stands otherwise.
+LOOK_INTERVAL = timedelta(milliseconds=150)
 REPEAT_INTERVAL = timedelta(seconds=1)
 # Nodes of a data centre that tell each other directly, this one not counted.
 DIRECT_PEERS = 6
@@ -118,7 +120,8 @@
 
     async def _relay_sums(self) -> None:
         while True:
-            await anyio.sleep(RELAY_INTERVAL.total_seconds())
+            interval = RELAY_INTERVAL if self._counts_by_itself else LOOK_INTERVAL
+            await anyio.sleep(interval.total_seconds())
             self._tell_of_changes()
             if self._relay == self._links.own.vm:
                 self._send_sums()
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Mapping
 from dataclasses import dataclass
+from datetime import timedelta
 from pathlib import Path
 
 import anyio
@@ -108,7 +109,7 @@
         self.board = LoadBoard(clock)
         self.targets = TargetSet(clock)
         self.routing = RoutingState(documents.decode_config)
-        pace = LinkPace(clock)
+        pace = LinkPace(settings.data_centre, clock)
         end = LinkEnd(
             _hello(settings),
             LINK_OPTIONS,
@@ -122,7 +123,13 @@
         platform = PlatformStore(settings.store.address)
         self.store = MeasuredStore(platform, clock, self.metrics)
         self.watch = FleetWatch(
-            self.store, _sources(), self.links, self.routing, self.targets, clock
+            self.store,
+            _sources(),
+            self.links,
+            self.routing,
+            self.targets,
+            clock,
+            timedelta(milliseconds=settings.drain_ms),
         )
         self.placement = BatchPlacement(self.links, clock, settings.link_mbps)
         self.standing = Standing(
--- a/chivespan/nodesettings.py
+++ b/chivespan/nodesettings.py
@@ -82,6 +82,10 @@
     """
     Seconds from SIGTERM until the process is killed.
     """
+    drain_ms: int = 2000
+    """
+    Milliseconds after which a draining target must get nothing new.
+    """
     address_lifetime_limit_s: float = 5.0
     """
     Longest lifetime of an address answer that callers honour.
--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -115,16 +115,15 @@
     counters: Counters
     heartbeat: Callable[[Hello], bytes] = idle_heartbeat
     pace: Callable[[Hello], timedelta] | None = None
-    patience: Callable[[], timedelta] | None = None
+    patience: Callable[[Hello], timedelta] | None = None
 
-    @property
-    def silence(self) -> timedelta:
-        """How long a link may bring nothing before it is left."""
-        return self.options.silence if self.patience is None else self.patience()
+    def silence(self, remote: Hello) -> timedelta:
+        """Return how long a link may bring nothing before it is left."""
+        return self.options.silence if self.patience is None else self.patience(remote)
 
     def interval(self, remote: Hello) -> timedelta:
         """Return the interval of heartbeats to a process."""
-        longest = self.silence * HEARTBEAT_SHARE_OF_SILENCE
+        longest = self.silence(remote) * HEARTBEAT_SHARE_OF_SILENCE
         return longest if self.pace is None else min(self.pace(remote), longest)
 
 
@@ -208,7 +207,7 @@
             now = clock.monotonic()
             if now >= self._beat_due and not self._put_off_beat(now):
                 self._beat()
-            patience = self._last_frame + self._end.silence - now
+            patience = self._last_frame + self._end.silence(self.remote) - now
             if patience <= timedelta(0):
                 self._end.counters.incr("peer.silent")
                 self.abort()
--- a/chivespan/platform/settingsfile.py
+++ b/chivespan/platform/settingsfile.py
@@ -64,6 +64,7 @@
         store=store,
         link_mbps=float(limits.get("linkMbps", 1000.0)),
         grace_s=float(bounds.get("graceS", 8.0)),
+        drain_ms=int(bounds.get("drainMs", 2000)),
         address_lifetime_limit_s=float(bounds.get("ttl_max_s", 5.0)),
         job_status_s=float(bounds.get("statusS", 120.0)),
     )
