Soak: a process that isn't up yet may end by SIGTERM itself

Cause, seed 102: node 2 was started 0.57 s before SIGTERM; the interpreter was still loading and ended with code -15, as a process that handles no signals does. It had taken no request. The check wants code 0 of every process that has said that it has started, as before; the seed stays as a regression case.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -85,10 +85,13 @@
     if number in grounds.leaving:
         return
     grounds.leaving.add(number)
-    with anyio.move_on_after(STOP_PATIENCE_S) as patience:
+    # The interpreter ends a program that has not yet come to handle signals.
+    allowed = {0} if grounds.site.has_started(number) else {0, -signal.SIGTERM}
+    code: int | None = None
+    with anyio.move_on_after(STOP_PATIENCE_S):
         code = await grounds.site.stop(number)
-    if patience.cancelled_caught or code != 0:
-        grounds.evidence.exits.append(f"node {number} did not end well on SIGTERM")
+    if code not in allowed:
+        grounds.evidence.exits.append(f"node {number}: {code} on SIGTERM")
     await grounds.site.launch(number, grounds.tasks)
     grounds.leaving.discard(number)
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -84,6 +84,8 @@
     processes: dict[int, Process] = field(default_factory=dict)
     logs: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
     sequence: int = 1
+    # Log lines that a node's processes before the present one have written.
+    old_lines: dict[int, int] = field(default_factory=dict)
     # Relays through which nodes reach a stand-in, by its own address.
     via: dict[str, str] = field(default_factory=dict)
     relays: dict[str, Relay] = field(default_factory=dict)
@@ -132,7 +134,7 @@
             stderr=None,
         )
         self.processes[number] = process
-        self.logs.setdefault(number, [])
+        self.old_lines[number] = len(self.logs.setdefault(number, []))
         tasks.start_soon(self._collect, number, process)
 
     async def wait_ready(self, number: int) -> None:
@@ -208,6 +210,11 @@
                         return list(page["results"])
                 await anyio.sleep(0.05)
 
+    def has_started(self, number: int) -> bool:
+        """Return whether a node's present process says that it has started."""
+        lines = self.logs[number][self.old_lines[number] :]
+        return any(line["event"] == "started" for line in lines)
+
     def events(self, number: int, event: str) -> list[dict[str, Any]]:
         """Return a node's log lines of one event."""
         return [line for line in self.logs[number] if line["event"] == event]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -112,6 +112,18 @@
     assert [found.split(":")[0] for found in violations(evidence)] == [name]
 
 
+# Seeds that failed once, and why.
+REGRESSIONS = {
+    102: "SIGTERM half a second after a start; the interpreter ended with code -15",
+}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("seed", list(REGRESSIONS))
+async def test_seed_that_failed_once(seed: int, tmp_path: Path) -> None:
+    assert (await soak(seed, tmp_path)).found == []
+
+
 @pytest.mark.anyio
 async def test_a_short_run_keeps_every_promise(tmp_path: Path) -> None:
     report = await soak(SEED, tmp_path, LENGTH_S)
