Drop nodes from the list that were lost for ten minutes

Cause, found by reading: a VM that is removed for good never takes itself off the list of nodes, so the list grows with each replacement, every node dials all dead ones for ever, and a small fleet would in time take itself for a large one (linkpace). Change: the first live node drops what no link was open with for ten minutes; a node that comes back later lists itself again at its next read.

--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -6,7 +6,6 @@
 from random import Random
 
 import anyio
-import msgspec
 
 from chivespan.clock import Clock
 from chivespan.errors import ChivespanError
@@ -19,11 +18,11 @@
     load_newest,
 )
 from chivespan.logs import logger
+from chivespan.nodelist import NodeList
 from chivespan.nodemessages import (
     FleetAnswer,
     FleetQuery,
     LoadReport,
-    NodeValue,
     TargetEntry,
 )
 from chivespan.routingstate import RoutingState
@@ -41,7 +40,6 @@
 PEER_QUERY_INTERVAL = timedelta(milliseconds=250)
 SHORT_TROUBLE = timedelta(seconds=1.2)
 TARGETS_FRESH = timedelta(seconds=1.5)
-NODES = Partition("keyed.nodes")
 
 _log = logger("fleet")
 
@@ -67,6 +65,7 @@
         store: KeyedStore,
         sources: FleetSources,
         links: FleetLinks,
+        node_list: NodeList,
         routing: RoutingState,
         targets: TargetSet,
         clock: Clock,
@@ -76,6 +75,7 @@
         self._store = store
         self._sources = sources
         self._links = links
+        self._node_list = node_list
         self._routing = routing
         self._targets = targets
         self._clock = clock
@@ -172,32 +172,13 @@
     async def _watch_nodes(self) -> None:
         while True:
             try:
-                await self._read_nodes()
+                await self._node_list.read()
             except ChivespanError as error:
                 self._store_failed("nodes", error)
             started_ago = self._clock.monotonic() - self._started
             at_start = started_ago < START_TIME
             await self._sleep(NODES_INTERVAL_AT_START if at_start else NODES_INTERVAL)
 
-    async def _read_nodes(self) -> None:
-        page = await load_newest(self._store, NODES)
-        nodes = [msgspec.json.decode(row.value, type=NodeValue) for row in page.records]
-        if self._links.own not in nodes:
-            await self._store.append(NODES, [self._own_record()])
-        self._links.learn(nodes)
-        self._links.forget_unlisted(nodes)
-
-    async def unlist(self) -> None:
-        """Take this node off the list of nodes."""
-        try:
-            await self._store.append(NODES, [KeyedRecord(self._links.own.vm, b"")])
-        except ChivespanError as error:
-            _log.warning("node_still_listed", reason=error.message)
-
-    def _own_record(self) -> KeyedRecord:
-        own = self._links.own
-        return KeyedRecord(own.vm, msgspec.json.encode(own))
-
     def _store_answered(self) -> None:
         if not self._reached or self._failing_since is not None:
             _log.notice("store_reached")
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -34,6 +34,7 @@
 from chivespan.logs import logger
 from chivespan.measuredstore import MeasuredStore
 from chivespan.messages import Hello, Program
+from chivespan.nodelist import NodeList
 from chivespan.nodemessages import ItemStatus
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodesettings import FleetNodeSettings
@@ -122,10 +123,12 @@
         self.links = FleetLinks(settings, end, pace)
         platform = PlatformStore(settings.store.address)
         self.store = MeasuredStore(platform, clock, self.metrics)
+        self.node_list = NodeList(self.store, self.links, clock)
         self.watch = FleetWatch(
             self.store,
             _sources(),
             self.links,
+            self.node_list,
             self.routing,
             self.targets,
             clock,
@@ -246,7 +249,7 @@
 
     async def _leave(self) -> None:
         """End once callers have gone elsewhere, or when the time is up."""
-        await self.watch.unlist()
+        await self.node_list.unlist()
         while not self.standing.must_end:
             if self.standing.callers_have_left and not self.server.in_progress:
                 break
--- /dev/null
+++ b/chivespan/nodelist.py
@@ -0,0 +1,67 @@
+"""The list of nodes in the store, in which nodes find each other.
+
+A node puts itself on the list, and takes itself off when it ends. A VM that is removed
+for good can't do so: its entry is dropped once no link with it was open for long. A
+node that was cut off for that long puts itself back.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+import msgspec
+
+from chivespan.clock import Clock
+from chivespan.errors import ChivespanError
+from chivespan.fleetlinks import FleetLinks
+from chivespan.keyedstore import KeyedRecord, KeyedStore, Partition, load_newest
+from chivespan.logs import logger
+from chivespan.nodemessages import NodeValue
+
+NODES = Partition("keyed.nodes")
+DROP_AFTER = timedelta(minutes=10)
+
+_log = logger("nodes")
+
+
+class NodeList:
+    """This node's reading of the list, and its own entry."""
+
+    def __init__(self, store: KeyedStore, links: FleetLinks, clock: Clock) -> None:
+        self._store = store
+        self._links = links
+        self._clock = clock
+        self._lost_since: dict[str, timedelta] = {}
+
+    async def read(self) -> None:
+        """Learn the nodes, and correct the list where it is wrong.
+
+        :raises ChivespanError: when the store can't be reached.
+        """
+        page = await load_newest(self._store, NODES)
+        nodes = [msgspec.json.decode(row.value, type=NodeValue) for row in page.records]
+        own = self._links.own
+        if own not in nodes:
+            record = KeyedRecord(own.vm, msgspec.json.encode(own))
+            await self._store.append(NODES, [record])
+        self._links.learn(nodes)
+        self._links.forget_unlisted(nodes)
+        await self._drop_lost(nodes)
+
+    async def unlist(self) -> None:
+        """Take this node off the list."""
+        try:
+            await self._store.append(NODES, [KeyedRecord(self._links.own.vm, b"")])
+        except ChivespanError as error:
+            _log.warning("node_still_listed", reason=error.message)
+
+    async def _drop_lost(self, nodes: Iterable[NodeValue]) -> None:
+        """Take nodes off the list that have been lost for long; one node does it."""
+        now = self._clock.monotonic()
+        peers = self._links.peers
+        lost = {node.vm for node in nodes} - peers.keys() - {self._links.own.vm}
+        self._lost_since = {vm: self._lost_since.get(vm, now) for vm in lost}
+        past = [vm for vm, at in self._lost_since.items() if now - at > DROP_AFTER]
+        if not past or any(vm < self._links.own.vm for vm in peers):
+            return
+        _log.notice("nodes_dropped", vms=past, lost_s=DROP_AFTER.total_seconds())
+        await self._store.append(NODES, [KeyedRecord(vm, b"") for vm in past])
