Soak: keep seed 145 as a regression case

Found: job_kept, j52 with none of 5 results read, and no item_listed line of it. The ledger that n3 loaded after the kill (33:38.486) has 84 records, 5 more than the 12 jobs and 55 results that log lines tell of: j52's results were written by the append in doubt at 33:29.862, whose lines were lost with the process. Its reader had asked for its end in vain, as with seed 123.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -118,6 +118,7 @@
     123: "a caller asked in vain for a job's end while all nodes were away; the soak "
     "read no more of the job, and took its unread results for lost",
     138: "as 123: j129 was whole before all nodes were killed, and not read again",
+    145: "as 123: the store held all of j52 before the kill, and it was not read again",
 }
 
 
