Give the targets that are tried second a place of their own in tests of nodes

Since a free target is drawn by the square of its free slots, so the one with one slot comes before the one with eight in 1 of 65 runs; four tests had relied on the freest one being taken. No load is needed for it. Change: second targets lie in another data centre, which is asked only when those of the node's own were. What the tests assert stays.

--- a/standins/platformtarget.py
+++ b/standins/platformtarget.py
@@ -37,6 +37,7 @@
     :param events: events of each stream.
     :param first_ms: time to a stream's first event.
     :param gap_ms: time between two events.
+    :param data_centre: where its entry says that it is.
     """
 
     target_id: str = "i-1"
@@ -45,6 +46,7 @@
     events: int = 5
     first_ms: float = 2
     gap_ms: float = 2
+    data_centre: str = "dc-1"
 
 
 @dataclass
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -108,7 +108,7 @@
         value = entry_value(
             SERVICE,
             self.via.get(address, address),
-            "dc-1",
+            options.data_centre,
             options.slots,
             self.sequence,
             state,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -27,6 +27,11 @@
     return TargetStandIn(TargetOptions(target_id=f"i-{number}", **options))  # type: ignore[arg-type]
 
 
+def second_choice(number: int) -> TargetStandIn:
+    """Return a target that is asked only when those of the node's centre were."""
+    return TargetStandIn(TargetOptions(f"i-{number}", slots=1, data_centre="dc-2"))
+
+
 def request(name: str, deadline_ms: int = 5000) -> dict[str, str]:
     return {
         "X-Chivespan-Request-Id": name,
@@ -55,7 +60,7 @@
 async def test_resumable_stream_goes_on_at_another_target(tmp_path: Path) -> None:
     bad = target(1)
     bad.faults = TargetFaults(break_after=2)
-    good = target(2, slots=1)
+    good = second_choice(2)
     async with fleet(tmp_path, 1, bad, good) as (site, _):
         answer = await site.call(1, "POST", f"{STREAM}x", request("a"))
         assert answer.body == whole_stream("a")
@@ -63,7 +68,7 @@
 
 
 async def test_stream_that_runs_once_is_not_sent_again(tmp_path: Path) -> None:
-    bad, good = target(1), target(2, slots=1)
+    bad, good = target(1), second_choice(2)
     bad.faults = TargetFaults(status=500)
     async with fleet(tmp_path, 1, bad, good) as (site, _):
         answer = await site.call(1, "POST", f"{ONCE}x", request("a"))
@@ -292,7 +297,7 @@
 
 async def test_answer_broken_midway_is_not_joined_with_another(tmp_path: Path) -> None:
     """The request may be repeated, but its answer can't go on at another target."""
-    bad, good = target(1), target(2, slots=1)
+    bad, good = target(1), second_choice(2)
     bad.faults = TargetFaults(break_after=2)
     async with fleet(tmp_path, 1, bad, good) as (site, _):
         idempotent = route("r-i", "/i/", kind="idempotent", resumable=False)
@@ -308,7 +313,7 @@
 async def test_refusal_of_a_resumed_run_is_no_part_of_the_stream(
     tmp_path: Path,
 ) -> None:
-    bad, worse = target(1), target(2, slots=1)
+    bad, worse = target(1), second_choice(2)
     bad.faults = TargetFaults(break_after=2)
     worse.faults = TargetFaults(status=404)
     async with fleet(tmp_path, 1, bad, worse) as (site, _):
