--- a/tests/entries.py
+++ b/tests/entries.py
@@ -1,9 +1,9 @@
-"""Targets' entries for tests."""
+"""Entries of targets and nodes for tests."""
 
 from dataclasses import replace
 from typing import Any
 
-from chivespan.nodemessages import TargetEntry
+from chivespan.nodemessages import NodeValue, TargetEntry
 
 _ENTRY = TargetEntry(
     target_id="t",
@@ -20,3 +20,8 @@
 def target_entry(target_id: str, **changes: Any) -> TargetEntry:
     """Return an entry of service "s" in data centre "a", unless changed."""
     return replace(_ENTRY, target_id=target_id, **changes)
+
+
+def node(vm: str) -> NodeValue:
+    """Return where a node of data centre "a" is; its addresses are left empty."""
+    return NodeValue(vm=vm, data_centre="a", front_address="", control_address="")
--- a/tests/test_batchplacement.py
+++ b/tests/test_batchplacement.py
@@ -15,17 +15,13 @@
 )
 from chivespan.clock import ManualClock
 from chivespan.fleetlinks import NO_REPORT, FleetLinks, Peer
-from chivespan.nodemessages import NodeValue
+from tests.entries import node
 
 STEP = timedelta(milliseconds=50)
 LINK_MBPS = 30.0
 ALL = frozenset(range(PARTITIONS))
 
 
-def node(vm: str) -> NodeValue:
-    return NodeValue(vm=vm, data_centre="a", front_address="", control_address="")
-
-
 class Fleet:
     """Nodes that tell each other at once what they own and whom they reach."""
 
--- a/tests/test_batchquestions.py
+++ b/tests/test_batchquestions.py
@@ -11,16 +11,13 @@
 from chivespan.clock import NO_WAIT, SystemClock
 from chivespan.errors import SOON, ChivespanError, ErrorKind
 from chivespan.fleetlinks import FleetLinks, Peer
-from chivespan.nodemessages import BatchQuestion, BatchReply, BatchVerb, NodeValue
+from chivespan.nodemessages import BatchQuestion, BatchReply, BatchVerb
+from tests.entries import node
 
 pytestmark = pytest.mark.anyio
 OWN, OWNER = "10.0.0.1", "10.0.0.2"
 
 
-def node(vm: str) -> NodeValue:
-    return NodeValue(vm=vm, data_centre="a", front_address="", control_address="")
-
-
 def reply(question: BatchQuestion, kind: str) -> BatchReply:
     return BatchReply(
         question=question.question, kind=kind, body=b"b", retry_after_ms=0
--- a/tests/test_nodelist.py
+++ b/tests/test_nodelist.py
@@ -9,15 +9,12 @@
 from chivespan.keyedstore import KeyedRecord, load_newest
 from chivespan.nodelist import DROP_AFTER, NODES, NodeList
 from chivespan.nodemessages import NodeValue
+from tests.entries import node
 from tests.fakestore import FakeStore
 
 pytestmark = pytest.mark.anyio
 
 
-def node(vm: str) -> NodeValue:
-    return NodeValue(vm=vm, data_centre="a", front_address="", control_address="")
-
-
 class Links:
     """Links of one node; what it learns from the list is kept."""
 
