Pause before routing is read anew when its history has expired

Cause: when the newest document named an end that the store no longer keeps, the routing watch asked again at once, for as long as that lasted (seen by reading the code). In the new test the old loop reads without a pause; the test fails on it, and on the pause of 100 ms it passes (2 to 7 reads in half a second). Ruled out: a pause of 400 ms as after a refusal, which would use up a fifth of the time in which a configuration is due.

--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -37,6 +37,8 @@
 NODES_INTERVAL_AT_START = timedelta(milliseconds=400)
 START_TIME = timedelta(seconds=3)
 RETRY_INTERVAL = timedelta(milliseconds=400)
+# The newest document may be as old as before for a moment, and lead to the same place.
+EXPIRED_INTERVAL = timedelta(milliseconds=100)
 PEER_QUERY_INTERVAL = timedelta(milliseconds=250)
 SHORT_TROUBLE = timedelta(seconds=1.2)
 TARGETS_FRESH = timedelta(seconds=1.5)
@@ -124,8 +126,9 @@
         while True:
             try:
                 await self._follow_routing()
-            except StoreExpired:
-                continue
+            except StoreExpired as error:
+                _log.info("routing_history_expired", reason=error.message)
+                await self._sleep(EXPIRED_INTERVAL)
             except ChivespanError as error:
                 self._store_failed("routing", error)
                 await self._sleep(RETRY_INTERVAL)
