Link data centres of a large fleet through gateways

Cause: 76 nodes had 75 links each. With a profile of one of 76 idle nodes on loopback, handling of links (handshakes, heartbeats, tasks) was most of what a node did, and nothing else stood out. Change: above 24 nodes, links with all nodes of the own data centre and with the three widest of each other (linkplan); relays tell of live nodes (farnodes) for callers and owners; only gateways become owners. Fleets of up to 24 nodes keep all links, but for the first four seconds. Also removed: the clock of LoadReports, which nothing used.

--- a/chivespan/batchplacement.py
+++ b/chivespan/batchplacement.py
@@ -4,6 +4,7 @@
 owner stays one while it is live, so that a node which joins takes nothing over. It
 gives up only when others reach the store and it does not for a while: nodes notice an
 outage one after the other, and moving partitions then would lose what owners know.
+In a large fleet only gateways become owners, as all nodes have links with them.
 """
 
 from collections.abc import Iterator
@@ -118,7 +119,8 @@
     def _members(self, store_reached: bool) -> Iterator[Member]:
         claimed = frozenset[int]() if self._must_hand_over else self._owned
         own_vm = self._links.own.vm
-        yield Member(own_vm, store_reached, claimed, self._link_mbps)
+        if claimed or own_vm in self._links.gateways:
+            yield Member(own_vm, store_reached, claimed, self._link_mbps)
         yield from self._peers()
 
     def _compare_reach(self, store_reached: bool) -> None:
@@ -129,10 +131,10 @@
             self._outreached_since = self._clock.monotonic()
 
     def _peers(self) -> Iterator[Member]:
+        gateways = self._links.gateways
         for peer in self._links.peers.values():
             report = peer.report
-            if not report.leaving:
+            vm = peer.node.vm
+            if not report.leaving and (report.owned or vm in gateways):
                 owned = frozenset(report.owned)
-                yield Member(
-                    peer.node.vm, report.store_reached, owned, report.link_mbps
-                )
+                yield Member(vm, report.store_reached, owned, report.link_mbps)
--- a/chivespan/codec.py
+++ b/chivespan/codec.py
@@ -13,7 +13,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.positional import PositionalClasses
 
-PROTOCOL = 3
+PROTOCOL = 4
 # Smaller frames gain little from compression.
 COMPRESSED_FROM_BYTES = 1000
 COMPRESSION_LEVEL = 1
--- /dev/null
+++ b/chivespan/farnodes.py
@@ -0,0 +1,135 @@
+"""Live nodes of other data centres with which this node has no link.
+
+The relay of each data centre tells the relays of the others which nodes are live there,
+and which of them own batch partitions; a relay passes that on to its own data centre.
+"""
+
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+
+import anyio
+
+from chivespan.codec import encode_message
+from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
+from chivespan.loadreports import LoadReports
+from chivespan.logs import logger
+from chivespan.nodemessages import DataCentreNodes, NodeValue
+
+TELL_INTERVAL = timedelta(milliseconds=200)
+
+_log = logger("nodes")
+
+
+class FarNodes(FleetListener):
+    """What this node was told of other data centres."""
+
+    def __init__(self, links: FleetLinks) -> None:
+        self._links = links
+        self._told: dict[str, DataCentreNodes] = {}
+        links.add_listener(self)
+
+    @property
+    def centres(self) -> list[DataCentreNodes]:
+        """The last message of each other data centre."""
+        return list(self._told.values())
+
+    @property
+    def nodes(self) -> list[NodeValue]:
+        """Nodes that take callers and have no link with this one."""
+        peers = self._links.peers
+        return [
+            node
+            for centre in self._told.values()
+            for node in centre.nodes
+            if node.vm not in peers
+        ]
+
+    def peer_left(self, peer: Peer) -> None:
+        """Forget a data centre with which no link is left."""
+        centre = peer.node.data_centre
+        linked = {each.node.data_centre for each in self._links.peers.values()}
+        if centre not in linked and self._told.pop(centre, None) is not None:
+            _log.warning("data_centre_lost", data_centre=centre)
+            self._link_with_owners()
+
+    async def take(self, peer: Peer, message: object) -> None:
+        """Take in which nodes are live in another data centre."""
+        if not isinstance(message, DataCentreNodes):
+            return
+        name = message.data_centre
+        if name == self._links.own.data_centre or self._told.get(name) == message:
+            return
+        self._told[name] = message
+        _log.info(
+            "far_nodes_told",
+            data_centre=name,
+            by=peer.node.vm,
+            nodes=len(message.nodes),
+            owners=message.owners,
+        )
+        self._link_with_owners()
+
+    def _link_with_owners(self) -> None:
+        owners = (vm for centre in self._told.values() for vm in centre.owners)
+        self._links.link_with_owners(frozenset(owners))
+
+
+class NodesTeller(FleetListener):
+    """Tells of live nodes, where this node is the relay of a large fleet."""
+
+    def __init__(
+        self, links: FleetLinks, reports: LoadReports, far_nodes: FarNodes
+    ) -> None:
+        self._links = links
+        self._reports = reports
+        self._far_nodes = far_nodes
+        self._sent: dict[str, dict[str, DataCentreNodes]] = {}
+        links.add_listener(self)
+
+    def peer_joined(self, peer: Peer) -> None:
+        """Tell a new peer everything."""
+        self._sent[peer.node.vm] = {}
+
+    def peer_left(self, peer: Peer) -> None:
+        """Forget what a lost peer was told."""
+        self._sent.pop(peer.node.vm, None)
+
+    async def run(self) -> None:
+        """Tell of changes for ever."""
+        while True:
+            await anyio.sleep(TELL_INTERVAL.total_seconds())
+            if self._reports.is_relay and self._links.has_gateways:
+                self.tell()
+
+    def tell(self) -> None:
+        """Send what has changed to the other relays and the own data centre."""
+        self._send(self._own_centre(), self._reports.far_relays())
+        for centre in self._far_nodes.centres:
+            self._send(centre, self._near())
+
+    def _send(self, message: DataCentreNodes, peers: Iterable[Peer]) -> None:
+        name = message.data_centre
+        behind = [p for p in peers if self._sent[p.node.vm].get(name) != message]
+        if not behind:
+            return
+        frame = encode_message(message)
+        for peer in behind:
+            if peer.send_frame(frame):
+                self._sent[peer.node.vm][name] = message
+
+    def _own_centre(self) -> DataCentreNodes:
+        own = self._links.own
+        standing = {peer.node.vm: peer.report for peer in self._near()}
+        standing[own.vm] = self._reports.own_standing()
+        values = {peer.node.vm: peer.node for peer in self._near()} | {own.vm: own}
+        staying = sorted(vm for vm in standing if not standing[vm].leaving)
+        return DataCentreNodes(
+            data_centre=own.data_centre,
+            nodes=[values[vm] for vm in staying],
+            owners=[vm for vm in staying if standing[vm].owned],
+        )
+
+    def _near(self) -> Iterator[Peer]:
+        for peer in self._links.peers.values():
+            if self._links.is_near(peer):
+                yield peer
--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -2,12 +2,13 @@
 
 A node counts as live while a link with it is open; a link without a frame for a while
 is left by both ends. Either end dials; of two links the one dialled by the lower IP
-number stays.
+number stays. A node leaves links that it dialled once neither end needs them.
 """
 
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
 from random import Random
 
 import anyio
@@ -15,13 +16,19 @@
 
 from chivespan.addresses import parse_address
 from chivespan.codec import encode_message
-from chivespan.linkpace import LinkPace
+from chivespan.linkpace import SMALL_FLEET, LinkPace
+from chivespan.linkplan import gateways, gateways_to_dial
 from chivespan.logs import logger
 from chivespan.nodemessages import LoadReport, NodeValue
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.peerlink import Backoff, LinkEnd, PeerLink, dial_once, listen
 
 DIAL_TURN_S = 0.2
+# A node that can't be dialled for this long has its links replaced by others.
+FAILING_AFTER = timedelta(seconds=1)
+# A node that has just started doesn't know yet how large the fleet is.
+START_TIME = timedelta(seconds=4)
+DROP_INTERVAL = timedelta(seconds=3)
 NO_REPORT = LoadReport(
     config_version=-1,
     leaving=False,
@@ -85,7 +92,10 @@
         self._pace = pace
         self._nodes: dict[str, NodeValue] = {}
         self._peers: dict[str, Peer] = {}
+        self._to_dial: frozenset[str] = frozenset()
         self._dialling: set[str] = set()
+        self._unreached: dict[str, timedelta] = {}
+        self._owners: frozenset[str] = frozenset()
         self._changed = anyio.Event()
         self._listeners: list[FleetListener] = []
         self.own = NodeValue(
@@ -93,7 +103,11 @@
             data_centre=settings.data_centre,
             front_address=settings.front_address,
             control_address=settings.control_address,
+            link_mbps=settings.link_mbps,
         )
+        self._gateways = frozenset([self.own.vm])
+        self._is_starting = True
+        self._dialled: dict[str, PeerLink] = {}
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -105,6 +119,25 @@
         """All nodes that are known, this one too, live or not."""
         return [self.own, *self._nodes.values()]
 
+    @property
+    def has_gateways(self) -> bool:
+        """Whether only some nodes of a data centre have links with all others."""
+        return self._is_starting or len(self._nodes) >= SMALL_FLEET
+
+    @property
+    def gateways(self) -> frozenset[str]:
+        """The live nodes, this one too, that nodes of all data centres have links with.
+
+        In a small fleet, all that are live.
+        """
+        return self._gateways
+
+    def link_with_owners(self, owners: frozenset[str]) -> None:
+        """Have links with the nodes of other data centres that own partitions."""
+        if owners != self._owners:
+            self._owners = owners
+            self._tell()
+
     def add_listener(self, listener: FleetListener) -> None:
         """Tell a listener of all peers and messages from now on."""
         self._listeners.append(listener)
@@ -125,6 +158,7 @@
         listed = {node.vm for node in nodes}
         for vm in self._nodes.keys() - listed - self._peers.keys():
             del self._nodes[vm]
+            self._unreached.pop(vm, None)
             self._tell()
 
     def learn_seeds(self, addresses: Iterable[str]) -> None:
@@ -144,30 +178,59 @@
             listen(own.host, own.port, self._end, self._hold_accepted),
             anyio.create_task_group() as tasks,
         ):
+            tasks.start_soon(self._end_start)
+            tasks.start_soon(self._drop_needless)
             while True:
                 self._dial_new(tasks)
                 await self._changed.wait()
 
+    async def _end_start(self) -> None:
+        await anyio.sleep(START_TIME.total_seconds())
+        self._is_starting = False
+        self._tell()
+
+    async def _drop_needless(self) -> None:
+        """Leave links that neither end needs, for ever."""
+        while True:
+            await anyio.sleep(DROP_INTERVAL.total_seconds())
+            if self.own.vm in self._gateways:
+                continue
+            for vm in self._dialled.keys() - self._to_dial:
+                self._dialled[vm].abort()
+
     def _dial_new(self, tasks: TaskGroup) -> None:
-        for vm in self._nodes.keys() - self._dialling:
+        for vm in self._to_dial - self._dialling:
             self._dialling.add(vm)
             tasks.start_soon(self._keep, vm)
 
     async def _keep(self, vm: str) -> None:
-        """Have a link with a node for as long as it is known."""
+        """Have a link with a node for as long as one is needed."""
         delays = Backoff(Random())
         if self._settings.vm > vm:
             await anyio.sleep(DIAL_TURN_S)
-        while vm in self._nodes:
+        while vm in self._to_dial:
             if vm in self._peers:
                 await self._changed.wait()
                 continue
             address = self._nodes[vm].control_address
             if await dial_once(address, self._end, self._hold_dialled):
                 delays.reset()
+            else:
+                self._note_unreached(vm)
             await anyio.sleep(delays.next().total_seconds())
         self._dialling.discard(vm)
 
+    def _note_unreached(self, vm: str) -> None:
+        """Note that a node can't be dialled; others may be needed in its place."""
+        now = self._end.clock.monotonic()
+        since = self._unreached.setdefault(vm, now)
+        if now - since >= FAILING_AFTER:
+            self._tell()
+
+    def _failing(self) -> set[str]:
+        limit = self._end.clock.monotonic() - FAILING_AFTER
+        return {vm for vm, since in self._unreached.items() if since <= limit}
+
     async def _hold_accepted(self, link: PeerLink) -> None:
         await self._hold(link)
 
@@ -175,7 +238,11 @@
         vm = link.remote.vm
         if vm in self._peers and self._settings.vm > vm:
             return
-        await self._hold(link)
+        self._dialled[vm] = link
+        try:
+            await self._hold(link)
+        finally:
+            del self._dialled[vm]
 
     async def _hold(self, link: PeerLink) -> None:
         with self._registered(link) as peer:
@@ -207,9 +274,12 @@
             front_address=f"{remote.vm}:{remote.serving_port}",
             control_address=self._control_address(remote.vm),
         )
+        if (listed := self._nodes.get(remote.vm)) is not None:
+            node = replace(node, link_mbps=listed.link_mbps)
         peer = Peer(node, remote.incarnation)
         self._peers[remote.vm] = peer
         self._nodes[remote.vm] = node
+        self._unreached.pop(remote.vm, None)
         _log.info("peer_joined", peer=remote.vm, incarnation=remote.incarnation)
         for listener in self._listeners:
             listener.peer_joined(peer)
@@ -228,6 +298,15 @@
         return f"{vm}:{parse_address(self._settings.control_address).port}"
 
     def _tell(self) -> None:
-        self._pace.note_fleet(len(self._nodes), len(self._peers))
+        self._pace.note_fleet(len(self._nodes))
+        live = frozenset([self.own.vm, *self._peers])
+        if self.has_gateways:
+            self._gateways = gateways(self.nodes, live)
+            self._to_dial = gateways_to_dial(
+                self.own, self._nodes.values(), self._failing(), self._owners
+            )
+        else:
+            self._gateways = live
+            self._to_dial = frozenset(self._nodes)
         self._changed.set()
         self._changed = anyio.Event()
--- a/chivespan/linkpace.py
+++ b/chivespan/linkpace.py
@@ -19,7 +19,7 @@
 FAR_SILENCE = timedelta(seconds=5)
 FAR_INTERVAL = timedelta(milliseconds=2200)
 # A node bears longer silence at once, but sends more rarely only after this, when
-# its peers know of the larger fleet as well.
+# its peers have read of the larger fleet as well.
 SLOW_DOWN_AFTER = timedelta(seconds=5)
 
 
@@ -33,15 +33,15 @@
         self._data_centre = data_centre
         self._clock = clock
         self._nodes = 0
-        self._many_peers_since: timedelta | None = None
+        self._large_since: timedelta | None = None
 
-    def note_fleet(self, nodes: int, peers: int) -> None:
-        """Note how many nodes are listed, and with how many there is a link."""
+    def note_fleet(self, nodes: int) -> None:
+        """Note how many other nodes are known."""
         self._nodes = nodes
-        if peers <= SMALL_FLEET:
-            self._many_peers_since = None
-        elif self._many_peers_since is None:
-            self._many_peers_since = self._clock.monotonic()
+        if nodes <= SMALL_FLEET:
+            self._large_since = None
+        elif self._large_since is None:
+            self._large_since = self._clock.monotonic()
 
     def silence(self, remote: Hello) -> timedelta:
         """Return for how long a link may bring nothing before it is left."""
@@ -51,7 +51,7 @@
 
     def interval(self, remote: Hello) -> timedelta:
         """Return the longest time between two frames that this node sends."""
-        since = self._many_peers_since
+        since = self._large_since
         if since is None or self._clock.monotonic() - since < SLOW_DOWN_AFTER:
             return SMALL_FLEET_INTERVAL
         return NEAR_INTERVAL if self._is_near(remote) else FAR_INTERVAL
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -13,7 +13,6 @@
 
 import anyio
 
-from chivespan.clock import Clock
 from chivespan.codec import encode_message
 from chivespan.fleetlinks import NO_REPORT, FleetLinks, FleetListener, Peer
 from chivespan.loadboard import LoadBoard, summed, without
@@ -50,13 +49,11 @@
         self,
         links: FleetLinks,
         board: LoadBoard,
-        clock: Clock,
         describe: Callable[[], LoadReport],
         silence: TargetSilence,
     ) -> None:
         self._links = links
         self._board = board
-        self._clock = clock
         self._describe = describe
         self._silence = silence
         self._near: list[Peer] = []
@@ -73,7 +70,7 @@
         """Tell a new peer at once."""
         if self._links.is_near(peer):
             self._near.append(peer)
-        peer.send(self._standing_now())
+        peer.send(self.own_standing())
         self._repeat_all()
 
     def peer_left(self, peer: Peer) -> None:
@@ -99,9 +96,25 @@
             for report in message.reports:
                 self._take_sum(report)
 
+    @property
+    def is_relay(self) -> bool:
+        """Whether this node passes on what data centres tell each other."""
+        return self._relay == self._links.own.vm
+
+    def own_standing(self) -> LoadReport:
+        """Return how this node stands, without what it has in progress."""
+        return replace(self._describe(), silent=[], loads=[])
+
+    def far_relays(self) -> Iterable[Peer]:
+        """Yield the node of each other data centre that passes sums on there."""
+        centres = {peer.node.data_centre for peer in self._links.peers.values()}
+        for centre in centres - {self._links.own.data_centre}:
+            peers = {peer.node.vm: peer for peer in self._peers_in(centre)}
+            yield peers[_relay_among({vm: peers[vm].report for vm in peers})]
+
     def send_now(self) -> None:
         """Tell all peers at once how this node stands."""
-        self._standing = self._standing_now()
+        self._standing = self.own_standing()
         self._send(self._links.peers.values(), self._standing)
         self._report_loads()
 
@@ -123,7 +136,7 @@
             interval = RELAY_INTERVAL if self._counts_by_itself else LOOK_INTERVAL
             await anyio.sleep(interval.total_seconds())
             self._tell_of_changes()
-            if self._relay == self._links.own.vm:
+            if self.is_relay:
                 self._send_sums()
 
     def _take_report(self, peer: Peer, report: LoadReport) -> None:
@@ -168,9 +181,6 @@
         else:
             self._to_pass_on[report.data_centre] = report
 
-    def _standing_now(self) -> LoadReport:
-        return replace(self._describe(), silent=[], loads=[])
-
     def _report_loads(self) -> None:
         """Tell those who sum it up what this node has in progress."""
         self._sequence += 1
@@ -201,7 +211,7 @@
         """Send this data centre's sum to all that don't have it."""
         own_sum = self._own_sum()
         to_far = replace(own_sum, summed=[])
-        for relay in self._far_relays():
+        for relay in self.far_relays():
             if self._sum_sent.get(relay.node.vm) != to_far:
                 self._sum_sent[relay.node.vm] = to_far
                 relay.send(to_far)
@@ -247,13 +257,6 @@
         self._board.forget(_sums_of(data_centre))
         self._silence.forget(_sums_of(data_centre))
 
-    def _far_relays(self) -> Iterable[Peer]:
-        """Yield the node of each other data centre that passes sums on there."""
-        centres = {peer.node.data_centre for peer in self._links.peers.values()}
-        for centre in centres - {self._links.own.data_centre}:
-            peers = {peer.node.vm: peer for peer in self._peers_in(centre)}
-            yield peers[_relay_among({vm: peers[vm].report for vm in peers})]
-
     @property
     def _is_direct(self) -> bool:
         """Whether nodes of this data centre tell each other without a relay."""
@@ -262,7 +265,7 @@
     @property
     def _counts_by_itself(self) -> bool:
         """Whether this node adds up the reports of its data centre's nodes."""
-        return self._is_direct or self._relay == self._links.own.vm
+        return self._is_direct or self.is_relay
 
     def _peers_in(self, data_centre: str) -> Iterable[Peer]:
         for peer in self._links.peers.values():
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -23,6 +23,7 @@
 from chivespan.clock import Clock
 from chivespan.codec import PROTOCOL
 from chivespan.errors import ChivespanError
+from chivespan.farnodes import FarNodes, NodesTeller
 from chivespan.fleetlinks import FleetLinks
 from chivespan.fleetwatch import FleetSources, FleetWatch
 from chivespan.forwarding import Forwarder
@@ -123,7 +124,8 @@
         self.links = FleetLinks(settings, end, pace)
         platform = PlatformStore(settings.store.address)
         self.store = MeasuredStore(platform, clock, self.metrics)
-        self.node_list = NodeList(self.store, self.links, clock)
+        self.far_nodes = FarNodes(self.links)
+        self.node_list = NodeList(self.store, self.links, self.far_nodes, clock)
         self.watch = FleetWatch(
             self.store,
             _sources(),
@@ -138,6 +140,7 @@
         self.standing = Standing(
             settings,
             self.links,
+            self.far_nodes,
             self.watch,
             self.routing,
             self.board,
@@ -146,8 +149,9 @@
             clock,
         )
         self.reports = LoadReports(
-            self.links, self.board, clock, self.standing.report, self.silence
+            self.links, self.board, self.standing.report, self.silence
         )
+        self.teller = NodesTeller(self.links, self.reports, self.far_nodes)
         self.picker = TargetPicker(
             self.targets,
             self.board,
@@ -201,6 +205,7 @@
             tasks.start_soon(self.links.run)
             tasks.start_soon(self.watch.run)
             tasks.start_soon(self.reports.run)
+            tasks.start_soon(self.teller.run)
             tasks.start_soon(self.executor.run)
             tasks.start_soon(self.batch.run)
             tasks.start_soon(self._follow_ownership)
--- a/chivespan/nodelist.py
+++ b/chivespan/nodelist.py
@@ -12,6 +12,7 @@
 
 from chivespan.clock import Clock
 from chivespan.errors import ChivespanError
+from chivespan.farnodes import FarNodes
 from chivespan.fleetlinks import FleetLinks
 from chivespan.keyedstore import KeyedRecord, KeyedStore, Partition, load_newest
 from chivespan.logs import logger
@@ -26,9 +27,12 @@
 class NodeList:
     """This node's reading of the list, and its own entry."""
 
-    def __init__(self, store: KeyedStore, links: FleetLinks, clock: Clock) -> None:
+    def __init__(
+        self, store: KeyedStore, links: FleetLinks, far_nodes: FarNodes, clock: Clock
+    ) -> None:
         self._store = store
         self._links = links
+        self._far_nodes = far_nodes
         self._clock = clock
         self._lost_since: dict[str, timedelta] = {}
 
@@ -58,7 +62,9 @@
         """Take nodes off the list that have been lost for long; one node does it."""
         now = self._clock.monotonic()
         peers = self._links.peers
-        lost = {node.vm for node in nodes} - peers.keys() - {self._links.own.vm}
+        unlinked = {node.vm for node in self._far_nodes.nodes}
+        listed = {node.vm for node in nodes}
+        lost = listed - peers.keys() - unlinked - {self._links.own.vm}
         self._lost_since = {vm: self._lost_since.get(vm, now) for vm in lost}
         past = [vm for vm, at in self._lost_since.items() if now - at > DROP_AFTER]
         if not past or any(vm < self._links.own.vm for vm in peers):
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -150,6 +150,24 @@
     """
     Where it takes links.
     """
+    link_mbps: float = 0
+    """
+    Bandwidth of its link; 0 where it isn't known.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DataCentreNodes:
+    """
+    Which nodes of a data centre are live and take callers; replaces the last such message.
+    """
+
+    data_centre: str
+    nodes: list[NodeValue]
+    owners: list[str]
+    """
+    IP numbers of nodes that own batch partitions.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/nodestanding.py
+++ b/chivespan/nodestanding.py
@@ -4,6 +4,7 @@
 
 from chivespan.batchplacement import BatchPlacement
 from chivespan.clock import Clock
+from chivespan.farnodes import FarNodes
 from chivespan.fleetlinks import FleetLinks
 from chivespan.fleetwatch import FleetWatch
 from chivespan.loadboard import LoadBoard
@@ -29,6 +30,7 @@
         self,
         settings: FleetNodeSettings,
         links: FleetLinks,
+        far_nodes: FarNodes,
         watch: FleetWatch,
         routing: RoutingState,
         board: LoadBoard,
@@ -38,6 +40,7 @@
     ) -> None:
         self._settings = settings
         self._links = links
+        self._far_nodes = far_nodes
         self._watch = watch
         self._routing = routing
         self._board = board
@@ -93,6 +96,7 @@
             return None
         peers = self._links.peers.values()
         nodes = [peer.node for peer in peers if not peer.report.leaving]
+        nodes += self._far_nodes.nodes
         if not self.is_leaving or not nodes:
             nodes.append(self._links.own)
         longest = self._settings.address_lifetime_limit_s
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -22,6 +22,12 @@
     return replace(_ENTRY, target_id=target_id, **changes)
 
 
-def node(vm: str) -> NodeValue:
-    """Return where a node of data centre "a" is; its addresses are left empty."""
-    return NodeValue(vm=vm, data_centre="a", front_address="", control_address="")
+def node(vm: str, data_centre: str = "a", link_mbps: float = 0.0) -> NodeValue:
+    """Return where a node is; its addresses are left empty."""
+    return NodeValue(
+        vm=vm,
+        data_centre=data_centre,
+        front_address="",
+        control_address="",
+        link_mbps=link_mbps,
+    )
--- a/tests/test_batchplacement.py
+++ b/tests/test_batchplacement.py
@@ -28,6 +28,7 @@
     def __init__(self, vms: Iterable[str]) -> None:
         self.clock = ManualClock()
         self.reached = dict.fromkeys(vms, True)
+        self.gateways = set(self.reached)
         self._peers = {vm: Peer(node(vm), "1") for vm in self.reached}
         self.placements = {
             vm: BatchPlacement(self._links_of(vm), self.clock, LINK_MBPS)
@@ -36,7 +37,9 @@
 
     def _links_of(self, vm: str) -> FleetLinks:
         peers = {other: peer for other, peer in self._peers.items() if other != vm}
-        return cast(FleetLinks, SimpleNamespace(own=node(vm), peers=peers))
+        gateways = self.gateways
+        links = SimpleNamespace(own=node(vm), peers=peers, gateways=gateways)
+        return cast(FleetLinks, links)
 
     def run(self, time: timedelta) -> set[str]:
         """Let time pass; return the nodes that took a partition over meanwhile."""
@@ -115,3 +118,20 @@
     wide = Member("10.0.0.99", True, frozenset(), 600.0)
     owners = {choose_owner(number, [*narrow, wide]) for number in range(PARTITIONS)}
     assert owners == {wide.vm}
+
+
+def test_only_gateways_become_owners_of_a_large_fleet() -> None:
+    fleet = Fleet(["10.0.0.1", "10.0.0.2", "10.0.0.3"])
+    fleet.gateways.discard("10.0.0.2")
+    fleet.run(SETTLE_TIME + 10 * STEP)
+    owners = fleet.owners()
+    assert "10.0.0.2" not in owners
+    assert frozenset().union(*owners.values()) == ALL
+
+
+def test_an_owner_keeps_its_partitions_when_it_is_no_gateway_any_more() -> None:
+    fleet = settled_fleet()
+    before = fleet.owners()
+    fleet.gateways.clear()
+    assert fleet.run(20 * STEP) == set()
+    assert fleet.owners() == before
--- /dev/null
+++ b/tests/test_farnodes.py
@@ -0,0 +1,127 @@
+"""What nodes of a large fleet know of data centres that they have few links with."""
+
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from chivespan.codec import decode_message
+from chivespan.farnodes import FarNodes, NodesTeller
+from chivespan.fleetlinks import NO_REPORT, Peer
+from chivespan.nodemessages import DataCentreNodes
+from tests.entries import node
+
+pytestmark = pytest.mark.anyio
+
+
+class Links:
+    """Links of one relay; what it sends is kept."""
+
+    def __init__(self) -> None:
+        self.own = node("10.0.0.1", "a")
+        self.peers: dict[str, Peer] = {}
+        self.owners: frozenset[str] = frozenset()
+        self.sent: list[tuple[str, DataCentreNodes]] = []
+        self.far = FarNodes(cast(Any, self))
+        self.relays: list[Peer] = []
+        self.own_report = NO_REPORT
+        reports = SimpleNamespace(
+            far_relays=lambda: self.relays, own_standing=lambda: self.own_report
+        )
+        self.teller = NodesTeller(cast(Any, self), cast(Any, reports), self.far)
+
+    def add_listener(self, listener: object) -> None:
+        pass
+
+    def is_near(self, peer: Peer) -> bool:
+        return peer.node.data_centre == "a"
+
+    def link_with_owners(self, owners: frozenset[str]) -> None:
+        self.owners = owners
+
+    def join(self, vm: str, centre: str) -> Peer:
+        peer = Peer(node(vm, centre), "1")
+
+        def send_frame(frame: bytes) -> bool:
+            message = decode_message(frame)
+            assert isinstance(message, DataCentreNodes)
+            self.sent.append((vm, message))
+            return True
+
+        link = SimpleNamespace(is_open=True, send_frame=send_frame)
+        peer.links.append(cast(Any, link))
+        self.peers[vm] = peer
+        self.teller.peer_joined(peer)
+        return peer
+
+    def leave(self, peer: Peer) -> None:
+        del self.peers[peer.node.vm]
+        self.far.peer_left(peer)
+        self.teller.peer_left(peer)
+
+    def told(self) -> list[tuple[str, DataCentreNodes]]:
+        """Return what is sent now."""
+        self.sent.clear()
+        self.teller.tell()
+        return list(self.sent)
+
+
+def far_centre(*vms: str, owners: list[str] | None = None) -> DataCentreNodes:
+    nodes = [node(vm, "b") for vm in vms]
+    return DataCentreNodes(data_centre="b", nodes=nodes, owners=owners or [])
+
+
+async def test_a_relay_tells_other_relays_of_its_live_nodes_once() -> None:
+    links = Links()
+    links.join("10.0.0.2", "a")
+    relay = links.join("10.1.0.1", "b")
+    links.relays = [relay]
+    ((to, message),) = links.told()
+    assert to == "10.1.0.1"
+    assert [each.vm for each in message.nodes] == ["10.0.0.1", "10.0.0.2"]
+    assert links.told() == []
+
+
+async def test_a_relay_passes_on_what_it_is_told_also_to_nodes_that_join_later() -> (
+    None
+):
+    links = Links()
+    links.join("10.0.0.2", "a")
+    relay = links.join("10.1.0.1", "b")
+    await links.far.take(relay, far_centre("10.1.0.1", "10.1.0.2"))
+    assert [to for to, _ in links.told()] == ["10.0.0.2"]
+    links.join("10.0.0.3", "a")
+    assert [to for to, _ in links.told()] == ["10.0.0.3"]
+
+
+async def test_nodes_that_leave_and_own_are_told() -> None:
+    links = Links()
+    near = links.join("10.0.0.2", "a")
+    links.relays = [links.join("10.1.0.1", "b")]
+    links.told()
+    near.report = replace(NO_REPORT, leaving=True)
+    links.own_report = replace(NO_REPORT, owned=[2])
+    ((_, message),) = links.told()
+    assert [each.vm for each in message.nodes] == ["10.0.0.1"]
+    assert message.owners == ["10.0.0.1"]
+
+
+async def test_callers_get_nodes_without_a_link_until_their_data_centre_is_lost() -> (
+    None
+):
+    links = Links()
+    relay = links.join("10.1.0.1", "b")
+    await links.far.take(relay, far_centre("10.1.0.1", "10.1.0.2"))
+    assert [each.vm for each in links.far.nodes] == ["10.1.0.2"]
+    links.leave(relay)
+    assert links.far.nodes == []
+
+
+async def test_far_owners_get_links() -> None:
+    links = Links()
+    relay = links.join("10.1.0.1", "b")
+    await links.far.take(relay, far_centre("10.1.0.1", owners=["10.1.0.7"]))
+    assert links.owners == {"10.1.0.7"}
+    links.leave(relay)
+    assert links.owners == frozenset()
--- /dev/null
+++ b/tests/test_fleetlinks.py
@@ -0,0 +1,149 @@
+"""Links of many nodes in one process: few between data centres, and who stands in."""
+
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from chivespan import fleetlinks
+from chivespan.clock import SystemClock
+from chivespan.codec import PROTOCOL
+from chivespan.fleetlinks import FleetLinks
+from chivespan.linkpace import LinkPace
+from chivespan.linkplan import GATEWAYS
+from chivespan.messages import Hello, Program
+from chivespan.metrics import Metrics
+from chivespan.node import LINK_OPTIONS
+from chivespan.nodemessages import NodeValue
+from chivespan.nodesettings import FleetNodeSettings, StoreSettings
+from chivespan.peerlink import LinkEnd
+
+pytestmark = pytest.mark.anyio
+
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+CENTRES = 3
+EACH = 9
+PORT = 8166
+SETTLED_S = 15.0
+
+
+@dataclass
+class Member:
+    """One node's links, which can be ended."""
+
+    links: FleetLinks
+    scope: anyio.CancelScope
+
+    @property
+    def vm(self) -> str:
+        return self.links.own.vm
+
+    @property
+    def near(self) -> set[str]:
+        peers = self.links.peers.values()
+        return {peer.node.vm for peer in peers if self.links.is_near(peer)}
+
+    @property
+    def far(self) -> set[str]:
+        return self.links.peers.keys() - self.near
+
+    async def run(self) -> None:
+        with self.scope:
+            await self.links.run()
+
+
+def member(centre: int, number: int) -> Member:
+    """Return a node; the higher its number, the wider its link."""
+    vm = f"127.{60 + WORKER}.{centre}.{number}"
+    settings = FleetNodeSettings(
+        name=vm,
+        vm=vm,
+        data_centre=f"dc-{centre}",
+        region="r",
+        front_address=f"{vm}:8161",
+        ready_address="",
+        control_address=f"{vm}:{PORT}",
+        directory_address="",
+        store=StoreSettings(address=""),
+        link_mbps=10.0 + number,
+    )
+    hello = Hello(
+        vm=vm,
+        program=Program.node,
+        data_centre=settings.data_centre,
+        region="r",
+        incarnation="1",
+        serving_port=8161,
+        protocol=PROTOCOL,
+    )
+    clock = SystemClock()
+    pace = LinkPace(settings.data_centre, clock)
+    end = LinkEnd(
+        hello,
+        LINK_OPTIONS,
+        clock,
+        Metrics(),
+        pace=pace.interval,
+        patience=pace.silence,
+    )
+    return Member(FleetLinks(settings, end, pace), anyio.CancelScope())
+
+
+@asynccontextmanager
+async def linked_fleet() -> AsyncIterator[list[Member]]:
+    members = [member(c, n) for c in range(CENTRES) for n in range(1, EACH + 1)]
+    listed: list[NodeValue] = [each.links.own for each in members]
+    async with anyio.create_task_group() as tasks:
+        for each in members:
+            each.links.learn(listed)
+            tasks.start_soon(each.run)
+        yield members
+        tasks.cancel_scope.cancel()
+
+
+def gateways_of(members: list[Member], centre: int) -> set[str]:
+    of_centre = [m for m in members if m.links.own.data_centre == f"dc-{centre}"]
+    return {each.vm for each in of_centre[-GATEWAYS:]}
+
+
+async def settle(members: list[Member], wanted: list[set[str]]) -> None:
+    """Wait until each node has links with the gateways that are wanted and no others.
+
+    Gateways themselves have links with all nodes.
+    """
+    all_gateways = set[str]().union(*wanted)
+    with anyio.fail_after(SETTLED_S):
+        for each in members:
+            own = int(each.links.own.data_centre[-1])
+            others = set[str]().union(*(wanted[c] for c in range(CENTRES) if c != own))
+            while each.far != others and each.vm not in all_gateways:
+                await anyio.sleep(0.05)
+
+
+async def test_ordinary_nodes_have_links_with_gateways_of_other_data_centres_only() -> (
+    None
+):
+    async with linked_fleet() as members:
+        wanted = [gateways_of(members, centre) for centre in range(CENTRES)]
+        await settle(members, wanted)
+        for each in members:
+            assert len(each.near) == EACH - 1
+            assert each.links.gateways == set[str]().union(*wanted)
+
+
+async def test_the_next_node_stands_in_for_a_gateway_that_is_lost(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(fleetlinks, "DROP_INTERVAL", timedelta(seconds=0.5))
+    async with linked_fleet() as members:
+        wanted = [gateways_of(members, centre) for centre in range(CENTRES)]
+        await settle(members, wanted)
+        lost = members.pop()
+        lost.scope.cancel()
+        wanted[-1] = gateways_of(members, CENTRES - 1)
+        await settle(members, wanted)
+        assert all(lost.vm not in each.links.peers for each in members)
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -39,7 +39,6 @@
         self.reports = LoadReports(
             cast(FleetLinks, links),
             self.board,
-            clock,
             self._describe,
             TargetSilence(clock),
         )
