--- a/chivespan/farnodes.py
+++ b/chivespan/farnodes.py
@@ -35,7 +35,12 @@
 
     @property
     def nodes(self) -> list[NodeValue]:
-        """Nodes that take callers and have no link with this one."""
+        """Nodes that take callers and have no link with this one.
+
+        In a small fleet there are none: what was told while it started is past.
+        """
+        if not self._links.has_gateways:
+            return []
         peers = self._links.peers
         return [
             node
--- a/tests/test_farnodes.py
+++ b/tests/test_farnodes.py
@@ -20,6 +20,7 @@
 
     def __init__(self) -> None:
         self.own = node("10.0.0.1", "a")
+        self.has_gateways = True
         self.peers: dict[str, Peer] = {}
         self.owners: frozenset[str] = frozenset()
         self.sent: list[tuple[str, DataCentreNodes]] = []
@@ -125,3 +126,11 @@
     assert links.owners == {"10.1.0.7"}
     links.leave(relay)
     assert links.owners == frozenset()
+
+
+async def test_what_was_told_at_the_start_of_a_small_fleet_counts_no_more() -> None:
+    links = Links()
+    relay = links.join("10.1.0.1", "b")
+    await links.far.take(relay, far_centre("10.1.0.1", "10.1.0.2"))
+    links.has_gateways = False
+    assert links.far.nodes == []
