Send an item that was started though its worker must stop meanwhile

The wait for a new slot was not shielded; a worker that lost its partition then left the item started and not sent, and the next worker waits 90 s for a result that can't come. Partitions move in the test when the process is held up for more than 250 ms, as links are left then. Change: the wait is shielded for 10 s, and ends with the job. Only the separate programs run this code.

--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -32,6 +32,8 @@
 from chivespan.targethttp import HttpAnswer
 
 SLOT_PATIENCE = timedelta(seconds=10)
+# For so long a worker that must stop still looks for a slot for an item it has started.
+STARTED_PATIENCE = timedelta(seconds=10)
 PLAIN_TIMEOUT = timedelta(seconds=60)
 FIRST_TOKEN_TIMEOUT = timedelta(seconds=20)
 TOKEN_GAP_TIMEOUT = timedelta(seconds=5)
@@ -77,6 +79,7 @@
     :param index: position in the chunk.
     :param start: appends the item's start and says whether it came first; needed for
         an item that may not be repeated.
+    :param job_ended: returns once its job has ended.
     """
 
     request_id: str
@@ -88,6 +91,7 @@
     service: Service
     max_attempts: int
     start: Callable[[], Awaitable[bool]]
+    job_ended: Callable[[], Awaitable[None]]
 
 
 @dataclass(slots=True)
@@ -228,12 +232,10 @@
         good_slot: RevocableSlot | None = slot
         if not progress.started:
             good_slot = await self._start(item, progress, slot)
-        with anyio.CancelScope(shield=True) as scope:
-            if progress.started:
-                if good_slot is None:
-                    scope.shield = False
-                    good_slot = await self._slot(item, progress, 0, "")
-                    scope.shield = True
+        if progress.started and good_slot is None:
+            good_slot = await self._slot_for_started(item, progress)
+        with anyio.CancelScope(shield=True):
+            if progress.started and good_slot is not None:
                 answer = await self._send(good_slot, request, progress)
         return answer
 
@@ -242,8 +244,9 @@
     ) -> RevocableSlot | None:
         """Start an item that may not be repeated; return the slot if it is still good.
 
-        Nothing but a new slot is waited for between the start and the call, so that a
-        worker that is told to stop leaves no item started and not sent. Before the
+        Nothing but a new slot is waited for between the start and the call, and that
+        also by a worker that is told to stop, so that it leaves no item started and not
+        sent. Before the
         start is in the log the worker may be told to stop, also while the log is away.
         """
         began = self._clock.monotonic()
@@ -254,6 +257,29 @@
                 slot.release(Outcome.not_sent)
         return None if self._has_lapsed(slot, began) else slot
 
+    async def _slot_for_started(
+        self, item: Item, progress: _Progress
+    ) -> RevocableSlot | None:
+        """Wait for a slot, for a while even when the worker is told to stop.
+
+        Nobody else can know that the item hasn't run. None when its job has ended.
+        """
+        ended = False
+
+        async def cancel_when_ended(scope: anyio.CancelScope) -> None:
+            nonlocal ended
+            await item.job_ended()
+            ended = True
+            scope.cancel()
+
+        with anyio.move_on_after(STARTED_PATIENCE.total_seconds(), shield=True):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(cancel_when_ended, tasks.cancel_scope)
+                slot = await self._slot(item, progress, 0, "")
+                tasks.cancel_scope.cancel()
+                return slot
+        return None if ended else await self._slot(item, progress, 0, "")
+
     async def _send(
         self, slot: RevocableSlot, request: PlainRequest, progress: _Progress
     ) -> ItemAnswer:
--- a/chivespan/jobrunner.py
+++ b/chivespan/jobrunner.py
@@ -195,6 +195,10 @@
         async def start() -> bool:
             return await self._start(chunk_id, index)
 
+        async def job_ended() -> None:
+            while self._job(job.job_id) is not None:
+                await self._parts.follower.wait_changed()
+
         return Item(
             request_id=f"{job.job_id}.{chunk_id.chunk}.{index}",
             index=index,
@@ -205,6 +209,7 @@
             service=service,
             max_attempts=self._configuration().keeping.item_attempts,
             start=start,
+            job_ended=job_ended,
         )
 
     async def _start(self, chunk_id: ChunkId, index: int) -> bool:
