Slow heartbeats down and read the node list less often at a large start

Change: the five seconds are 1.5 s, the list is read each second when it is long, and links are worked out once a reading. By the intervals a near link then sends 6 heartbeats in its first 5 s rather than 11. Kept for the smaller number of messages. Ruled out: a change for small fleets (they stay below both limits).

--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -148,17 +148,20 @@
 
     def learn(self, nodes: Iterable[NodeValue]) -> None:
         """Dial nodes that were not known before."""
-        for node in nodes:
-            if node.vm != self._settings.vm and self._nodes.get(node.vm) != node:
-                self._nodes[node.vm] = node
-                self._tell()
+        others = {node.vm: node for node in nodes if node.vm != self._settings.vm}
+        if others.items() <= self._nodes.items():
+            return
+        self._nodes.update(others)
+        self._tell()
 
     def forget_unlisted(self, nodes: Iterable[NodeValue]) -> None:
         """Dial no longer nodes that are listed no more and have no link."""
         listed = {node.vm for node in nodes}
-        for vm in self._nodes.keys() - listed - self._peers.keys():
+        gone = self._nodes.keys() - listed - self._peers.keys()
+        for vm in gone:
             del self._nodes[vm]
             self._unreached.pop(vm, None)
+        if gone:
             self._tell()
 
     def learn_seeds(self, addresses: Iterable[str]) -> None:
--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -17,6 +17,7 @@
     StoreExpired,
     load_newest,
 )
+from chivespan.linkpace import SMALL_FLEET
 from chivespan.logs import logger
 from chivespan.nodelist import NodeList
 from chivespan.nodemessages import (
@@ -35,6 +36,8 @@
 TARGETS_INTERVAL_SHARE = 0.35
 NODES_INTERVAL = timedelta(seconds=4)
 NODES_INTERVAL_AT_START = timedelta(milliseconds=400)
+# A long list is mostly whole, and takes longer to read.
+LARGE_FLEET_INTERVAL_AT_START = timedelta(seconds=1)
 START_TIME = timedelta(seconds=3)
 RETRY_INTERVAL = timedelta(milliseconds=400)
 # The newest document may be as old as before for a moment, and lead to the same place.
@@ -179,8 +182,12 @@
             except ChivespanError as error:
                 self._store_failed("nodes", error)
             started_ago = self._clock.monotonic() - self._started
-            at_start = started_ago < START_TIME
-            await self._sleep(NODES_INTERVAL_AT_START if at_start else NODES_INTERVAL)
+            if started_ago >= START_TIME:
+                await self._sleep(NODES_INTERVAL)
+            elif len(self._links.nodes) > SMALL_FLEET:
+                await self._sleep(LARGE_FLEET_INTERVAL_AT_START)
+            else:
+                await self._sleep(NODES_INTERVAL_AT_START)
 
     def _store_answered(self) -> None:
         if not self._reached or self._failing_since is not None:
--- a/chivespan/linkpace.py
+++ b/chivespan/linkpace.py
@@ -20,7 +20,7 @@
 FAR_INTERVAL = timedelta(milliseconds=2200)
 # A node bears longer silence at once, but sends more rarely only after this, when
 # its peers have read of the larger fleet as well.
-SLOW_DOWN_AFTER = timedelta(seconds=5)
+SLOW_DOWN_AFTER = timedelta(seconds=1.5)
 
 
 class LinkPace:
