--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -17,7 +17,7 @@
 from chivespan.addresses import parse_address
 from chivespan.codec import encode_message
 from chivespan.linkpace import SMALL_FLEET, LinkPace
-from chivespan.linkplan import gateways, gateways_to_dial
+from chivespan.linkplan import gateways, nodes_to_dial
 from chivespan.logs import logger
 from chivespan.nodemessages import LoadReport, NodeValue
 from chivespan.nodesettings import FleetNodeSettings
@@ -301,11 +301,12 @@
         return f"{vm}:{parse_address(self._settings.control_address).port}"
 
     def _tell(self) -> None:
+        """Work out anew which links are needed, and wake those that keep them."""
         self._pace.note_fleet(len(self._nodes))
         live = frozenset([self.own.vm, *self._peers])
         if self.has_gateways:
             self._gateways = gateways(self.nodes, live)
-            self._to_dial = gateways_to_dial(
+            self._to_dial = nodes_to_dial(
                 self.own, self._nodes.values(), self._failing(), self._owners
             )
         else:
--- a/chivespan/linkplan.py
+++ b/chivespan/linkplan.py
@@ -15,7 +15,7 @@
 GATEWAYS = 3
 
 
-def by_width(nodes: Iterable[NodeValue]) -> list[NodeValue]:
+def _by_width(nodes: Iterable[NodeValue]) -> list[NodeValue]:
     """Return nodes in the order in which they are gateways: widest link first."""
     return sorted(nodes, key=lambda node: (-node.link_mbps, node.vm))
 
@@ -37,7 +37,7 @@
     return frozenset(found)
 
 
-def gateways_to_dial(
+def nodes_to_dial(
     own: NodeValue,
     others: Collection[NodeValue],
     failing: Collection[str],
@@ -74,6 +74,6 @@
 
 def _by_centre(nodes: Iterable[NodeValue]) -> dict[str, list[NodeValue]]:
     found: dict[str, list[NodeValue]] = defaultdict(list)
-    for node in by_width(nodes):
+    for node in _by_width(nodes):
         found[node.data_centre].append(node)
     return found
--- a/tests/test_linkplan.py
+++ b/tests/test_linkplan.py
@@ -1,6 +1,6 @@
 """Links of a large fleet: those within a data centre, and few between them."""
 
-from chivespan.linkplan import GATEWAYS, gateways, gateways_to_dial
+from chivespan.linkplan import GATEWAYS, gateways, nodes_to_dial
 from chivespan.nodemessages import NodeValue
 from tests.entries import node
 
@@ -22,7 +22,7 @@
 
 
 def to_dial(failing: set[str], owners: set[str]) -> frozenset[str]:
-    return gateways_to_dial(OWN, OTHERS, failing, owners)
+    return nodes_to_dial(OWN, OTHERS, failing, owners)
 
 
 def test_links_grow_with_a_data_centre_and_not_with_the_fleet() -> None:
@@ -61,4 +61,4 @@
 
 def test_a_seed_whose_data_centre_is_not_known_yet_is_dialled() -> None:
     seed = node("10.9.0.1", "")
-    assert seed.vm in gateways_to_dial(OWN, [*OTHERS, seed], set(), set())
+    assert seed.vm in nodes_to_dial(OWN, [*OTHERS, seed], set(), set())
--- /dev/null
+++ b/tests/test_results.py
@@ -0,0 +1,33 @@
+"""The page of results, from a journal of two scores."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from tools.results import page
+
+
+def write_score(journal: Path, name: str, why: str, worth: float) -> None:
+    entry: dict[str, Any] = {
+        "id": name,
+        "at": ["2026-12-04T00:00:00Z", "2026-12-04T00:01:00Z"],
+        "cmd": "score",
+        "head": "0123456789abcdef",
+        "dirty": False,
+        "why": why,
+        "site": "one",
+        "score": 1.0,
+        "days": [{"name": "scale-1", "G": worth, "slot": "scale", "gate": True}],
+    }
+    (journal / f"{name}.json").write_bytes(msgspec.json.encode(entry))
+
+
+def test_a_later_baseline_stands_beside_the_score_and_not_in_its_place(
+    tmp_path: Path,
+) -> None:
+    write_score(tmp_path, "1", "landing", 0.7)
+    write_score(tmp_path, "2", "plain baseline on all days", 0.5)
+    text = page(tmp_path)
+    assert "| scale-1 | 0.700 | 0.500 |  | none | yes |" in text
+    assert "entry 1." in text
--- a/tools/results.py
+++ b/tools/results.py
@@ -1,7 +1,8 @@
 """Writes docs/RESULTS.md from the journal of the users' bench.
 
 The page shows, for each site, the newest score and the worth of each of its days, with
-the commit that was measured. Nothing on it is typed by hand.
+the commit that was measured. Beside it stands the newest score of the plain baseline,
+told by its reason in the journal. Nothing on the page is typed by hand.
 """
 
 import sys
@@ -22,7 +23,9 @@
 Written by `python -m tools.results` from `journal/`; the newest score of each site.
 Worth is what users were served, less prices; the marks are the site files'. Figures
 under 0.03 apart are noise. "Dirty": the tree had changes beyond the commit named.
+Baseline: least own requests in progress, a fixed number of items a node (a trial).
 """
+BASELINE = "plain baseline"
 
 
 class Day(msgspec.Struct):
@@ -46,6 +49,7 @@
     cmd: str
     head: str
     dirty: bool
+    why: str = ""
     site: str | None = None
     score: float | None = None
     edited_meanwhile: bool = False
@@ -54,9 +58,10 @@
 
 @dataclass(frozen=True)
 class Summary:
-    """A site's newest score."""
+    """A site's newest score, and the newest one of the baseline."""
 
     entry: Entry
+    baseline: Entry | None
 
     @property
     def standard_days(self) -> list[Day]:
@@ -68,6 +73,11 @@
         worths = [day.G for day in self.standard_days if day.slot != QUIET]
         return sum(worths) / len(worths)
 
+    def baseline_worth(self, day: str) -> float | None:
+        """Return what a day was worth with the baseline, where it was played."""
+        days = [] if self.baseline is None else self.baseline.days
+        return next((each.G for each in days if each.name == day), None)
+
 
 def entries(journal: Path) -> Iterator[Entry]:
     """Yield the journal's entries, the oldest first."""
@@ -77,8 +87,13 @@
 
 def newest_scores(journal: Path) -> dict[str, Summary]:
     """Return the newest score of each site."""
-    scores = (entry for entry in entries(journal) if entry.cmd == "score")
-    return {entry.site: Summary(entry) for entry in scores if entry.site}
+    scores: dict[str, Entry] = {}
+    baselines: dict[str, Entry] = {}
+    for entry in entries(journal):
+        if entry.cmd == "score" and entry.site:
+            kept = baselines if entry.why.startswith(BASELINE) else scores
+            kept[entry.site] = entry
+    return {site: Summary(scores[site], baselines.get(site)) for site in scores}
 
 
 def page(journal: Path) -> str:
@@ -99,16 +114,22 @@
         f"Score {entry.score}; mean worth of the days with trouble "
         f"{summary.mean_with_trouble():.3f}.\n"
     )
-    yield "| day | worth | upper mark | rules broken | passes |"
-    yield "|---|---|---|---|---|"
+    yield "| day | worth | baseline | upper mark | rules broken | passes |"
+    yield "|---|---|---|---|---|---|"
     for day in entry.days:
-        mark = "" if day.top is None else f"{day.top:.3f}"
+        mark = _worth(day.top)
+        base = _worth(summary.baseline_worth(day.name))
         rules = ", ".join(f"{name} {times}" for name, times in day.rules.items())
         passes = "yes" if day.gate else "no"
-        yield f"| {day.name} | {day.G:.3f} | {mark} | {rules or 'none'} | {passes} |"
+        figures = f"{day.G:.3f} | {base} | {mark}"
+        yield f"| {day.name} | {figures} | {rules or 'none'} | {passes} |"
     yield ""
 
 
+def _worth(worth: float | None) -> str:
+    return "" if worth is None else f"{worth:.3f}"
+
+
 def main() -> int:
     """Write the page; return the exit code."""
     PAGE.write_text(page(JOURNAL))
