Call for no other gateway where a dial fails beside an open link

Cause, found by reading: both ends dial. A dial that fails when the other end's has come through noted the node as unreached, and nothing took that back while the link stood, so the next node was linked beside it for good. Shown by the new test, which fails without the change.

--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -224,7 +224,12 @@
         self._dialling.discard(vm)
 
     def _note_unreached(self, vm: str) -> None:
-        """Note that a node can't be dialled; others may be needed in its place."""
+        """Note that a node can't be dialled; others may be needed in its place.
+
+        A dial may fail while the node's own one has come through.
+        """
+        if vm in self._peers:
+            return
         now = self._end.clock.monotonic()
         since = self._unreached.setdefault(vm, now)
         if now - since >= FAILING_AFTER:
--- a/tests/test_fleetlinks.py
+++ b/tests/test_fleetlinks.py
@@ -12,7 +12,7 @@
 from chivespan import fleetlinks
 from chivespan.clock import SystemClock
 from chivespan.codec import PROTOCOL
-from chivespan.fleetlinks import FleetLinks
+from chivespan.fleetlinks import FleetLinks, Peer
 from chivespan.linkpace import LinkPace
 from chivespan.linkplan import GATEWAYS
 from chivespan.messages import Hello, Program
@@ -147,3 +147,19 @@
         wanted[-1] = gateways_of(members, CENTRES - 1)
         await settle(members, wanted)
         assert all(lost.vm not in each.links.peers for each in members)
+
+
+async def test_a_dial_that_fails_beside_an_open_link_calls_for_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(fleetlinks, "FAILING_AFTER", timedelta(0))
+    own, *others = (member(c, n) for c in range(CENTRES) for n in range(1, EACH + 1))
+    own.links.learn([each.links.own for each in others])
+    gateway = others[-1]
+    before = own.links._to_dial
+    own.links._peers[gateway.vm] = Peer(gateway.links.own, "1")
+    own.links._note_unreached(gateway.vm)
+    assert own.links._to_dial == before
+    del own.links._peers[gateway.vm]
+    own.links._note_unreached(gateway.vm)
+    assert len(own.links._to_dial) == len(before) + 1
