Have one stream and one backend for connections that may be reset

The exchanges share one backend, which keeps no state, in place of a new one for each. Behaviour as before; the tests that use them are unchanged.

--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -21,6 +21,7 @@
 # A few round trips; behind it another target can still be in time.
 CONNECT_TIMEOUT = timedelta(milliseconds=150)
 WRITE_TIMEOUT = timedelta(seconds=2)
+_BACKEND = ResetAwareBackend()
 
 
 class NotSent(ChivespanError):
@@ -82,7 +83,7 @@
     host, _, port = call.address.rpartition(":")
     origin = httpcore.Origin(b"http", host.encode(), int(port))
     connection = httpcore.AsyncHTTPConnection(
-        origin, keepalive_expiry=0, network_backend=ResetAwareBackend()
+        origin, keepalive_expiry=0, network_backend=_BACKEND
     )
     try:
         response = await _head(connection, call)
--- a/chivespan/resetbackend.py
+++ b/chivespan/resetbackend.py
@@ -8,46 +8,25 @@
 from collections.abc import Iterable
 from typing import Any
 
-import anyio
 import httpcore
 
 
-class ResetAwareBackend(httpcore.AsyncNetworkBackend):
-    """Opens connections; one that was reset meanwhile raises ``ConnectError``."""
-
-    def __init__(self) -> None:
-        self._backend = httpcore.AnyIOBackend()
-
-    async def connect_tcp(
-        self,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        local_address: str | None = None,
-        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        """Open a connection."""
-        stream = await self._backend.connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
-        return _Stream(stream)
+class ResetAwareStream(httpcore.AsyncNetworkStream):
+    """A connection that may be lost already when it is asked what it is."""
 
-    async def sleep(self, seconds: float) -> None:
-        """Sleep."""
-        await anyio.sleep(seconds)
-
-
-class _Stream(httpcore.AsyncNetworkStream):
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return the bytes that come next; raises when none come in time."""
         return await self._stream.read(max_bytes, timeout)
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write all bytes."""
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
+        """Close the connection."""
         await self._stream.aclose()
 
     def get_extra_info(self, info: str) -> Any:
@@ -62,3 +41,33 @@
             if info == "is_readable":
                 return True
             raise httpcore.ConnectError("reset while it was opened") from error
+
+
+class ResetAwareBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections; one that was reset meanwhile raises ``ConnectError``.
+
+    :cvar stream_class: what the connections are.
+    """
+
+    stream_class: type[ResetAwareStream] = ResetAwareStream
+
+    def __init__(self) -> None:
+        self._backend = httpcore.AnyIOBackend()
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a connection."""
+        stream = await self._backend.connect_tcp(
+            host, port, timeout, local_address, socket_options
+        )
+        return self.stream_class(stream)
+
+    async def sleep(self, seconds: float) -> None:
+        """Pause between tries to connect."""
+        await self._backend.sleep(seconds)
