Meet connections that are reset while opened in the VM list's client too

The twin of the fault mended before: the separate programs run on uvloop, and this client's pool was the one left that would have ended its reader with an AttributeError. The new test fails before and passes after; the older one keeps its assertions, its stand-in connection serves both. The operator's command runs on asyncio's loop, where the fault wasn't seen.

--- a/chivespan/httpvmlist.py
+++ b/chivespan/httpvmlist.py
@@ -5,6 +5,7 @@
 
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platformservices import ListedVm
+from chivespan.resetbackend import ResetAwareBackend
 
 FETCH_TIMEOUT_S = 2.0
 _TIMEOUTS = {
@@ -23,7 +24,9 @@
 
     def __init__(self, base_url: str) -> None:
         self._url = f"{base_url.rstrip('/')}/vms"
-        self._pool = httpcore.AsyncConnectionPool(max_connections=1)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=1, network_backend=ResetAwareBackend()
+        )
         self._entity_tag = b""
         self._last: tuple[ListedVm, ...] = ()
 
--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -15,6 +15,7 @@
 
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.exchange import Call, NotSent, exchange
+from chivespan.httpvmlist import HttpVmList
 
 AT_ONCE = 50
 ROUNDS = 10
@@ -75,21 +76,37 @@
     assert kinds.keys() <= {ErrorKind.TARGET_UNREACHABLE, ErrorKind.TARGET_FAILED}
 
 
-@pytest.mark.anyio
-async def test_a_connection_reset_while_it_is_opened_has_sent_nothing(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    class Lost(httpcore.AsyncMockStream):
-        def get_extra_info(self, info: str) -> Any:
-            return None.getpeername()  # type: ignore[attr-defined]
+class Lost(httpcore.AsyncMockStream):
+    """A connection whose socket is gone."""
+
+    def get_extra_info(self, info: str) -> Any:
+        return None.getpeername()  # type: ignore[attr-defined]
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        raise AssertionError("written")
 
-        async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-            raise AssertionError("written")
+
+@pytest.fixture
+def all_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have every connection reset while it is opened."""
 
     async def connect(*_: object, **__: object) -> httpcore.AsyncNetworkStream:
         return Lost([])
 
     monkeypatch.setattr(httpcore.AnyIOBackend, "connect_tcp", connect)
+
+
+@pytest.mark.anyio
+@pytest.mark.usefixtures("all_lost")
+async def test_a_connection_reset_while_it_is_opened_has_sent_nothing() -> None:
     with pytest.raises(NotSent):
         async with exchange(call("127.0.0.1:9")):
             raise AssertionError("an answer")
+
+
+@pytest.mark.anyio
+@pytest.mark.usefixtures("all_lost")
+async def test_a_vm_list_that_resets_connections_gives_no_answer() -> None:
+    with pytest.raises(ChivespanError) as failed:
+        await HttpVmList("http://127.0.0.1:9").fetch()
+    assert failed.value.kind is ErrorKind.NOT_READY
