Order nodes for links and relays by one rule, and once

Reading the change again: the nodes were sorted twice at each change of a link, once for gateways and once for whom to dial; relays and gateways stood in the same order by two copies of it; the peers of a data centre were picked out in three places, and the size of the fleet was compared in two. The placement kept a bandwidth that this node's own entry has. Behaviour as before; the tests keep their assertions and give the nodes sorted, as the code does.

--- a/chivespan/batchplacement.py
+++ b/chivespan/batchplacement.py
@@ -75,9 +75,8 @@
 class BatchPlacement:
     """Says who owns each partition."""
 
-    def __init__(self, links: FleetLinks, clock: Clock, link_mbps: float) -> None:
+    def __init__(self, links: FleetLinks, clock: Clock) -> None:
         self._links = links
-        self._link_mbps = link_mbps
         self._clock = clock
         self._started = clock.monotonic()
         self._owned: frozenset[int] = frozenset()
@@ -118,9 +117,9 @@
 
     def _members(self, store_reached: bool) -> Iterator[Member]:
         claimed = frozenset[int]() if self._must_hand_over else self._owned
-        own_vm = self._links.own.vm
-        if claimed or own_vm in self._links.gateways:
-            yield Member(own_vm, store_reached, claimed, self._link_mbps)
+        own = self._links.own
+        if claimed or own.vm in self._links.gateways:
+            yield Member(own.vm, store_reached, claimed, own.link_mbps)
         yield from self._peers()
 
     def _compare_reach(self, store_reached: bool) -> None:
--- a/chivespan/farnodes.py
+++ b/chivespan/farnodes.py
@@ -4,7 +4,7 @@
 and which of them own batch partitions; a relay passes that on to its own data centre.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from datetime import timedelta
 
 import anyio
@@ -52,8 +52,8 @@
     def peer_left(self, peer: Peer) -> None:
         """Forget a data centre with which no link is left."""
         centre = peer.node.data_centre
-        linked = {each.node.data_centre for each in self._links.peers.values()}
-        if centre not in linked and self._told.pop(centre, None) is not None:
+        is_linked = any(self._links.peers_in(centre))
+        if not is_linked and self._told.pop(centre, None) is not None:
             _log.warning("data_centre_lost", data_centre=centre)
             self._link_with_owners()
 
@@ -109,8 +109,9 @@
     def tell(self) -> None:
         """Send what has changed to the other relays and the own data centre."""
         self._send(self._own_centre(), self._reports.far_relays())
+        near = list(self._links.peers_in(self._links.own.data_centre))
         for centre in self._far_nodes.centres:
-            self._send(centre, self._near())
+            self._send(centre, near)
 
     def _send(self, message: DataCentreNodes, peers: Iterable[Peer]) -> None:
         name = message.data_centre
@@ -124,17 +125,12 @@
 
     def _own_centre(self) -> DataCentreNodes:
         own = self._links.own
-        standing = {peer.node.vm: peer.report for peer in self._near()}
-        standing[own.vm] = self._reports.own_standing()
-        values = {peer.node.vm: peer.node for peer in self._near()} | {own.vm: own}
-        staying = sorted(vm for vm in standing if not standing[vm].leaving)
+        near = self._links.peers_in(own.data_centre)
+        reports = {peer.node.vm: (peer.node, peer.report) for peer in near}
+        reports[own.vm] = (own, self._reports.own_standing())
+        staying = [each for _, each in sorted(reports.items()) if not each[1].leaving]
         return DataCentreNodes(
             data_centre=own.data_centre,
-            nodes=[values[vm] for vm in staying],
-            owners=[vm for vm in staying if standing[vm].owned],
+            nodes=[node for node, _ in staying],
+            owners=[node.vm for node, report in staying if report.owned],
         )
-
-    def _near(self) -> Iterator[Peer]:
-        for peer in self._links.peers.values():
-            if self._links.is_near(peer):
-                yield peer
--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -17,7 +17,7 @@
 from chivespan.addresses import parse_address
 from chivespan.codec import encode_message
 from chivespan.linkpace import SMALL_FLEET, LinkPace
-from chivespan.linkplan import gateways, nodes_to_dial
+from chivespan.linkplan import by_centre, gateways, nodes_to_dial
 from chivespan.logs import logger
 from chivespan.nodemessages import LoadReport, NodeValue
 from chivespan.nodesettings import FleetNodeSettings
@@ -119,10 +119,15 @@
         """All nodes that are known, this one too, live or not."""
         return [self.own, *self._nodes.values()]
 
+    @property
+    def is_large(self) -> bool:
+        """Whether more nodes are known than a small fleet has."""
+        return len(self._nodes) >= SMALL_FLEET
+
     @property
     def has_gateways(self) -> bool:
         """Whether only some nodes of a data centre have links with all others."""
-        return self._is_starting or len(self._nodes) >= SMALL_FLEET
+        return self._is_starting or self.is_large
 
     @property
     def gateways(self) -> frozenset[str]:
@@ -146,6 +151,12 @@
         """Return whether a peer is in this node's data centre."""
         return peer.node.data_centre == self._settings.data_centre
 
+    def peers_in(self, data_centre: str) -> Iterator[Peer]:
+        """Yield the live nodes of a data centre but this one."""
+        for peer in self._peers.values():
+            if peer.node.data_centre == data_centre:
+                yield peer
+
     def learn(self, nodes: Iterable[NodeValue]) -> None:
         """Dial nodes that were not known before."""
         others = {node.vm: node for node in nodes if node.vm != self._settings.vm}
@@ -310,9 +321,10 @@
         self._pace.note_fleet(len(self._nodes))
         live = frozenset([self.own.vm, *self._peers])
         if self.has_gateways:
-            self._gateways = gateways(self.nodes, live)
+            centres = by_centre(self.nodes)
+            self._gateways = gateways(centres, live)
             self._to_dial = nodes_to_dial(
-                self.own, self._nodes.values(), self._failing(), self._owners
+                self.own, centres, self._failing(), self._owners
             )
         else:
             self._gateways = live
--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -17,7 +17,6 @@
     StoreExpired,
     load_newest,
 )
-from chivespan.linkpace import SMALL_FLEET
 from chivespan.logs import logger
 from chivespan.nodelist import NodeList
 from chivespan.nodemessages import (
@@ -184,7 +183,7 @@
             started_ago = self._clock.monotonic() - self._started
             if started_ago >= START_TIME:
                 await self._sleep(NODES_INTERVAL)
-            elif len(self._links.nodes) > SMALL_FLEET:
+            elif self._links.is_large:
                 await self._sleep(LARGE_FLEET_INTERVAL_AT_START)
             else:
                 await self._sleep(NODES_INTERVAL_AT_START)
--- a/chivespan/linkplan.py
+++ b/chivespan/linkplan.py
@@ -7,7 +7,8 @@
 """
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from typing import TypeAlias
 
 from chivespan.nodemessages import NodeValue
 
@@ -15,12 +16,27 @@
 GATEWAYS = 3
 
 
-def _by_width(nodes: Iterable[NodeValue]) -> list[NodeValue]:
-    """Return nodes in the order in which they are gateways: widest link first."""
-    return sorted(nodes, key=lambda node: (-node.link_mbps, node.vm))
+Centres: TypeAlias = Mapping[str, Sequence[NodeValue]]
 
 
-def gateways(nodes: Iterable[NodeValue], live: Collection[str]) -> frozenset[str]:
+def width_rank(link_mbps: float, vm: str) -> tuple[float, str]:
+    """Return what nodes are ordered by as gateways and as relays: widest link first.
+
+    >>> width_rank(300, "10.0.0.2") < width_rank(15, "10.0.0.1")
+    True
+    """
+    return (-link_mbps, vm)
+
+
+def by_centre(nodes: Iterable[NodeValue]) -> Centres:
+    """Return the nodes of each data centre, in the order in which they are gateways."""
+    found: dict[str, list[NodeValue]] = defaultdict(list)
+    for node in sorted(nodes, key=lambda each: width_rank(each.link_mbps, each.vm)):
+        found[node.data_centre].append(node)
+    return found
+
+
+def gateways(centres: Centres, live: Collection[str]) -> frozenset[str]:
     """Return the live gateways of each data centre.
 
     >>> nodes = [
@@ -28,36 +44,38 @@
     ...               front_address="", control_address="")
     ...     for n in range(1, 7)
     ... ]
-    >>> sorted(gateways(nodes, {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.5"}))
+    >>> live = {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.5"}
+    >>> sorted(gateways(by_centre(nodes), live))
     ['10.0.0.1', '10.0.0.2', '10.0.0.3']
     """
     found: set[str] = set()
-    for centre in _by_centre(nodes).values():
+    for centre in centres.values():
         found.update([node.vm for node in centre if node.vm in live][:GATEWAYS])
     return frozenset(found)
 
 
 def nodes_to_dial(
     own: NodeValue,
-    others: Collection[NodeValue],
+    centres: Centres,
     failing: Collection[str],
     owners: Collection[str],
 ) -> frozenset[str]:
     """Return the nodes to have a link with in a large fleet.
 
-    :param others: all other nodes that are listed; those whose data centre isn't known
-        yet are dialled.
+    :param centres: all nodes that are listed; those whose data centre isn't known yet
+        are dialled.
     :param failing: nodes that could not be dialled for a while. They are tried on, and
         as many more beside them.
     :param owners: nodes that own batch partitions, which all have to reach.
     """
-    found = {node.vm for node in others if node.vm in owners}
-    for name, centre in _by_centre(others).items():
+    found: set[str] = set()
+    for name, centre in centres.items():
+        found.update(node.vm for node in centre if node.vm in owners)
         if name in ("", own.data_centre):
             found.update(node.vm for node in centre)
         else:
             found.update(_gateways_to_dial(centre, failing))
-    return frozenset(found)
+    return frozenset(found - {own.vm})
 
 
 def _gateways_to_dial(
@@ -70,10 +88,3 @@
         yield node.vm
         if node.vm not in failing:
             left -= 1
-
-
-def _by_centre(nodes: Iterable[NodeValue]) -> dict[str, list[NodeValue]]:
-    found: dict[str, list[NodeValue]] = defaultdict(list)
-    for node in _by_width(nodes):
-        found[node.data_centre].append(node)
-    return found
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -15,6 +15,7 @@
 
 from chivespan.codec import encode_message
 from chivespan.fleetlinks import NO_REPORT, FleetLinks, FleetListener, Peer
+from chivespan.linkplan import width_rank
 from chivespan.loadboard import LoadBoard, summed, without
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -81,7 +82,7 @@
         self._board.forget(vm)
         self._silence.forget(vm)
         centre = peer.node.data_centre
-        if vm == self._relay or not any(self._peers_in(centre)):
+        if vm == self._relay or not any(self._links.peers_in(centre)):
             self._forget_sum(centre)
         self._repeat_all()
 
@@ -103,13 +104,13 @@
 
     def own_standing(self) -> LoadReport:
         """Return how this node stands, without what it has in progress."""
-        return replace(self._describe(), silent=[], loads=[])
+        return _without_loads(self._describe())
 
     def far_relays(self) -> Iterable[Peer]:
         """Yield the node of each other data centre that passes sums on there."""
         centres = {peer.node.data_centre for peer in self._links.peers.values()}
         for centre in centres - {self._links.own.data_centre}:
-            peers = {peer.node.vm: peer for peer in self._peers_in(centre)}
+            peers = {peer.node.vm: peer for peer in self._links.peers_in(centre)}
             yield peers[_relay_among({vm: peers[vm].report for vm in peers})]
 
     def send_now(self) -> None:
@@ -201,7 +202,7 @@
     def _tell_of_changes(self) -> None:
         """Tell peers how this node stands, or which targets are silent, if changed."""
         report = self._describe()
-        if replace(report, silent=[], loads=[]) != self._standing:
+        if _without_loads(report) != self._standing:
             self.send_now()
         elif report.silent != self._silent:
             _log.info("silent_targets", targets=report.silent, before=self._silent)
@@ -267,11 +268,6 @@
         """Whether this node adds up the reports of its data centre's nodes."""
         return self._is_direct or self.is_relay
 
-    def _peers_in(self, data_centre: str) -> Iterable[Peer]:
-        for peer in self._links.peers.values():
-            if peer.node.data_centre == data_centre:
-                yield peer
-
     def _send(self, peers: Iterable[Peer], message: object) -> None:
         frame = encode_message(message)
         for peer in peers:
@@ -280,7 +276,11 @@
 
 def _relay_among(reports: dict[str, LoadReport]) -> str:
     """Return the node with the widest link, of several the lowest IP number."""
-    return min(reports, key=lambda vm: (-reports[vm].link_mbps, vm))
+    return min(reports, key=lambda vm: width_rank(reports[vm].link_mbps, vm))
+
+
+def _without_loads(report: LoadReport) -> LoadReport:
+    return replace(report, silent=[], loads=[])
 
 
 def _sums_of(data_centre: str) -> str:
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -136,7 +136,7 @@
             clock,
             timedelta(milliseconds=settings.drain_ms),
         )
-        self.placement = BatchPlacement(self.links, clock, settings.link_mbps)
+        self.placement = BatchPlacement(self.links, clock)
         self.standing = Standing(
             settings,
             self.links,
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from typing import Any
 
+from chivespan.fleetlinks import Peer
 from chivespan.nodemessages import NodeValue, TargetEntry
 
 _ENTRY = TargetEntry(
@@ -22,6 +23,11 @@
     return replace(_ENTRY, target_id=target_id, **changes)
 
 
+def peers_in(peers: dict[str, Peer], data_centre: str) -> list[Peer]:
+    """Return the peers of a data centre, as ``FleetLinks`` does."""
+    return [each for each in peers.values() if each.node.data_centre == data_centre]
+
+
 def node(vm: str, data_centre: str = "a", link_mbps: float = 0.0) -> NodeValue:
     """Return where a node is; its addresses are left empty."""
     return NodeValue(
--- a/tests/test_batchplacement.py
+++ b/tests/test_batchplacement.py
@@ -31,14 +31,14 @@
         self.gateways = set(self.reached)
         self._peers = {vm: Peer(node(vm), "1") for vm in self.reached}
         self.placements = {
-            vm: BatchPlacement(self._links_of(vm), self.clock, LINK_MBPS)
-            for vm in self.reached
+            vm: BatchPlacement(self._links_of(vm), self.clock) for vm in self.reached
         }
 
     def _links_of(self, vm: str) -> FleetLinks:
         peers = {other: peer for other, peer in self._peers.items() if other != vm}
         gateways = self.gateways
-        links = SimpleNamespace(own=node(vm), peers=peers, gateways=gateways)
+        own = node(vm, link_mbps=LINK_MBPS)
+        links = SimpleNamespace(own=own, peers=peers, gateways=gateways)
         return cast(FleetLinks, links)
 
     def run(self, time: timedelta) -> set[str]:
--- a/tests/test_farnodes.py
+++ b/tests/test_farnodes.py
@@ -10,7 +10,7 @@
 from chivespan.farnodes import FarNodes, NodesTeller
 from chivespan.fleetlinks import NO_REPORT, Peer
 from chivespan.nodemessages import DataCentreNodes
-from tests.entries import node
+from tests.entries import node, peers_in
 
 pytestmark = pytest.mark.anyio
 
@@ -35,8 +35,8 @@
     def add_listener(self, listener: object) -> None:
         pass
 
-    def is_near(self, peer: Peer) -> bool:
-        return peer.node.data_centre == "a"
+    def peers_in(self, data_centre: str) -> list[Peer]:
+        return peers_in(self.peers, data_centre)
 
     def link_with_owners(self, owners: frozenset[str]) -> None:
         self.owners = owners
--- a/tests/test_linkplan.py
+++ b/tests/test_linkplan.py
@@ -1,6 +1,6 @@
 """Links of a large fleet: those within a data centre, and few between them."""
 
-from chivespan.linkplan import GATEWAYS, gateways, nodes_to_dial
+from chivespan.linkplan import GATEWAYS, by_centre, gateways, nodes_to_dial
 from chivespan.nodemessages import NodeValue
 from tests.entries import node
 
@@ -18,11 +18,11 @@
 
 FLEET = large_fleet()
 OWN = FLEET[0]
-OTHERS = FLEET[1:]
+CENTRE_NODES = by_centre(FLEET)
 
 
 def to_dial(failing: set[str], owners: set[str]) -> frozenset[str]:
-    return nodes_to_dial(OWN, OTHERS, failing, owners)
+    return nodes_to_dial(OWN, CENTRE_NODES, failing, owners)
 
 
 def test_links_grow_with_a_data_centre_and_not_with_the_fleet() -> None:
@@ -35,7 +35,7 @@
     far = [each for each in FLEET if each.vm in dialled and each.data_centre != "a"]
     assert {each.link_mbps for each in far} == {24}
     live = {each.vm for each in FLEET}
-    assert {each.vm for each in far} <= gateways(FLEET, live)
+    assert {each.vm for each in far} <= gateways(CENTRE_NODES, live)
 
 
 def test_others_stand_in_for_gateways_that_fail_and_are_tried_on() -> None:
@@ -48,8 +48,8 @@
 
 def test_gateways_are_live_ones() -> None:
     live = {each.vm for each in FLEET}
-    first = gateways(FLEET, live)
-    second = gateways(FLEET, live - first)
+    first = gateways(CENTRE_NODES, live)
+    second = gateways(CENTRE_NODES, live - first)
     assert len(first) == len(second) == GATEWAYS * len(CENTRES)
     assert not first & second
 
@@ -61,4 +61,5 @@
 
 def test_a_seed_whose_data_centre_is_not_known_yet_is_dialled() -> None:
     seed = node("10.9.0.1", "")
-    assert seed.vm in nodes_to_dial(OWN, [*OTHERS, seed], set(), set())
+    centres = by_centre([*FLEET, seed])
+    assert seed.vm in nodes_to_dial(OWN, centres, set(), set())
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 from typing import cast
 
@@ -15,6 +16,7 @@
 from chivespan.loadreports import LoadReports
 from chivespan.nodemessages import LoadReport, NodeValue
 from chivespan.targetsilence import TargetSilence
+from tests.entries import peers_in
 
 pytestmark = pytest.mark.anyio
 
@@ -34,6 +36,7 @@
             peers=self.peers,
             add_listener=lambda _: None,
             is_near=lambda peer: peer.node.data_centre == data_centre,
+            peers_in=partial(peers_in, self.peers),
         )
         clock = ManualClock()
         self.reports = LoadReports(
