Say once how a soak ends and starts a node, and draw by free slots

Reading the change again: two faults of the soak did the same around the way in which a node ends, and the draw of a target took a score that only one caller gave.

--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -86,7 +86,7 @@
     """Return the best target by what all nodes have in progress; None to refuse."""
     free = [candidate for candidate in choice.candidates if candidate.free > 0]
     if free:
-        return _drawn_by(_near_if_enough(choice, free), choice.random, _free_slots)
+        return _drawn_by_free_slots(_near_if_enough(choice, free), choice.random)
     short = [
         candidate
         for candidate in choice.candidates
@@ -106,15 +106,9 @@
     return near if near and spare >= slots * NEAR_SPARE_SHARE else free
 
 
-def _free_slots(candidate: Candidate) -> int:
-    return candidate.free
-
-
-def _drawn_by(
-    candidates: Sequence[Candidate], random: Random, score: Callable[[Candidate], int]
-) -> Candidate:
-    """Return one of the candidates, drawn by the squares of their scores."""
-    weights = [score(candidate) ** 2 for candidate in candidates]
+def _drawn_by_free_slots(candidates: Sequence[Candidate], random: Random) -> Candidate:
+    """Return one of the candidates, drawn by the squares of their free slots."""
+    weights = [candidate.free**2 for candidate in candidates]
     return random.choices(candidates, weights)[0]
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,7 +1,7 @@
 """The faults that a soak injects from outside the nodes."""
 
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field, replace
 from typing import Any, TypeAlias
 
@@ -60,14 +60,12 @@
 @FAULTS.register("node_killed")
 async def kill_node(grounds: Grounds, step: Step) -> None:
     """Kill a node's process, and start it again."""
-    number = grounds.node(step)
-    if number in grounds.leaving:
-        return
-    grounds.leaving.add(number)
-    await grounds.site.kill(number)
-    await anyio.sleep(step.for_s / 2)
-    await grounds.site.launch(number, grounds.tasks)
-    grounds.leaving.discard(number)
+
+    async def kill(number: int) -> None:
+        await grounds.site.kill(number)
+        await anyio.sleep(step.for_s / 2)
+
+    await _end_and_launch(grounds, step, kill)
 
 
 @FAULTS.register("all_killed")
@@ -81,17 +79,28 @@
 @FAULTS.register("node_ended")
 async def end_node(grounds: Grounds, step: Step) -> None:
     """End a node as the platform does, and start it again."""
+
+    async def stop(number: int) -> None:
+        # The interpreter ends a program that has not yet come to handle signals.
+        allowed = {0} if grounds.site.has_started(number) else {0, -signal.SIGTERM}
+        code: int | None = None
+        with anyio.move_on_after(STOP_PATIENCE_S):
+            code = await grounds.site.stop(number)
+        if code not in allowed:
+            grounds.evidence.exits.append(f"node {number}: {code} on SIGTERM")
+
+    await _end_and_launch(grounds, step, stop)
+
+
+async def _end_and_launch(
+    grounds: Grounds, step: Step, end: Callable[[int], Awaitable[None]]
+) -> None:
+    """End a node's process, unless it is ending already, and start it again."""
     number = grounds.node(step)
     if number in grounds.leaving:
         return
     grounds.leaving.add(number)
-    # The interpreter ends a program that has not yet come to handle signals.
-    allowed = {0} if grounds.site.has_started(number) else {0, -signal.SIGTERM}
-    code: int | None = None
-    with anyio.move_on_after(STOP_PATIENCE_S):
-        code = await grounds.site.stop(number)
-    if code not in allowed:
-        grounds.evidence.exits.append(f"node {number}: {code} on SIGTERM")
+    await end(number)
     await grounds.site.launch(number, grounds.tasks)
     grounds.leaving.discard(number)
 
