--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real nodes as processes, and faults injected from outside."""
--- a/standins/platformtarget.py
+++ b/standins/platformtarget.py
@@ -1,5 +1,6 @@
 """Stand-in for a runner of the users' platform: slots, a queue, streams, and faults."""
 
+import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -75,6 +76,7 @@
     body: bytes
     deadline_ms: float
     last_event: int
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
