Log where the time of batch items goes, and what owners decide by

Callers saw too little of a batch route done, and no log line or metric told waiting, running, yielding, losing a holder and writing apart. item_listed now has the time in each phase (also a histogram), a run says what it gained and how long it took, and an owner says each second what its decisions go by. What an owner knows of a run moved into a module of its own. No decision changes.

--- /dev/null
+++ b/chivespan/batchbacklog.py
@@ -0,0 +1,67 @@
+"""What an owner's decisions to start items went by, as one log line a second."""
+
+from collections.abc import Sequence
+from datetime import datetime, timedelta
+
+from chivespan.batchschedule import RoomPolicy, TargetRoom, WaitingItem, must_hurry
+from chivespan.clock import MILLISECOND, Clock
+from chivespan.logs import logger
+
+NOTE_INTERVAL = timedelta(seconds=1)
+
+_log = logger("batch")
+
+
+class BacklogNote:
+    """Writes the line, and counts what was started since the last one."""
+
+    def __init__(self, clock: Clock, room_of: RoomPolicy) -> None:
+        self._clock = clock
+        self._room_of = room_of
+        self._written = clock.monotonic()
+        self._started = 0
+
+    @property
+    def is_due(self) -> bool:
+        """Whether the last line is long enough ago."""
+        return self._clock.monotonic() - self._written >= NOTE_INTERVAL
+
+    def started(self, items: int) -> None:
+        """Count items that were started."""
+        self._started += items
+
+    def write(
+        self,
+        waiting: Sequence[WaitingItem],
+        running: int,
+        targets: Sequence[TargetRoom],
+        now: datetime,
+    ) -> None:
+        """Write the line, but for an owner that has nothing to run."""
+        started, self._started = self._started, 0
+        self._written = self._clock.monotonic()
+        if not waiting and not running:
+            return
+        hurry = must_hurry(waiting, targets, now)
+        longest = max((each.remaining for each in waiting), default=timedelta(0))
+        _log.info(
+            "batch_backlog",
+            waiting=len(waiting),
+            too_late=sum(each.will_be_late for each in waiting),
+            longest_run_ms=longest // MILLISECOND,
+            first_due_ms=_until_first_due(waiting, now) // MILLISECOND,
+            running=running,
+            started=started,
+            in_a_hurry=hurry,
+            room=sum(max(0, self._room_of(each, in_a_hurry=hurry)) for each in targets),
+            targets=len(targets),
+            slots=sum(each.slots for each in targets),
+            online=sum(each.online for each in targets),
+            online_peak=round(sum(each.online_peak for each in targets)),
+            batch=sum(each.batch for each in targets),
+        )
+
+
+def _until_first_due(waiting: Sequence[WaitingItem], now: datetime) -> timedelta:
+    """Return how long is left of the item due first, negative when it is past."""
+    return min((each.due - now for each in waiting), default=timedelta(0))
--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -15,7 +15,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from chivespan.clock import Clock
+from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import EventSplitter, parse_events
 from chivespan.exchange import Call, NotSent, Reply, exchange
@@ -178,6 +178,8 @@
     async def _run_item(self, held: HeldItem) -> None:
         with anyio.CancelScope() as scope:
             held.scope = scope
+            began = self._clock.monotonic()
+            held_before = len(held.events)
             state = await self._attempt(held)
         held.scope = None
         if scope.cancelled_caught or self._items.get(held.key) is not held:
@@ -191,6 +193,8 @@
             target=held.start.target_id,
             state=state.value,
             events=len(held.events),
+            gained=len(held.events) - held_before,
+            took_ms=(self._clock.monotonic() - began) // MILLISECOND,
         )
         self._tell(held.status())
 
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from chivespan.batchanswers import BatchAnswers
+from chivespan.batchbacklog import BacklogNote
 from chivespan.batchexecutor import BatchExecutor
 from chivespan.batchowner import BatchOwner
 from chivespan.batchplacement import PARTITIONS, BatchPlacement, OwnershipChange
@@ -26,6 +27,7 @@
     ItemStop,
     LoadReport,
 )
+from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.onlinepeak import OnlinePeak
 from chivespan.routingstate import RoutingState
@@ -56,6 +58,7 @@
         picker: TargetPicker,
         executor: BatchExecutor,
         clock: Clock,
+        metrics: NodeMetrics,
         room_of: RoomPolicy,
     ) -> None:
         self._links = links
@@ -65,6 +68,7 @@
         self._executor = executor
         self._room_of = room_of
         self._clock = clock
+        self._backlog_note = BacklogNote(clock, room_of)
         self._peaks: dict[str, OnlinePeak] = {}
         self._stores = [
             LedgerStore(
@@ -84,6 +88,7 @@
                 self._send_to_node,
                 timedelta(seconds=settings.job_status_s),
                 settings.store.max_record_bytes,
+                metrics,
             )
             for number, ledger in enumerate(self._stores)
         ]
@@ -212,15 +217,20 @@
         running = [run for owner in owned for run in owner.running()]
         at_targets = Counter(run.target_id for run in running)
         targets = list(self._target_rooms(services, at_targets))
+        now = self._clock.now()
+        if self._backlog_note.is_due:
+            waiting = [item for owner in owned for item in owner.waiting()]
+            self._backlog_note.write(waiting, len(running), targets, now)
         if not any(self._room_of(target, in_a_hurry=True) > 0 for target in targets):
             return
         waiting = [item for owner in owned for item in owner.waiting()]
         if not waiting:
             return
         nodes = list(self._node_rooms(Counter(run.vm for run in running)))
-        now = self._clock.now()
-        for placement in place_items(waiting, targets, nodes, now, self._room_of):
+        placements = list(place_items(waiting, targets, nodes, now, self._room_of))
+        for placement in placements:
             self._owners[placement.item.partition].start(placement)
+        self._backlog_note.started(len(placements))
 
     def _target_rooms(
         self, services: set[str], running: Counter[str]
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -1,7 +1,7 @@
 """The items of one partition of batch jobs at its owner: who runs them, and results."""
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import datetime, timedelta
 
 import anyio
@@ -13,6 +13,8 @@
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError
 from chivespan.itempace import ItemPace
+from chivespan.itemrun import Run
+from chivespan.itemtimes import ItemPhase, ItemTimes
 from chivespan.ledgerstore import LedgerStore
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -22,6 +24,7 @@
     ItemStatus,
     ItemStop,
 )
+from chivespan.nodemetrics import NodeMetrics
 from chivespan.routes import Route, RouteKind
 from chivespan.routingstate import RoutingState
 
@@ -41,31 +44,6 @@
 SendToNode = Callable[[str, object], bool]
 
 
-@dataclass(slots=True)
-class Run:
-    """What the owner knows of an item that some node holds.
-
-    :ivar vm: the node that holds it; empty for none.
-    :ivar target_id: where it runs; empty while it doesn't.
-    :ivar failures: answers of targets that failed it.
-    :ivar not_before: when it may be started again, on the monotonic clock.
-    :ivar events: what a node that left has handed back.
-    :ivar event_count: events that are there, here or at the node that holds it.
-    :ivar started: when its last run began, on the monotonic clock.
-    :ivar heard: when its node last spoke of it, or was told to run it.
-    """
-
-    vm: str = ""
-    target_id: str = ""
-    failures: int = 0
-    not_before: timedelta = NO_WAIT
-    events: tuple[str, ...] = ()
-    event_count: int = 0
-    started: timedelta = NO_WAIT
-    heard: timedelta = NO_WAIT
-    settled: bool = False
-
-
 class BatchOwner:
     """One partition.
 
@@ -81,8 +59,10 @@
         send: SendToNode,
         job_status: timedelta,
         max_record_bytes: int,
+        metrics: NodeMetrics,
     ) -> None:
         self.partition = partition
+        self._metrics = metrics
         self._store = store
         self._routing = routing
         self._clock = clock
@@ -91,6 +71,7 @@
         self._max_record_bytes = max_record_bytes
         self._runs: dict[tuple[str, str], Run] = {}
         self._starts_from = NO_WAIT
+        self._owner_since = clock.now()
         self._caught_up = False
         self._pace = ItemPace()
         self._early: list[tuple[str, ItemStatus]] = []
@@ -160,7 +141,7 @@
         job = self._store.ledger.jobs[waiting.job_id]
         item = job.items[waiting.item_id]
         key = (waiting.job_id, waiting.item_id)
-        run = self._runs.setdefault(key, Run())
+        run = self._run_of(key)
         holds = run.vm == placement.vm
         message = ItemStart(
             partition=self.partition,
@@ -173,11 +154,9 @@
             body=b"" if holds else item.body,
             events=[] if holds else list(run.events),
         )
-        run.vm = placement.vm
-        run.target_id = placement.entry.target_id
-        run.started = run.heard = self._clock.monotonic()
+        run.start(placement.vm, placement.entry.target_id, self._clock.monotonic())
         if not self._send(placement.vm, message):
-            self._runs[key] = _loose(run)
+            self._loosen(key, run)
 
     def take_status(self, vm: str, status: ItemStatus) -> None:
         """Take in how an item stands at the node that holds it."""
@@ -191,7 +170,7 @@
                 self._send(vm, _stop(key))
             self._runs.pop(key, None)
             return
-        run = self._runs.setdefault(key, Run())
+        run = self._run_of(key)
         if run.settled or (run.target_id and run.vm not in ("", vm)):
             # Another node has it by now.
             self._send(vm, _stop(key))
@@ -221,16 +200,17 @@
                     vm=run.vm,
                     silent_ms=(now - run.heard) // MILLISECOND,
                 )
-                self._runs[key] = _loose(run)
+                self._loosen(key, run)
 
     def node_lost(self, vm: str) -> None:
         """Let items of a lost node be started elsewhere."""
         for key, run in list(self._runs.items()):
             if run.vm == vm and not run.settled:
-                self._runs[key] = _loose(run)
+                self._loosen(key, run)
 
     def take_over(self) -> None:
         """Start nothing before the nodes could say what they hold."""
+        self._owner_since = self._clock.now()
         self._starts_from = self._clock.monotonic() + TAKEOVER_TIME
 
     def release(self) -> None:
@@ -283,7 +263,9 @@
         run.event_count = status.events
         if status.state is ItemState.running:
             run.target_id = status.target_id
-        elif status.state is ItemState.done:
+            return
+        run.times.enter(ItemPhase.paused, self._clock.monotonic())
+        if status.state is ItemState.done:
             self._settle(key, done=True, text="\n".join(status.text))
         elif status.state is ItemState.impossible:
             self._settle(key, done=False, text="")
@@ -317,11 +299,10 @@
 
     def _settle(self, key: tuple[str, str], done: bool, text: str) -> None:
         """Have an item's final result written."""
-        run = self._runs.setdefault(key, Run())
+        run = self._run_of(key)
         if run.settled:
             return
-        run.settled = True
-        run.target_id = ""
+        run.settle(self._clock.monotonic())
         result = ListResult(
             job_id=key[0],
             item_id=key[1],
@@ -339,13 +320,51 @@
         except ChivespanError as error:
             _log.error("result_refused", item=result.item_id, reason=error.message)
             await self._store.commit(replace(result, done=False, text=""))
-        _log.info(
-            "item_listed", job=result.job_id, item=result.item_id, done=result.done
-        )
         run = self._runs.pop(key, None)
+        self._note_listed(result, run)
         if run is not None and run.vm:
             self._send(run.vm, _stop(key))
 
+    def _note_listed(self, result: ListResult, run: Run | None) -> None:
+        """Log and count where the time of an item went that has its result now."""
+        job = self._store.ledger.jobs.get(result.job_id)
+        times = ItemTimes(self._clock.monotonic()) if run is None else run.times
+        times.enter(ItemPhase.listing, self._clock.monotonic())
+        for phase, spent in times.spent.items():
+            self._metrics.item_phase(phase.value, spent)
+        age = None if job is None else self._clock.now() - job.submitted
+        _log.info(
+            "item_listed",
+            job=result.job_id,
+            item=result.item_id,
+            done=result.done,
+            age_ms=None if age is None else age // MILLISECOND,
+            runs=times.runs,
+            lost_events=times.lost_events,
+            taken_over=job is not None and job.submitted < self._owner_since,
+            **times.milliseconds(),
+        )
+
+    def _run_of(self, key: tuple[str, str]) -> Run:
+        """Return what is known of an item; without a run, that it waits."""
+        run = self._runs.get(key)
+        if run is None:
+            times = ItemTimes(self._clock.monotonic() - self._age_of(key[0]))
+            run = self._runs[key] = Run(times)
+        return run
+
+    def _age_of(self, job_id: str) -> timedelta:
+        """Return how long ago a job was accepted, but not before this owner began."""
+        job = self._store.ledger.jobs.get(job_id)
+        if job is None:
+            return NO_WAIT
+        since = max(job.submitted, self._owner_since)
+        return max(NO_WAIT, self._clock.now() - since)
+
+    def _loosen(self, key: tuple[str, str], run: Run) -> None:
+        """Let an item be started elsewhere: the node that holds it is lost."""
+        self._runs[key] = run.loosened(self._clock.monotonic())
+
     def stop_runs_of_ended(self) -> None:
         """Have no item of an ended job run on."""
         for key, run in list(self._runs.items()):
@@ -369,10 +388,5 @@
     return [ItemHeader(name=each.name, value=each.value) for each in item.headers]
 
 
-def _loose(run: Run) -> Run:
-    """Return what is left of a run whose node is lost."""
-    return Run(failures=run.failures, events=run.events, event_count=len(run.events))
-
-
 def _stop(key: tuple[str, str]) -> ItemStop:
     return ItemStop(job_id=key[0], item_id=key[1])
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -178,6 +178,7 @@
             self.picker,
             self.executor,
             clock,
+            self.metrics,
             BATCH_ROOMS[policies.batch_room],
         )
         questions = BatchQuestions(
--- a/chivespan/nodemetrics.py
+++ b/chivespan/nodemetrics.py
@@ -49,6 +49,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._item_phases = Histogram(
+            "chivespan_item_phase_seconds",
+            "Where the time of listed batch items went, by phase.",
+            ["phase"],
+            buckets=DURATION_BUCKETS_S,
+            registry=self._registry,
+        )
         self._gauges = Gauge(
             "chivespan_state", "Levels by name.", ["name"], registry=self._registry
         )
@@ -74,6 +81,10 @@
         """Count a call to the store."""
         self._store.labels(call, outcome).observe(took.total_seconds())
 
+    def item_phase(self, phase: str, spent: timedelta) -> None:
+        """Count the time that a listed batch item spent in a phase."""
+        self._item_phases.labels(phase).observe(spent.total_seconds())
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -11,6 +11,7 @@
 from chivespan.keyedstore import Partition
 from chivespan.ledgerstore import LedgerStore
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
+from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform.documents import decode_config
 from chivespan.routingstate import RoutingState
 from tests.entries import target_entry
@@ -41,6 +42,7 @@
             self._send,
             timedelta(seconds=120),
             100_000,
+            NodeMetrics(),
         )
 
     async def accept(self, items: int) -> None:
