Bound every answer in bytes and time, and let no answer end a process

Cause: httpcore bounds each read, nothing bounded the whole head or body, in bytes or in time, and parse errors of other kinds than our own passed the item's handler into the node's task group.

Now a connection counts what a head and a body bring and how long they take, and ends at the bound; an event has a largest size; ids are checked before int(). A list entry of a node or a ledger record that can't be read costs a log line, not the process; an entry of a target must name an IP number and a port.

Looked at on all sides: targets (online, resumable or not, with the caller there or gone; items), store, and for the separate programs targets, log and VM list.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -35,6 +35,7 @@
 from chivespan.targetsilence import StreamWatch, TargetSilence
 
 RUN_TIME = timedelta(seconds=30)
+MAX_RUN_BYTES = 16 * 1024 * 1024
 HEAD_PATIENCE = timedelta(seconds=1)
 GAP_PATIENCE = timedelta(milliseconds=600)
 REPEAT_INTERVAL = timedelta(seconds=1)
@@ -213,14 +214,22 @@
                 self._picker.unreachable(entry.target_id)
                 return ItemState.not_run
             except ChivespanError as error:
-                self._picker.failed(entry.target_id)
-                _log.info(
-                    "item_broken",
-                    item=held.start.item_id,
-                    target=entry.target_id,
-                    reason=error.message,
-                )
-                return ItemState.broken
+                return self._broken(held, entry, error.message)
+            except Exception as error:
+                # Whatever a target sends, it must not end this process.
+                _log.exception("item_run_failed", item=held.start.item_id)
+                return self._broken(held, entry, repr(error))
+
+    def _broken(self, held: HeldItem, entry: TargetEntry, reason: str) -> ItemState:
+        """Note that a target failed in the midst of a run."""
+        self._picker.failed(entry.target_id)
+        _log.info(
+            "item_broken",
+            item=held.start.item_id,
+            target=entry.target_id,
+            reason=reason,
+        )
+        return ItemState.broken
 
     async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
         watching = self._silence.watching(entry.target_id)
@@ -294,6 +303,8 @@
         headers=headers,
         body=start.body,
         head_timeout=HEAD_PATIENCE,
+        body_timeout=RUN_TIME,
+        max_body_bytes=MAX_RUN_BYTES,
     )
 
 
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -17,6 +17,7 @@
     BatchResult,
 )
 from chivespan.codec import decode, encode
+from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.keyedstore import KeyedRecord
 
 MAX_ID_CHARS = 100
@@ -130,6 +131,13 @@
 
         :raises ChivespanError: ``protocol`` when it can't be read.
         """
+        try:
+            self._apply(record)
+        except (ValueError, IndexError) as error:
+            reason = f"record {record.key!r} can't be read: {error!r}"
+            raise ChivespanError(ErrorKind.PROTOCOL, reason) from error
+
+    def _apply(self, record: KeyedRecord) -> None:
         kind, _, rest = record.key.partition("/")
         job_id, *numbers = rest.split("/")
         if not record.value:
--- a/chivespan/engineclient.py
+++ b/chivespan/engineclient.py
@@ -186,14 +186,24 @@
 async def _check_status(address: str, answer: OpenAnswer) -> None:
     if answer.status < 400:
         return
-    body = b"".join([chunk async for chunk in answer.chunks])
-    text = body[:ERROR_TEXT_BYTES].decode(errors="replace")
+    text = (await _first_bytes(answer)).decode(errors="replace")
     reason = f"target {address} answered {answer.status}: {text}"
     refused = answer.status < 500 and answer.status not in PASSING_STATUSES
     kind = ErrorKind.TARGET_REFUSED if refused else ErrorKind.TARGET_FAILED
     raise ChivespanError(kind, reason)
 
 
+async def _first_bytes(answer: OpenAnswer) -> bytes:
+    """Return as much of an error's body as is worth telling."""
+    body = b""
+    with anyio.move_on_after(CALL_TIMEOUT.total_seconds()):
+        async for chunk in answer.chunks:
+            body += chunk
+            if len(body) >= ERROR_TEXT_BYTES:
+                break
+    return body[:ERROR_TEXT_BYTES]
+
+
 def _post(address: str, path: str, body: object, *, fresh: bool) -> HttpRequest:
     encoded = msgspec.json.encode(body)
     return HttpRequest(address, "POST", path, (JSON_HEADER,), encoded, fresh)
--- a/chivespan/eventstream.py
+++ b/chivespan/eventstream.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass
 
+from chivespan.errors import ChivespanError, ErrorKind
+
+MAX_EVENT_BYTES = 256 * 1024
+# Ids count the events of one stream.
+MAX_ID_DIGITS = 18
 _END = b"\n\n"
 
 
@@ -28,7 +33,7 @@
     """
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
         self.last_id = 0
 
     @property
@@ -37,19 +42,31 @@
         return bool(self._rest)
 
     def feed(self, chunk: bytes) -> bytes:
-        """Take a chunk; return the bytes of all events that it completes."""
+        """Take a chunk; return the bytes of all events that it completes.
+
+        :raises ChivespanError: ``stream_broken`` when an event has no end.
+        """
+        searched = max(0, len(self._rest) - len(_END) + 1)
         self._rest += chunk
-        end = self._rest.rfind(_END)
+        end = self._rest.rfind(_END, searched)
         if end < 0:
+            self._check_partial()
             return b""
         end += len(_END)
-        whole, self._rest = self._rest[:end], self._rest[end:]
+        whole = bytes(self._rest[:end])
+        del self._rest[:end]
+        self._check_partial()
         self._note_last_id(whole)
         return whole
 
     def drop_partial(self) -> None:
         """Forget the event that has begun: its stream was broken off."""
-        self._rest = b""
+        self._rest.clear()
+
+    def _check_partial(self) -> None:
+        if len(self._rest) > MAX_EVENT_BYTES:
+            reason = f"an event has no end within {MAX_EVENT_BYTES} bytes"
+            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
 
     def _note_last_id(self, whole: bytes) -> None:
         start = whole.rfind(b"id:")
@@ -58,17 +75,24 @@
         if start < 0:
             return
         value = whole[start + 3 : whole.find(b"\n", start)].strip()
-        if value.isdigit():
-            self.last_id = int(value)
+        event_id = _event_id(value.decode("latin-1"))
+        if event_id is not None:
+            self.last_id = event_id
 
 
 def parse_events(whole: bytes) -> list[StreamEvent]:
     r"""Return the events of bytes that end with a whole event.
 
+    :raises ChivespanError: ``stream_broken`` when they are no text.
+
     >>> parse_events(b"id: 3\ndata: a\ndata: b\n\n")
     [StreamEvent(event_id=3, data='a\nb')]
     """
-    blocks = whole.decode().split("\n\n")
+    try:
+        blocks = whole.decode().split("\n\n")
+    except UnicodeDecodeError as error:
+        reason = f"an event is no text: {error}"
+        raise ChivespanError(ErrorKind.STREAM_BROKEN, reason) from error
     return [_parse(block) for block in blocks if block.strip()]
 
 
@@ -78,8 +102,15 @@
     for line in block.split("\n"):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
-        if name == "id" and value.isdigit():
-            event_id = int(value)
+        if name == "id":
+            event_id = _event_id(value)
         elif name == "data":
             data.append(value)
     return StreamEvent(event_id, "\n".join(data))
+
+
+def _event_id(value: str) -> int | None:
+    """Return the number that an id is; None for any other id."""
+    if value.isascii() and value.isdigit() and len(value) <= MAX_ID_DIGITS:
+        return int(value)
+    return None
--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -13,15 +13,16 @@
 import anyio
 import httpcore
 
+from chivespan.boundedstream import MAX_ANSWER_BYTES, AnswerBounds, bounded_backend
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.resetbackend import ResetAwareBackend
 
 Header: TypeAlias = tuple[bytes, bytes]
 
 # A few round trips; behind it another target can still be in time.
 CONNECT_TIMEOUT = timedelta(milliseconds=150)
 WRITE_TIMEOUT = timedelta(seconds=2)
-_BACKEND = ResetAwareBackend()
+# Interim answers and what of the body comes with the head are counted too.
+MAX_HEAD_BYTES = 256 * 1024
 
 
 class NotSent(ChivespanError):
@@ -37,7 +38,9 @@
     """One request.
 
     :param target: path with query, as it goes into the request line.
-    :param head_timeout: the head of the answer is due within this.
+    :param head_timeout: the whole head of the answer is due within this.
+    :param body_timeout: the whole body is due within this, behind the head.
+    :param max_body_bytes: a larger body ends the connection.
     """
 
     address: str
@@ -46,6 +49,8 @@
     headers: Sequence[Header]
     body: bytes
     head_timeout: timedelta
+    body_timeout: timedelta
+    max_body_bytes: int = MAX_ANSWER_BYTES
     connect_timeout: timedelta = CONNECT_TIMEOUT
 
 
@@ -82,11 +87,13 @@
     """
     host, _, port = call.address.rpartition(":")
     origin = httpcore.Origin(b"http", host.encode(), int(port))
+    bounds = AnswerBounds(MAX_HEAD_BYTES, call.head_timeout)
     connection = httpcore.AsyncHTTPConnection(
-        origin, keepalive_expiry=0, network_backend=_BACKEND
+        origin, keepalive_expiry=0, network_backend=bounded_backend(bounds)
     )
     try:
         response = await _head(connection, call)
+        bounds.renew(call.max_body_bytes, call.body_timeout)
         yield Reply(response.status, response.headers, _chunks(call, response))
     finally:
         with anyio.CancelScope(shield=True):
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -239,6 +239,7 @@
             headers=headers,
             body=request.body,
             head_timeout=head_timeout,
+            body_timeout=time_left,
         )
 
     async def _take(
--- a/chivespan/httplog.py
+++ b/chivespan/httplog.py
@@ -6,9 +6,11 @@
 from typing import Any
 from urllib.parse import quote
 
+import anyio
 import cbor2
 import httpcore
 
+from chivespan.boundedstream import BoundedAnswersStream
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platformservices import LogNotReached, LogPage, LogRecord
 from chivespan.resetbackend import ResetAwareBackend
@@ -41,13 +43,13 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             keepalive_expiry=KEEPALIVE_S,
-            network_backend=ResetAwareBackend(),
+            network_backend=ResetAwareBackend(BoundedAnswersStream),
         )
         # Reads that wait must not hold up appends, however many streams are followed.
         self._waiting_pool = httpcore.AsyncConnectionPool(
             max_connections=None,
             keepalive_expiry=KEEPALIVE_S,
-            network_backend=ResetAwareBackend(),
+            network_backend=ResetAwareBackend(BoundedAnswersStream),
         )
 
     async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
@@ -93,14 +95,16 @@
             "read": seconds,
             "write": seconds,
         }
+        longest = seconds + CONNECT_TIMEOUT.total_seconds()
         try:
-            response = await (pool or self._pool).request(
-                method,
-                self._base_url + path,
-                headers=[(b"Content-Type", b"application/cbor")],
-                content=body,
-                extensions={"timeout": timeouts},
-            )
+            with anyio.fail_after(longest):
+                response = await (pool or self._pool).request(
+                    method,
+                    self._base_url + path,
+                    headers=[(b"Content-Type", b"application/cbor")],
+                    content=body,
+                    extensions={"timeout": timeouts},
+                )
         except (
             httpcore.ConnectError,
             httpcore.ConnectTimeout,
@@ -111,6 +115,7 @@
             httpcore.NetworkError,
             httpcore.TimeoutException,
             httpcore.ProtocolError,
+            TimeoutError,
         ) as error:
             reason = f"log gave no answer: {error!r}"
             raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason) from error
--- a/chivespan/httpvmlist.py
+++ b/chivespan/httpvmlist.py
@@ -1,8 +1,10 @@
 """The platform's VM list over HTTP, as docs/PLATFORM.md describes it."""
 
+import anyio
 import httpcore
 import msgspec
 
+from chivespan.boundedstream import BoundedAnswersStream
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platformservices import ListedVm
 from chivespan.resetbackend import ResetAwareBackend
@@ -25,7 +27,7 @@
     def __init__(self, base_url: str) -> None:
         self._url = f"{base_url.rstrip('/')}/vms"
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=1, network_backend=ResetAwareBackend()
+            max_connections=1, network_backend=ResetAwareBackend(BoundedAnswersStream)
         )
         self._entity_tag = b""
         self._last: tuple[ListedVm, ...] = ()
@@ -36,10 +38,18 @@
         :raises ChivespanError: ``not_ready`` when the list gives no answer.
         """
         try:
-            response = await self._pool.request(
-                "GET", self._url, headers=self._headers(), extensions=self._extensions()
-            )
-        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            with anyio.fail_after(FETCH_TIMEOUT_S):
+                response = await self._pool.request(
+                    "GET",
+                    self._url,
+                    headers=self._headers(),
+                    extensions=self._extensions(),
+                )
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            TimeoutError,
+        ) as error:
             raise _no_answer(repr(error)) from error
         except httpcore.ProtocolError as error:
             raise _no_answer(repr(error)) from error
--- a/chivespan/nodelist.py
+++ b/chivespan/nodelist.py
@@ -5,7 +5,7 @@
 node that was cut off for that long puts itself back.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
 import msgspec
@@ -42,7 +42,7 @@
         :raises ChivespanError: when the store can't be reached.
         """
         page = await load_newest(self._store, NODES)
-        nodes = [msgspec.json.decode(row.value, type=NodeValue) for row in page.records]
+        nodes = list(_readable(page.records))
         own = self._links.own
         if own not in nodes:
             record = KeyedRecord(own.vm, msgspec.json.encode(own))
@@ -71,3 +71,11 @@
             return
         _log.notice("nodes_dropped", vms=past, lost_s=DROP_AFTER.total_seconds())
         await self._store.append(NODES, [KeyedRecord(vm, b"") for vm in past])
+
+
+def _readable(records: Iterable[KeyedRecord]) -> Iterator[NodeValue]:
+    for record in records:
+        try:
+            yield msgspec.json.decode(record.value, type=NodeValue)
+        except msgspec.DecodeError as error:
+            _log.warning("node_unreadable", key=record.key, reason=str(error))
--- a/chivespan/platform/documents.py
+++ b/chivespan/platform/documents.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chivespan.addresses import parse_address
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.nodemessages import TargetEntry
 from chivespan.routes import (
@@ -126,9 +127,9 @@
     """
     try:
         entry = _ENTRIES.decode(value)
-        host, _, port = entry.address.rpartition(":")
-        if not host or not port.isdecimal() or entry.slots < 1:
-            raise ValueError(f"address {entry.address!r}, slots {entry.slots}")
+        if entry.slots < 1:
+            raise ValueError(f"slots {entry.slots}")
+        parse_address(entry.address)
         return TargetEntry(
             target_id=target_id,
             service=entry.service,
--- a/chivespan/platform/store.py
+++ b/chivespan/platform/store.py
@@ -27,7 +27,11 @@
 
 ANSWER_TIMEOUT = timedelta(seconds=1.5)
 CONNECT_TIMEOUT = timedelta(seconds=1)
+# A whole page takes its time on a narrow link.
+BODY_TIMEOUT = timedelta(seconds=5)
 READ_LIMIT_KB = 1024
+# Of one answer: a page of records, in base64 and JSON where they are the newest.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
 # The store says of these, and of no other, that it has done nothing.
@@ -149,6 +153,8 @@
             headers=[(b"host", self._address.encode())],
             body=body,
             head_timeout=wait + self._answer_timeout,
+            body_timeout=BODY_TIMEOUT,
+            max_body_bytes=MAX_BODY_BYTES,
             connect_timeout=CONNECT_TIMEOUT,
         )
         async with exchange(call) as reply:
--- a/chivespan/readlimit.py
+++ b/chivespan/readlimit.py
@@ -9,10 +9,10 @@
 
 import httpcore
 
-from chivespan.resetbackend import ResetAwareBackend, ResetAwareStream
+from chivespan.boundedstream import BoundedAnswersStream
 
 
-class LimitedStream(ResetAwareStream):
+class LimitedStream(BoundedAnswersStream):
     """A connection; ``read_limit``, where set, goes before the request's timeout."""
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
@@ -36,12 +36,6 @@
         return LimitedStream(stream)
 
 
-class LimitedBackend(ResetAwareBackend):
-    """Opens connections whose reads can be limited."""
-
-    stream_class = LimitedStream
-
-
 def limit_reads(response: httpcore.Response, limit: timedelta | None) -> None:
     """Limit the further reads of an answer; None goes back to the request's own."""
     stream = response.extensions.get("network_stream")
--- a/chivespan/resetbackend.py
+++ b/chivespan/resetbackend.py
@@ -5,8 +5,8 @@
 connection that can't be opened.
 """
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeAlias
 
 import httpcore
 
@@ -43,16 +43,18 @@
             raise httpcore.ConnectError("reset while it was opened") from error
 
 
+StreamMaker: TypeAlias = Callable[[httpcore.AsyncNetworkStream], ResetAwareStream]
+
+
 class ResetAwareBackend(httpcore.AsyncNetworkBackend):
     """Opens connections; one that was reset meanwhile raises ``ConnectError``.
 
-    :cvar stream_class: what the connections are.
+    :param make_stream: makes the connections out of those of the network.
     """
 
-    stream_class: type[ResetAwareStream] = ResetAwareStream
-
-    def __init__(self) -> None:
+    def __init__(self, make_stream: StreamMaker = ResetAwareStream) -> None:
         self._backend = httpcore.AnyIOBackend()
+        self._make_stream = make_stream
 
     async def connect_tcp(
         self,
@@ -66,7 +68,7 @@
         stream = await self._backend.connect_tcp(
             host, port, timeout, local_address, socket_options
         )
-        return self.stream_class(stream)
+        return self._make_stream(stream)
 
     async def sleep(self, seconds: float) -> None:
         """Pause between tries to connect."""
--- a/chivespan/targethttp.py
+++ b/chivespan/targethttp.py
@@ -15,7 +15,8 @@
 
 from chivespan.absentmodules import note_absent_modules
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.readlimit import LimitedBackend, limit_reads
+from chivespan.readlimit import LimitedStream, limit_reads
+from chivespan.resetbackend import ResetAwareBackend
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 WRITE_TIMEOUT = timedelta(seconds=2)
@@ -129,7 +130,7 @@
                 max_connections=None,
                 max_keepalive_connections=MAX_IDLE_CONNECTIONS,
                 keepalive_expiry=KEEPALIVE.total_seconds(),
-                network_backend=LimitedBackend(),
+                network_backend=ResetAwareBackend(LimitedStream),
             )
         return pool
 
@@ -143,7 +144,7 @@
 
     def _own_connection(self) -> httpcore.AsyncConnectionPool:
         return httpcore.AsyncConnectionPool(
-            max_connections=1, network_backend=LimitedBackend()
+            max_connections=1, network_backend=ResetAwareBackend(LimitedStream)
         )
 
     @asynccontextmanager
@@ -171,8 +172,12 @@
                 }
             },
         )
+        longest = CONNECT_TIMEOUT + WRITE_TIMEOUT + first_byte
         try:
-            response = await pool.handle_async_request(outgoing)
+            with anyio.fail_after(longest.total_seconds()):
+                response = await pool.handle_async_request(outgoing)
+        except TimeoutError as error:
+            raise _timeout(request, "end of the head") from error
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             reason = f"target {request.address} can't be reached"
             raise ChivespanError(ErrorKind.TARGET_UNREACHABLE, reason) from error
--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -51,6 +51,7 @@
         headers=[(b"host", b"x")],
         body=b"x",
         head_timeout=timedelta(seconds=1),
+        body_timeout=timedelta(seconds=1),
     )
 
 
