Learn an item's time from runs that got going, and hurry for late items too

Cause, a class: an estimate that is learnt only from what it itself lets run. The time of an event was the ratio of each run, so runs that bursts cut after two events made 4 s into minutes; all items then counted as too late, late items were no work that must hurry, and what isn't in a hurry runs only below the peak of online requests, which bursts put at all slots. Nothing ran, so nothing was learnt.

Now runs of fewer than 20 events teach nothing, and late items count as work that has until they are given up. Either alone ends the stall.

Ruled out: the store (jobs were accepted all the while), counts of dead nodes (all nodes had restarted), a lost owner (the same one took the jobs).

--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -22,6 +22,8 @@
 FIXED_ITEMS = 6
 # Runs that yield or fail take the rest.
 SAFE_SHARE_OF_TIME = 0.5
+# For items that are late already, of routes on which none is ever given up.
+LATE_TIME = timedelta(seconds=60)
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,7 @@
     """An item that could run.
 
     :param due: when its job's results are due.
+    :param last_use: when it will be given up; None for never.
     :param holder: the node that holds what it has produced; empty for none.
     :param order: its place within its job.
     :param will_be_late: whether it can't be done in time even if it starts now.
@@ -44,6 +47,13 @@
     holder: str = ""
     will_be_late: bool = False
     remaining: timedelta = timedelta(0)
+    last_use: datetime | None = None
+
+    def time_left(self, now: datetime) -> timedelta:
+        """Return the time in which it is of most use yet."""
+        if not self.will_be_late:
+            return self.due - now
+        return LATE_TIME if self.last_use is None else self.last_use - now
 
     @property
     def urgency(self) -> tuple[bool, datetime, str, int]:
@@ -135,15 +145,13 @@
     """Return whether items need more than the slots that bursts leave.
 
     They don't while those slots do all of them, in the order in which they are due, in
-    half of the time that each has.
+    half of the time that each has. Items that are late have until they are given up.
     """
     slots = sum(max(0.0, target.slots - target.online_peak) for target in targets)
     work = timedelta(0)
     for item in items:
-        if item.will_be_late:
-            continue
         work += item.remaining
-        if work > (item.due - now) * SAFE_SHARE_OF_TIME * slots:
+        if work > item.time_left(now) * SAFE_SHARE_OF_TIME * slots:
             return True
     return False
 
--- a/chivespan/itempace.py
+++ b/chivespan/itempace.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 
 SMOOTHING = 0.1
+# Of a shorter run most of the time went into its start, or into its queue.
+FEWEST_EVENTS = 20
 FIRST_EVENTS = 200.0
 FIRST_EVENT_TIME = timedelta(milliseconds=20)
 
@@ -24,8 +26,8 @@
         return self._event_time * max(1.0, self._events - events)
 
     def ran(self, events: int, took: timedelta) -> None:
-        """Note a run that made events."""
-        if events > 0:
+        """Note a run that made events; one that was cut at once says nothing."""
+        if events >= FEWEST_EVENTS:
             self._event_time += (took / events - self._event_time) * SMOOTHING
 
     def finished(self, events: int) -> None:
