Start no batch item in a burst at slots that are free for a moment

Each took its slot for 100 ms, and its start, stop and connection took processor time of three nodes.

Cause: room was judged target by target. In a burst some of 45 targets always have two slots free for a moment.

Now all targets of a service together keep a slot for each, as each did by itself: between bursts that leaves as many slots for batch as before.

--- a/chivespan/batchbacklog.py
+++ b/chivespan/batchbacklog.py
@@ -56,6 +56,7 @@
             room=sum(max(0, self._room_of(each, in_a_hurry=hurry)) for each in targets),
             targets=len(targets),
             slots=sum(each.slots for each in targets),
+            free=sum(each.free for each in targets),
             online=sum(each.online for each in targets),
             online_peak=round(sum(each.online_peak for each in targets)),
             batch=sum(each.batch for each in targets),
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -4,16 +4,18 @@
 all that can, so that being late isn't handed on from job to job. While there is time to
 do all of them in what bursts of online requests leave, they start only there. When time
 runs short, they start wherever a slot is free beyond the one that the next online
-request takes. Batch thereby fills what online work leaves, and never waits at a target.
+request takes. In a burst none starts at the few slots that are free for a moment. Batch
+thereby fills what online work leaves, and never waits at a target.
 """
 
+import sys
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import partial
 from math import floor
-from typing import Protocol, TypeAlias
+from typing import TypeAlias
 
 from chivespan.nodemessages import TargetEntry
 from chivespan.registry import Registry
@@ -75,6 +77,11 @@
     batch: int
     online_peak: float = 0.0
 
+    @property
+    def free(self) -> int:
+        """Slots that nothing takes now."""
+        return max(0, self.slots - self.online - self.batch)
+
     @property
     def spare(self) -> int:
         """Slots that batch may take now."""
@@ -110,30 +117,56 @@
 RoomOfTarget: TypeAlias = Callable[[TargetRoom], int]
 
 
-class RoomPolicy(Protocol):
-    """How many more items a target takes."""
+@dataclass(frozen=True, slots=True)
+class RoomPolicy:
+    """How many more items targets take.
+
+    :param of_target: gives the number for one target, and for items that are in a
+        hurry or have time.
+    :param keeps_reserve: whether all targets together keep a slot for each of them.
+    """
+
+    of_target: Callable[[TargetRoom, bool], int]
+    keeps_reserve: bool
 
     def __call__(self, room: TargetRoom, in_a_hurry: bool) -> int:
-        """Return the number for items that are in a hurry, or have time."""
-        ...
+        """Return how many more items a target takes."""
+        return self.of_target(room, in_a_hurry)
+
+    def of_all(self, targets: Iterable[TargetRoom]) -> int:
+        """Return how many more items the targets of one service take together."""
+        rooms = list(targets)
+        free = sum(room.free for room in rooms)
+        return free - RESERVED_SLOTS * len(rooms) if self.keeps_reserve else sys.maxsize
 
 
 BATCH_ROOMS: Registry[RoomPolicy] = Registry("batch room")
 
 
-@BATCH_ROOMS.register("below_peaks")
+def room_policy(
+    name: str, *, keeps_reserve: bool = True
+) -> Callable[[Callable[[TargetRoom, bool], int]], RoomPolicy]:
+    """Register the room of a target as a policy."""
+
+    def register(of_target: Callable[[TargetRoom, bool], int]) -> RoomPolicy:
+        return BATCH_ROOMS.register(name)(RoomPolicy(of_target, keeps_reserve))
+
+    return register
+
+
+@room_policy("below_peaks")
 def below_peaks(room: TargetRoom, in_a_hurry: bool) -> int:
     """Return what online work leaves, at its peaks too while there is time."""
     return room.spare if in_a_hurry else room.spare_at_peak
 
 
-@BATCH_ROOMS.register("spare_slots")
+@room_policy("spare_slots")
 def spare_slots(room: TargetRoom, in_a_hurry: bool) -> int:
     """Return what online work leaves now; for comparison."""
     return room.spare
 
 
-@BATCH_ROOMS.register("fixed_items")
+@room_policy("fixed_items", keeps_reserve=False)
 def fixed_items(room: TargetRoom, in_a_hurry: bool) -> int:
     """Return a fixed number less what runs; for comparison."""
     return FIXED_ITEMS - room.batch
@@ -168,13 +201,16 @@
     room_for = partial(room_of, in_a_hurry=must_hurry(ordered, targets, now))
     open_rooms: dict[str, list[TargetRoom]] = defaultdict(list)
     for target in targets:
-        if room_for(target) > 0:
-            open_rooms[target.entry.service].append(target)
+        open_rooms[target.entry.service].append(target)
+    left = {service: room_of.of_all(rooms) for service, rooms in open_rooms.items()}
+    for service, rooms in open_rooms.items():
+        open_rooms[service] = [room for room in rooms if room_for(room) > 0]
     holders = {node.vm: node for node in nodes}
     for item in ordered if nodes and open_rooms else ():
         fitting = open_rooms[item.service]
-        if not fitting:
+        if not fitting or left[item.service] <= 0:
             continue
+        left[item.service] -= 1
         holder = holders.get(item.holder)
         room = _best_room(fitting, holder, room_for)
         node = holder or _best_node(nodes, room)
