Tell a peer again how this node stands whenever its links change

Cause, a class: state that is told once, to whoever is there then. What a node says to a new peer was sent before the link was entered, so that it went nowhere, and later only changes were told. Where both ends dial, one of two links is left, with all that is on its way; relays marked what they had sent there as known.

Now the link is entered first, and how a node stands, its sums and the nodes of its data centre are told again when a link is added or lost beside others. Looked at for the same class: items' statuses are repeated each second; questions are asked again by their asker; orders to run an item are made good after 3 s.

--- a/chivespan/farnodes.py
+++ b/chivespan/farnodes.py
@@ -93,6 +93,10 @@
 
     def peer_joined(self, peer: Peer) -> None:
         """Tell a new peer everything."""
+        self.links_changed(peer)
+
+    def links_changed(self, peer: Peer) -> None:
+        """Tell a peer everything again."""
         self._sent[peer.node.vm] = {}
 
     def peer_left(self, peer: Peer) -> None:
--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -70,6 +70,9 @@
     def peer_joined(self, peer: Peer) -> None:
         """Note that a node has become live."""
 
+    def links_changed(self, peer: Peer) -> None:
+        """Tell a live node again what counts: a link may have taken it along."""
+
     def peer_left(self, peer: Peer) -> None:
         """Note that a node is live no longer."""
 
@@ -273,14 +276,30 @@
     def _registered(self, link: PeerLink) -> Iterator[Peer]:
         peer = self._peer_of(link)
         peer.links.insert(0, link)
+        if self._peers.get(peer.node.vm) is peer:
+            self._tell_of_links(peer)
+        else:
+            self._join(peer)
         try:
             yield peer
         finally:
             peer.links.remove(link)
-            if not peer.links and self._peers.get(peer.node.vm) is peer:
-                self._leave(peer)
+            if self._peers.get(peer.node.vm) is peer:
+                self._unregistered(peer)
+
+    def _unregistered(self, peer: Peer) -> None:
+        """Go on with the links that are left of a live node, if there are any."""
+        if peer.links:
+            self._tell_of_links(peer)
+        else:
+            self._leave(peer)
+
+    def _tell_of_links(self, peer: Peer) -> None:
+        for listener in self._listeners:
+            listener.links_changed(peer)
 
     def _peer_of(self, link: PeerLink) -> Peer:
+        """Return the live node at the other end, or a new one of its incarnation."""
         remote = link.remote
         known = self._peers.get(remote.vm)
         if known is not None and known.incarnation == remote.incarnation:
@@ -295,15 +314,17 @@
         )
         if (listed := self._nodes.get(remote.vm)) is not None:
             node = replace(node, link_mbps=listed.link_mbps)
-        peer = Peer(node, remote.incarnation)
-        self._peers[remote.vm] = peer
-        self._nodes[remote.vm] = node
-        self._unreached.pop(remote.vm, None)
-        _log.info("peer_joined", peer=remote.vm, incarnation=remote.incarnation)
+        return Peer(node, remote.incarnation)
+
+    def _join(self, peer: Peer) -> None:
+        vm = peer.node.vm
+        self._peers[vm] = peer
+        self._nodes[vm] = peer.node
+        self._unreached.pop(vm, None)
+        _log.info("peer_joined", peer=vm, incarnation=peer.incarnation)
         for listener in self._listeners:
             listener.peer_joined(peer)
         self._tell()
-        return peer
 
     def _leave(self, peer: Peer) -> None:
         del self._peers[peer.node.vm]
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -71,6 +71,10 @@
         """Tell a new peer at once."""
         if self._links.is_near(peer):
             self._near.append(peer)
+        self.links_changed(peer)
+
+    def links_changed(self, peer: Peer) -> None:
+        """Tell a peer again how this node stands."""
         peer.send(self.own_standing())
         self._repeat_all()
 
