Read targets' and the store's answers with httptools, one timer an exchange

Now an answer is parsed by httptools, as uvicorn parses requests, and one cancel scope is around the exchange, whose deadline moves. Bounds on bytes and time are the reader's own. A request line or header that would be another request is refused (h11 did that). The separate programs go on with httpcore's pools.

The test of a connection that is reset while it opens now has anyio's connection broken, since httpcore isn't there any more; it is as strict: nothing may be written, and the connection is closed.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -258,12 +258,7 @@
         """
         splitter = EventSplitter()
         while True:
-            chunk: bytes | None = None
-            with anyio.move_on_after(GAP_PATIENCE.total_seconds()) as gap:
-                chunk = await anext(reply.chunks, None)
-            if gap.cancelled_caught:
-                reason = "the stream paused for too long"
-                raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+            chunk = await reply.next_chunk(GAP_PATIENCE)
             if chunk is None:
                 break
             watch.heard()
--- a/chivespan/callerrequest.py
+++ b/chivespan/callerrequest.py
@@ -5,10 +5,10 @@
 from datetime import timedelta
 from typing import Any, TypeAlias
 
+from chivespan.answerparser import Header
 from chivespan.clock import MILLISECOND
 from chivespan.errorbody import error_body
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.exchange import Header
 
 Receive: TypeAlias = Callable[[], Awaitable[Any]]
 Send: TypeAlias = Callable[[Any], Awaitable[None]]
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -277,14 +277,15 @@
     ) -> AsyncIterator[bytes]:
         """Yield an answer's body; only whole events where it may be resumed."""
         if not (route.resumable and route.is_repeatable):
-            async for chunk in reply.chunks:
+            while (chunk := await reply.next_chunk()) is not None:
                 progress.heard()
                 yield chunk
             return
         splitter = progress.splitter
         splitter.drop_partial()
         while True:
-            received = await self._next_chunk(reply, route, progress)
+            patience = self._patience(route, progress)
+            received = await reply.next_chunk(patience)
             if received is None:
                 break
             progress.heard()
@@ -294,20 +295,11 @@
             reason = "the stream ended within an event"
             raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
 
-    async def _next_chunk(
-        self, reply: Reply, route: Route, progress: Progress
-    ) -> bytes | None:
-        """Return the next chunk, None at the end.
-
-        :raises ChivespanError: ``stream_broken`` after a pause that another target
-            may make shorter.
-        """
-        if not (route.longest_gap and self._may_still_resume(route, progress)):
-            return await anext(reply.chunks, None)
-        patience = route.longest_gap.total_seconds()
-        with anyio.move_on_after(patience):
-            return await anext(reply.chunks, None)
-        raise ChivespanError(ErrorKind.STREAM_BROKEN, "the stream paused for too long")
+    def _patience(self, route: Route, progress: Progress) -> timedelta | None:
+        """Return for how long a stream may pause where another target can go on."""
+        if route.longest_gap and self._may_still_resume(route, progress):
+            return route.longest_gap
+        return None
 
     def _may_resume(self, route: Route, progress: Progress) -> bool:
         """Return whether another target can be asked if this one fails."""
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
+from chivespan.answerparser import Header
 from chivespan.batchrecords import BatchHeader, BatchItem, BatchResult
 from chivespan.clock import MILLISECOND
-from chivespan.exchange import Header, Reply
+from chivespan.exchange import Reply
 
 REQUEST_ID = b"x-chivespan-request-id"
 DEADLINE_MS = b"x-chivespan-deadline-ms"
--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -97,12 +97,34 @@
     monkeypatch.setattr(httpcore.AnyIOBackend, "connect_tcp", connect)
 
 
+class LostStream:
+    """An open connection that the other end has reset meanwhile."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    async def send(self, item: bytes) -> None:
+        assert not item, "written"
+        raise anyio.BrokenResourceError
+
+    async def aclose(self) -> None:
+        self.closed = True
+
+
 @pytest.mark.anyio
-@pytest.mark.usefixtures("all_lost")
-async def test_a_connection_reset_while_it_is_opened_has_sent_nothing() -> None:
+async def test_a_connection_reset_while_it_is_opened_has_sent_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lost = LostStream()
+
+    async def connect(*_: object, **__: object) -> LostStream:
+        return lost
+
+    monkeypatch.setattr(anyio, "connect_tcp", connect)
     with pytest.raises(NotSent):
         async with exchange(call("127.0.0.1:9")):
             raise AssertionError("an answer")
+    assert lost.closed
 
 
 @pytest.mark.anyio
