Spend less of each node's time on counts, loops and classes that it doesn't need

Counts are now added and taken off in place (what isn't a peer's own is kept beside), standing has no counts, a node that is no gateway and owns nothing chooses nobody, and bodies of errors have a schema of their own.

--- a/bench/siteload.py
+++ b/bench/siteload.py
@@ -13,7 +13,7 @@
 import numpy
 from hdrh.histogram import HdrHistogram
 
-from chivespan.callerapi import ErrorAnswer
+from chivespan.erroranswer import ErrorAnswer
 
 HIGHEST_US = 60_000_000
 PERCENTILES = (50, 95, 99)
--- a/chivespan/batchplacement.py
+++ b/chivespan/batchplacement.py
@@ -94,12 +94,16 @@
             return False
         return self._clock.monotonic() - since >= HAND_OVER_AFTER
 
+    @property
+    def _may_own(self) -> bool:
+        return bool(self._owned) or self._links.own.vm in self._links.gateways
+
     def update(self, store_reached: bool, leaving: bool) -> OwnershipChange:
         """Work out anew what this node owns; return what has changed."""
         settled = self._clock.monotonic() - self._started >= SETTLE_TIME
         self._compare_reach(store_reached)
         owned: frozenset[int] = frozenset()
-        if settled and not leaving:
+        if settled and not leaving and self._may_own:
             members = list(self._members(store_reached))
             owned = frozenset(
                 partition
--- a/chivespan/callerapi.py
+++ b/chivespan/callerapi.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, TypeAlias
 
 CallerApi: TypeAlias = Any
@@ -124,38 +124,6 @@
     usage: TokenUsage
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class HeldShare:
-    """
-    Part of the capacity that one owner's work holds.
-    """
-
-    owner: str
-    work_class: str
-    slots: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ErrorBody:
-    code: str
-    """
-    An error kind.
-    """
-    message: str
-    request_id: str
-    was_run: str
-    """
-    "no" or "unknown".
-    """
-    retry_after_ms: int | None
-    shares: list[HeldShare] = field(default_factory=list)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ErrorAnswer:
-    error: ErrorBody
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AddressAnswer:
     """
--- a/chivespan/codec.py
+++ b/chivespan/codec.py
@@ -1,5 +1,6 @@
 """CBOR encoding and checked decoding of the schema's data classes."""
 
+import importlib
 import inspect
 import zlib
 from dataclasses import is_dataclass
@@ -9,7 +10,7 @@
 import cbor2
 import msgspec
 
-from chivespan import jobmessages, messages, nodemessages
+from chivespan import messages, nodemessages
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.positional import PositionalClasses
 
@@ -55,9 +56,21 @@
     }
 
 
-MESSAGE_CLASSES = (
-    data_classes(messages) | data_classes(jobmessages) | data_classes(nodemessages)
-)
+# Loaded with the first frame that needs them: making their classes takes a node of the
+# users' platform, which says none of them, a noticeable part of its start.
+_LATER_MODULES = ("chivespan.jobmessages",)
+_known = data_classes(messages) | data_classes(nodemessages)
+
+
+def message_class(name: str) -> type[Any]:
+    """Return the class of messages of that name.
+
+    :raises KeyError: when there is none.
+    """
+    if name not in _known:
+        for module in _LATER_MODULES:
+            _known.update(data_classes(importlib.import_module(module)))
+    return _known[name]
 
 
 _POSITIONAL = PositionalClasses(messages.Hello)
@@ -88,7 +101,7 @@
     """
     try:
         name, body = cbor2.loads(_decompressed(frame))
-        cls = MESSAGE_CLASSES[name]
+        cls = message_class(name)
         fields = msgspec.convert(body, _POSITIONAL.of(cls), builtin_types=(bytes,))
         return msgspec.convert(fields, cls, from_attributes=True)
     except (
--- a/chivespan/entryclient.py
+++ b/chivespan/entryclient.py
@@ -6,7 +6,7 @@
 import httpcore
 import msgspec
 
-from chivespan.callerapi import ErrorAnswer
+from chivespan.erroranswer import ErrorAnswer
 from chivespan.errors import ChivespanError, ErrorKind
 
 T = TypeVar("T")
--- a/chivespan/errorbody.py
+++ b/chivespan/errorbody.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chivespan.callerapi import ErrorAnswer, ErrorBody, HeldShare
+from chivespan.erroranswer import ErrorAnswer, ErrorBody, HeldShare
 from chivespan.errors import ChivespanError
 
 
--- a/chivespan/errors.py
+++ b/chivespan/errors.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
-from chivespan.messages import OwnerShare
+if TYPE_CHECKING:
+    from chivespan.messages import OwnerShare
 
 
 class ErrorKind(StrEnum):
@@ -118,7 +120,7 @@
         message: str,
         *,
         retry_after: timedelta | None = None,
-        shares: Sequence[OwnerShare] = (),
+        shares: Sequence["OwnerShare"] = (),
     ) -> None:
         super().__init__(f"{kind.value}: {message}")
         self.kind = kind
--- a/chivespan/loadboard.py
+++ b/chivespan/loadboard.py
@@ -5,8 +5,9 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from contextlib import contextmanager
+from dataclasses import dataclass
 from datetime import timedelta
 from itertools import chain
 
@@ -34,20 +35,12 @@
     ]
 
 
-def without(
-    loads: Iterable[TargetLoad], part: Iterable[TargetLoad]
-) -> list[TargetLoad]:
-    """Return a sum less a part of it.
+@dataclass(frozen=True, slots=True)
+class _PeerCounts:
+    """What a peer reported, and what of it isn't its own."""
 
-    >>> one = TargetLoad(target_id="t", online=1, batch=0)
-    >>> without(summed([[one], [one]]), [one])
-    [TargetLoad(target_id='t', online=1, batch=0)]
-    """
-    negated = (
-        TargetLoad(target_id=load.target_id, online=-load.online, batch=-load.batch)
-        for load in part
-    )
-    return summed([loads, negated])
+    loads: Sequence[TargetLoad]
+    without: Sequence[TargetLoad]
 
 
 class LoadBoard:
@@ -58,10 +51,9 @@
         self._reported: dict[str, timedelta] = {}
         self._own_online: dict[str, int] = defaultdict(int)
         self._own_batch: dict[str, int] = defaultdict(int)
-        self._peers: dict[str, tuple[TargetLoad, ...]] = {}
+        self._peers: dict[str, _PeerCounts] = {}
         self._peer_online: dict[str, int] = defaultdict(int)
         self._peer_batch: dict[str, int] = defaultdict(int)
-        self._changed = anyio.Event()
         self._own_changed = anyio.Event()
 
     def online(self, target_id: str) -> int:
@@ -106,27 +98,27 @@
         with self._hold(self._own_batch, target_id):
             yield
 
-    def report(self, peer: str, loads: Iterable[TargetLoad]) -> None:
-        """Replace the counts of one peer."""
+    def report(
+        self,
+        peer: str,
+        loads: Sequence[TargetLoad],
+        without: Sequence[TargetLoad] = (),
+    ) -> None:
+        """Replace the counts of one peer.
+
+        :param without: the part of the counts that isn't the peer's.
+        """
         self._subtract(peer)
-        kept = tuple(loads)
         self._reported[peer] = self._clock.monotonic()
-        self._peers[peer] = kept
-        for load in kept:
-            self._peer_online[load.target_id] += load.online
-            self._peer_batch[load.target_id] += load.batch
-        self._tell()
+        self._peers[peer] = _PeerCounts(loads, without)
+        self._add(loads, 1)
+        self._add(without, -1)
 
     def forget(self, peer: str) -> None:
         """Drop the counts of a peer that is gone, or tells others of them."""
         if peer in self._reported:
             del self._reported[peer]
             self._subtract(peer)
-            self._tell()
-
-    async def wait_changed(self) -> None:
-        """Wait for any change of the counts."""
-        await self._changed.wait()
 
     async def wait_own_changed(self) -> None:
         """Wait for a change of this node's own counts."""
@@ -145,15 +137,16 @@
             self._tell_own()
 
     def _subtract(self, peer: str) -> None:
-        for load in self._peers.pop(peer, ()):
-            self._peer_online[load.target_id] -= load.online
-            self._peer_batch[load.target_id] -= load.batch
+        counts = self._peers.pop(peer, None)
+        if counts is not None:
+            self._add(counts.loads, -1)
+            self._add(counts.without, 1)
+
+    def _add(self, loads: Sequence[TargetLoad], times: int) -> None:
+        for load in loads:
+            self._peer_online[load.target_id] += load.online * times
+            self._peer_batch[load.target_id] += load.batch * times
 
     def _tell_own(self) -> None:
         self._own_changed.set()
         self._own_changed = anyio.Event()
-        self._tell()
-
-    def _tell(self) -> None:
-        self._changed.set()
-        self._changed = anyio.Event()
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -7,7 +7,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from datetime import timedelta
 
@@ -16,7 +16,7 @@
 from chivespan.codec import encode_message
 from chivespan.fleetlinks import NO_REPORT, FleetLinks, FleetListener, Peer
 from chivespan.linkplan import width_rank
-from chivespan.loadboard import LoadBoard, summed, without
+from chivespan.loadboard import LoadBoard, summed
 from chivespan.logs import logger
 from chivespan.nodemessages import (
     DataCentreReport,
@@ -43,7 +43,7 @@
 class LoadReports(FleetListener):
     """Sends and takes reports.
 
-    :param describe: gives what this node tells of itself now, with its counts.
+    :param describe: gives how this node stands now, without its counts.
     """
 
     def __init__(
@@ -108,7 +108,7 @@
 
     def own_standing(self) -> LoadReport:
         """Return how this node stands, without what it has in progress."""
-        return _without_loads(self._describe())
+        return self._describe()
 
     def far_relays(self) -> Iterable[Peer]:
         """Yield the node of each other data centre that passes sums on there."""
@@ -160,15 +160,15 @@
     def _take_sum(self, report: DataCentreReport) -> None:
         """Take what is in progress in a data centre, but for what this node has."""
         centre = _sums_of(report.data_centre)
-        loads = report.loads
+        own_part: Sequence[TargetLoad] = ()
         if report.data_centre == self._links.own.data_centre:
             if self._counts_by_itself:
                 return
             for peer in self._near:
                 self._board.forget(peer.node.vm)
                 self._silence.forget(peer.node.vm)
-            loads = without(loads, self._own_part(report))
-        self._board.report(centre, loads)
+            own_part = self._own_part(report)
+        self._board.report(centre, report.loads, own_part)
         self._silence.told(centre, report.silent)
 
     def _own_part(self, report: DataCentreReport) -> list[TargetLoad]:
@@ -189,7 +189,12 @@
     def _report_loads(self) -> None:
         """Tell those who sum it up what this node has in progress."""
         self._sequence += 1
-        report = replace(self._describe(), sequence=self._sequence)
+        report = replace(
+            self._describe(),
+            sequence=self._sequence,
+            silent=self._silence.own(),
+            loads=self._board.own_loads(),
+        )
         self._choose_relay(report)
         self._silent = report.silent
         self._told[self._sequence] = report.loads
@@ -205,11 +210,11 @@
 
     def _tell_of_changes(self) -> None:
         """Tell peers how this node stands, or which targets are silent, if changed."""
-        report = self._describe()
-        if _without_loads(report) != self._standing:
+        silent = self._silence.own()
+        if self._describe() != self._standing:
             self.send_now()
-        elif report.silent != self._silent:
-            _log.info("silent_targets", targets=report.silent, before=self._silent)
+        elif silent != self._silent:
+            _log.info("silent_targets", targets=silent, before=self._silent)
             self._report_loads()
 
     def _send_sums(self) -> None:
@@ -283,10 +288,6 @@
     return min(reports, key=lambda vm: width_rank(reports[vm].link_mbps, vm))
 
 
-def _without_loads(report: LoadReport) -> LoadReport:
-    return replace(report, silent=[], loads=[])
-
-
 def _sums_of(data_centre: str) -> str:
     """Return under which name the board keeps a data centre's sums."""
     return f"sums of {data_centre}"
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -143,9 +143,7 @@
             self.far_nodes,
             self.watch,
             self.routing,
-            self.board,
             self.placement,
-            self.silence,
             clock,
         )
         self.reports = LoadReports(
--- a/chivespan/nodestanding.py
+++ b/chivespan/nodestanding.py
@@ -7,12 +7,10 @@
 from chivespan.farnodes import FarNodes
 from chivespan.fleetlinks import FleetLinks
 from chivespan.fleetwatch import FleetWatch
-from chivespan.loadboard import LoadBoard
 from chivespan.nodemessages import LoadReport, NodeValue
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.platform import wire
 from chivespan.routingstate import NO_VERSION, RoutingState
-from chivespan.targetsilence import TargetSilence
 
 ADDRESS_LIFETIME = timedelta(seconds=1)
 ADDRESS_LIFETIMES_KEPT = 3
@@ -33,9 +31,7 @@
         far_nodes: FarNodes,
         watch: FleetWatch,
         routing: RoutingState,
-        board: LoadBoard,
         placement: BatchPlacement,
-        silence: TargetSilence,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -43,9 +39,7 @@
         self._far_nodes = far_nodes
         self._watch = watch
         self._routing = routing
-        self._board = board
         self._placement = placement
-        self._silence = silence
         self._started = clock.monotonic()
         self._clock = clock
         self._leaving_since: timedelta | None = None
@@ -104,7 +98,7 @@
         return wire.encode_addresses(_addresses(nodes, caller_centre), lifetime)
 
     def report(self) -> LoadReport:
-        """Return what peers are told."""
+        """Return what peers are told, but for the counts."""
         return LoadReport(
             config_version=self._routing.version,
             leaving=self.is_leaving,
@@ -112,8 +106,8 @@
             owned=sorted(self._placement.owned),
             link_mbps=self._settings.link_mbps,
             sequence=0,
-            silent=self._silence.own(),
-            loads=self._board.own_loads(),
+            silent=[],
+            loads=[],
         )
 
     def _time_leaving(self) -> timedelta:
--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from http import HTTPStatus
 from random import Random
-from typing import Protocol, TypeAlias
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 import anyio
 from websockets.asyncio.client import connect
@@ -25,7 +25,9 @@
 from chivespan.codec import PROTOCOL, decode_message, encode_message
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.messages import Heartbeat, Hello, Program
-from chivespan.settings import NodeSettings
+
+if TYPE_CHECKING:
+    from chivespan.settings import NodeSettings
 
 FRAME_LIMIT_BYTES = 16 * 1024 * 1024
 SEND_BUFFER_LIMIT_BYTES = 32 * 1024 * 1024
@@ -64,7 +66,7 @@
         return self.silence * HEARTBEAT_SHARE_OF_SILENCE
 
     @classmethod
-    def from_settings(cls, settings: NodeSettings) -> "LinkOptions":
+    def from_settings(cls, settings: "NodeSettings") -> "LinkOptions":
         """Return the options that a node's settings give."""
         return cls(
             settings.peer_key,
@@ -73,7 +75,7 @@
         )
 
 
-def new_hello(settings: NodeSettings, program: Program) -> Hello:
+def new_hello(settings: "NodeSettings", program: Program) -> Hello:
     """Return the Hello of this run of a program."""
     return Hello(
         vm=settings.vm,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -4,7 +4,7 @@
 import msgspec
 import pytest
 
-from chivespan.callerapi import ErrorAnswer, ErrorBody
+from chivespan.erroranswer import ErrorAnswer, ErrorBody
 from tests.callers import MODEL
 from tests.faults.rig import OWNER_KEY, SETTINGS, OnlineRig, online_rig
 
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -61,9 +61,7 @@
         self.peers[other.value.vm] = cast(Peer, peer)
 
     def _describe(self) -> LoadReport:
-        return replace(
-            NO_REPORT, config_version=1, loads=self.board.own_loads(), link_mbps=30.0
-        )
+        return replace(NO_REPORT, config_version=1, link_mbps=30.0)
 
 
 async def deliver(nodes: dict[str, Node]) -> int:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -28,8 +28,8 @@
     BatchResult,
     ChatChunk,
     CompletionAnswer,
-    ErrorAnswer,
 )
+from chivespan.erroranswer import ErrorAnswer
 from tools.cluster import Cluster, Site, free_block, wait_until
 from tools.exampleconfig import EXAMPLES, write_example
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -21,6 +21,7 @@
     "nodemessages",
     "batchrecords",
     "callerapi",
+    "erroranswer",
     "engineapi",
 )
 
