Have about as many items yield as online requests need slots

Between bursts each of 190 running items was cut about once a second.

Cause: an item yielded where its target was full, also by batch itself with nobody waiting, and each of four items did with 0.3 at each event. Other nodes see that one has yielded up to 150 ms later; by then nearly all had.

Now items of a target together yield as many as requests are over its slots within 80 ms, and one more where hardly any target of the service has a free slot. A target that is just full beside others with room loses none.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -15,6 +15,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from chivespan.batchyield import YieldRule
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import EventSplitter, parse_events
@@ -39,7 +40,6 @@
 HEAD_PATIENCE = timedelta(seconds=1)
 GAP_PATIENCE = timedelta(milliseconds=600)
 REPEAT_INTERVAL = timedelta(seconds=1)
-YIELD_PROBABILITY = 0.3
 
 _log = logger("executor")
 
@@ -118,7 +118,7 @@
         self._clock = clock
         self._metrics = metrics
         self._tell = tell
-        self._random = Random()
+        self._yields = YieldRule(picker, board, clock, Random())
         self._items: dict[tuple[str, str], HeldItem] = {}
         self._tasks: TaskGroup | None = None
 
@@ -257,6 +257,7 @@
         :raises ChivespanError: ``stream_broken`` when the stream isn't whole.
         """
         splitter = EventSplitter()
+        asked = self._clock.monotonic()
         while True:
             chunk = await reply.next_chunk(GAP_PATIENCE)
             if chunk is None:
@@ -267,8 +268,10 @@
                     reason = f"event {event.event_id} behind {len(held.events)}"
                     raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
                 held.events.append(event.data)
-            if self._must_yield(entry):
+            now = self._clock.monotonic()
+            if self._yields.must_yield(entry, now - asked):
                 raise _Yielded
+            asked = now
         if splitter.has_partial:
             reason = "the stream ended within an event"
             raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
@@ -276,10 +279,6 @@
     def _is_full(self, entry: TargetEntry) -> bool:
         return self._board.total(entry.target_id) >= entry.slots
 
-    def _must_yield(self, entry: TargetEntry) -> bool:
-        """Return whether this item makes room; not all items of a target do at once."""
-        return self._is_full(entry) and self._random.random() < YIELD_PROBABILITY
-
 
 def _call(held: HeldItem, entry: TargetEntry) -> Call:
     start = held.start
