Bound the time in which a caller's body has to come

It is now due within the caller's deadline, or the idle time where there is none, and answered 408: nothing of it has run. Heads, sizes and bytes that are no request were bounded before; all five are tested.

The test with the body in a drip failed before. test_callerserver takes an address for each worker: two of its tests at once could not both listen.

--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -1,6 +1,6 @@
 """The ASGI application of a node: what it answers on each of its addresses."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from enum import StrEnum
 from http import HTTPStatus
@@ -9,7 +9,7 @@
 from starlette.types import Receive, Scope, Send
 
 from chivespan.batchfront import BatchFront
-from chivespan.callerrequest import CallerRequest, Responder
+from chivespan.callerrequest import CallerRequest, Responder, milliseconds
 from chivespan.clock import Clock
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.forwarding import Forwarder
@@ -17,7 +17,7 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodestanding import Standing
 from chivespan.platform import wire
-from chivespan.routes import Route, RouteKind
+from chivespan.routes import CallerLimits, Route, RouteKind
 from chivespan.routingstate import RoutingState
 
 # Another node takes the request at once.
@@ -100,7 +100,7 @@
         by_name = dict(headers)
         responder.request_id = by_name.get(wire.REQUEST_ID, b"").decode("latin-1")
         try:
-            body = await self._read_body(receive)
+            body = await self._read_body(receive, by_name)
         except ChivespanError as error:
             responder.closes = True
             await responder.refuse(error)
@@ -120,27 +120,23 @@
         )
         await self._serve_while_connected(request, receive, responder)
 
-    async def _read_body(self, receive: Receive) -> bytes | None:
+    async def _read_body(
+        self, receive: Receive, headers: Mapping[bytes, bytes]
+    ) -> bytes | None:
         """Return a request's body; None when the caller has left.
 
-        :raises ChivespanError: ``body_too_large``.
+        :raises ChivespanError: ``body_too_large``, ``request_too_slow``.
         """
         table = self._routing.table
-        limit = None if table is None else table.limits.max_body_bytes
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return None
-            chunk = message.get("body", b"")
-            chunks.append(chunk)
-            size += len(chunk)
-            if limit is not None and size > limit:
-                reason = f"the body has more than {limit} bytes"
-                raise ChivespanError(ErrorKind.BODY_TOO_LARGE, reason)
-            if not message.get("more_body", False):
-                return b"".join(chunks)
+        limits = CallerLimits() if table is None else table.limits
+        deadline = milliseconds(headers.get(wire.DEADLINE_MS, b"").decode("latin-1"))
+        patience = deadline or limits.idle_timeout
+        try:
+            with anyio.fail_after(patience.total_seconds()):
+                return await _whole_body(receive, limits.max_body_bytes)
+        except TimeoutError as error:
+            reason = "the body did not come in time"
+            raise ChivespanError(ErrorKind.REQUEST_TOO_SLOW, reason) from error
 
     async def _serve_while_connected(
         self, request: CallerRequest, receive: Receive, responder: Responder
@@ -205,3 +201,24 @@
             reason = f"no route for {request.host}{request.path}"
             raise ChivespanError(ErrorKind.NOT_FOUND, reason)
         return route
+
+
+async def _whole_body(receive: Receive, max_bytes: int) -> bytes | None:
+    """Return a request's body; None when the caller has left.
+
+    :raises ChivespanError: ``body_too_large``.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        chunk = message.get("body", b"")
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > max_bytes:
+            reason = f"the body has more than {max_bytes} bytes"
+            raise ChivespanError(ErrorKind.BODY_TOO_LARGE, reason)
+        if not message.get("more_body", False):
+            return b"".join(chunks)
--- a/chivespan/errors.py
+++ b/chivespan/errors.py
@@ -20,6 +20,7 @@
     BAD_REQUEST = "bad_request"
     UNKNOWN_FIELD = "unknown_field"
     BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TOO_SLOW = "request_too_slow"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
@@ -70,6 +71,7 @@
     ErrorKind.BAD_REQUEST: Answer(400, False),
     ErrorKind.UNKNOWN_FIELD: Answer(400, False),
     ErrorKind.BODY_TOO_LARGE: Answer(413, False),
+    ErrorKind.REQUEST_TOO_SLOW: Answer(408, False),
     ErrorKind.UNAUTHENTICATED: Answer(401, False),
     ErrorKind.FORBIDDEN: Answer(403, False),
     ErrorKind.NOT_FOUND: Answer(404, False),
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -1,5 +1,6 @@
 """Limits on what callers send: heads and bodies that are too large or too slow."""
 
+import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from datetime import timedelta
@@ -13,6 +14,9 @@
 from chivespan.routes import CallerLimits
 
 pytestmark = pytest.mark.anyio
+# Workers run tests of this file at the same time.
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+HOST = f"127.0.19.{1 + WORKER}"
 LIMITS = CallerLimits(
     max_header_bytes=500,
     header_timeout=timedelta(milliseconds=200),
@@ -27,13 +31,13 @@
 
 @asynccontextmanager
 async def connected() -> AsyncIterator[anyio.abc.SocketStream]:
-    address = Address("127.0.19.1", 8161)
+    address = Address(HOST, 8161)
     server = CallerServer(_app, [address], lambda: LIMITS)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.run)
         for _ in range(100):
             try:
-                stream = await anyio.connect_tcp("127.0.19.1", 8161)
+                stream = await anyio.connect_tcp(HOST, 8161)
                 break
             except OSError:
                 await anyio.sleep(0.02)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -3,17 +3,26 @@
 Each server here goes on until its connection is closed, and notes when that was.
 """
 
+import json
+import os
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import count
+from types import SimpleNamespace
+from typing import cast
 
 import anyio
 import pytest
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
+from chivespan.addresses import Address
 from chivespan.batchexecutor import BatchExecutor
+from chivespan.batchfront import BatchFront
+from chivespan.callerapp import CallerApp, Listener
 from chivespan.callerrequest import CallerRequest, Responder
+from chivespan.callerserver import CallerServer
 from chivespan.clock import SystemClock
 from chivespan.engineapi import EngineRequest
 from chivespan.engineclient import EngineClient, StreamLimits
@@ -32,9 +41,10 @@
 from chivespan.loadboard import LoadBoard
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus
 from chivespan.nodemetrics import NodeMetrics
+from chivespan.nodestanding import Standing
 from chivespan.platform.documents import decode_config
 from chivespan.platform.store import PlatformStore
-from chivespan.routes import Route
+from chivespan.routes import CallerLimits, Route
 from chivespan.routingstate import RoutingState
 from chivespan.targethttp import HttpRequest, TargetHttp
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
@@ -53,6 +63,8 @@
 FLOOD = 64 * 1024
 # Until the server notices that its connection was closed.
 NOTICE_S = 1.0
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_ports = count(18_200 + 20 * WORKER)
 
 
 @dataclass
@@ -70,16 +82,21 @@
     open: int = 0
 
     async def serve(self, stream: SocketStream) -> None:
+        async with stream:
+            with suppress(anyio.EndOfStream):
+                await stream.receive()
+            await self.send_to(stream)
+
+    async def send_to(self, stream: SocketStream) -> None:
+        """Send until the other end closes the connection."""
         self.open += 1
         try:
-            async with stream:
-                await stream.receive()
-                await stream.send(self.first)
-                while True:
-                    await stream.send(self.then)
-                    self.sent += len(self.then)
-                    await anyio.sleep(self.pause_s)
-        except (anyio.BrokenResourceError, anyio.EndOfStream):
+            await stream.send(self.first)
+            while True:
+                await stream.send(self.then)
+                self.sent += len(self.then)
+                await anyio.sleep(self.pause_s)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         finally:
             self.open -= 1
@@ -406,3 +423,80 @@
         await vm_list.close()
         await log.aclose()
         await endless.wait_closed()
+
+
+class CallerSite:
+    """A caller's end of a node's server, which takes what bodies come."""
+
+    limits = CallerLimits(
+        max_header_bytes=2_000,
+        max_body_bytes=100_000,
+        header_timeout=S / 2,
+        idle_timeout=S / 2,
+    )
+
+    def __init__(self) -> None:
+        routing = RoutingState(decode_config)
+        document = json.loads(config(1))
+        document["limits"] = {"maxBodyBytes": 100_000, "idleTimeoutMs": 500}
+        routing.offer(json.dumps(document).encode(), "test")
+        port = next(_ports)
+        self.address = Address("127.0.0.1", port)
+        app = CallerApp(
+            {port: Listener.FRONT},
+            cast(Standing, SimpleNamespace(is_leaving=False, refuses_new=False)),
+            routing,
+            cast(Forwarder, None),
+            cast(BatchFront, None),
+            NodeMetrics(),
+            SystemClock(),
+        )
+        self.server = CallerServer(app, [self.address], lambda: self.limits)
+
+
+CHUNKED = b"POST /s/1 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+FROM_CALLERS = {
+    "a head in a drip": (Endless(b"GET / HTTP/1.1\r\n", b"a: b\r\n"), 408),
+    "a head in a flood": (Endless(b"GET / HTTP/1.1\r\na: ", b"y" * FLOOD, 0), 431),
+    "a body in a drip": (Endless(CHUNKED, b"1\r\nx\r\n"), 408),
+    "a body in a flood": (
+        Endless(CHUNKED, b"2710\r\n%b\r\n" % (b"x" * 10_000), 0),
+        413,
+    ),
+    "bytes that are no request": (Endless(b"\x16\x03\x01", b"\x00" * 50), 400),
+}
+
+
+@pytest.mark.parametrize("what", FROM_CALLERS)
+async def test_caller_that_sends_without_end_is_answered_and_left(what: str) -> None:
+    """A caller's body that dripped was read for ever, and held its connection."""
+    kind, status = FROM_CALLERS[what]
+    site = CallerSite()
+    answer = b""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(site.server.run)
+        stream = await _connected(site.address)
+        endless = Endless(kind.first, kind.then, kind.pause_s)
+
+        async def send() -> None:
+            await endless.send_to(stream)
+
+        tasks.start_soon(send)
+        with anyio.fail_after(3):
+            try:
+                while True:
+                    answer += await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                pass
+        assert answer.startswith(b"HTTP/1.1 %d " % status)
+        await endless.wait_closed()
+        await stream.aclose()
+        site.server.stop()
+
+
+async def _connected(address: Address) -> SocketStream:
+    while True:
+        try:
+            return await anyio.connect_tcp(address.host, address.port)
+        except OSError:
+            await anyio.sleep(0.02)
--- a/tools/pages.py
+++ b/tools/pages.py
@@ -22,6 +22,7 @@
     ErrorKind.BAD_REQUEST: "The request can't be read; the message names the place.",
     ErrorKind.UNKNOWN_FIELD: "The body has a field that doesn't exist.",
     ErrorKind.BODY_TOO_LARGE: "The body is over the limit.",
+    ErrorKind.REQUEST_TOO_SLOW: "The body did not come in time.",
     ErrorKind.UNAUTHENTICATED: "The key is missing or unknown.",
     ErrorKind.FORBIDDEN: "The key is known but may not do this.",
     ErrorKind.NOT_FOUND: "There is no such path, service or job.",
