--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -12,7 +12,13 @@
 from chivespan.batchexecutor import BatchExecutor
 from chivespan.batchowner import BatchOwner
 from chivespan.batchplacement import PARTITIONS, BatchPlacement, OwnershipChange
-from chivespan.batchschedule import NodeRoom, RoomPolicy, TargetRoom, place_items
+from chivespan.batchschedule import (
+    NodeRoom,
+    RoomPolicy,
+    TargetRoom,
+    has_room,
+    place_items,
+)
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
@@ -221,7 +227,7 @@
         if self._backlog_note.is_due:
             waiting = [item for owner in owned for item in owner.waiting()]
             self._backlog_note.write(waiting, len(running), targets, now)
-        if not any(self._room_of(target, in_a_hurry=True) > 0 for target in targets):
+        if not has_room(targets, self._room_of):
             return
         waiting = [item for owner in owned for item in owner.waiting()]
         if not waiting:
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -10,7 +10,7 @@
 
 import sys
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import partial
@@ -172,6 +172,23 @@
     return FIXED_ITEMS - room.batch
 
 
+def by_service(targets: Iterable[TargetRoom]) -> Mapping[str, list[TargetRoom]]:
+    """Return the targets of each service."""
+    found: dict[str, list[TargetRoom]] = defaultdict(list)
+    for target in targets:
+        found[target.entry.service].append(target)
+    return found
+
+
+def has_room(targets: Iterable[TargetRoom], room_of: RoomPolicy) -> bool:
+    """Return whether any item could start, were it in a hurry."""
+    return any(
+        room_of.of_all(rooms) > 0
+        and any(room_of(room, in_a_hurry=True) > 0 for room in rooms)
+        for rooms in by_service(targets).values()
+    )
+
+
 def must_hurry(
     items: Iterable[WaitingItem], targets: Sequence[TargetRoom], now: datetime
 ) -> bool:
@@ -199,15 +216,15 @@
     """Yield what to start now; the rooms given are filled meanwhile."""
     ordered = sorted(items, key=lambda item: item.urgency)
     room_for = partial(room_of, in_a_hurry=must_hurry(ordered, targets, now))
-    open_rooms: dict[str, list[TargetRoom]] = defaultdict(list)
-    for target in targets:
-        open_rooms[target.entry.service].append(target)
-    left = {service: room_of.of_all(rooms) for service, rooms in open_rooms.items()}
-    for service, rooms in open_rooms.items():
-        open_rooms[service] = [room for room in rooms if room_for(room) > 0]
+    rooms_of = by_service(targets)
+    left = {service: room_of.of_all(rooms) for service, rooms in rooms_of.items()}
+    open_rooms = {
+        service: [room for room in rooms if room_for(room) > 0]
+        for service, rooms in rooms_of.items()
+    }
     holders = {node.vm: node for node in nodes}
     for item in ordered if nodes and open_rooms else ():
-        fitting = open_rooms[item.service]
+        fitting = open_rooms.get(item.service, [])
         if not fitting or left[item.service] <= 0:
             continue
         left[item.service] -= 1
