--- a/chivespan/batchyield.py
+++ b/chivespan/batchyield.py
@@ -19,7 +19,7 @@
 # With fewer free slots than this share of the targets, the next online requests will
 # find none.
 SCARCE_FREE_PER_TARGET = 0.5
-SCARCITY_CHECK_INTERVAL = timedelta(milliseconds=50)
+SCARCITY_CHECK_INTERVAL = timedelta(milliseconds=100)
 
 
 class YieldRule:
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -13,6 +13,8 @@
 from random import Random
 from typing import TypeAlias
 
+import msgspec
+
 from chivespan.clock import Clock
 from chivespan.loadboard import LoadBoard
 from chivespan.nodemessages import TargetEntry
@@ -34,9 +36,8 @@
 NO_TARGET_RETURN = timedelta(milliseconds=500)
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """One target that a request may go to.
+class Candidate(msgspec.Struct, frozen=True):
+    """One target that a request may go to; many are made for each request.
 
     :param slots: how many of its slots may be used now.
     """
