--- a/chivespan/loadboard.py
+++ b/chivespan/loadboard.py
@@ -52,17 +52,18 @@
         self._own_online: dict[str, int] = defaultdict(int)
         self._own_batch: dict[str, int] = defaultdict(int)
         self._peers: dict[str, _PeerCounts] = {}
-        self._peer_online: dict[str, int] = defaultdict(int)
-        self._peer_batch: dict[str, int] = defaultdict(int)
+        # Own counts and those of peers together.
+        self._online: dict[str, int] = defaultdict(int)
+        self._batch: dict[str, int] = defaultdict(int)
         self._own_changed = anyio.Event()
 
     def online(self, target_id: str) -> int:
         """Return the online requests in progress at a target."""
-        return self._own_online[target_id] + self._peer_online[target_id]
+        return self._online.get(target_id, 0)
 
     def batch(self, target_id: str) -> int:
         """Return the batch items in progress at a target."""
-        return self._own_batch[target_id] + self._peer_batch[target_id]
+        return self._batch.get(target_id, 0)
 
     def total(self, target_id: str) -> int:
         """Return all requests in progress at a target."""
@@ -89,13 +90,13 @@
     @contextmanager
     def hold_online(self, target_id: str) -> Iterator[None]:
         """Count an online request for the time of the block."""
-        with self._hold(self._own_online, target_id):
+        with self._hold(self._own_online, self._online, target_id):
             yield
 
     @contextmanager
     def hold_batch(self, target_id: str) -> Iterator[None]:
         """Count a batch item for the time of the block."""
-        with self._hold(self._own_batch, target_id):
+        with self._hold(self._own_batch, self._batch, target_id):
             yield
 
     def report(
@@ -125,15 +126,19 @@
         await self._own_changed.wait()
 
     @contextmanager
-    def _hold(self, counts: dict[str, int], target_id: str) -> Iterator[None]:
-        counts[target_id] += 1
+    def _hold(
+        self, own: dict[str, int], total: dict[str, int], target_id: str
+    ) -> Iterator[None]:
+        own[target_id] += 1
+        total[target_id] += 1
         self._tell_own()
         try:
             yield
         finally:
-            counts[target_id] -= 1
-            if not counts[target_id]:
-                del counts[target_id]
+            own[target_id] -= 1
+            total[target_id] -= 1
+            if not own[target_id]:
+                del own[target_id]
             self._tell_own()
 
     def _subtract(self, peer: str) -> None:
@@ -144,8 +149,8 @@
 
     def _add(self, loads: Sequence[TargetLoad], times: int) -> None:
         for load in loads:
-            self._peer_online[load.target_id] += load.online * times
-            self._peer_batch[load.target_id] += load.batch * times
+            self._online[load.target_id] += load.online * times
+            self._batch[load.target_id] += load.batch * times
 
     def _tell_own(self) -> None:
         self._own_changed.set()
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -29,6 +29,8 @@
 
 CHANGE_INTERVAL = timedelta(milliseconds=30)
 RELAY_INTERVAL = timedelta(milliseconds=60)
+# Among many nodes, which all take each sum.
+LARGE_RELAY_INTERVAL = timedelta(milliseconds=100)
 # At which a node that only reports to a relay looks whether it stands otherwise.
 LOOK_INTERVAL = timedelta(milliseconds=150)
 REPEAT_INTERVAL = timedelta(seconds=1)
@@ -138,8 +140,7 @@
 
     async def _relay_sums(self) -> None:
         while True:
-            interval = RELAY_INTERVAL if self._counts_by_itself else LOOK_INTERVAL
-            await anyio.sleep(interval.total_seconds())
+            await anyio.sleep(self._interval.total_seconds())
             self._tell_of_changes()
             if self.is_relay:
                 self._send_sums()
@@ -155,7 +156,10 @@
             self._forget_sum(self._links.own.data_centre)
             self._board.report(peer.node.vm, report.loads)
             self._silence.told(peer.node.vm, report.silent)
+        is_new_width = report.link_mbps != peer.report.link_mbps
         peer.report = report
+        if is_new_width:
+            self._choose_relay(self.own_standing())
 
     def _take_sum(self, report: DataCentreReport) -> None:
         """Take what is in progress in a data centre, but for what this node has."""
@@ -195,7 +199,8 @@
             silent=self._silence.own(),
             loads=self._board.own_loads(),
         )
-        self._choose_relay(report)
+        if self._relay is None:
+            self._choose_relay(report)
         self._silent = report.silent
         self._told[self._sequence] = report.loads
         if len(self._told) > REMEMBERED_REPORTS:
@@ -252,6 +257,7 @@
     def _repeat_all(self) -> None:
         """Send all that others count on again, as peers have changed."""
         self._sum_sent.clear()
+        self._choose_relay(self.own_standing())
         self._report_loads()
 
     def _choose_relay(self, own_report: LoadReport) -> None:
@@ -277,6 +283,13 @@
         """Whether this node adds up the reports of its data centre's nodes."""
         return self._is_direct or self.is_relay
 
+    @property
+    def _interval(self) -> timedelta:
+        """How often this node looks whether there is news to tell."""
+        if self._is_direct:
+            return RELAY_INTERVAL
+        return LARGE_RELAY_INTERVAL if self.is_relay else LOOK_INTERVAL
+
     def _send(self, peers: Iterable[Peer], message: object) -> None:
         frame = encode_message(message)
         for peer in peers:
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -7,7 +7,7 @@
 be late by then is refused, so that it can come back while others are served in time.
 """
 
-from collections.abc import Callable, Container, Sequence
+from collections.abc import Callable, Container, Iterator, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -180,11 +180,7 @@
     def candidates(self, service: str) -> list[Candidate]:
         """Return all targets of a service that may be given work."""
         now = self._clock.monotonic()
-        healthy = [
-            self._candidate(entry, slots)
-            for entry in self._targets.usable(service)
-            if (slots := self._slots(entry, now)) > 0
-        ]
+        healthy = list(self._healthy(service, now))
         silent = self._silence.all()
         if not silent:
             return healthy
@@ -231,18 +227,21 @@
         """Note that a target took no connection."""
         self._health_of(target_id).record_unreachable(self._clock.monotonic())
 
-    def _candidate(self, entry: TargetEntry, slots: int) -> Candidate:
-        return Candidate(
-            entry=entry,
-            slots=slots,
-            online=self._board.online(entry.target_id),
-            batch=self._board.batch(entry.target_id),
-            near=entry.data_centre == self._data_centre,
-        )
-
-    def _slots(self, entry: TargetEntry, now: timedelta) -> int:
-        health = self._health.get(entry.target_id)
-        return entry.slots if health is None else health.slots(entry.slots, now)
+    def _healthy(self, service: str, now: timedelta) -> Iterator[Candidate]:
+        """Yield the targets that have slots to use."""
+        board = self._board
+        for entry in self._targets.usable(service):
+            target_id = entry.target_id
+            health = self._health.get(target_id)
+            slots = entry.slots if health is None else health.slots(entry.slots, now)
+            if slots > 0:
+                yield Candidate(
+                    entry,
+                    slots,
+                    board.online(target_id),
+                    board.batch(target_id),
+                    entry.data_centre == self._data_centre,
+                )
 
     def _health_of(self, target_id: str) -> TargetHealth:
         return self._health.setdefault(target_id, TargetHealth())
--- a/chivespan/targetset.py
+++ b/chivespan/targetset.py
@@ -4,7 +4,7 @@
 whose entry lapsed while the store was away gets a while to renew it.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -39,6 +39,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._entries: dict[str, TargetEntry] = {}
+        # Worked out anew when the entries have changed.
+        self._usable: dict[str, list[TargetEntry]] = {}
         self._gone: dict[str, _Gone] = {}
         self._replaced: timedelta | None = None
         self._lapses_count_from = timedelta(0)
@@ -58,11 +60,16 @@
         entry = self._entries.get(target_id)
         return None if entry is None or entry.draining else entry
 
-    def usable(self, service: str) -> Iterator[TargetEntry]:
-        """Yield the targets of a service that take new requests."""
-        for entry in self._entries.values():
-            if entry.service == service and not entry.draining:
-                yield entry
+    def usable(self, service: str) -> Sequence[TargetEntry]:
+        """Return the targets of a service that take new requests."""
+        known = self._usable.get(service)
+        if known is None:
+            known = self._usable[service] = [
+                entry
+                for entry in self._entries.values()
+                if entry.service == service and not entry.draining
+            ]
+        return known
 
     def replace(self, entries: Iterable[TargetEntry]) -> None:
         """Take in all entries that the store has now."""
@@ -75,6 +82,7 @@
             self._take(entry, now)
         if now >= self._lapses_count_from:
             self._drop_missing(listed.keys(), now)
+        self._usable.clear()
 
     def _take(self, entry: TargetEntry, now: timedelta) -> None:
         if self._is_old(entry, now):
