--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -44,6 +44,8 @@
 CONNECT_WAIT = timedelta(milliseconds=500)
 TAKEOVER_WAIT = timedelta(seconds=1)
 NO_OWNER_PAUSE = timedelta(milliseconds=50)
+# A link to an owner that was left is mostly back by then.
+ASK_AGAIN_AFTER = timedelta(milliseconds=500)
 SHARE_LIFETIME = timedelta(seconds=1)
 SPILL_KINDS = frozenset(
     {ErrorKind.NO_CAPACITY, ErrorKind.NO_TARGET, ErrorKind.OWNER_LIMIT}
@@ -64,6 +66,20 @@
         self.answered.set()
 
 
+@dataclass(slots=True)
+class _Round:
+    """What came of asking the slices of a request once.
+
+    :ivar refusal: what its caller is told unless it queues.
+    :ivar first_full: the first slice that was full.
+    :ivar passed_over: whether the owner of a slice could not be reached.
+    """
+
+    refusal: ChivespanError
+    first_full: Slice | None = None
+    passed_over: bool = False
+
+
 @dataclass(slots=True)
 class _Dispatcher:
     """One dispatcher as this process reaches it."""
@@ -151,15 +167,31 @@
     async def _ask_slices(self, request: GrantRequest, deadline: timedelta) -> HeldSlot:
         """Ask slice after slice until one grants.
 
-        Online work first asks which one can grant at once, and only then queues.
+        Online work first asks which one can grant at once, and only then queues. Where
+        a slice was passed over because its owner could not be reached, it queues
+        elsewhere for a while only, and asks all of them again.
 
         :raises ChivespanError: the first refusal; ``no_dispatcher`` when no owner
             gave an answer.
         """
-        refusal = self._no_dispatcher(request)
+        while True:
+            round_ = _Round(self._no_dispatcher(request))
+            slot = await self._ask_for_free(request, deadline, round_)
+            if slot is not None:
+                return slot
+            if round_.first_full is None:
+                raise round_.refusal
+            asked = self._for_slice(request, round_.first_full, deadline)
+            wait = ASK_AGAIN_AFTER.total_seconds() if round_.passed_over else None
+            with anyio.move_on_after(wait):
+                return await self._ask_owners(round_.first_full, asked)
+
+    async def _ask_for_free(
+        self, request: GrantRequest, deadline: timedelta, round_: "_Round"
+    ) -> HeldSlot | None:
+        """Return a slot that is free now; else note where to queue, if anywhere."""
         parts = list(islice(self._choice.candidates(request), SLICES_ASKED))
         passing = request.work_class is WorkClass.online and len(parts) > 1
-        first_full: Slice | None = None
         for part in parts:
             asked = self._for_slice(request, part, deadline)
             if passing:
@@ -168,17 +200,15 @@
                 return await self._ask_owners(part, asked)
             except ChivespanError as error:
                 if error.kind is ErrorKind.NO_DISPATCHER:
+                    round_.passed_over = True
                     continue
                 if error.kind not in SPILL_KINDS:
                     raise
-                if error.kind is ErrorKind.NO_CAPACITY:
-                    first_full = first_full or part
-                if refusal.kind is ErrorKind.NO_DISPATCHER:
-                    refusal = error
-        if passing and first_full is not None:
-            asked = self._for_slice(request, first_full, deadline)
-            return await self._ask_owners(first_full, asked)
-        raise refusal
+                if error.kind is ErrorKind.NO_CAPACITY and passing:
+                    round_.first_full = round_.first_full or part
+                if round_.refusal.kind is ErrorKind.NO_DISPATCHER:
+                    round_.refusal = error
+        return None
 
     def _for_slice(
         self, request: GrantRequest, part: Slice, deadline: timedelta
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -158,6 +158,33 @@
         assert running(site.nodes) == CAPACITY + SLOTS
 
 
+async def test_request_queued_far_comes_back_to_a_slice_it_could_not_reach(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Requests queued at a full far slice for their whole deadline, near ones free."""
+    async with two_centres(Platform()) as site:
+        client, link = site.entry.client, site.entry.client._link
+        cut_off = True
+
+        async def link_unless_cut(vm: str) -> PeerLink | None:
+            return None if cut_off and vm == VMS[0] else await link(vm)
+
+        monkeypatch.setattr(client, "_link", link_unless_cut)
+        slots: list[HeldSlot] = []
+
+        async def patient(number: int) -> None:
+            wanted = replace(request(number), deadline_ms=600_000)
+            slots.append(await client.acquire(wanted))
+
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as patients:
+                for number in range(CAPACITY + SLOTS):
+                    patients.start_soon(patient, number)
+                await anyio.sleep(0.3)
+                cut_off = False
+        assert running(site.nodes) == CAPACITY + SLOTS
+
+
 async def test_owner_within_its_limit_is_not_refused_for_a_slice_s_part() -> None:
     """The near slice's part of the limit is 4 and the far one's 2."""
     limit = 6
