Close a connection whose caller leaves as it opens, and time only reads

Seen by reading: a request given up between the opening of its connection and its first byte left the connection to the garbage collector, and the deadline of a read that ended the connection stood on while its caller was answered.

--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -134,6 +134,7 @@
     request = call.encode()
     stream = await _connected(call)
     try:
+        await _check_open(call, stream)
         with anyio.CancelScope() as patience:
             reader = _Reader(call, stream, patience)
             await reader.read_head(request)
@@ -149,23 +150,20 @@
     try:
         address = parse_address(call.address)
         with anyio.fail_after(call.connect_timeout.total_seconds()):
-            stream = await anyio.connect_tcp(address.host, address.port)
-            await _check_open(stream)
+            return await anyio.connect_tcp(address.host, address.port)
     except (OSError, TimeoutError, RuntimeError, ValueError) as error:
         raise NotSent(call.address, repr(error)) from error
-    return stream
 
 
-async def _check_open(stream: SocketStream) -> None:
+async def _check_open(call: Call, stream: SocketStream) -> None:
     """Find out, before anything is sent, if the other end has reset the connection.
 
-    :raises OSError: when it has.
+    :raises NotSent: when it has.
     """
     try:
         await stream.send(b"")
     except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-        await stream.aclose()
-        raise ConnectionResetError("reset while it was opened") from error
+        raise NotSent(call.address, "reset while it was opened") from error
 
 
 class _Reader:
@@ -237,7 +235,9 @@
             return False
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise self._broken(repr(error.__cause__ or error)) from error
-        self._patience.deadline = inf
+        finally:
+            # What the block does with the bytes takes its own time.
+            self._patience.deadline = inf
         self._bytes_left -= len(received)
         if self._bytes_left < 0:
             raise self._broken("it sent more bytes than an answer may have")
