--- a/chivespan/grantclient.py
+++ b/chivespan/grantclient.py
@@ -67,7 +67,7 @@
 
 
 @dataclass(slots=True)
-class _Round:
+class _AskedOnce:
     """What came of asking the slices of a request once.
 
     :ivar refusal: what its caller is told unless it queues.
@@ -175,19 +175,19 @@
             gave an answer.
         """
         while True:
-            round_ = _Round(self._no_dispatcher(request))
-            slot = await self._ask_for_free(request, deadline, round_)
+            asked_once = _AskedOnce(self._no_dispatcher(request))
+            slot = await self._ask_for_free(request, deadline, asked_once)
             if slot is not None:
                 return slot
-            if round_.first_full is None:
-                raise round_.refusal
-            asked = self._for_slice(request, round_.first_full, deadline)
-            wait = ASK_AGAIN_AFTER.total_seconds() if round_.passed_over else None
+            if asked_once.first_full is None:
+                raise asked_once.refusal
+            asked = self._for_slice(request, asked_once.first_full, deadline)
+            wait = ASK_AGAIN_AFTER.total_seconds() if asked_once.passed_over else None
             with anyio.move_on_after(wait):
-                return await self._ask_owners(round_.first_full, asked)
+                return await self._ask_owners(asked_once.first_full, asked)
 
     async def _ask_for_free(
-        self, request: GrantRequest, deadline: timedelta, round_: "_Round"
+        self, request: GrantRequest, deadline: timedelta, asked_once: "_AskedOnce"
     ) -> HeldSlot | None:
         """Return a slot that is free now; else note where to queue, if anywhere."""
         parts = list(islice(self._choice.candidates(request), SLICES_ASKED))
@@ -200,14 +200,14 @@
                 return await self._ask_owners(part, asked)
             except ChivespanError as error:
                 if error.kind is ErrorKind.NO_DISPATCHER:
-                    round_.passed_over = True
+                    asked_once.passed_over = True
                     continue
                 if error.kind not in SPILL_KINDS:
                     raise
                 if error.kind is ErrorKind.NO_CAPACITY and passing:
-                    round_.first_full = round_.first_full or part
-                if round_.refusal.kind is ErrorKind.NO_DISPATCHER:
-                    round_.refusal = error
+                    asked_once.first_full = asked_once.first_full or part
+                if asked_once.refusal.kind is ErrorKind.NO_DISPATCHER:
+                    asked_once.refusal = error
         return None
 
     def _for_slice(
--- a/tests/test_results.py
+++ b/tests/test_results.py
@@ -31,3 +31,9 @@
     text = page(tmp_path)
     assert "| scale-1 | 0.700 | 0.500 |  | none | yes |" in text
     assert "entry 1." in text
+
+
+def test_a_later_trial_is_no_result(tmp_path: Path) -> None:
+    write_score(tmp_path, "1", "landing", 0.7)
+    write_score(tmp_path, "2", "trial: a patch that was not taken", 0.9)
+    assert "| scale-1 | 0.700 |  |  | none | yes |" in page(tmp_path)
--- a/tools/results.py
+++ b/tools/results.py
@@ -2,7 +2,8 @@
 
 The page shows, for each site, the newest score and the worth of each of its days, with
 the commit that was measured. Beside it stands the newest score of the plain baseline,
-told by its reason in the journal. Nothing on the page is typed by hand.
+told by its reason in the journal; so are trials, which are left out. Nothing on the
+page is typed by hand.
 """
 
 import sys
@@ -26,6 +27,7 @@
 Baseline: least own requests in progress, a fixed number of items a node (a trial).
 """
 BASELINE = "plain baseline"
+TRIAL = "trial"
 
 
 class Day(msgspec.Struct):
@@ -90,7 +92,8 @@
     scores: dict[str, Entry] = {}
     baselines: dict[str, Entry] = {}
     for entry in entries(journal):
-        if entry.cmd == "score" and entry.site:
+        is_trial = entry.why.startswith(TRIAL)
+        if entry.cmd == "score" and entry.site and not is_trial:
             kept = baselines if entry.why.startswith(BASELINE) else scores
             kept[entry.site] = entry
     return {site: Summary(scores[site], baselines.get(site)) for site in scores}
