--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -17,7 +17,7 @@
 from tests.entries import target_entry
 from tests.fakestore import FakeStore
 from tests.fleet import HOST, batch_route, config
-from tests.test_ledgerstore import job
+from tests.test_ledgerstore import SUBMITTED, job
 
 pytestmark = pytest.mark.anyio
 PARTITION = Partition("keyed.batch", 1)
@@ -29,6 +29,7 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock()
+        self.metrics = NodeMetrics()
         self.store = FakeStore()
         self.ledger = LedgerStore(self.store, PARTITION, self.clock, 2_000_000)
         routing = RoutingState(decode_config)
@@ -42,7 +43,7 @@
             self._send,
             timedelta(seconds=120),
             100_000,
-            NodeMetrics(),
+            self.metrics,
         )
 
     async def accept(self, items: int) -> None:
@@ -160,3 +161,37 @@
     await site.owner.load()
     assert site.waiting() == ["k-0"]
     await site.ledger.refresh(NO_WAIT)
+
+
+async def test_metrics_tell_where_the_time_of_a_listed_item_went() -> None:
+    """Waiting, running, being cut and being lost could not be told apart (issue 17)."""
+    site = Site()
+    site.clock.advance(SUBMITTED - site.clock.now())
+    await site.accept(1)
+    site.clock.advance(timedelta(seconds=2))
+    site.start("n1")
+    site.clock.advance(timedelta(seconds=3))
+    site.owner.take_status("n1", status(ItemState.paused, events=5))
+    site.clock.advance(timedelta(seconds=4))
+    site.owner.node_lost("n1")
+    site.clock.advance(timedelta(seconds=5))
+    site.start("n2")
+    site.clock.advance(timedelta(seconds=6))
+    site.owner.take_status("n2", status(ItemState.done, events=7))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(site.ledger.run)
+        tasks.start_soon(site.owner.list_finished)
+        with anyio.fail_after(2):
+            while site.owner._runs:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    text = site.metrics.text().decode()
+    phases = {
+        "waiting": 2.3,
+        "running": 9.0,
+        "paused": 4.0,
+        "lost": 5.0,
+        "listing": 0.0,
+    }
+    for phase, seconds in phases.items():
+        assert f'item_phase_seconds_sum{{phase="{phase}"}} {seconds}' in text
