Test that nodes leave peers whose handshake or frame has no end

These pass on the code before as well: websockets bounds a handshake's lines and time, and a link without a whole frame is silent.

--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -16,6 +16,7 @@
 import anyio
 import pytest
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from websockets.asyncio.client import connect
 
 from chivespan.addresses import Address
 from chivespan.batchexecutor import BatchExecutor
@@ -24,6 +25,7 @@
 from chivespan.callerrequest import CallerRequest, Responder
 from chivespan.callerserver import CallerServer
 from chivespan.clock import SystemClock
+from chivespan.codec import encode_message
 from chivespan.engineapi import EngineRequest
 from chivespan.engineclient import EngineClient, StreamLimits
 from chivespan.errors import ChivespanError
@@ -42,6 +44,7 @@
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodestanding import Standing
+from chivespan.peerlink import PeerLink, dial_once, listen
 from chivespan.platform.documents import decode_config
 from chivespan.platform.store import PlatformStore
 from chivespan.routes import CallerLimits, Route
@@ -52,6 +55,7 @@
 from chivespan.targetsilence import TargetSilence
 from tests.entries import target_entry
 from tests.fleet import HOST, config, route
+from tests.test_peerlink import end_of
 
 pytestmark = pytest.mark.anyio
 
@@ -500,3 +504,64 @@
             return await anyio.connect_tcp(address.host, address.port)
         except OSError:
             await anyio.sleep(0.02)
+
+
+async def _ignore(_link: PeerLink) -> None:
+    raise AssertionError("a link")
+
+
+@pytest.mark.parametrize("what", HEADS)
+async def test_node_that_answers_a_dial_without_end_is_left(what: str) -> None:
+    """Bytes without end in place of a handshake held no dial; guards against that."""
+    kind = HEADS[what]
+    async with serving(Endless(kind.first, kind.then, kind.pause_s)) as endless:
+        with anyio.fail_after(3):
+            assert not await dial_once(endless.address, end_of("a"), _ignore)
+        await endless.wait_closed()
+
+
+FROM_DIALLERS = {
+    "header lines": Endless(b"GET / HTTP/1.1\r\n", b"a: b\r\n"),
+    "one long line in a flood": Endless(b"GET / HTTP/1.1\r\na: ", b"y" * FLOOD, 0),
+    "bytes that are no HTTP": Endless(b"", b"\x00"),
+}
+
+
+@pytest.mark.parametrize("what", FROM_DIALLERS)
+async def test_node_that_dials_without_end_is_left(what: str) -> None:
+    """Bytes without end in place of a handshake held no end that was dialled."""
+    kind = FROM_DIALLERS[what]
+    endless = Endless(kind.first, kind.then, kind.pause_s)
+    async with listen("127.0.0.1", 0, end_of("a"), _ignore) as port:
+        stream = await anyio.connect_tcp("127.0.0.1", port)
+        with anyio.fail_after(3):
+            await endless.send_to(stream)
+        await stream.aclose()
+
+
+async def test_frame_without_end_leaves_its_link() -> None:
+    """A frame that dripped for ever was never whole, and the link never silent."""
+    heard: list[object] = []
+
+    async def hear(link: PeerLink) -> None:
+        heard.extend([message async for message in link])
+
+    end = end_of("a")
+    async with (
+        listen("127.0.0.1", 0, end, hear) as port,
+        connect(
+            f"ws://127.0.0.1:{port}",
+            additional_headers={"Authorization": f"Bearer {end.options.peer_key}"},
+            compression=None,
+            proxy=None,
+            ping_interval=None,
+        ) as websocket,
+    ):
+        await websocket.send(encode_message(end_of("b").hello))
+        # The head of a frame of 1 MB, whose bytes then drip.
+        websocket.transport.write(b"\x82\xff" + (1 << 20).to_bytes(8) + b"\0" * 4)
+        with anyio.fail_after(5):
+            while not websocket.transport.is_closing():
+                websocket.transport.write(b"x")
+                await anyio.sleep(DRIP_S)
+    assert not heard
