--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -1,7 +1,7 @@
 """Batch work of one node: the partitions that it owns, and the items that it holds."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from datetime import timedelta
 
 import anyio
@@ -16,12 +16,14 @@
     NodeRoom,
     RoomPolicy,
     TargetRoom,
+    WaitingItem,
     has_room,
     place_items,
 )
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
+from chivespan.itemrun import Run
 from chivespan.keyedstore import KeyedStore, Partition
 from chivespan.ledgerstore import LedgerStore
 from chivespan.logs import logger
@@ -223,16 +225,21 @@
         running = [run for owner in owned for run in owner.running()]
         at_targets = Counter(run.target_id for run in running)
         targets = list(self._target_rooms(services, at_targets))
-        now = self._clock.now()
         if self._backlog_note.is_due:
-            waiting = [item for owner in owned for item in owner.waiting()]
-            self._backlog_note.write(waiting, len(running), targets, now)
-        if not has_room(targets, self._room_of):
-            return
-        waiting = [item for owner in owned for item in owner.waiting()]
-        if not waiting:
-            return
+            now = self._clock.now()
+            self._backlog_note.write(_waiting(owned), len(running), targets, now)
+        if has_room(targets, self._room_of):
+            self._fill(targets, _waiting(owned), running)
+
+    def _fill(
+        self,
+        targets: Sequence[TargetRoom],
+        waiting: Sequence[WaitingItem],
+        running: Sequence[Run],
+    ) -> None:
+        """Start waiting items where targets have room."""
         nodes = list(self._node_rooms(Counter(run.vm for run in running)))
+        now = self._clock.now()
         placements = list(place_items(waiting, targets, nodes, now, self._room_of))
         for placement in placements:
             self._owners[placement.item.partition].start(placement)
@@ -288,3 +295,8 @@
                 partition=owner.partition,
                 reason=error.message,
             )
+
+
+def _waiting(owners: Iterable[BatchOwner]) -> list[WaitingItem]:
+    """Return the items of all partitions given that could be started now."""
+    return [item for owner in owners for item in owner.waiting()]
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -115,18 +115,19 @@
 
 
 RoomOfTarget: TypeAlias = Callable[[TargetRoom], int]
+# Of one target, for items that are in a hurry or have time.
+RoomInAHurry: TypeAlias = Callable[[TargetRoom, bool], int]
 
 
 @dataclass(frozen=True, slots=True)
 class RoomPolicy:
     """How many more items targets take.
 
-    :param of_target: gives the number for one target, and for items that are in a
-        hurry or have time.
+    :param of_target: gives the number for one target.
     :param keeps_reserve: whether all targets together keep a slot for each of them.
     """
 
-    of_target: Callable[[TargetRoom, bool], int]
+    of_target: RoomInAHurry
     keeps_reserve: bool
 
     def __call__(self, room: TargetRoom, in_a_hurry: bool) -> int:
@@ -145,10 +146,10 @@
 
 def room_policy(
     name: str, *, keeps_reserve: bool = True
-) -> Callable[[Callable[[TargetRoom, bool], int]], RoomPolicy]:
+) -> Callable[[RoomInAHurry], RoomPolicy]:
     """Register the room of a target as a policy."""
 
-    def register(of_target: Callable[[TargetRoom, bool], int]) -> RoomPolicy:
+    def register(of_target: RoomInAHurry) -> RoomPolicy:
         return BATCH_ROOMS.register(name)(RoomPolicy(of_target, keeps_reserve))
 
     return register
