Send nothing more to a target that announced its end in a response

Callers of a leaving target were sent to it for as long as the store listed it as ready: its entry changes later, or never, and the header Server-Leaving of its answers was not read.

The node that receives such an answer leaves the run out at once, online and for items, and reports it with its counts as it reports silent targets, so that sums carry it to the whole fleet. A run is known by id and start time; only an entry with a later start ends the mark.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -234,6 +234,8 @@
     async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
         watching = self._silence.watch_stream(entry.target_id)
         async with exchange(_request_for(held, entry)) as reply:
+            if wire.announces_leaving(reply):
+                self._picker.record_leaving(entry)
             if wire.reports_not_run(reply):
                 return ItemState.not_run
             if not wire.is_response_to(reply, held.start.item_id):
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -215,6 +215,8 @@
             call = self._call(request, route, entry, progress)
             with self._silence.watch_stream(entry.target_id) as progress.watch:
                 async with exchange(call) as reply:
+                    if wire.announces_leaving(reply):
+                        self._picker.record_leaving(entry)
                     outcome = await self._relay_response(
                         reply, request, route, progress, responder
                     )
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -25,7 +25,9 @@
     LoadReport,
     SummedReport,
     TargetLoad,
+    TargetRun,
 )
+from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 
 CHANGE_INTERVAL = timedelta(milliseconds=30)
@@ -55,17 +57,20 @@
         load_table: LoadTable,
         describe: Callable[[], LoadReport],
         silence: SilenceDetector,
+        targets: TargetSet,
     ) -> None:
         self._links = links
         self._load_table = load_table
         self._describe = describe
         self._silence = silence
+        self._targets = targets
         self._local_peers: list[Peer] = []
         self._sent_loads: OrderedDict[int, list[TargetLoad]] = OrderedDict()
         self._sequence = 0
         self._relay: str | None = None
         self._sent_status = NO_REPORT
         self._sent_silent: list[str] = []
+        self._sent_leaving: list[TargetRun] = []
         self._sent_sums: dict[str, DataCentreReport] = {}
         self._pending_sums: dict[str, DataCentreReport] = {}
         links.add_listener(self)
@@ -158,11 +163,13 @@
                 sequence=previous.sequence,
                 silent=previous.silent,
                 loads=previous.loads,
+                leaving_targets=previous.leaving_targets,
             )
         elif self._sums_locally:
             self._forget_sum(self._links.own.data_centre)
             self._load_table.report(peer.node.vm, report.loads)
             self._silence.update_peer(peer.node.vm, report.silent)
+        self._record_leaving(report.leaving_targets, peer.node.vm)
         bandwidth_changed = report.link_mbps != peer.report.link_mbps
         peer.report = report
         if bandwidth_changed:
@@ -171,6 +178,7 @@
     def _apply_sum(self, report: DataCentreReport) -> None:
         """Apply the sum of a data centre, without this node's own share of it."""
         centre = _sum_name(report.data_centre)
+        self._record_leaving(report.leaving_targets, centre)
         own_part: Sequence[TargetLoad] = ()
         if report.data_centre == self._links.own.data_centre:
             if self._sums_locally:
@@ -182,6 +190,10 @@
         self._load_table.report(centre, report.loads, own_part)
         self._silence.update_peer(centre, report.silent)
 
+    def _record_leaving(self, runs: Iterable[TargetRun], source: str) -> None:
+        for run in runs:
+            self._targets.record_leaving(run, source)
+
     def _own_part(self, report: DataCentreReport) -> list[TargetLoad]:
         """Return this node's own counts that are included in a sum."""
         own = self._links.own.vm
@@ -208,10 +220,12 @@
             sequence=self._sequence,
             silent=self._silence.local_silent(),
             loads=self._load_table.own_loads(),
+            leaving_targets=self._targets.leaving_runs,
         )
         if self._relay is None:
             self._choose_relay(report)
         self._sent_silent = report.silent
+        self._sent_leaving = report.leaving_targets
         self._sent_loads[self._sequence] = report.loads
         if len(self._sent_loads) > MAX_KEPT_REPORTS:
             self._sent_loads.popitem(last=False)
@@ -224,13 +238,15 @@
         return [peer for peer in self._local_peers if peer.node.vm == self._relay]
 
     def _report_status_changes(self) -> None:
-        """Report this node's status or its silent targets if they have changed."""
+        """Report this node's status or what it observed at targets, if changed."""
         silent = self._silence.local_silent()
         if self._describe() != self._sent_status:
             self.send_now()
         elif silent != self._sent_silent:
             _log.info("silent_targets", targets=silent, before=self._sent_silent)
             self._report_loads()
+        elif self._targets.leaving_runs != self._sent_leaving:
+            self._report_loads()
 
     def _send_sums(self) -> None:
         """Send this data centre's sum to all peers that don't have it yet."""
@@ -256,6 +272,9 @@
         silent = set(self._silence.local_silent()).union(
             *(peer.report.silent for peer in reporting)
         )
+        leaving = {run.target_id: run for run in self._targets.leaving_runs}
+        for peer in reporting:
+            leaving.update({run.target_id: run for run in peer.report.leaving_targets})
         return DataCentreReport(
             data_centre=self._links.own.data_centre,
             summed=[
@@ -264,6 +283,7 @@
             ],
             silent=sorted(silent),
             loads=sum_loads([self._load_table.own_loads(), *loads]),
+            leaving_targets=[leaving[target_id] for target_id in sorted(leaving)],
         )
 
     def _report_again(self) -> None:
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -151,7 +151,11 @@
             clock,
         )
         self.reports = LoadReports(
-            self.links, self.load_table, self.node_status.report, self.silence
+            self.links,
+            self.load_table,
+            self.node_status.report,
+            self.silence,
+            self.targets,
         )
         self.node_announcer = NodeAnnouncer(self.links, self.reports, self.remote_nodes)
         self.picker = TargetPicker(
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, TypeAlias
 
@@ -23,6 +23,19 @@
     batch: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetRun:
+    """
+    Identifies one run of a target, from its start to its end.
+    """
+
+    target_id: str
+    started_ms: int
+    """
+    Start time as in the target's entry.
+    """
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReport:
     """
@@ -55,6 +68,10 @@
     Targets whose streams stopped sending data; only with loads.
     """
     loads: list[TargetLoad]
+    leaving_targets: list[TargetRun] = field(default_factory=list)
+    """
+    Runs that announced their end in a response to this node while the store still lists them as ready; only with loads.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +103,10 @@
     Targets whose streams to this data centre stopped sending data.
     """
     loads: list[TargetLoad]
+    leaving_targets: list[TargetRun] = field(default_factory=list)
+    """
+    Runs that announced their end in a response to a node of this data centre.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -19,7 +19,7 @@
 
 from chivespan.clock import Clock
 from chivespan.loadtable import LoadTable
-from chivespan.nodemessages import TargetEntry
+from chivespan.nodemessages import TargetEntry, TargetRun
 from chivespan.overload import OverloadEpisodes
 from chivespan.registry import Registry
 from chivespan.targethealth import HealthState, TargetHealth
@@ -228,6 +228,11 @@
         """Record a complete response of a target."""
         self._health_of(target_id).record_success()
 
+    def record_leaving(self, entry: TargetEntry) -> None:
+        """Record that a target announced its end in a response to this node."""
+        run = TargetRun(target_id=entry.target_id, started_ms=entry.started_ms)
+        self._targets.record_leaving(run, "response", observed_here=True)
+
     def record_service_time(self, took: timedelta) -> None:
         """Record how long an online request used its slot, without its wait for it."""
         change = (took - self._service_time) * SERVICE_TIME_SMOOTHING
--- a/chivespan/targetset.py
+++ b/chivespan/targetset.py
@@ -1,16 +1,18 @@
 """The set of targets that this node may send requests to.
 
 Entries come from the store, or from a peer while the store is unavailable. A target
-whose entry expired during an outage of the store gets a grace period to renew it.
+whose entry expired during an outage of the store gets a grace period to renew it. A
+run that has announced its end in a response gets no new requests, whatever is listed.
 """
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from chivespan.clock import Clock
 from chivespan.logs import logger
-from chivespan.nodemessages import TargetEntry
+from chivespan.nodemessages import TargetEntry, TargetRun
+from chivespan.targetdepartures import TargetDepartures
 
 # Time after an outage of the store in which targets may renew expired entries.
 RENEWAL_GRACE = timedelta(seconds=2)
@@ -44,6 +46,7 @@
         # Cache by service, cleared when the entries change.
         self._usable: dict[str, list[TargetEntry]] = {}
         self._tombstones: dict[str, _Tombstone] = {}
+        self._departures = TargetDepartures(clock)
         self._last_replaced: timedelta | None = None
         self._removals_from = timedelta(0)
 
@@ -54,13 +57,21 @@
 
     @property
     def entries(self) -> tuple[TargetEntry, ...]:
-        """All entries, including those of draining targets."""
-        return tuple(self._entries.values())
+        """All entries; that of a run that announced its end counts as draining."""
+        return tuple(
+            entry if self._accepts_requests(entry) else replace(entry, draining=True)
+            for entry in self._entries.values()
+        )
+
+    @property
+    def leaving_runs(self) -> list[TargetRun]:
+        """Runs that announced their end to this node and are still listed as ready."""
+        return sorted(self._unlisted_departures(), key=lambda run: run.target_id)
 
     def find(self, target_id: str) -> TargetEntry | None:
         """Return the entry of a target; None if it is unknown or draining."""
         entry = self._entries.get(target_id)
-        return None if entry is None or entry.draining else entry
+        return entry if entry is not None and self._accepts_requests(entry) else None
 
     def usable(self, service: str) -> Sequence[TargetEntry]:
         """Return the targets of a service that accept new requests."""
@@ -69,10 +80,21 @@
             known = self._usable[service] = [
                 entry
                 for entry in self._entries.values()
-                if entry.service == service and not entry.draining
+                if entry.service == service and self._accepts_requests(entry)
             ]
         return known
 
+    def record_leaving(
+        self, run: TargetRun, source: str, observed_here: bool = False
+    ) -> None:
+        """Record that a run of a target has announced its end.
+
+        :param source: where the announcement was received, for the log.
+        :param observed_here: whether it was in a response to this node.
+        """
+        if self._departures.record(run, source, observed_here):
+            self._usable.clear()
+
     def replace(self, entries: Iterable[TargetEntry]) -> None:
         """Replace the entries by those that the store has now.
 
@@ -88,8 +110,20 @@
             self._apply(entry, now)
         if now >= self._removals_from:
             self._drop_missing(listed.keys(), now)
+        self._departures.remove_outdated(self._entries.keys())
         self._usable.clear()
 
+    def _accepts_requests(self, entry: TargetEntry) -> bool:
+        return not entry.draining and not self._departures.includes(entry)
+
+    def _unlisted_departures(self) -> Iterator[TargetRun]:
+        for run in self._departures.observed_here:
+            entry = self._entries.get(run.target_id)
+            if entry is None or entry.draining:
+                continue
+            if entry.started_ms <= run.started_ms:
+                yield run
+
     def _apply(self, entry: TargetEntry, now: timedelta) -> None:
         if self._is_stale(entry, now):
             return
--- a/standins/platformtarget.py
+++ b/standins/platformtarget.py
@@ -25,6 +25,7 @@
 DEADLINE = "x-chivespan-deadline-ms"
 SEAL = "X-Chivespan-Server-Seal"
 NOT_RUN = {"X-Chivespan-Not-Executed": "1"}
+LEAVING = {"Server-Leaving": "1"}
 
 
 @dataclass(frozen=True)
@@ -60,6 +61,7 @@
     :param status: status with which every request fails after it ran; 0 for none.
     :param other_id: whether responses carry the id of another request.
     :param full: whether every request is refused as not run.
+    :param leaving: whether every response announces that the target is shutting down.
     """
 
     break_after: int = 0
@@ -68,6 +70,7 @@
     status: int = 0
     other_id: bool = False
     full: bool = False
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
@@ -122,6 +125,12 @@
         return json_response({"ran": self.ran, "left": self.aborted})
 
     async def _serve(self, request: Request) -> Response:
+        response = await self._respond(request)
+        if self.faults.leaving:
+            response.headers.update(LEAVING)
+        return response
+
+    async def _respond(self, request: Request) -> Response:
         request_id = request.headers.get(REQUEST_ID, "")
         expected = request.headers.get(EXPECTED, self.options.target_id)
         if expected != self.options.target_id:
--- a/tests/test_linkreplaced.py
+++ b/tests/test_linkreplaced.py
@@ -18,6 +18,7 @@
 from chivespan.messages import Hello, Program
 from chivespan.nodemessages import DataCentreNodes, LoadReport
 from chivespan.remotenodes import NodeAnnouncer, RemoteNodes
+from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 from tests.test_fleetlinks import member
 
@@ -71,7 +72,10 @@
         loads=[],
     )
     silence = SilenceDetector(SystemClock())
-    reports = LoadReports(links, LoadTable(SystemClock()), lambda: owned, silence)
+    clock = SystemClock()
+    reports = LoadReports(
+        links, LoadTable(clock), lambda: owned, silence, TargetSet(clock)
+    )
     node_announcer = NodeAnnouncer(links, reports, RemoteNodes(links))
     other = hello(f"{links.own.vm}9", data_centre)
     first, second = FakeLink(other), FakeLink(other)
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -14,12 +14,16 @@
 from chivespan.fleetlinks import NO_REPORT, FleetLinks, Peer
 from chivespan.loadreports import LoadReports
 from chivespan.loadtable import LoadTable
-from chivespan.nodemessages import LoadReport, NodeValue
+from chivespan.nodemessages import LoadReport, NodeValue, TargetRun
+from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
-from tests.factories import peers_in
+from tests.factories import peers_in, target_entry
 
 pytestmark = pytest.mark.anyio
 
+ENTRY = target_entry("t", started_ms=7)
+RUN = TargetRun(target_id="t", started_ms=7)
+
 
 class Node:
     """A node with a load table and in-memory links to other nodes."""
@@ -39,11 +43,14 @@
             peers_in=partial(peers_in, self.peers),
         )
         clock = ManualClock()
+        self.targets = TargetSet(clock)
+        self.targets.replace([ENTRY])
         self.reports = LoadReports(
             cast(FleetLinks, links),
             self.load_table,
             self._describe,
             SilenceDetector(clock),
+            self.targets,
         )
 
     def link(self, other: "Node") -> None:
@@ -202,3 +209,56 @@
         node = nodes["10.0.1.3"]
         node.reports.peer_left(node.peers.pop(vm))
     assert nodes["10.0.1.3"].load_table.total("t") == 0
+
+
+def usable_at(nodes: dict[str, Node]) -> set[str]:
+    """Return the nodes that would still send requests to the target."""
+    return {vm for vm, node in nodes.items() if node.targets.usable(ENTRY.service)}
+
+
+# Guards against: a target that announced its end to one node gets requests from others
+# for as long as the store lists it as ready.
+@pytest.mark.parametrize("nodes_each", [3, 9])
+async def test_announced_end_of_a_target_reaches_the_whole_fleet(
+    nodes_each: int,
+) -> None:
+    nodes = await site(nodes_each)
+    await report_round(nodes)
+    assert len(usable_at(nodes)) == len(nodes)
+    observer = nodes["10.0.2.3"]
+    observer.targets.record_leaving(RUN, "response", observed_here=True)
+    observer.reports._report_status_changes()
+    await report_round(nodes)
+    assert usable_at(nodes) == set()
+
+
+# Guards against: a node that restarted takes the store's old word for the target again.
+async def test_restarted_node_learns_the_announced_end_from_its_peers() -> None:
+    nodes = await site(9)
+    nodes["10.0.1.4"].targets.record_leaving(RUN, "response", observed_here=True)
+    await report_round(nodes)
+    restarted = Node("10.0.1.9", "dc1")
+    for vm, other in nodes.items():
+        if vm != "10.0.1.9":
+            other.reports.peer_left(other.peers.pop("10.0.1.9"))
+            other.link(restarted)
+            restarted.link(other)
+    nodes["10.0.1.9"] = restarted
+    for vm, other in nodes.items():
+        if vm != "10.0.1.9":
+            other.reports.peer_joined(other.peers["10.0.1.9"])
+            restarted.reports.peer_joined(restarted.peers[vm])
+    await report_round(nodes)
+    assert usable_at(nodes) == set()
+
+
+# Guards against: a status without counts erases what its sender observed at targets.
+async def test_status_without_counts_keeps_announced_ends_in_the_sum() -> None:
+    nodes = await site(9)
+    observer = nodes["10.0.1.4"]
+    observer.targets.record_leaving(RUN, "response", observed_here=True)
+    await report_round(nodes)
+    observer.reports.send_now()
+    await deliver(nodes)
+    relay = next(node for node in nodes.values() if node.reports.is_relay)
+    assert relay.reports._data_centre_sum().leaving_targets == [RUN]
