Link ordinary nodes of a large fleet to their gateways only

A node links to the three gateways of its data centre and to owners of batch partitions; gateways link to each other and dial their data centre. Relays name live nodes and owners to their own nodes as well, and send them one sum over the whole fleet in place of one a data centre. Reports and sums go out on changes only: they were repeated each second, so that each sum differed and an idle fleet was never still. A node that is no gateway takes only claims for the owner of a partition, as it isn't linked to all candidates.

Ruled out: fewer heartbeats on the same links (slower detection, dials stay); two watchers a node without relays (a silent link between unwatched nodes goes unnoticed).

--- a/chivespan/batchownership.py
+++ b/chivespan/batchownership.py
@@ -5,8 +5,8 @@
 partitions, so that a joining node takes nothing over. It hands over only when other
 nodes have reached the store for a while and it has not: nodes detect a store outage at
 different times, and moving partitions at that moment would lose the owners' in-memory
-state. In a large fleet only gateways become owners, because all nodes have links with
-them.
+state. In a large fleet only gateways become owners, because they are linked to each
+other; all other nodes link to an owner once they have learnt of it.
 """
 
 from collections.abc import Iterator
@@ -104,7 +104,7 @@
     @property
     def _may_own(self) -> bool:
         """Whether this node already owns partitions or is a gateway."""
-        return bool(self._owned) or self._links.own.vm in self._links.gateways
+        return bool(self._owned) or self._links.is_gateway
 
     def update(self, store_reached: bool, leaving: bool) -> OwnershipChange:
         """Recompute the partitions that this node owns and return the changes."""
@@ -130,7 +130,7 @@
     def _members(self, store_reached: bool) -> Iterator[Member]:
         claimed = frozenset[int]() if self._must_hand_over else self._owned
         own = self._links.own
-        if claimed or own.vm in self._links.gateways:
+        if claimed or self._links.is_gateway:
             yield Member(own.vm, store_reached, claimed, own.link_mbps)
         yield from self._peers()
 
@@ -142,10 +142,11 @@
             self._cut_off_since = self._clock.monotonic()
 
     def _peers(self) -> Iterator[Member]:
-        gateways = self._links.gateways
+        # A node that is no gateway isn't linked to all candidates, only to owners.
+        candidates = self._links.gateways if self._links.is_gateway else frozenset()
         for peer in self._links.peers.values():
             report = peer.report
             vm = peer.node.vm
-            if not report.leaving and (report.owned or vm in gateways):
+            if not report.leaving and (report.owned or vm in candidates):
                 owned = frozenset(report.owned)
                 yield Member(vm, report.store_reached, owned, report.link_mbps)
--- a/chivespan/fleetlinks.py
+++ b/chivespan/fleetlinks.py
@@ -18,7 +18,13 @@
 from chivespan.addresses import parse_address
 from chivespan.codec import encode_message
 from chivespan.heartbeattiming import SMALL_FLEET, HeartbeatTiming
-from chivespan.linkplan import gateways, group_by_centre, nodes_to_dial
+from chivespan.linkplan import (
+    MAX_DIRECT_PEERS,
+    designated_gateways,
+    gateways,
+    group_by_centre,
+    nodes_to_dial,
+)
 from chivespan.logs import logger
 from chivespan.nodemessages import LoadReport, NodeValue
 from chivespan.nodesettings import FleetNodeSettings
@@ -111,6 +117,7 @@
             link_mbps=settings.link_mbps,
         )
         self._gateways = frozenset([self.own.vm])
+        self._uses_relay = False
         self._is_starting = True
         self._dialled: dict[str, PeerLink] = {}
 
@@ -131,17 +138,27 @@
 
     @property
     def uses_gateways(self) -> bool:
-        """Whether only some nodes of a data centre are linked to all other nodes."""
+        """Whether nodes are linked to gateways only, not to all other nodes."""
         return self._is_starting or self.is_large
 
+    @property
+    def uses_relay(self) -> bool:
+        """Whether this data centre has too many nodes for direct reports."""
+        return self._uses_relay
+
     @property
     def gateways(self) -> frozenset[str]:
-        """The live gateways including this node, linked to nodes of all data centres.
+        """The live gateways that are linked to this node, and this node if it is one.
 
         In a small fleet, all live nodes.
         """
         return self._gateways
 
+    @property
+    def is_gateway(self) -> bool:
+        """Whether this node is a gateway of its data centre."""
+        return self.own.vm in self._gateways
+
     def set_partition_owners(self, owners: frozenset[str]) -> None:
         """Set the nodes of other data centres that own partitions, to be linked."""
         if owners != self._owners:
@@ -212,10 +229,12 @@
         """Close links that neither end needs, periodically; never returns."""
         while True:
             await anyio.sleep(LINK_PRUNE_INTERVAL.total_seconds())
-            if self.own.vm in self._gateways:
+            if self.is_gateway:
                 continue
             for vm in self._dialled.keys() - self._to_dial:
-                self._dialled[vm].abort()
+                # A new owner may be known by its own report only.
+                if not self._peers[vm].report.owned:
+                    self._dialled[vm].abort()
 
     def _start_dialling(self, tasks: TaskGroup) -> None:
         for vm in self._to_dial - self._dialling:
@@ -343,15 +362,17 @@
     def _update_links(self) -> None:
         """Recompute which links are needed and wake the tasks that maintain them."""
         self._timing.set_fleet_size(len(self._nodes))
-        live = frozenset([self.own.vm, *self._peers])
+        centres = group_by_centre(self.nodes)
+        local = centres[self.own.data_centre]
+        self._uses_relay = len(local) > MAX_DIRECT_PEERS + 1
+        live = set(self._peers)
         if self.uses_gateways:
-            centres = group_by_centre(self.nodes)
+            unreachable = self._unreachable_vms()
+            live |= designated_gateways(local, unreachable) & {self.own.vm}
             self._gateways = gateways(centres, live)
-            self._to_dial = nodes_to_dial(
-                self.own, centres, self._unreachable_vms(), self._owners
-            )
+            self._to_dial = nodes_to_dial(self.own, centres, unreachable, self._owners)
         else:
-            self._gateways = live
+            self._gateways = frozenset(live | {self.own.vm})
             self._to_dial = frozenset(self._nodes)
         self._changed.set()
         self._changed = anyio.Event()
--- a/chivespan/linkplan.py
+++ b/chivespan/linkplan.py
@@ -1,9 +1,12 @@
 """Topology of the links of a large fleet: which other nodes a node dials.
 
-In a small fleet all nodes are linked to each other. In a large one a node is linked to
-all nodes of its data centre and to the gateways of the others: the few nodes there with
-the highest bandwidth. The number of links per node then grows with the size of a data
-centre and the number of data centres, rather than with the fleet.
+In a small fleet all nodes are linked to each other. In a large one the few nodes of a
+data centre with the highest bandwidth are its gateways. A node is linked to the
+gateways of its own data centre and to the owners of batch partitions, and only the
+gateways are linked to those of other data centres. The number of links of an ordinary
+node is then constant, and that of a gateway grows with the size of its data centre.
+Both ends dial, so that a new gateway is linked before the other nodes have read its
+entry in the list of nodes.
 """
 
 from collections import defaultdict
@@ -14,7 +17,8 @@
 
 # With three, one gateway can be lost while another one restarts.
 GATEWAYS_PER_CENTRE = 3
-
+# Most other nodes of a data centre with which a node exchanges reports directly.
+MAX_DIRECT_PEERS = 6
 
 Centres: TypeAlias = Mapping[str, Sequence[NodeValue]]
 
@@ -56,6 +60,18 @@
     return frozenset(found)
 
 
+def designated_gateways(
+    centre: Iterable[NodeValue], unreachable: Collection[str]
+) -> frozenset[str]:
+    """Return the gateways of a data centre, live or not.
+
+    Unreachable ones are retried, so as many others stand in for them.
+
+    :param centre: the nodes of the data centre, in the order of preference.
+    """
+    return frozenset(_gateways_to_dial(centre, unreachable))
+
+
 def nodes_to_dial(
     own: NodeValue,
     centres: Centres,
@@ -70,13 +86,17 @@
         retried, and as many others are dialled in addition.
     :param owners: nodes that own batch partitions, to which all nodes need a link.
     """
-    found: set[str] = set()
+    local = centres.get(own.data_centre, ())
+    local_gateways = designated_gateways(local, unreachable)
+    found = set(local_gateways)
+    if own.vm in local_gateways or len(local) <= MAX_DIRECT_PEERS + 1:
+        found.update(node.vm for node in local)
     for name, centre in centres.items():
         found.update(node.vm for node in centre if node.vm in owners)
-        if name in ("", own.data_centre):
+        if name == "":
             found.update(node.vm for node in centre)
-        else:
-            found.update(_gateways_to_dial(centre, unreachable))
+        elif own.vm in local_gateways:
+            found.update(designated_gateways(centre, unreachable))
     return frozenset(found - {own.vm})
 
 
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -1,14 +1,15 @@
 """Exchanges the counts of requests in progress between nodes.
 
 In a small data centre, every node reports its changes directly to all others. In a
-large one, nodes report to one of them, the relay, which sends the sum to all, so that
-the traffic of a node doesn't grow with the number of nodes. The relay of each data
-centre also sends its sum to the relays of the other data centres, which pass it on to
-their nodes; this keeps traffic between data centres low.
+large one, nodes report to one of them, the relay, which sends the sum over the whole
+fleet to all, so that the traffic of a node doesn't grow with the number of nodes. The
+relay of each data centre also sends the sum of its own nodes to the relays of the other
+data centres; this keeps traffic between data centres low. Reports are sent on changes
+only: links are reliable, and everything is sent again when one is replaced.
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from datetime import timedelta
 
@@ -36,11 +37,10 @@
 LARGE_RELAY_INTERVAL = timedelta(milliseconds=100)
 # Interval at which a node that isn't a relay checks its own status for changes.
 STATUS_CHECK_INTERVAL = timedelta(milliseconds=150)
-REPEAT_INTERVAL = timedelta(seconds=1)
-# Most peers in the same data centre with which nodes exchange reports directly.
-MAX_DIRECT_PEERS = 6
 # Own reports kept because a sum that includes them may still arrive.
 MAX_KEPT_REPORTS = 100
+# Name of the sum over the whole fleet.
+WHOLE_FLEET = ""
 
 _log = logger("reports")
 
@@ -72,7 +72,8 @@
         self._sent_silent: list[str] = []
         self._sent_leaving: list[TargetRun] = []
         self._sent_sums: dict[str, DataCentreReport] = {}
-        self._pending_sums: dict[str, DataCentreReport] = {}
+        # The latest sum of each other data centre, for when this node becomes a relay.
+        self._received_sums: dict[str, DataCentreReport] = {}
         links.add_listener(self)
 
     def peer_joined(self, peer: Peer) -> None:
@@ -91,11 +92,16 @@
         vm = peer.node.vm
         if peer in self._local_peers:
             self._local_peers.remove(peer)
-        self._load_table.remove_peer(vm)
-        self._silence.remove_peer(vm)
+        self._stop_counting(vm)
         centre = peer.node.data_centre
-        if vm == self._relay or not any(self._links.peers_in(centre)):
+        if vm == self._relay:
             self._forget_sum(centre)
+        elif self._is_lost(centre):
+            self._forget_sum(centre)
+            if self.is_relay:
+                self._pass_on(_empty_sum(centre))
+        if not self._links.peers:
+            self._forget_sum(WHOLE_FLEET)
         self._report_again()
 
     async def handle_message(self, peer: Peer, message: object) -> None:
@@ -103,6 +109,7 @@
         if isinstance(message, LoadReport):
             self._apply_report(peer, message)
         elif isinstance(message, DataCentreReport):
+            self._received_sums[message.data_centre] = message
             self._apply_sum(message)
             self._pass_on(message)
         elif isinstance(message, FleetReport):
@@ -139,8 +146,7 @@
 
     async def _report_changes(self) -> None:
         while True:
-            with anyio.move_on_after(REPEAT_INTERVAL.total_seconds()):
-                await self._load_table.wait_own_changed()
+            await self._load_table.wait_own_changed()
             self._report_loads()
             await anyio.sleep(CHANGE_INTERVAL.total_seconds())
 
@@ -166,7 +172,7 @@
                 leaving_targets=previous.leaving_targets,
             )
         elif self._sums_locally:
-            self._forget_sum(self._links.own.data_centre)
+            self._forget_sum(WHOLE_FLEET)
             self._load_table.report(peer.node.vm, report.loads)
             self._silence.update_peer(peer.node.vm, report.silent)
         self._record_leaving(report.leaving_targets, peer.node.vm)
@@ -176,19 +182,23 @@
             self._choose_relay(self.own_status())
 
     def _apply_sum(self, report: DataCentreReport) -> None:
-        """Apply the sum of a data centre, without this node's own share of it."""
-        centre = _sum_name(report.data_centre)
-        self._record_leaving(report.leaving_targets, centre)
-        own_part: Sequence[TargetLoad] = ()
-        if report.data_centre == self._links.own.data_centre:
-            if self._sums_locally:
-                return
-            for peer in self._local_peers:
-                self._load_table.remove_peer(peer.node.vm)
-                self._silence.remove_peer(peer.node.vm)
-            own_part = self._own_part(report)
-        self._load_table.report(centre, report.loads, own_part)
-        self._silence.update_peer(centre, report.silent)
+        """Apply the sum of another data centre or of the whole fleet."""
+        is_whole_fleet = report.data_centre == WHOLE_FLEET
+        name = _sum_name(report.data_centre)
+        self._record_leaving(report.leaving_targets, name)
+        if is_whole_fleet == self._sums_locally:
+            return
+        if is_whole_fleet:
+            self._forget_counts_of_nodes()
+        self._load_table.report(name, report.loads, self._own_part(report))
+        self._silence.update_peer(name, report.silent)
+
+    def _forget_counts_of_nodes(self) -> None:
+        """Drop the counts that the sum over the whole fleet includes."""
+        for peer in self._local_peers:
+            self._stop_counting(peer.node.vm)
+        for centre in self._known_centres():
+            self._stop_counting(_sum_name(centre))
 
     def _record_leaving(self, runs: Iterable[TargetRun], source: str) -> None:
         for run in runs:
@@ -202,15 +212,22 @@
                 return self._sent_loads.get(part.sequence, [])
         return []
 
+    def _is_lost(self, centre: str) -> bool:
+        """Return whether this node is a gateway without a link to a data centre.
+
+        Other nodes know the sums of other data centres from their relay only.
+        """
+        is_remote = centre != self._links.own.data_centre
+        has_links = any(self._links.peers_in(centre))
+        return is_remote and self._links.is_gateway and not has_links
+
     def _pass_on(self, report: DataCentreReport) -> None:
         """Pass another data centre's sum on to local peers.
 
-        In a large data centre it is sent with the next sum.
+        In a large data centre, the next sum over the whole fleet includes it.
         """
         if self._is_direct:
             self._send(self._local_peers, FleetReport(reports=[report]))
-        else:
-            self._pending_sums[report.data_centre] = report
 
     def _report_loads(self) -> None:
         """Send this node's counts to the peers that sum them up."""
@@ -249,43 +266,51 @@
             self._report_loads()
 
     def _send_sums(self) -> None:
-        """Send this data centre's sum to all peers that don't have it yet."""
-        current_sum = self._data_centre_sum()
-        for_remote = replace(current_sum, summed=[])
+        """Send the sums to all peers that don't have them yet."""
+        centre_sum = self._data_centre_sum()
         for relay in self.remote_relays():
-            if self._sent_sums.get(relay.node.vm) != for_remote:
-                self._sent_sums[relay.node.vm] = for_remote
-                relay.send(for_remote)
+            if self._sent_sums.get(relay.node.vm) != centre_sum:
+                self._sent_sums[relay.node.vm] = centre_sum
+                relay.send(centre_sum)
         if self._is_direct:
             return
-        reports = list(self._pending_sums.values())
-        self._pending_sums.clear()
-        if self._sent_sums.get(current_sum.data_centre) != current_sum:
-            self._sent_sums[current_sum.data_centre] = current_sum
-            reports.append(current_sum)
-        if reports:
-            self._send(self._local_peers, FleetReport(reports=reports))
+        fleet_sum = self._fleet_sum()
+        if self._sent_sums.get(WHOLE_FLEET) != fleet_sum:
+            self._sent_sums[WHOLE_FLEET] = fleet_sum
+            self._send(self._local_peers, FleetReport(reports=[fleet_sum]))
 
     def _data_centre_sum(self) -> DataCentreReport:
-        reporting = [peer for peer in self._local_peers if peer.report.sequence]
+        """Return the sum over the nodes of this data centre."""
+        reporting = list(self._reporting_peers())
         loads = [peer.report.loads for peer in reporting]
         silent = set(self._silence.local_silent()).union(
             *(peer.report.silent for peer in reporting)
         )
-        leaving = {run.target_id: run for run in self._targets.leaving_runs}
-        for peer in reporting:
-            leaving.update({run.target_id: run for run in peer.report.leaving_targets})
         return DataCentreReport(
             data_centre=self._links.own.data_centre,
+            summed=[],
+            silent=sorted(silent),
+            loads=sum_loads([self._load_table.own_loads(), *loads]),
+            leaving_targets=self._targets.known_leaving_runs,
+        )
+
+    def _fleet_sum(self) -> DataCentreReport:
+        """Return the sum over all nodes, as this node knows it."""
+        return DataCentreReport(
+            data_centre=WHOLE_FLEET,
             summed=[
                 SummedReport(vm=peer.node.vm, sequence=peer.report.sequence)
-                for peer in reporting
+                for peer in self._reporting_peers()
             ],
-            silent=sorted(silent),
-            loads=sum_loads([self._load_table.own_loads(), *loads]),
-            leaving_targets=[leaving[target_id] for target_id in sorted(leaving)],
+            silent=sorted(self._silence.all_silent()),
+            loads=self._load_table.totals(),
+            leaving_targets=self._targets.known_leaving_runs,
         )
 
+    def _reporting_peers(self) -> Iterator[Peer]:
+        """Yield the nodes of this data centre that have reported their counts."""
+        return (peer for peer in self._local_peers if peer.report.sequence)
+
     def _report_again(self) -> None:
         """Choose the relay and send this node's counts again after peers changed."""
         self._sent_sums.clear()
@@ -300,15 +325,31 @@
             _log.info("relay_chosen", relay=relay, before=self._relay)
             self._relay = relay
             self._sent_sums.clear()
+            if self.is_relay:
+                self._start_relaying()
+
+    def _start_relaying(self) -> None:
+        """Count by the sums of the data centres in place of that of another relay."""
+        self._forget_sum(WHOLE_FLEET)
+        for report in self._received_sums.values():
+            self._apply_sum(report)
+
+    def _known_centres(self) -> set[str]:
+        return {node.data_centre for node in self._links.nodes if node.data_centre}
 
     def _forget_sum(self, data_centre: str) -> None:
-        self._load_table.remove_peer(_sum_name(data_centre))
-        self._silence.remove_peer(_sum_name(data_centre))
+        self._received_sums.pop(data_centre, None)
+        self._stop_counting(_sum_name(data_centre))
+
+    def _stop_counting(self, reporter: str) -> None:
+        """Drop the counts and silent targets of one reporter: a node or a sum."""
+        self._load_table.remove_peer(reporter)
+        self._silence.remove_peer(reporter)
 
     @property
     def _is_direct(self) -> bool:
         """Whether the nodes of this data centre report directly to each other."""
-        return len(self._local_peers) <= MAX_DIRECT_PEERS
+        return not self._links.uses_relay
 
     @property
     def _sums_locally(self) -> bool:
@@ -333,6 +374,10 @@
     return min(reports, key=lambda vm: bandwidth_rank(reports[vm].link_mbps, vm))
 
 
+def _empty_sum(data_centre: str) -> DataCentreReport:
+    return DataCentreReport(data_centre=data_centre, summed=[], silent=[], loads=[])
+
+
 def _sum_name(data_centre: str) -> str:
     """Return the peer name under which the sum of a data centre is stored."""
     return f"sums of {data_centre}"
--- a/chivespan/loadtable.py
+++ b/chivespan/loadtable.py
@@ -91,6 +91,19 @@
         )
         return [load for load in loads if load.online or load.batch]
 
+    def totals(self) -> list[TargetLoad]:
+        """Return the nonzero counts of all nodes, in the form used in reports."""
+        targets = {*self._online, *self._batch}
+        loads = (
+            TargetLoad(
+                target_id=target_id,
+                online=self.online(target_id),
+                batch=self.batch(target_id),
+            )
+            for target_id in sorted(targets)
+        )
+        return [load for load in loads if load.online or load.batch]
+
     @contextmanager
     def track_online(self, target_id: str) -> Iterator[None]:
         """Count an online request as in progress for the duration of the block."""
--- a/chivespan/nodelist.py
+++ b/chivespan/nodelist.py
@@ -78,7 +78,8 @@
         expired = [
             vm for vm, at in self._lost_since.items() if now - at > REMOVE_LOST_AFTER
         ]
-        if not expired or any(vm < self._links.own.vm for vm in peers):
+        live = peers.keys() | unlinked_live
+        if not expired or any(vm < self._links.own.vm for vm in live):
             return
         _log.notice(
             "nodes_dropped", vms=expired, lost_s=REMOVE_LOST_AFTER.total_seconds()
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -90,10 +90,13 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DataCentreReport:
     """
-    Requests in progress of all nodes of one data centre; replaces its last report.
+    Requests in progress of all nodes of one data centre, or of the whole fleet; replaces its last report.
     """
 
     data_centre: str
+    """
+    Empty for the whole fleet.
+    """
     summed: list[SummedReport]
     """
     The included report of each node; empty in reports to other data centres.
@@ -105,14 +108,14 @@
     loads: list[TargetLoad]
     leaving_targets: list[TargetRun] = field(default_factory=list)
     """
-    Runs that announced their end in a response to a node of this data centre.
+    Runs known to have announced their end while the store still lists them as ready.
     """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FleetReport:
     """
-    Reports that a relay forwards within its own data centre, one for each data centre with changes.
+    Reports that a relay sends within its own data centre.
     """
 
     reports: list[DataCentreReport]
--- a/chivespan/remotenodes.py
+++ b/chivespan/remotenodes.py
@@ -1,8 +1,8 @@
-"""Live nodes of other data centres, including those without a link to this node.
+"""Live nodes of all data centres, including those without a link to this node.
 
-The relay of each data centre sends the relays of the others the list of its live nodes
-and of those that own batch partitions. A relay forwards the lists it receives to the
-nodes of its own data centre.
+The relay of each data centre sends the list of its live nodes, and of those that own
+batch partitions, to the relays of the others and to the nodes of its own. It forwards
+the lists that it receives to these as well.
 """
 
 from collections.abc import Iterable
@@ -22,7 +22,7 @@
 
 
 class RemoteNodes(FleetListener):
-    """Node lists received from other data centres."""
+    """Node lists received from the relays of all data centres."""
 
     def __init__(self, links: FleetLinks) -> None:
         self._links = links
@@ -32,7 +32,12 @@
     @property
     def centres(self) -> list[DataCentreNodes]:
         """The latest node list of each other data centre."""
-        return list(self._received.values())
+        own_centre = self._links.own.data_centre
+        return [
+            received
+            for received in self._received.values()
+            if received.data_centre != own_centre
+        ]
 
     @property
     def nodes(self) -> list[NodeValue]:
@@ -43,28 +48,38 @@
         """
         if not self._links.uses_gateways:
             return []
-        peers = self._links.peers
+        # All nodes of its own data centre are linked to a gateway.
+        centres = self.centres if self._links.is_gateway else self._received.values()
+        linked = self._links.peers.keys() | {self._links.own.vm}
         return [
-            node
-            for centre in self._received.values()
-            for node in centre.nodes
-            if node.vm not in peers
+            node for centre in centres for node in centre.nodes if node.vm not in linked
         ]
 
     def peer_left(self, peer: Peer) -> None:
-        """Discard the node list of a data centre when its last link is lost."""
+        """Discard the nodes of data centres that can't be reached any more.
+
+        Only a gateway is linked to other data centres. Its empty list is forwarded to
+        the nodes that are not.
+        """
         centre = peer.node.data_centre
-        is_linked = any(self._links.peers_in(centre))
-        if not is_linked and self._received.pop(centre, None) is not None:
+        if not self._links.peers:
+            self._received.clear()
+        elif self._links.is_gateway and self._has_lost(centre):
             _log.warning("data_centre_lost", data_centre=centre)
-            self._update_partition_owners()
+            self._received[centre] = DataCentreNodes(
+                data_centre=centre, nodes=[], owners=[]
+            )
+        self._update_partition_owners()
+
+    def _has_lost(self, centre: str) -> bool:
+        return centre in self._received and not any(self._links.peers_in(centre))
 
     async def handle_message(self, peer: Peer, message: object) -> None:
-        """Store the node list of another data centre."""
+        """Store the node list of a data centre."""
         if not isinstance(message, DataCentreNodes):
             return
         name = message.data_centre
-        if name == self._links.own.data_centre or self._received.get(name) == message:
+        if self._received.get(name) == message:
             return
         self._received[name] = message
         _log.info(
@@ -111,14 +126,22 @@
             await anyio.sleep(ANNOUNCE_INTERVAL.total_seconds())
             if self._reports.is_relay and self._links.uses_gateways:
                 self.send_changes()
+            else:
+                self._forget_sent()
 
     def send_changes(self) -> None:
         """Send changed lists to the other relays and to peers in this data centre."""
-        self._send(self._own_centre(), self._reports.remote_relays())
-        local_peers = list(self._links.peers_in(self._links.own.data_centre))
+        own_centre = self._own_centre()
+        local_peers = list(self._links.peers_in(own_centre.data_centre))
+        self._send(own_centre, [*self._reports.remote_relays(), *local_peers])
         for centre in self._remote_nodes.centres:
             self._send(centre, local_peers)
 
+    def _forget_sent(self) -> None:
+        """Forget what was sent, since another relay may have sent other lists since."""
+        for sent in self._sent.values():
+            sent.clear()
+
     def _send(self, message: DataCentreNodes, peers: Iterable[Peer]) -> None:
         name = message.data_centre
         outdated = [p for p in peers if self._sent[p.node.vm].get(name) != message]
--- a/chivespan/targetdepartures.py
+++ b/chivespan/targetdepartures.py
@@ -40,6 +40,12 @@
         self._clock = clock
         self._departures: dict[str, _Departure] = {}
 
+    @property
+    def all_runs(self) -> Iterator[TargetRun]:
+        """All runs known to have announced their end."""
+        for departure in self._departures.values():
+            yield departure.run
+
     @property
     def observed_here(self) -> Iterator[TargetRun]:
         """The runs whose announcement this node received itself."""
--- a/chivespan/targetset.py
+++ b/chivespan/targetset.py
@@ -66,7 +66,12 @@
     @property
     def leaving_runs(self) -> list[TargetRun]:
         """Runs that announced their end to this node and are still listed as ready."""
-        return sorted(self._unlisted_departures(), key=lambda run: run.target_id)
+        return self._still_listed(self._departures.observed_here)
+
+    @property
+    def known_leaving_runs(self) -> list[TargetRun]:
+        """Runs that announced their end to any node and are still listed as ready."""
+        return self._still_listed(self._departures.all_runs)
 
     def find(self, target_id: str) -> TargetEntry | None:
         """Return the entry of a target; None if it is unknown or draining."""
@@ -116,13 +121,18 @@
     def _accepts_requests(self, entry: TargetEntry) -> bool:
         return not entry.draining and not self._departures.includes(entry)
 
-    def _unlisted_departures(self) -> Iterator[TargetRun]:
-        for run in self._departures.observed_here:
-            entry = self._entries.get(run.target_id)
-            if entry is None or entry.draining:
-                continue
-            if entry.started_ms <= run.started_ms:
-                yield run
+    def _still_listed(self, runs: Iterator[TargetRun]) -> list[TargetRun]:
+        """Return the given runs that are listed as ready, ordered by target."""
+        return sorted(
+            (run for run in runs if self._is_listed_as_ready(run)),
+            key=lambda run: run.target_id,
+        )
+
+    def _is_listed_as_ready(self, run: TargetRun) -> bool:
+        entry = self._entries.get(run.target_id)
+        if entry is None or entry.draining:
+            return False
+        return entry.started_ms <= run.started_ms
 
     def _apply(self, entry: TargetEntry, now: timedelta) -> None:
         if self._is_stale(entry, now):
