Time streams by whole events, so that single bytes don't keep a stalled one alive

Callers of a resumable stream waited for their whole deadline, and batch items for 30 s, when a target had stalled but still sent a byte now and then: each chunk of bytes renewed the time limit, and counted as a sign of life of the target for the whole fleet.

The limit now runs from one whole event to the next, and only whole events count as signs of life. The time in which a caller reads slowly isn't counted.

Ruled out: a lower limit for chunks (cuts sound streams whose events arrive in parts). Tests: test_stalledstreams; three of its four cases fail before, and the fourth, a slow stream whose events keep coming, shows that it isn't cut.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -38,7 +38,7 @@
 RUN_TIME = timedelta(seconds=30)
 MAX_RUN_BYTES = 16 * 1024 * 1024
 HEAD_TIMEOUT = timedelta(seconds=1)
-CHUNK_TIMEOUT = timedelta(milliseconds=600)
+EVENT_TIMEOUT = timedelta(milliseconds=600)
 REPEAT_INTERVAL = timedelta(seconds=1)
 
 _log = logger("executor")
@@ -259,13 +259,18 @@
         :raises ChivespanError: ``stream_broken`` if the stream is incomplete.
         """
         splitter = EventSplitter()
-        checked = self._clock.monotonic()
+        checked = last_event = self._clock.monotonic()
         while True:
-            chunk = await reply.next_chunk(CHUNK_TIMEOUT)
+            # Parts of an event don't extend its time limit.
+            time_left = EVENT_TIMEOUT - (self._clock.monotonic() - last_event)
+            chunk = await reply.next_chunk(time_left)
             if chunk is None:
                 break
-            watch.record_data()
-            for event in parse_events(splitter.feed(chunk)):
+            whole = splitter.feed(chunk)
+            if whole:
+                watch.record_data()
+                last_event = self._clock.monotonic()
+            for event in parse_events(whole):
                 if event.event_id != len(held.events) + 1:
                     reason = f"event {event.event_id} follows event {len(held.events)}"
                     raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -302,22 +302,31 @@
             return
         splitter = progress.splitter
         splitter.drop_partial()
+        last_event = self._clock.monotonic()
         while True:
-            gap_timeout = self._gap_timeout(route, progress)
-            received = await reply.next_chunk(gap_timeout)
+            timeout = self._event_timeout(route, progress, last_event)
+            received = await reply.next_chunk(timeout)
             if received is None:
                 break
-            progress.record_data()
             if whole := splitter.feed(received):
+                progress.record_data()
                 yield whole
+                last_event = self._clock.monotonic()
         if splitter.has_partial:
             reason = "the stream ended in the middle of an event"
             raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
 
-    def _gap_timeout(self, route: Route, progress: Progress) -> timedelta | None:
-        """Return the read timeout between events; None if no target can take over."""
+    def _event_timeout(
+        self, route: Route, progress: Progress, last_event: timedelta
+    ) -> timedelta | None:
+        """Return the time left for the next event; None if no target can take over.
+
+        Parts of an event don't extend it: a stalled target may still send some bytes.
+
+        :param last_event: monotonic time at which the last whole event was passed on.
+        """
         if route.longest_gap and self._can_still_resume(route, progress):
-            return route.longest_gap
+            return route.longest_gap - (self._clock.monotonic() - last_event)
         return None
 
     def _can_resume(self, route: Route, progress: Progress) -> bool:
--- a/standins/platformtarget.py
+++ b/standins/platformtarget.py
@@ -26,6 +26,7 @@
 SEAL = "X-Chivespan-Server-Seal"
 NOT_RUN = {"X-Chivespan-Not-Executed": "1"}
 LEAVING = {"Server-Leaving": "1"}
+TRICKLE_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -58,6 +59,8 @@
     :param break_count: number of streams that are aborted.
     :param silent_after: event after which streams stall; 0 stalls the response itself,
         -1 nothing.
+    :param trickle_after: event after which streams send single bytes of the next event
+        without end; -1 for none.
     :param status: status with which every request fails after it ran; 0 for none.
     :param other_id: whether responses carry the id of another request.
     :param full: whether every request is refused as not run.
@@ -67,6 +70,7 @@
     break_after: int = 0
     break_count: int = 1_000_000
     silent_after: int = -1
+    trickle_after: int = -1
     status: int = 0
     other_id: bool = False
     full: bool = False
@@ -194,6 +198,9 @@
                 raise ConnectionResetError("stream aborted by an injected fault")
             if 0 < faults.silent_after < number:
                 await anyio.sleep(3600)
+            while 0 <= faults.trickle_after < number:
+                yield b"i"
+                await anyio.sleep(TRICKLE_INTERVAL_S)
             yield f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
 
 
--- /dev/null
+++ b/tests/test_stalledstreams.py
@@ -0,0 +1,65 @@
+"""Streams of targets that are slow, or stalled although they still send some bytes."""
+
+from pathlib import Path
+
+import pytest
+
+from standins.platformtarget import TargetFaults, TargetOptions, TargetStandIn
+from tests.fleet import STREAM_PREFIX, Fleet, fleet
+
+pytestmark = pytest.mark.anyio
+
+EVENTS = 5
+
+
+def target(
+    number: int, *, gap_ms: float = 2, data_centre: str = "dc-1"
+) -> TargetStandIn:
+    return TargetStandIn(
+        TargetOptions(
+            f"i-{number}", events=EVENTS, gap_ms=gap_ms, data_centre=data_centre
+        )
+    )
+
+
+async def stream(site: Fleet, name: str) -> bytes:
+    headers = {"X-Chivespan-Request-Id": name, "X-Chivespan-Deadline-Ms": "3000"}
+    return (await site.call(1, "POST", f"{STREAM_PREFIX}x", headers)).body
+
+
+def complete(name: str) -> bytes:
+    events = (f"id: {n}\ndata: {name}-{n}\n\n" for n in range(1, EVENTS + 1))
+    return "".join(events).encode()
+
+
+# Guards against: a stalled stream never ends, as its target sends a byte now and then.
+@pytest.mark.parametrize("after", [0, 2])
+async def test_stalled_stream_that_sends_single_bytes_is_resumed_elsewhere(
+    tmp_path: Path, after: int
+) -> None:
+    stalled, sound = target(1), target(2, data_centre="dc-2")
+    stalled.faults = TargetFaults(trickle_after=after)
+    async with fleet(tmp_path, 1, stalled, sound) as (site, _):
+        assert await stream(site, "a") == complete("a")
+        assert sound.arrivals[-1].last_event == after
+
+
+# Guards against: an item waits for the end of its run time at such a target.
+async def test_item_at_a_stalled_target_that_sends_single_bytes_is_completed(
+    tmp_path: Path,
+) -> None:
+    stalled, sound = target(1), target(2)
+    stalled.faults = TargetFaults(trickle_after=2)
+    async with fleet(tmp_path, 1, stalled, sound) as (site, _):
+        assert (await site.submit(1, "job", 4)).status == 202
+        results = await site.results(1, "job", 4)
+        assert {result["state"] for result in results} == {"completed"}
+
+
+# Guards against: a slow but sound stream is cut although its events keep coming.
+async def test_slow_stream_whose_events_keep_coming_is_not_cut(tmp_path: Path) -> None:
+    slow, other = target(1, gap_ms=180), target(2, data_centre="dc-2")
+    async with fleet(tmp_path, 1, slow, other) as (site, _):
+        assert await stream(site, "a") == complete("a")
+        assert len(slow.arrivals) == 1
+        assert not other.arrivals
