Wake idle nodes less often

A node without work woke about 44 times a second, on each of hundreds of VMs: uvicorn's loop and ownership ten times each, announcements and scheduling five each, upkeep of batch partitions twice. It now waits: for the stop of the server, for a partition to be taken; only gateways look for changes of nodes and ownership often, since only they can become relays and owners. About 16 wake-ups remain, most for silent targets and logs.

Ruled out: one shared timer for all (each part would wake the others' work). Tests: an idle server ticks once a second and stops at once (7 ticks in 0.7 s before); intervals of ordinary nodes.

--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -43,8 +43,6 @@
 
 TOPIC = "keyed.batch"
 TICK = timedelta(milliseconds=25)
-# Scheduling interval of a node that owns no partition.
-IDLE_TICK = timedelta(milliseconds=200)
 UPKEEP_INTERVAL = timedelta(milliseconds=500)
 
 _log = logger("batch")
@@ -215,8 +213,9 @@
 
     async def _schedule(self) -> None:
         while True:
-            tick = TICK if self._ownership.owned else IDLE_TICK
-            await anyio.sleep(tick.total_seconds())
+            if not self._ownership.owned:
+                await self._partition_taken.wait()
+            await anyio.sleep(TICK.total_seconds())
             self._start_items()
 
     def _start_items(self) -> None:
@@ -279,7 +278,9 @@
     async def _maintain(self) -> None:
         """Refresh and clean up the owned partitions until cancelled."""
         while True:
-            with anyio.move_on_after(UPKEEP_INTERVAL.total_seconds()):
+            owns_any = bool(self._ownership.owned)
+            timeout_s = UPKEEP_INTERVAL.total_seconds() if owns_any else None
+            with anyio.move_on_after(timeout_s):
                 await self._partition_taken.wait()
             self._partition_taken = anyio.Event()
             for number in self._ownership.owned:
--- a/chivespan/callerserver.py
+++ b/chivespan/callerserver.py
@@ -106,4 +106,4 @@
     def stop_now(self) -> None:
         """Stop without waiting for requests in progress."""
         self._server.force_exit = True
-        self._server.should_exit = True
+        self.stop()
--- a/chivespan/httpserver.py
+++ b/chivespan/httpserver.py
@@ -7,7 +7,7 @@
 import asyncio
 import socket
 from collections.abc import Generator, Sequence
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from datetime import timedelta
 
 import uvicorn
@@ -19,10 +19,29 @@
 BACKLOG = 512
 CALLER_SILENCE_TIMEOUT = timedelta(seconds=10)
 KEEPALIVE_PROBE_INTERVAL_S = 2
+# Uvicorn updates its default headers and checks its limits with each tick.
+TICK_INTERVAL_S = 1
 
 
 class _Server(uvicorn.Server):
-    """A server that leaves signal handling to the program."""
+    """A server that leaves signal handling to the program.
+
+    It waits to be stopped, where uvicorn checks ten times a second.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._stopping = asyncio.Event()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.should_exit = True
+        self._stopping.set()
+
+    async def main_loop(self) -> None:
+        while not await self.on_tick(0):
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._stopping.wait(), TICK_INTERVAL_S)
 
     @contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
@@ -71,7 +90,7 @@
 
     def stop(self) -> None:
         """Accept no new connections, and stop once all requests are finished."""
-        self._server.should_exit = True
+        self._server.stop()
 
 
 def _open_listener(address: Address, silence_timeout: timedelta) -> socket.socket:
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -63,6 +63,8 @@
 )
 UPKEEP_INTERVAL_S = 0.25
 OWNERSHIP_INTERVAL_S = 0.1
+# Nodes that are no gateways don't take partitions over.
+IDLE_OWNERSHIP_INTERVAL_S = 1
 TARGET_CHOICE_VARIABLE = "CHIVESPAN_TARGET_CHOICE"
 BATCH_ROOM_VARIABLE = "CHIVESPAN_BATCH_ROOM"
 
@@ -235,7 +237,10 @@
     async def _watch_ownership(self) -> None:
         """Update the ownership of batch partitions periodically; never returns."""
         while True:
-            await anyio.sleep(OWNERSHIP_INTERVAL_S)
+            may_own = self.links.is_gateway or bool(self.placement.owned)
+            await anyio.sleep(
+                OWNERSHIP_INTERVAL_S if may_own else IDLE_OWNERSHIP_INTERVAL_S
+            )
             if self._update_ownership():
                 self.reports.send_now()
 
--- a/chivespan/remotenodes.py
+++ b/chivespan/remotenodes.py
@@ -17,6 +17,8 @@
 from chivespan.nodemessages import DataCentreNodes, NodeValue
 
 ANNOUNCE_INTERVAL = timedelta(milliseconds=200)
+# Only gateways become relays.
+IDLE_ANNOUNCE_INTERVAL = timedelta(seconds=1)
 
 _log = logger("nodes")
 
@@ -123,12 +125,16 @@
     async def run(self) -> None:
         """Send changes periodically; never returns."""
         while True:
-            await anyio.sleep(ANNOUNCE_INTERVAL.total_seconds())
+            await anyio.sleep(self._interval.total_seconds())
             if self._reports.is_relay and self._links.uses_gateways:
                 self.send_changes()
             else:
                 self._forget_sent()
 
+    @property
+    def _interval(self) -> timedelta:
+        return ANNOUNCE_INTERVAL if self._links.is_gateway else IDLE_ANNOUNCE_INTERVAL
+
     def send_changes(self) -> None:
         """Send changed lists to the other relays and to peers in this data centre."""
         own_centre = self._own_centre()
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -7,6 +7,7 @@
 
 import anyio
 import pytest
+import uvicorn
 from starlette.types import Receive, Scope, Send
 
 from chivespan.addresses import Address
@@ -70,3 +71,22 @@
     async with connected() as stream:
         await stream.send(b"GET / HTTP/1.1\r\nhost:")
         assert await status_of(stream) == 408
+
+
+# Guards against: an idle server wakes ten times a second, on each of hundreds of VMs.
+async def test_idle_server_ticks_once_a_second_and_stops_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    ticks: list[float] = []
+    on_tick = uvicorn.Server.on_tick
+
+    async def count(server: uvicorn.Server, counter: int) -> bool:
+        ticks.append(anyio.current_time())
+        return await on_tick(server, counter)
+
+    monkeypatch.setattr(uvicorn.Server, "on_tick", count)
+    async with connected():
+        await anyio.sleep(0.7)
+        assert len(ticks) == 1
+        stopped = anyio.current_time()
+    assert anyio.current_time() - stopped < 0.5
--- a/tests/test_remotenodes.py
+++ b/tests/test_remotenodes.py
@@ -210,3 +210,11 @@
     await links.remote_nodes.handle_message(relay, remote_centre("10.1.0.1"))
     links.leave(relay)
     assert links.remote_nodes.nodes == []
+
+
+# Guards against: nodes that can't become relays wake as often as those that can.
+async def test_only_gateways_look_for_changes_often() -> None:
+    links, _ = ordinary_node()
+    idle = links.node_announcer._interval
+    links.is_gateway = True
+    assert links.node_announcer._interval * 5 <= idle
