Start nodes without the messages of the other programs

The messages of links have a schema of their own; the others are loaded with the first frame that needs them, as those of jobs were.

Test: test_node_starts_without_the_messages_of_other_programs fails before.

--- a/bench/capacityfakes.py
+++ b/bench/capacityfakes.py
@@ -13,14 +13,8 @@
 from chivespan.codec import encode_message
 from chivespan.dispatcher import REMOTE_PUSH_INTERVAL
 from chivespan.engineapi import EngineLoad
-from chivespan.messages import (
-    Heartbeat,
-    Hello,
-    MembershipUpdate,
-    SliceLoad,
-    VmState,
-    VmView,
-)
+from chivespan.linkmessages import Heartbeat, Hello, SliceLoad
+from chivespan.messages import MembershipUpdate, VmState, VmView
 from chivespan.peerlink import PeerLink
 
 REGION = "region-0"
--- a/bench/capacityrig.py
+++ b/bench/capacityrig.py
@@ -33,13 +33,13 @@
 from chivespan.configfold import CONFIG_STREAM
 from chivespan.dispatcher import HEARTBEAT_INTERVAL_PER_LINK
 from chivespan.dispatchquery import query_status
+from chivespan.linkmessages import Program
 from chivespan.messages import (
     ConfigRequest,
     Grant,
     GrantRelease,
     GrantRequest,
     Outcome,
-    Program,
     StatusReply,
     WorkClass,
 )
--- a/bench/policysite.py
+++ b/bench/policysite.py
@@ -24,6 +24,7 @@
 )
 from chivespan.engineapi import EngineLoad
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.linkmessages import SliceLoad
 from chivespan.messages import (
     Grant,
     GrantRelease,
@@ -31,7 +32,6 @@
     HeldGrant,
     HeldGrants,
     Outcome,
-    SliceLoad,
     WorkClass,
 )
 from chivespan.policies import Policies
--- a/bench/spillorders.py
+++ b/bench/spillorders.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import TypeAlias
 
-from chivespan.messages import SliceLoad
+from chivespan.linkmessages import SliceLoad
 from chivespan.registry import Registry
 from chivespan.slices import Slice
 
--- a/bench/statecluster.py
+++ b/bench/statecluster.py
@@ -39,7 +39,8 @@
 from chivespan.httplog import HttpLog
 from chivespan.jobfold import jobs_stream
 from chivespan.jobplan import JobPlan, new_job_id, partition_of
-from chivespan.messages import ConfigRecords, ConfigRequest, ConfigSnapshot, Program
+from chivespan.linkmessages import Program
+from chivespan.messages import ConfigRecords, ConfigRequest, ConfigSnapshot
 from chivespan.metrics import Metrics
 from chivespan.partitions import Partitions
 from chivespan.peerlink import LinkEnd, LinkOptions, PeerLink, dial_once, new_hello
--- a/chivespan/batch_main.py
+++ b/chivespan/batch_main.py
@@ -12,8 +12,8 @@
 from chivespan.httplog import HttpLog
 from chivespan.httpvmlist import HttpVmList
 from chivespan.itemrunner import ItemRunner
+from chivespan.linkmessages import Program
 from chivespan.logs import configure_logging, logger
-from chivespan.messages import Program
 from chivespan.metrics import Metrics
 from chivespan.nodeview import NodeView
 from chivespan.options import load_settings_or_exit
--- a/chivespan/codec.py
+++ b/chivespan/codec.py
@@ -10,7 +10,7 @@
 import cbor2
 import msgspec
 
-from chivespan import messages, nodemessages
+from chivespan import linkmessages, nodemessages
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.positional import PositionalClasses
 
@@ -28,8 +28,9 @@
 def encode(value: object) -> bytes:
     """Return a schema object encoded as CBOR.
 
-    >>> encode(messages.GrantAbandon(request_id="r1")).hex()
-    'a16a726571756573745f6964627231'
+    >>> load = nodemessages.TargetLoad(target_id="t", online=1, batch=0)
+    >>> encode(load).hex()
+    'a3697461726765745f69646174666f6e6c696e650165626174636800'
     """
     return cbor2.dumps(msgspec.to_builtins(value, builtin_types=(bytes,)))
 
@@ -59,8 +60,8 @@
 # Imported with the first frame that needs them. Creating their classes takes a
 # noticeable part of the startup time of a node of the users' platform, which never
 # uses them.
-_LAZY_MODULES = ("chivespan.jobmessages",)
-_message_classes = data_classes(messages) | data_classes(nodemessages)
+_LAZY_MODULES = ("chivespan.messages", "chivespan.jobmessages")
+_message_classes = data_classes(linkmessages) | data_classes(nodemessages)
 
 
 def message_class(name: str) -> type[Any]:
@@ -74,7 +75,7 @@
     return _message_classes[name]
 
 
-_POSITIONAL = PositionalClasses(messages.Hello)
+_POSITIONAL = PositionalClasses(linkmessages.Hello)
 
 
 def encode_message(message: object) -> bytes:
@@ -97,8 +98,9 @@
 
     :raises ChivespanError: ``protocol`` if it is not a known message.
 
-    >>> decode_message(encode_message(messages.GrantAbandon(request_id="r1")))
-    GrantAbandon(request_id='r1')
+    >>> load = nodemessages.TargetLoad(target_id="t", online=1, batch=0)
+    >>> decode_message(encode_message(load))
+    TargetLoad(target_id='t', online=1, batch=0)
     """
     try:
         name, body = cbor2.loads(_decompressed(frame))
--- a/chivespan/dispatcher.py
+++ b/chivespan/dispatcher.py
@@ -11,6 +11,7 @@
 from chivespan.configfeed import ConfigFeed
 from chivespan.configsnapshots import ConfigSnapshots
 from chivespan.errors import ChivespanError
+from chivespan.linkmessages import Heartbeat, Hello, Program
 from chivespan.logs import logger
 from chivespan.membership import Membership
 from chivespan.mesh import Mesh
@@ -23,12 +24,9 @@
     GrantRelease,
     GrantRequest,
     GrantRevoke,
-    Heartbeat,
     HeldGrants,
     HeldGrantsRequest,
-    Hello,
     MembershipUpdate,
-    Program,
     StatusReply,
     StatusRequest,
     UsageReply,
--- a/chivespan/drainstate.py
+++ b/chivespan/drainstate.py
@@ -4,7 +4,7 @@
 VM continue to serve.
 """
 
-from chivespan.messages import Hello
+from chivespan.linkmessages import Hello
 from chivespan.peerlink import IDLE_HEARTBEAT, LEAVING_HEARTBEAT
 
 
--- a/chivespan/entry.py
+++ b/chivespan/entry.py
@@ -20,7 +20,7 @@
 from chivespan.httpserver import CALLER_SILENCE_TIMEOUT, HttpServer
 from chivespan.httpvmlist import HttpVmList
 from chivespan.jobclient import JobClient
-from chivespan.messages import Program
+from chivespan.linkmessages import Program
 from chivespan.metrics import Metrics
 from chivespan.nodeview import NodeView
 from chivespan.online import OnlineService
--- a/chivespan/heartbeattiming.py
+++ b/chivespan/heartbeattiming.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from chivespan.clock import Clock
-from chivespan.messages import Hello
+from chivespan.linkmessages import Hello
 
 # Largest number of other nodes at which all links use the short interval and timeout.
 SMALL_FLEET = 24
--- a/chivespan/membership.py
+++ b/chivespan/membership.py
@@ -12,13 +12,8 @@
 import anyio
 
 from chivespan.clock import Clock
-from chivespan.messages import (
-    Heartbeat,
-    Hello,
-    MembershipUpdate,
-    VmState,
-    VmView,
-)
+from chivespan.linkmessages import Heartbeat, Hello
+from chivespan.messages import MembershipUpdate, VmState, VmView
 from chivespan.placement import ranked
 from chivespan.platformservices import ListedVm
 from chivespan.settings import NodeSettings
--- a/chivespan/messages.py
+++ b/chivespan/messages.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from typing import Any, TypeAlias
 
+from chivespan.linkmessages import SliceLoad
+
 Messages: TypeAlias = Any
 """
 Messages between chivespan processes, in CBOR over websockets.
@@ -21,18 +23,6 @@
     batch = 'batch'
 
 
-class Program(StrEnum):
-    """
-    The programs of one VM and the operators' command line.
-    """
-
-    entry = 'entry'
-    dispatch = 'dispatch'
-    batch = 'batch'
-    operator = 'operator'
-    node = 'node'
-
-
 class Outcome(StrEnum):
     """
     How the use of a grant ended, as reported by its holder.
@@ -45,68 +35,6 @@
     not_sent = 'not_sent'
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Hello:
-    """
-    First message on every connection, in both directions; the only one that is encoded with field names.
-    """
-
-    vm: str
-    """
-    IP address of the sender's VM.
-    """
-    program: Program
-    data_centre: str
-    region: str
-    incarnation: str
-    """
-    Unique id of one run of the process.
-    """
-    serving_port: int = 0
-    """
-    Port on which the process serves callers; 0 for none.
-    """
-    protocol: int = 1
-    """
-    Version of the frames that follow; both ends must use the same.
-    """
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SliceLoad:
-    """
-    Load of one slice, as counted by its owner.
-    """
-
-    slice_id: str
-    free_slots: int
-    total_slots: int
-    queued_online: int
-    batch_running: int = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Heartbeat:
-    """
-    Sent on every peer connection at a fixed interval, in both directions.
-    """
-
-    config_offset: int
-    """
-    Offset of the last applied configuration record.
-    """
-    leaving: bool
-    slices: list[SliceLoad]
-    runs_batch: bool = True
-    """
-    Whether the VM's batch process is available.
-    """
-    entry_ports: list[int] | None = None
-    """
-    Ports of the VM's entry processes that serve callers; null while unknown.
-    """
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GrantRequest:
     """
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -33,11 +33,11 @@
 )
 from chivespan.jsonlog import LineWriter
 from chivespan.keyedstore import Partition
+from chivespan.linkmessages import Hello, Program
 from chivespan.loadreports import LoadReports
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.measuredstore import MeasuredStore
-from chivespan.messages import Hello, Program
 from chivespan.nodelist import NodeList
 from chivespan.nodemessages import ItemStatus
 from chivespan.nodemetrics import NodeMetrics
--- a/chivespan/nodeview.py
+++ b/chivespan/nodeview.py
@@ -15,12 +15,12 @@
 from chivespan.configuration import Configuration
 from chivespan.documents import Runner
 from chivespan.errors import ChivespanError
+from chivespan.linkmessages import SliceLoad
 from chivespan.messages import (
     ConfigRecords,
     ConfigRequest,
     ConfigSnapshot,
     MembershipUpdate,
-    SliceLoad,
     VmState,
     VmView,
 )
--- a/chivespan/peerlink.py
+++ b/chivespan/peerlink.py
@@ -24,7 +24,7 @@
 from chivespan.clock import Clock
 from chivespan.codec import PROTOCOL_VERSION, decode_message, encode_message
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.messages import Heartbeat, Hello, Program
+from chivespan.linkmessages import Heartbeat, Hello, Program
 
 if TYPE_CHECKING:
     from chivespan.settings import NodeSettings
--- a/chivespan/scheduler.py
+++ b/chivespan/scheduler.py
@@ -18,6 +18,7 @@
 from chivespan.engineapi import EngineLoad
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.granttable import LiveGrant, UsageTotals
+from chivespan.linkmessages import SliceLoad
 from chivespan.loadprobe import LoadProbe, probe_loads
 from chivespan.messages import (
     Grant,
@@ -25,7 +26,6 @@
     GrantRequest,
     HeldGrants,
     Outcome,
-    SliceLoad,
     TargetStatus,
     UsageCount,
     WorkClass,
@@ -37,13 +37,13 @@
 from chivespan.slices import Slice
 from chivespan.slotpool import SlotPool
 from chivespan.targetchoice import TARGET_CHOICES, ChoiceView, PrefixHints
-from chivespan.targethealth import FAILED_OUTCOMES
 from chivespan.targetstate import TargetState
 from chivespan.waiting import Waiter
 
 ONLINE_TICK = timedelta(milliseconds=20)
 BATCH_TICK = timedelta(milliseconds=50)
 IDLE_TICK = timedelta(milliseconds=500)
+FAILED_OUTCOMES = frozenset({Outcome.failed, Outcome.timed_out})
 
 
 class SliceScheduler:
--- a/chivespan/sliceowner.py
+++ b/chivespan/sliceowner.py
@@ -15,6 +15,7 @@
 from chivespan.configuration import Configuration
 from chivespan.documents import Runner, ServiceKind
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.linkmessages import SliceLoad
 from chivespan.logs import logger
 from chivespan.membership import Membership
 from chivespan.messages import (
@@ -23,7 +24,6 @@
     GrantRequest,
     HeldGrants,
     Refusal,
-    SliceLoad,
     TargetStatus,
     UsageCount,
 )
--- a/chivespan/slotpool.py
+++ b/chivespan/slotpool.py
@@ -7,14 +7,8 @@
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.engineapi import EngineLoad
 from chivespan.granttable import GrantTable, LiveGrant
-from chivespan.messages import (
-    Grant,
-    GrantRequest,
-    HeldGrant,
-    HeldGrants,
-    SliceLoad,
-    WorkClass,
-)
+from chivespan.linkmessages import SliceLoad
+from chivespan.messages import Grant, GrantRequest, HeldGrant, HeldGrants, WorkClass
 from chivespan.policies import Policies
 from chivespan.slices import Slice
 from chivespan.targetstate import TargetState
--- a/chivespan/subscribers.py
+++ b/chivespan/subscribers.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from chivespan.messages import Heartbeat, Program
+from chivespan.linkmessages import Heartbeat, Program
 from chivespan.peerlink import PeerLink
 
 
--- a/chivespan/targethealth.py
+++ b/chivespan/targethealth.py
@@ -10,14 +10,11 @@
 from datetime import timedelta
 from enum import StrEnum
 
-from chivespan.messages import Outcome
-
 EJECT_AFTER_FAILURES = 3
 FAILURE_SMOOTHING = 0.2
 EJECT_FAILURE_RATE = 0.5
 INITIAL_EJECTION = timedelta(seconds=1)
 MAX_EJECTION = timedelta(seconds=30)
-FAILED_OUTCOMES = frozenset({Outcome.failed, Outcome.timed_out})
 RECOVERY_SUCCESSES = 3
 
 
--- a/chivespan/usagereplication.py
+++ b/chivespan/usagereplication.py
@@ -9,9 +9,10 @@
 import anyio
 
 from chivespan.codec import encode_message
+from chivespan.linkmessages import Hello
 from chivespan.membership import Membership
 from chivespan.mesh import Mesh
-from chivespan.messages import Hello, UsageCount, UsageReport
+from chivespan.messages import UsageCount, UsageReport
 from chivespan.peerlink import PeerLink
 from chivespan.placement import ranked
 from chivespan.usage import UsageKey, UsageLedger, key_of
--- a/tests/controlnodes.py
+++ b/tests/controlnodes.py
@@ -28,7 +28,8 @@
 from chivespan.envelope import encode_record
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.grantclient import GrantClient
-from chivespan.messages import GrantRequest, Program, VmState, WorkClass
+from chivespan.linkmessages import Program
+from chivespan.messages import GrantRequest, VmState, WorkClass
 from chivespan.metrics import Metrics
 from chivespan.nodeview import NodeView
 from chivespan.peerlink import LinkEnd, LinkOptions, new_hello
--- a/tests/test_broken_online.py
+++ b/tests/test_broken_online.py
@@ -74,8 +74,8 @@
     monkeypatch: Patch, broken: bool
 ) -> None:
     def stop_now(self: HttpServer) -> None:
-        self._server.should_exit = True
         self._server.force_exit = True
+        self._server.stop()
 
     if broken:
         monkeypatch.setattr(HttpServer, "stop", stop_now)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -17,7 +17,7 @@
 from chivespan.jobclient import JobClient
 from chivespan.jobfold import jobs_stream
 from chivespan.jobmessages import JobPhase
-from chivespan.messages import Program
+from chivespan.linkmessages import Program
 from chivespan.metrics import Metrics
 from chivespan.nodeview import NodeView
 from chivespan.partitions import Partitions
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,5 +1,7 @@
 """Tests encoding of messages between nodes, compression, and invalid frames."""
 
+import subprocess
+import sys
 import zlib
 
 import pytest
@@ -42,3 +44,15 @@
     monkeypatch.setattr(codec, "MAX_DECOMPRESSED_BYTES", 1000)
     with pytest.raises(ChivespanError, match="too large"):
         decode_message(frame)
+
+
+# Guards against: each of hundreds of nodes that start together spends a tenth of its
+# startup on message classes that it never uses.
+def test_node_starts_without_the_messages_of_other_programs() -> None:
+    code = "import sys, chivespan.node_main; print(*sys.modules)"
+    result = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    loaded = set(result.stdout.split())
+    assert "chivespan.linkmessages" in loaded
+    assert not loaded & {"chivespan.messages", "chivespan.jobmessages"}
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -15,7 +15,8 @@
 from chivespan.addressselector import AddressSelector
 from chivespan.clock import SystemClock
 from chivespan.drainstate import DrainState
-from chivespan.messages import Program, VmState, VmView
+from chivespan.linkmessages import Program
+from chivespan.messages import VmState, VmView
 from chivespan.metrics import Metrics
 from chivespan.nodeview import NodeView
 from chivespan.peerlink import LinkEnd, LinkOptions, new_hello
--- a/tests/test_fleetlinks.py
+++ b/tests/test_fleetlinks.py
@@ -14,8 +14,8 @@
 from chivespan.codec import PROTOCOL_VERSION
 from chivespan.fleetlinks import FleetLinks, Peer
 from chivespan.heartbeattiming import HeartbeatTiming
+from chivespan.linkmessages import Hello, Program
 from chivespan.linkplan import GATEWAYS_PER_CENTRE
-from chivespan.messages import Hello, Program
 from chivespan.metrics import Metrics
 from chivespan.node import LINK_OPTIONS
 from chivespan.nodemessages import NodeValue
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -10,6 +10,7 @@
 from chivespan.documents import DataCentre, DocumentKind, Rule, Runner, WorkClassRule
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.heldslot import HeldSlot, slot_share
+from chivespan.linkmessages import Program
 from chivespan.messages import (
     Grant,
     GrantAbandon,
@@ -18,7 +19,6 @@
     GrantRevoke,
     HeldGrants,
     Outcome,
-    Program,
     TargetStatus,
     WorkClass,
 )
--- a/tests/test_linkreplaced.py
+++ b/tests/test_linkreplaced.py
@@ -13,9 +13,9 @@
 
 from chivespan.clock import SystemClock
 from chivespan.codec import PROTOCOL_VERSION, decode_message
+from chivespan.linkmessages import Hello, Program
 from chivespan.loadreports import LoadReports
 from chivespan.loadtable import LoadTable
-from chivespan.messages import Hello, Program
 from chivespan.nodemessages import DataCentreNodes, LoadReport
 from chivespan.remotenodes import NodeAnnouncer, RemoteNodes
 from chivespan.targetset import TargetSet
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,15 +12,9 @@
 from chivespan.addressselector import AddressSelector
 from chivespan.clock import ManualClock
 from chivespan.codec import PROTOCOL_VERSION, encode_message
+from chivespan.linkmessages import Heartbeat, Hello, Program
 from chivespan.membership import RECONNECT_GRACE, REMOVE_AFTER, Membership
-from chivespan.messages import (
-    Heartbeat,
-    Hello,
-    MembershipUpdate,
-    Program,
-    VmState,
-    VmView,
-)
+from chivespan.messages import MembershipUpdate, VmState, VmView
 from chivespan.platformservices import ListedVm
 from tests.controlnodes import (
     CENTRE,
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -13,12 +13,8 @@
 
 from chivespan.clock import SystemClock
 from chivespan.codec import PROTOCOL_VERSION, decode_message, encode_message
-from chivespan.messages import (
-    GrantAbandon,
-    Heartbeat,
-    Program,
-    StatusRequest,
-)
+from chivespan.linkmessages import Heartbeat, Program
+from chivespan.messages import GrantAbandon, StatusRequest
 from chivespan.metrics import Metrics
 from chivespan.peerlink import (
     LinkEnd,
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -13,7 +13,8 @@
     TargetCounts,
 )
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.messages import GrantRequest, SliceLoad, WorkClass
+from chivespan.linkmessages import SliceLoad
+from chivespan.messages import GrantRequest, WorkClass
 from chivespan.policies import Policies
 from chivespan.slices import Slice
 from chivespan.targetchoice import (
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -12,6 +12,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 MODULES = (
+    "linkmessages",
     "messages",
     "jobmessages",
     "records",
