--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 WORKERS := --numprocesses 6 --dist worksteal
 
-.PHONY: soak day score hunt bench-site bench-site-kill bench-site-trace bench-path bench-entries bench-orders setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
+.PHONY: mixed soak day score hunt bench-site bench-site-kill bench-site-trace bench-path bench-entries bench-orders setup generate check-generated format lint types test faults demo bench-state site bench-policy bench-capacity
 
 setup: .venv/.locked
 
@@ -37,6 +37,16 @@
 	$(PYTHON) -m pytest $(WORKERS) -m "slow or not slow" tests/test_faults.py
 	$(PYTHON) -m tools.faultpage
 
+# A fleet of the last release and this one, upgraded node by node.
+RELEASE ?= d43ccb9
+LAST_RELEASE := $(CURDIR)/target/last-release
+
+mixed: setup
+	git worktree remove --force $(LAST_RELEASE) 2>/dev/null || true
+	git worktree add --detach $(LAST_RELEASE) $(RELEASE)
+	CHIVESPAN_LAST_RELEASE=$(LAST_RELEASE) $(PYTHON) -m pytest -m slow tests/test_mixedfleet.py
+	git worktree remove --force $(LAST_RELEASE)
+
 demo: setup
 	$(PYTHON) -m tools.demo
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -82,6 +82,7 @@
     :ivar previous_line_counts: by node, log lines that its earlier processes wrote.
     :ivar relay_addresses: address of the relay in front of each stand-in, by the
         stand-in's own address.
+    :ivar checkouts: folder of the program that a node runs, if not this checkout.
     """
 
     address_block: str
@@ -94,6 +95,7 @@
     previous_line_counts: dict[int, int] = field(default_factory=dict)
     relay_addresses: dict[str, str] = field(default_factory=dict)
     relays: dict[str, Relay] = field(default_factory=dict)
+    checkouts: dict[int, Path] = field(default_factory=dict)
 
     @property
     def store_address(self) -> str:
@@ -134,7 +136,7 @@
         path.write_text(self._settings(number))
         process = await anyio.open_process(
             [sys.executable, "-m", "chivespan.node_main"],
-            cwd=ROOT,
+            cwd=self.checkouts.get(number, ROOT),
             env=os.environ | {"CHIVESPAN_SETTINGS": str(path)},
             stderr=None,
         )
