Answer requests that arrive just as the server stops

Connections now stay open for 0.2 s, or until the head is complete, and a request that arrives is served before the connection closes.

Ruled out: stopping only after a quiet spell (a request may always arrive just after it). Test: test_request_that_arrives_as_the_server_stops_is_answered, both cases fail before.

--- a/chivespan/callerserver.py
+++ b/chivespan/callerserver.py
@@ -1,4 +1,8 @@
-"""HTTP server for callers: uvicorn with limits on the request head."""
+"""HTTP server for callers: uvicorn with limits on the request head.
+
+When the server stops, it serves requests that arrive shortly after on open connections:
+their callers could not know that it stops.
+"""
 
 import asyncio
 from collections.abc import Callable, Sequence
@@ -12,6 +16,9 @@
 from chivespan.httpserver import HttpServer
 from chivespan.routes import CallerLimits
 
+# Covers the way of a request that was sent before its caller noticed the stop.
+SHUTDOWN_LINGER_S = 0.2
+
 
 class LimitedProtocol(HttpToolsProtocol):
     """A connection with limits on the size and duration of request heads."""
@@ -39,6 +46,16 @@
             self._head_bytes += len(data)
             self._check_head(self._head_bytes)
 
+    def shutdown(self) -> None:
+        """Close the connection once no request arrives for a while."""
+        self.loop.call_later(SHUTDOWN_LINGER_S, self._shut_down_if_idle)
+
+    def _shut_down_if_idle(self) -> None:
+        if self._in_head:
+            self.shutdown()
+        else:
+            super().shutdown()
+
     def on_message_begin(self) -> None:
         """Start the timer of a request head."""
         super().on_message_begin()
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -32,6 +32,14 @@
 
 @asynccontextmanager
 async def connected() -> AsyncIterator[anyio.abc.SocketStream]:
+    async with connected_server() as (stream, _):
+        yield stream
+
+
+@asynccontextmanager
+async def connected_server() -> AsyncIterator[
+    tuple[anyio.abc.SocketStream, CallerServer]
+]:
     address = Address(HOST, 8161)
     server = CallerServer(_app, [address], lambda: LIMITS)
     async with anyio.create_task_group() as tasks:
@@ -43,7 +51,7 @@
             except OSError:
                 await anyio.sleep(0.02)
         async with stream:
-            yield stream
+            yield stream, server
         server.stop()
 
 
@@ -90,3 +98,21 @@
         assert len(ticks) == 1
         stopped = anyio.current_time()
     assert anyio.current_time() - stopped < 0.5
+
+
+# Guards against: a planned stop cuts requests whose connection was just accepted, or
+# whose head has arrived in part.
+@pytest.mark.parametrize("parts", [[b"GET / HTTP/1.1\r\n"], []])
+async def test_request_that_arrives_as_the_server_stops_is_answered(
+    parts: list[bytes],
+) -> None:
+    async with connected_server() as (stream, server):
+        for part in parts:
+            await stream.send(part)
+        await anyio.sleep(0.05)
+        server.stop()
+        await anyio.sleep(0.1)
+        await stream.send(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"[len(b"".join(parts)) :])
+        assert await status_of(stream) == 204
+        with pytest.raises(anyio.EndOfStream):
+            await stream.receive()
