Report counts that change during the pause after a report

Found by reading: since reports are no longer repeated each second, a request that began or ended within 30 ms after a report was never told, and stayed counted in the whole fleet, or missing, until its node had another change. Before, it was told within a second.

The node now compares its counts with the last report before it waits for a change. Ruled out: a repeat each second (195 nodes then keep every sum changing). Test: test_change_during_the_pause_after_a_report_is_reported fails before.

--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -155,7 +155,10 @@
 
     async def _report_changes(self) -> None:
         while True:
-            await self._load_table.wait_own_changed()
+            # Counts may have changed during the last pause.
+            reported = self._sent_loads.get(self._sequence, [])
+            if self._load_table.own_loads() == reported:
+                await self._load_table.wait_own_changed()
             self._report_loads()
             await anyio.sleep(CHANGE_INTERVAL.total_seconds())
 
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -7,13 +7,14 @@
 from types import SimpleNamespace
 from typing import cast
 
+import anyio
 import pytest
 
 from chivespan.clock import ManualClock
 from chivespan.codec import decode_message
 from chivespan.fleetlinks import NO_REPORT, FleetLinks, Peer
 from chivespan.linkplan import MAX_DIRECT_PEERS
-from chivespan.loadreports import LoadReports
+from chivespan.loadreports import CHANGE_INTERVAL, LoadReports
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import LoadReport, NodeValue, TargetRun
 from chivespan.targetset import TargetSet
@@ -61,6 +62,7 @@
         self.load_table = LoadTable(ManualClock())
         self.peers: dict[str, Peer] = {}
         self.sent: list[tuple[str, object]] = []
+        self.history: list[tuple[str, object]] = []
         clock = ManualClock()
         self.targets = TargetSet(clock)
         self.targets.replace([ENTRY])
@@ -75,6 +77,7 @@
     def link(self, other: "Node") -> None:
         def send_frame(frame: bytes) -> bool:
             self.sent.append((other.value.vm, decode_message(frame)))
+            self.history.append(self.sent[-1])
             return True
 
         def send(message: object) -> bool:
@@ -321,3 +324,24 @@
         await deliver(nodes)
         send_what_changed(nodes)
         assert not any(node.sent for node in nodes.values())
+
+
+# Guards against: a request that ends just after a report stays counted in the whole
+# fleet until its node has another one.
+async def test_change_during_the_pause_after_a_report_is_reported() -> None:
+    node, other = Node("10.0.1.1", "dc1"), Node("10.0.1.2", "dc1")
+    node.link(other)
+    other.link(node)
+    node.reports.peer_joined(node.peers["10.0.1.2"])
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(node.reports._report_changes)
+        await anyio.sleep(0.01)
+        with node.load_table.track_online("t"):
+            await anyio.sleep(CHANGE_INTERVAL.total_seconds() / 3)
+        await anyio.sleep(3 * CHANGE_INTERVAL.total_seconds())
+        tasks.cancel_scope.cancel()
+    await deliver({"10.0.1.1": node, "10.0.1.2": other})
+    assert other.load_table.total("t") == 0
+    assert any(
+        isinstance(message, LoadReport) and message.loads for _, message in node.history
+    )
