Report counts again when a data centre changes who sums them up

A node that starts to add up the counts of its data centre itself, because that has become small, went on with the relay's last sum: its nodes report on changes only, and had reported to the relay. Seen by reading, beside the fault before; rare, as nodes leave the list after ten minutes without a link. Test fails before.

--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -69,6 +69,7 @@
         self._sequence = 0
         self._relay: str | None = None
         self._sent_status = NO_REPORT
+        self._reports_directly = True
         self._sent_silent: list[str] = []
         self._sent_leaving: list[TargetRun] = []
         self._sent_sums: dict[str, DataCentreReport] = {}
@@ -267,9 +268,16 @@
         return [peer for peer in self._local_peers if peer.node.vm == self._relay]
 
     def _report_status_changes(self) -> None:
-        """Report this node's status or what it observed at targets, if changed."""
+        """Report this node's status or what it observed at targets, if changed.
+
+        Everything is reported again when the number of nodes in this data centre has
+        changed who sums up the counts.
+        """
         silent = self._silence.local_silent()
-        if self._describe() != self._sent_status:
+        if self._is_direct != self._reports_directly:
+            self._reports_directly = self._is_direct
+            self._report_again()
+        elif self._describe() != self._sent_status:
             self.send_now()
         elif silent != self._sent_silent:
             _log.info("silent_targets", targets=silent, before=self._sent_silent)
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -319,10 +319,9 @@
         await report_round(nodes)
         send_what_changed(nodes)
         assert any(node.sent for node in nodes.values()), "the first statuses"
-        await deliver(nodes)
-        send_what_changed(nodes)
-        await deliver(nodes)
-        send_what_changed(nodes)
+        for _ in range(3):
+            await deliver(nodes)
+            send_what_changed(nodes)
         assert not any(node.sent for node in nodes.values())
 
 
@@ -345,3 +344,25 @@
     assert any(
         isinstance(message, LoadReport) and message.loads for _, message in node.history
     )
+
+
+# Guards against: nodes of a data centre that has become small, which add up the counts
+# themselves, go on with the last sum of the relay.
+async def test_counts_are_reported_again_when_the_relay_is_no_longer_needed() -> None:
+    nodes = await site(8)
+    await report_round(nodes)
+    with request_at_every_node(nodes):
+        await report_round(nodes)
+        send_what_changed(nodes)
+        await deliver(nodes)
+        for lost in ("10.0.1.7", "10.0.1.8"):
+            nodes.pop(lost)
+            for node in nodes.values():
+                peer = node.peers.pop(lost)
+                node.reports._local_peers = [
+                    each for each in node.reports._local_peers if each is not peer
+                ]
+                node.load_table.remove_peer(lost)
+        send_what_changed(nodes)
+        await deliver(nodes)
+        assert nodes["10.0.1.6"].load_table.total("t") == 6, "those of its own centre"
