--- a/tests/test_remotenodes.py
+++ b/tests/test_remotenodes.py
@@ -6,25 +6,21 @@
 
 import pytest
 
-from chivespan.codec import decode_message
 from chivespan.fleetlinks import NO_REPORT, Peer
 from chivespan.nodemessages import DataCentreNodes
 from chivespan.remotenodes import NodeAnnouncer, RemoteNodes
-from tests.factories import node, peers_in
+from tests.factories import node
+from tests.fakelinks import FakeLinks
 
 pytestmark = pytest.mark.anyio
 
 
-class Links:
-    """Fake links of one relay that record the messages sent."""
+class Links(FakeLinks):
+    """Links of one relay, with its node lists."""
 
     def __init__(self) -> None:
-        self.own = node("10.0.0.1", "a")
-        self.uses_gateways = True
-        self.is_gateway = True
-        self.peers: dict[str, Peer] = {}
+        super().__init__()
         self.owners: frozenset[str] = frozenset()
-        self.sent: list[tuple[str, DataCentreNodes]] = []
         self.remote_nodes = RemoteNodes(cast(Any, self))
         self.relays: list[Peer] = []
         self.own_report = NO_REPORT
@@ -35,27 +31,11 @@
             cast(Any, self), cast(Any, reports), self.remote_nodes
         )
 
-    def add_listener(self, listener: object) -> None:
-        pass
-
-    def peers_in(self, data_centre: str) -> list[Peer]:
-        return peers_in(self.peers, data_centre)
-
     def set_partition_owners(self, owners: frozenset[str]) -> None:
         self.owners = owners
 
     def join(self, vm: str, centre: str) -> Peer:
-        peer = Peer(node(vm, centre), "1")
-
-        def send_frame(frame: bytes) -> bool:
-            message = decode_message(frame)
-            assert isinstance(message, DataCentreNodes)
-            self.sent.append((vm, message))
-            return True
-
-        link = SimpleNamespace(is_open=True, send_frame=send_frame)
-        peer.links.append(cast(Any, link))
-        self.peers[vm] = peer
+        peer = super().join(vm, centre)
         self.node_announcer.peer_joined(peer)
         return peer
 
--- a/tests/test_storefeed.py
+++ b/tests/test_storefeed.py
@@ -2,22 +2,20 @@
 
 from dataclasses import replace
 from datetime import timedelta
-from types import SimpleNamespace
 from typing import Any, cast
 
 import anyio
 import pytest
 
 from chivespan.clock import ManualClock, SystemClock
-from chivespan.codec import decode_message
-from chivespan.fleetlinks import Peer
 from chivespan.fleetwatch import FleetSources, FleetWatch
 from chivespan.keyedstore import KeyedRecord, NewestPage, Partition
 from chivespan.nodemessages import FleetAnswer, TargetEntry
 from chivespan.routingstate import RoutingState
 from chivespan.storefeed import StoreFeed
 from chivespan.targetset import TargetSet
-from tests.factories import node, peers_in, target_entry
+from tests.factories import target_entry
+from tests.fakelinks import FakeLinks
 from tests.fakestore import FakeStore
 
 pytestmark = pytest.mark.anyio
@@ -35,42 +33,6 @@
 )
 
 
-class Links:
-    """Fake links of one node that record the frames sent."""
-
-    uses_gateways = True
-    uses_relay = True
-
-    def __init__(self) -> None:
-        self.own = node("10.0.0.1", "a")
-        self.peers: dict[str, Peer] = {}
-        self.sent: list[tuple[str, object]] = []
-
-    def join(self, vm: str, centre: str) -> Peer:
-        peer = Peer(node(vm, centre), "1")
-
-        def send_frame(frame: bytes) -> bool:
-            self.sent.append((vm, decode_message(frame)))
-            return True
-
-        link = SimpleNamespace(is_open=True, send_frame=send_frame)
-        peer.links.append(cast(Any, link))
-        self.peers[vm] = peer
-        return peer
-
-    def peers_in(self, data_centre: str) -> list[Peer]:
-        return peers_in(self.peers, data_centre)
-
-    def is_local(self, peer: Peer) -> bool:
-        return peer.node.data_centre == self.own.data_centre
-
-    def add_listener(self, listener: object) -> None:
-        pass
-
-    def add_nodes(self, nodes: object) -> None:
-        pass
-
-
 class CountingStore(FakeStore):
     """Store that counts the reads of targets."""
 
@@ -90,7 +52,7 @@
 
     def __init__(self, *, is_relay: bool) -> None:
         clock = SystemClock()
-        self.links = Links()
+        self.links = FakeLinks()
         self.store = CountingStore()
         self.targets = TargetSet(clock)
         self.watch = FleetWatch(
@@ -107,7 +69,7 @@
 
 
 def test_only_a_relay_feeds_the_nodes_of_its_data_centre() -> None:
-    links = Links()
+    links = FakeLinks()
     links.join("10.0.0.2", "a")
     links.join("10.1.0.1", "b")
     is_relay = False
