--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -1,7 +1,8 @@
 """Keeps routing table, targets and nodes current from the store or from a peer.
 
-A node that can't read the store queries a live peer instead. In a large fleet only
-gateways read targets and routing table regularly; relays feed them to the other nodes.
+A node that can't read the store queries a live peer instead. In a large fleet only the
+relay of a data centre reads targets and routing table regularly, and feeds them to the
+other nodes there.
 """
 
 from collections.abc import Callable, Iterable
@@ -272,7 +273,7 @@
             self._routing.apply_if_newer(answer.config, f"peer {peer.node.vm}")
         if answer.config_version > self._routing.version:
             self._query_peer(peer)
-        if self._feed.accepts(peer, answer):
+        if self._feed.record_if_feed(peer, answer):
             self._targets.replace(answer.targets)
             self._targets_read = self._clock.monotonic()
         elif answer.targets_known and self._failing_since is not None:
--- a/chivespan/storefeed.py
+++ b/chivespan/storefeed.py
@@ -44,8 +44,8 @@
         for peer in links.peers_in(links.own.data_centre):
             peer.send_frame(frame)
 
-    def accepts(self, peer: Peer, answer: FleetAnswer) -> bool:
-        """Return whether an answer is a feed; if so, record that it has arrived."""
+    def record_if_feed(self, peer: Peer, answer: FleetAnswer) -> bool:
+        """Record that a feed has arrived; return whether an answer is one."""
         if not (answer.is_feed and self._links.is_local(peer)):
             return False
         self._last_feed = self._clock.monotonic()
