Count the new request itself when its wait is judged

Since refusals go by the queues of all targets, the request that would be the first late one was accepted.

Still over-admitted by counts that are 90 ms old; a share of refusals that grows with the queue wasn't tried.

--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -99,9 +99,9 @@
         return ARRIVALS_MARGIN * running * (self.staleness / self.service_time)
 
     def is_overloaded(self) -> bool:
-        """Return whether the queues make a request late, wherever it is sent."""
+        """Return whether the queues make one more request late, wherever it is sent."""
         slots = sum(each.slots for each in self.candidates)
-        queued = sum(each.online - each.slots for each in self.candidates)
+        queued = 1 + sum(each.online - each.slots for each in self.candidates)
         return not slots or self.service_time * (queued / slots) > self.longest_wait
 
 
--- a/tests/test_targetpick.py
+++ b/tests/test_targetpick.py
@@ -99,6 +99,14 @@
     assert longest_wait < OBJECTIVE
 
 
+# Guards against: the request that would be the first late one is still accepted, so
+# that with few targets most requests of an overload are late.
+def test_last_request_of_a_queue_is_on_time_itself() -> None:
+    for online, expected in ((9, "t"), (10, None)):
+        picker, _ = make_picker(entry("t"), loads={"t": (online, 0)})
+        assert pick_target(picker) == expected
+
+
 def test_retry_times_of_refused_callers_are_spread() -> None:
     picker, _ = make_picker(entry("t"), loads={"t": (16, 0)})
     times = {picker.suggest_retry_after("s") for _ in range(20)}
