--- a/tests/test_targetpick.py
+++ b/tests/test_targetpick.py
@@ -21,7 +21,9 @@
 
 
 def make_picker(
-    *entries: TargetEntry, loads: dict[str, tuple[int, int]]
+    *entries: TargetEntry,
+    loads: dict[str, tuple[int, int]],
+    staleness: timedelta = timedelta(0),
 ) -> tuple[TargetPicker, LoadTable]:
     clock = ManualClock()
     targets = TargetSet(clock)
@@ -37,7 +39,7 @@
     choose = TARGET_CHOICES["shared_counts"]
     silence = SilenceDetector(clock)
     picker = TargetPicker(
-        targets, load_table, "near", clock, silence, choose, timedelta
+        targets, load_table, "near", clock, silence, choose, lambda: staleness
     )
     return picker, load_table
 
@@ -103,7 +105,9 @@
 # that with few targets most requests of an overload are late.
 def test_last_request_of_a_queue_is_on_time_itself() -> None:
     for online, expected in ((9, "t"), (10, None)):
-        picker, _ = make_picker(entry("t"), loads={"t": (online, 0)})
+        picker, _ = make_picker(
+            entry("t"), loads={"t": (online, 0)}, staleness=timedelta(milliseconds=90)
+        )
         assert pick_target(picker) == expected
 
 
