Wake the scheduler of a partition that comes back; estimate staleness by its mean

A node that had released its partitions and took one again never started an item. The event is now replaced only once it is set. Test: test_items_are_scheduled_again_after_a_partition_came_back fails before.

And the first response is again given up early only where another target would answer in time: at an overload a request lost its place in a queue.

--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -282,7 +282,9 @@
             timeout_s = UPKEEP_INTERVAL.total_seconds() if owns_any else None
             with anyio.move_on_after(timeout_s):
                 await self._partition_taken.wait()
-            self._partition_taken = anyio.Event()
+            # The scheduler waits for the same event: it is replaced only once set.
+            if self._partition_taken.is_set():
+                self._partition_taken = anyio.Event()
             for number in self._ownership.owned:
                 await self._maintain_partition(self._owners[number])
 
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -242,7 +242,7 @@
     ) -> Call:
         time_left = self._time_left(progress)
         head_timeout = time_left
-        if progress.expects_slot and self._can_resume(route, progress):
+        if progress.expects_slot and self._can_resume(route, progress, in_time=True):
             head_timeout = min(time_left, route.objective * HEAD_TIMEOUT_OBJECTIVES)
         headers = wire.target_headers(
             request.headers, entry.target_id, time_left, progress.splitter.last_id
@@ -329,11 +329,17 @@
             return route.longest_gap - (self._clock.monotonic() - last_event)
         return None
 
-    def _can_resume(self, route: Route, progress: Progress) -> bool:
-        """Return whether another target can take over if the current one fails."""
+    def _can_resume(
+        self, route: Route, progress: Progress, in_time: bool = False
+    ) -> bool:
+        """Return whether another target can take over if the current one fails.
+
+        :param in_time: whether its response must start within the objective.
+        """
         if not route.is_repeatable or progress.sends + 1 >= route.max_attempts:
             return False
-        return self._pick_within(self._time_left(progress), progress) is not None
+        wait = route.objective if in_time else self._time_left(progress)
+        return self._pick_within(wait, progress) is not None
 
     def _can_still_resume(self, route: Route, progress: Progress) -> bool:
         """Return a cached result of :meth:`_can_resume`, to save the cost per chunk."""
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -124,12 +124,15 @@
 
     @property
     def staleness(self) -> timedelta:
-        """Time after which a request of another node is counted at this node."""
+        """Mean time until a request of another node is counted at this node.
+
+        Two relays add half of their interval each.
+        """
         if not self._links.peers:
             return timedelta(0)
         if self._is_direct:
-            return CHANGE_INTERVAL + RELAY_INTERVAL
-        return CHANGE_INTERVAL + 2 * LARGE_RELAY_INTERVAL
+            return CHANGE_INTERVAL
+        return CHANGE_INTERVAL + LARGE_RELAY_INTERVAL
 
     def own_status(self) -> LoadReport:
         """Return this node's current status, without its counts."""
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -81,7 +81,7 @@
 
     :param longest_wait: longest wait for a slot after which a request is still on time.
     :param service_time: mean time for which a request uses a slot.
-    :param staleness: time after which a request of another node is counted here.
+    :param staleness: mean time until a request of another node is counted here.
     """
 
     candidates: Sequence[Candidate]
@@ -187,7 +187,7 @@
     """Picks targets for this node's online requests.
 
     :param choose: the target choice policy.
-    :param staleness: returns the time after which a request of another node is counted.
+    :param staleness: returns the mean time until a request of another node is counted.
     """
 
     def __init__(
