--- a/tools/results.py
+++ b/tools/results.py
@@ -55,10 +55,11 @@
     id: str
     at: list[str]
     cmd: str
-    argv: list[str]
     head: str
     dirty: bool
     why: str = ""
+    # Arguments of the bench's command.
+    argv: list[str] = []
     site: str | None = None
     score: float | None = None
     edited_meanwhile: bool = False
