Check the gateways of each node exactly, and the kind of each message sent

Read once more: two checks had become looser with the topology. A node's gateways were compared with 'at least its own', and the fake links no longer refused other messages than node lists.

--- a/tests/test_fleetlinks.py
+++ b/tests/test_fleetlinks.py
@@ -126,11 +126,14 @@
 ):
     async with linked_fleet() as members:
         await settle(members)
+        centres = range(CENTRES)
+        all_gateways = set[str]().union(*(gateways_of(members, c) for c in centres))
         for each in members:
             centre = int(each.links.own.data_centre[-1])
             own_gateways = gateways_of(members, centre)
-            assert each.links.gateways >= own_gateways
-            assert each.links.is_gateway == (each.vm in own_gateways)
+            is_gateway = each.vm in own_gateways
+            assert each.links.is_gateway == is_gateway
+            assert each.links.gateways == (all_gateways if is_gateway else own_gateways)
 
 
 async def test_next_node_replaces_a_lost_gateway(
--- a/tests/test_remotenodes.py
+++ b/tests/test_remotenodes.py
@@ -48,6 +48,7 @@
         """Send changes, and return the messages sent."""
         self.sent.clear()
         self.node_announcer.send_changes()
+        assert all(isinstance(message, DataCentreNodes) for _, message in self.sent)
         return list(self.sent)
 
 
