--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -109,7 +109,7 @@
     monkeypatch: pytest.MonkeyPatch, parts: list[bytes]
 ) -> None:
     delay_s = 0.1
-    assert callerserver.SHUTDOWN_LINGER_S > delay_s
+    assert delay_s < callerserver.SHUTDOWN_LINGER_S
     # A test process that is held up for a while must not miss these.
     monkeypatch.setattr(callerserver, "SHUTDOWN_LINGER_S", 2)
     limits = replace(LIMITS, header_timeout=timedelta(seconds=10))
