Keep the items of a node whose link broke for a moment

Reported by operators of similar systems: work of a machine that is only silent or slow is started again elsewhere. Here an owner released all items of a node as its link closed, also when the link was made anew within milliseconds, and started them at other nodes while the first runs went on.

A node now has half a second to come back and report its items, which it does with the first report of the owner on the new link; until then they count as running and nothing is started for them, paused ones included. A node that stays away loses them as before, at the next upkeep. The check of the phases' metrics keeps its figures; the release comes a second after the loss of the link rather than with it.

Ruled out: to wait for the silence timeout of 3 s, as for a lost start; the items of a killed node would wait that long.

--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -38,7 +38,6 @@
 # A repeated status that arrives this soon after a start may have been sent before the
 # node received the start.
 IN_FLIGHT_TIME = timedelta(milliseconds=700)
-SILENCE_TIMEOUT = timedelta(seconds=3)
 ABANDON_MARGIN = timedelta(seconds=3)
 RETENTION_MARGIN = timedelta(seconds=20)
 
@@ -126,7 +125,7 @@
             abandoned_at = job.submitted + abandon_after if abandon_after else None
             for order, item in enumerate(job.waiting_items()):
                 run = self._runs.get((job.job_id, item.item_id))
-                if run and (run.settled or run.target_id or run.not_before > now):
+                if run and not run.can_start(now):
                     continue
                 remaining = self._remaining(run)
                 yield WaitingItem(
@@ -182,7 +181,7 @@
             # The item is assigned to another node by now.
             self._send(vm, _stop(key))
             return
-        run.last_heard = self._clock.monotonic()
+        run.record_report(self._clock.monotonic())
         if not status.repeated or self._was_missed(run, vm, status):
             self._apply_status(key, run, vm, status)
 
@@ -199,21 +198,26 @@
         """Release items whose nodes have stopped reporting them."""
         now = self._clock.monotonic()
         for key, run in list(self._runs.items()):
-            if run.vm and not run.settled and now - run.last_heard > SILENCE_TIMEOUT:
+            if run.vm and not run.settled and run.is_unheard(now):
                 _log.warning(
                     "item_unheard",
                     job=key[0],
                     item=key[1],
                     vm=run.vm,
                     silent_ms=(now - run.last_heard) // MILLISECOND,
+                    link_lost=run.link_lost is not None,
                 )
                 self._release_item(key, run)
 
-    def node_lost(self, vm: str) -> None:
-        """Release the items of a lost node so that other nodes can run them."""
-        for key, run in list(self._runs.items()):
-            if run.vm == vm and not run.settled:
-                self._release_item(key, run)
+    def link_lost(self, vm: str) -> None:
+        """Give a node little time to come back and report its items.
+
+        Its items may still run: the node may be slow, or only the link broken.
+        """
+        now = self._clock.monotonic()
+        for run in self._runs.values():
+            if run.vm == vm:
+                run.record_link_lost(now)
 
     def take_over(self) -> None:
         """Become the owner; starts nothing until nodes have reported their items."""
--- a/chivespan/itemrun.py
+++ b/chivespan/itemrun.py
@@ -6,6 +6,10 @@
 from chivespan.clock import NO_WAIT
 from chivespan.itemtimes import ItemPhase, ItemTimes
 
+# A node whose link has broken has this long to come back and report its items.
+RECONNECT_TIMEOUT = timedelta(milliseconds=500)
+SILENCE_TIMEOUT = timedelta(seconds=3)
+
 
 @dataclass(slots=True)
 class ItemRun:
@@ -22,6 +26,7 @@
     :ivar event_count: number of events produced so far, held by the owner or the node.
     :ivar started: start of the last run.
     :ivar last_heard: time of the node's last status for the item, or of its start.
+    :ivar link_lost: when the link with the node broke; None if it has reported since.
     :ivar settled: whether the final result is known.
     """
 
@@ -34,6 +39,7 @@
     event_count: int = 0
     started: timedelta = NO_WAIT
     last_heard: timedelta = NO_WAIT
+    link_lost: timedelta | None = None
     settled: bool = False
 
     def after_node_loss(self, now: timedelta) -> "ItemRun":
@@ -50,9 +56,32 @@
         """Record that the item was sent to a node, to run on a target."""
         self.vm = vm
         self.target_id = target_id
-        self.started = self.last_heard = now
+        self.started = now
+        self.record_report(now)
         self.times.enter(ItemPhase.running, now)
 
+    def record_report(self, now: timedelta) -> None:
+        """Record that the node holds the item and can report it."""
+        self.last_heard = now
+        self.link_lost = None
+
+    def record_link_lost(self, now: timedelta) -> None:
+        """Record that the link with the node broke."""
+        if self.link_lost is None:
+            self.link_lost = now
+
+    def is_unheard(self, now: timedelta) -> bool:
+        """Return whether the node has not reported the item for too long."""
+        if self.link_lost is not None and now - self.link_lost > RECONNECT_TIMEOUT:
+            return True
+        return now - self.last_heard > SILENCE_TIMEOUT
+
+    def can_start(self, now: timedelta) -> bool:
+        """Return whether the item may be sent to a node now."""
+        if self.settled or self.target_id or self.link_lost is not None:
+            return False
+        return self.not_before <= now
+
     def settle(self, now: timedelta) -> None:
         """Record that the final result is known and must be written to the store."""
         self.settled = True
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -5,9 +5,10 @@
 import anyio
 import pytest
 
-from chivespan.batchowner import SILENCE_TIMEOUT, TAKEOVER_DELAY, BatchOwner
+from chivespan.batchowner import TAKEOVER_DELAY, BatchOwner
 from chivespan.batchschedule import Placement
 from chivespan.clock import NO_WAIT, ManualClock
+from chivespan.itemrun import RECONNECT_TIMEOUT, SILENCE_TIMEOUT
 from chivespan.keyedstore import Partition
 from chivespan.ledgerstore import LedgerStore
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
@@ -96,6 +97,39 @@
     assert harness.waiting() == ["j-0"]
 
 
+# Guards against: an item is started again elsewhere although the node that runs it was
+# only slow, or its link broke for a moment.
+@pytest.mark.parametrize("state", [ItemState.running, ItemState.paused])
+async def test_item_stays_at_a_node_that_reconnects_in_time(state: ItemState) -> None:
+    harness = OwnerHarness()
+    await harness.accept(1)
+    harness.start("n1")
+    harness.owner.handle_status("n1", status(state, events=3))
+    harness.owner.link_lost("n1")
+    for _ in range(3):
+        assert harness.waiting() == []
+        harness.clock.advance(RECONNECT_TIMEOUT * 0.3)
+        harness.owner.release_silent_items()
+    harness.owner.handle_status("n1", status(ItemState.running, events=4))
+    harness.clock.advance(RECONNECT_TIMEOUT)
+    harness.owner.release_silent_items()
+    assert harness.waiting() == []
+    (run,) = harness.owner.running()
+    assert run.vm == "n1"
+
+
+async def test_item_of_a_node_that_stays_away_is_released() -> None:
+    harness = OwnerHarness()
+    await harness.accept(1)
+    harness.start("n1")
+    harness.owner.link_lost("n1")
+    harness.clock.advance(RECONNECT_TIMEOUT * 0.9)
+    harness.owner.link_lost("n1")
+    harness.clock.advance(RECONNECT_TIMEOUT * 0.2)
+    harness.owner.release_silent_items()
+    assert harness.waiting() == ["j-0"]
+
+
 async def test_repeated_status_replaces_a_lost_one() -> None:
     harness = OwnerHarness()
     await harness.accept(1)
@@ -170,8 +204,10 @@
     harness.start("n1")
     harness.clock.advance(timedelta(seconds=3))
     harness.owner.handle_status("n1", status(ItemState.paused, events=5))
-    harness.clock.advance(timedelta(seconds=4))
-    harness.owner.node_lost("n1")
+    harness.clock.advance(timedelta(seconds=3))
+    harness.owner.link_lost("n1")
+    harness.clock.advance(timedelta(seconds=1))
+    harness.owner.release_silent_items()
     harness.clock.advance(timedelta(seconds=5))
     harness.start("n2")
     harness.clock.advance(timedelta(seconds=6))
