Start a batch item only for the node that claims its partition

Reported by operators of similar systems: around a hand-over both processes act for a moment. Here the previous owner of a partition could start an item at a node that already knew of the next owner's claim; the next owner, which starts items once nodes had time to report theirs, then started it as well.

A node now starts an item only for the claimant that all nodes prefer, and tells another sender that the item was not run. A sender whose claim hasn't arrived is served as long as no other claim is known. With two claims for longer, as when two gateways don't reach each other, nodes linked to both serve the same one.

Ruled out: a term in each start, which would need the store for its counter.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -139,7 +139,8 @@
             self._send_status(held.status())
             return
         if held is None and not message.path:
-            self._send_status(_not_held(message))
+            # The owner then sends the item again, as a whole.
+            self._send_status(status_without_run(message, ItemState.returned))
             return
         if held is None:
             held = self._items[key] = HeldItem(message, list(message.events))
@@ -324,14 +325,14 @@
     )
 
 
-def _not_held(message: ItemStart) -> ItemStatus:
-    """Return the status of an item that this node holds no longer."""
+def status_without_run(message: ItemStart, state: ItemState) -> ItemStatus:
+    """Return the status of an item that was not started."""
     return ItemStatus(
         partition=message.partition,
         job_id=message.job_id,
         item_id=message.item_id,
         target_id=message.target_id,
-        state=ItemState.returned,
+        state=state,
         events=0,
         text=[],
         repeated=False,
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from chivespan.batchbacklog import BacklogLog
-from chivespan.batchexecutor import BatchExecutor
+from chivespan.batchexecutor import BatchExecutor, status_without_run
 from chivespan.batchowner import BatchOwner
 from chivespan.batchownership import PARTITIONS, OwnershipChange, PartitionOwnership
 from chivespan.batchrequesthandler import BatchRequestHandler
@@ -31,6 +31,7 @@
     BatchQuestion,
     BatchReply,
     ItemStart,
+    ItemState,
     ItemStatus,
     ItemStop,
     LoadReport,
@@ -141,17 +142,17 @@
         self._executor.return_items()
 
     def peer_left(self, peer: Peer) -> None:
-        """Release the items that the peer held."""
+        """Release the items that the peer holds unless it soon reports them."""
         vm = peer.node.vm
         self._owned_by.pop(vm, None)
         for owner in self._owners:
-            owner.node_lost(vm)
+            owner.link_lost(vm)
 
     async def handle_message(self, peer: Peer, message: object) -> None:
         """Handle a message on batch work."""
         vm = peer.node.vm
         if isinstance(message, ItemStart):
-            self._executor.start(message)
+            self._start_for(peer, message)
         elif isinstance(message, ItemStop):
             self._executor.stop(message)
         elif isinstance(message, ItemStatus):
@@ -173,6 +174,26 @@
     def _own_vm(self) -> str:
         return self._settings.vm
 
+    def _start_for(self, peer: Peer, message: ItemStart) -> None:
+        """Start an item unless another node than the sender claims its partition.
+
+        Around a change of owners, the previous one may not know of it yet, and the next
+        one starts the item as well.
+        """
+        sender = peer.node.vm
+        owner = self._ownership.claimant_of(message.partition)
+        if owner in ("", sender):
+            self._executor.start(message)
+            return
+        _log.warning(
+            "item_start_refused",
+            job=message.job_id,
+            item=message.item_id,
+            sender=sender,
+            owner=owner,
+        )
+        peer.send(status_without_run(message, ItemState.not_run))
+
     def _report_items_to_new_owner(self, peer: Peer, report: LoadReport) -> None:
         """Report the items held on this node to a peer that has become their owner."""
         before = self._owned_by.get(peer.node.vm, [])
--- a/chivespan/batchownership.py
+++ b/chivespan/batchownership.py
@@ -127,6 +127,16 @@
             return self._links.own.vm
         return choose_owner(partition, list(self._peers()))
 
+    def claimant_of(self, partition: int) -> str:
+        """Return the node that claims a partition; empty if none is known to do so.
+
+        Of several claimants, returns the one that all nodes are to prefer.
+        """
+        if partition in self._owned:
+            return self._links.own.vm
+        claiming = [peer for peer in self._peers() if partition in peer.owned]
+        return choose_owner(partition, claiming) or ""
+
     def _members(self, store_reached: bool) -> Iterator[Member]:
         claimed = frozenset[int]() if self._must_hand_over else self._owned
         own = self._links.own
--- a/tests/test_batchnode.py
+++ b/tests/test_batchnode.py
@@ -1,5 +1,6 @@
 """Scheduling of batch items at a node whose partitions come and go."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -8,7 +9,11 @@
 
 from chivespan import batchnode
 from chivespan.batchnode import TICK, BatchNode
-from chivespan.clock import MILLISECOND
+from chivespan.batchownership import PartitionOwnership
+from chivespan.clock import MILLISECOND, ManualClock
+from chivespan.fleetlinks import NO_REPORT
+from chivespan.nodemessages import ItemStart, ItemState
+from tests.fakelinks import FakeLinks
 
 pytestmark = pytest.mark.anyio
 
@@ -52,3 +57,56 @@
             node.own()
             await anyio.sleep(5 * TICK.total_seconds())
         tasks.cancel_scope.cancel()
+
+
+class Receiver(BatchNode):
+    """A node that records the items it starts; linked to two owners of a partition."""
+
+    def __init__(self) -> None:
+        self.links = FakeLinks()
+        self.started: list[ItemStart] = []
+        links = cast(Any, self.links)
+        self._ownership = PartitionOwnership(links, ManualClock())
+        self._executor = cast(Any, SimpleNamespace(start=self.started.append))
+        for vm in ("10.0.0.2", "10.0.0.3"):
+            self.links.join(vm, "b")
+
+    def claim(self, vm: str, *partitions: int, store_reached: bool = True) -> None:
+        self.links.peers[vm].report = replace(
+            NO_REPORT, owned=list(partitions), store_reached=store_reached
+        )
+
+    async def receive_start(self, vm: str) -> None:
+        message = ItemStart(
+            partition=1,
+            job_id="j",
+            item_id="j-0",
+            target_id="t",
+            host="h",
+            path="/",
+            headers=[],
+            body=b"",
+            events=[],
+        )
+        await self.handle_message(self.links.peers[vm], message)
+
+
+# Guards against: around a change of owners both start an item, which then runs twice.
+async def test_only_one_of_two_claiming_owners_starts_an_item() -> None:
+    node = Receiver()
+    node.claim("10.0.0.2", 1, store_reached=False)
+    await node.receive_start("10.0.0.2")
+    assert len(node.started) == 1
+    node.claim("10.0.0.3", 1)
+    await node.receive_start("10.0.0.2")
+    assert len(node.started) == 1, "the previous owner started an item once more"
+    ((vm, status),) = node.links.sent
+    assert (vm, status.state) == ("10.0.0.2", ItemState.not_run)
+    await node.receive_start("10.0.0.3")
+    assert len(node.started) == 2
+
+
+async def test_start_by_a_node_whose_claim_has_not_arrived_is_served() -> None:
+    node = Receiver()
+    await node.receive_start("10.0.0.3")
+    assert len(node.started) == 1
