--- a/tests/fakelinks.py
+++ b/tests/fakelinks.py
@@ -28,6 +28,10 @@
     def nodes(self) -> list[NodeValue]:
         return [self.own, *(peer.node for peer in self.peers.values())]
 
+    @property
+    def gateways(self) -> frozenset[str]:
+        return frozenset({self.own.vm})
+
     def join(self, vm: str, centre: str) -> Peer:
         peer = Peer(node(vm, centre), "1")
 
