Send the sums of a large data centre every 40 ms

By the log 320 to 355 requests were at 296 slots then, 50 to 65 of them queued, and 10 to 25 slots free all the same: targets had up to 14 requests where the mean was 9. Reloads had no part: of 195 reloads within 1.1 s no request was late. The counts were up to 230 ms old (mean 130 ms), in which 65 requests arrive.

Change: the relay's interval is 40 ms instead of 100 ms, so that the mean age is 70 ms.

The tests with the new bound of 0.95 and the new one of full bursts fail with 100 ms. The bounds of the burst beyond all slots stay.

--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -33,8 +33,9 @@
 
 CHANGE_INTERVAL = timedelta(milliseconds=30)
 RELAY_INTERVAL = timedelta(milliseconds=60)
-# Relay interval in a large data centre, where every sum is sent to many nodes.
-LARGE_RELAY_INTERVAL = timedelta(milliseconds=100)
+# Relay interval in a large data centre. Its nodes learn all counts from their relay, so
+# that the intervals of two relays add up.
+LARGE_RELAY_INTERVAL = timedelta(milliseconds=40)
 # Interval at which a node that isn't a relay checks its own status for changes.
 STATUS_CHECK_INTERVAL = timedelta(milliseconds=150)
 # Own reports kept because a sum that includes them may still arrive.
--- a/tests/test_burstchoice.py
+++ b/tests/test_burstchoice.py
@@ -13,6 +13,7 @@
 import pytest
 
 from chivespan.clock import ManualClock
+from chivespan.loadreports import CHANGE_INTERVAL, LARGE_RELAY_INTERVAL
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import TargetLoad
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
@@ -22,9 +23,9 @@
 
 OBJECTIVE = timedelta(milliseconds=300)
 FIRST_EVENT_S = 0.03
-STALENESS = timedelta(milliseconds=130)
-REPORT_DELAY_S = 0.13
-REPORT_INTERVAL_S = 0.1
+STALENESS = CHANGE_INTERVAL + LARGE_RELAY_INTERVAL
+REPORT_DELAY_S = STALENESS.total_seconds()
+REPORT_INTERVAL_S = LARGE_RELAY_INTERVAL.total_seconds()
 CENTRES = 3
 
 
@@ -159,6 +160,14 @@
     [Load(37, 7, 0.7, burst_share=0.85), Load(45, 7, 0.55, burst_share=0.85)],
 )
 def test_burst_that_fits_is_served_on_time(load: Load, seed: int) -> None:
+    assert on_time_share(load, seed) >= 0.95
+
+
+# Guards against: in bursts that need all slots, an eighth of the requests is late in
+# the longest queues, though short queues everywhere would serve them on time.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_burst_that_needs_all_slots_is_served_on_time(seed: int) -> None:
+    load = Load(37, 8, 0.65, burst_share=1.0, calm_share=0.35, burst_s=2.5)
     assert on_time_share(load, seed) >= 0.9
 
 
