Send the frequent sums of a large data centre in bursts only

Change: a relay sends every 40 ms only while online requests need over half of the slots of some service, else every 100 ms as before. Nodes derive the age of their counts from the same rule. Batch items don't count: they give way.

--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -28,14 +28,12 @@
     TargetLoad,
     TargetRun,
 )
+from chivespan.relaytiming import RelayTiming
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 
 CHANGE_INTERVAL = timedelta(milliseconds=30)
 RELAY_INTERVAL = timedelta(milliseconds=60)
-# Relay interval in a large data centre. Its nodes learn all counts from their relay, so
-# that the intervals of two relays add up.
-LARGE_RELAY_INTERVAL = timedelta(milliseconds=40)
 # Interval at which a node that isn't a relay checks its own status for changes.
 STATUS_CHECK_INTERVAL = timedelta(milliseconds=150)
 # Own reports kept because a sum that includes them may still arrive.
@@ -65,6 +63,7 @@
         self._describe = describe
         self._silence = silence
         self._targets = targets
+        self._relay_timing = RelayTiming(targets, load_table)
         self._local_peers: list[Peer] = []
         self._sent_loads: OrderedDict[int, list[TargetLoad]] = OrderedDict()
         self._sequence = 0
@@ -133,7 +132,7 @@
             return timedelta(0)
         if self._is_direct:
             return CHANGE_INTERVAL
-        return CHANGE_INTERVAL + LARGE_RELAY_INTERVAL
+        return CHANGE_INTERVAL + self._relay_timing.interval
 
     def own_status(self) -> LoadReport:
         """Return this node's current status, without its counts."""
@@ -385,7 +384,7 @@
         """How often this node checks for changes to report."""
         if self._is_direct:
             return RELAY_INTERVAL
-        return LARGE_RELAY_INTERVAL if self.is_relay else STATUS_CHECK_INTERVAL
+        return self._relay_timing.interval if self.is_relay else STATUS_CHECK_INTERVAL
 
     def _send(self, peers: Iterable[Peer], message: object) -> None:
         frame = encode_message(message)
--- a/tests/test_burstchoice.py
+++ b/tests/test_burstchoice.py
@@ -13,9 +13,10 @@
 import pytest
 
 from chivespan.clock import ManualClock
-from chivespan.loadreports import CHANGE_INTERVAL, LARGE_RELAY_INTERVAL
+from chivespan.loadreports import CHANGE_INTERVAL
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import TargetLoad
+from chivespan.relaytiming import BUSY_INTERVAL
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
@@ -23,9 +24,9 @@
 
 OBJECTIVE = timedelta(milliseconds=300)
 FIRST_EVENT_S = 0.03
-STALENESS = CHANGE_INTERVAL + LARGE_RELAY_INTERVAL
+STALENESS = CHANGE_INTERVAL + BUSY_INTERVAL
 REPORT_DELAY_S = STALENESS.total_seconds()
-REPORT_INTERVAL_S = LARGE_RELAY_INTERVAL.total_seconds()
+REPORT_INTERVAL_S = BUSY_INTERVAL.total_seconds()
 CENTRES = 3
 
 
