--- a/tests/test_idlecost.py
+++ b/tests/test_idlecost.py
@@ -1,7 +1,7 @@
 """What an ordinary node does without load, at several sizes of its fleet.
 
-Three gateways and one ordinary node run as processes. All other nodes are only listed in
-the store, with narrower links: the ordinary node would have no links with them anyway.
+Three gateways and one ordinary node run as processes. All other nodes are only listed
+in the store, with narrower links: the ordinary node would have no links with them.
 """
 
 import os
