Give each test process loopback addresses of its own

Cause: tests took their addresses from their worker's number, so that two runs on one machine bound the same ones. Shown today: two runs of test_next_node_replaces_a_lost_gateway at once, one fails with "address already in use"; test_items_continue_under_the_next_owner failed so in one of 12 runs beside another.

Change: a process claims a block of addresses by a bound socket, for as long as it lives.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -19,6 +19,7 @@
 from standins.platformstore import StoreStandIn
 from standins.platformtarget import TargetStandIn, encode_target_entry
 from standins.serving import StandIn, serving_at
+from tests.addresses import own_block
 from tests.relay import Relay, relaying
 
 SERVICE = "svc"
@@ -263,8 +264,7 @@
     folder: Path, nodes: int, *targets: TargetStandIn, relayed: bool = False
 ) -> AsyncIterator[tuple[Fleet, anyio.abc.TaskGroup]]:
     """Run stand-ins and nodes, and kill every started process at the end."""
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-    address_block = f"127.{20 + worker}.{next(_block_numbers)}"
+    address_block = f"{own_block()}.{next(_block_numbers)}"
     store = StoreStandIn()
     site = Fleet(address_block, store, list(targets), folder)
     stand_ins: list[tuple[str, StandIn]] = [(site.store_address, store)]
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -1,6 +1,5 @@
 """Limits of the caller server on the size and duration of request heads."""
 
-import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -15,11 +14,10 @@
 from chivespan.addresses import Address
 from chivespan.callerserver import CallerServer
 from chivespan.routes import CallerLimits
+from tests.addresses import own_block
 
 pytestmark = pytest.mark.anyio
-# A separate address for each worker, since workers run tests in parallel.
-WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-HOST = f"127.0.19.{1 + WORKER}"
+HOST = f"{own_block()}.239.1"
 LIMITS = CallerLimits(
     max_header_bytes=500,
     header_timeout=timedelta(milliseconds=200),
--- a/tests/test_endlessdata.py
+++ b/tests/test_endlessdata.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import os
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -54,6 +53,7 @@
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
+from tests.addresses import own_block
 from tests.factories import target_entry
 from tests.fleet import HOST, config, route
 from tests.test_peerlink import end_of
@@ -68,8 +68,8 @@
 FAST_CHUNK_BYTES = 64 * 1024
 # Until the sender detects that its connection was closed.
 CLOSE_TIMEOUT_S = 1.0
-WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-_ports = count(18_200 + 20 * WORKER)
+SERVER_HOST = f"{own_block()}.238.1"
+_ports = count(18_200)
 
 
 @dataclass
@@ -479,7 +479,7 @@
         document["limits"] = {"maxBodyBytes": 100_000, "idleTimeoutMs": 500}
         routing.apply_if_newer(json.dumps(document).encode(), "test")
         port = next(_ports)
-        self.address = Address("127.0.0.1", port)
+        self.address = Address(SERVER_HOST, port)
         app = CallerApp(
             {port: Listener.FRONT},
             cast(NodeStatus, SimpleNamespace(is_leaving=False, refuses_new=False)),
--- a/tests/test_fleetlinks.py
+++ b/tests/test_fleetlinks.py
@@ -1,6 +1,5 @@
 """Links of many nodes in one process: gateways and their replacements."""
 
-import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -21,11 +20,13 @@
 from chivespan.nodemessages import NodeValue
 from chivespan.nodesettings import FleetNodeSettings, StoreSettings
 from chivespan.peerlink import LinkEnd
+from tests.addresses import own_block
 
 pytestmark = pytest.mark.anyio
 
-WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
 CENTRES = 3
+# Third number of the first data centre's addresses; tests/fleet.py uses lower ones.
+FIRST_CENTRE = 240
 NODES_PER_CENTRE = 9
 PORT = 8166
 SETTLE_TIMEOUT_S = 15.0
@@ -49,7 +50,7 @@
 
 def member(centre: int, number: int) -> Member:
     """Return a node; a higher number means a higher bandwidth."""
-    vm = f"127.{60 + WORKER}.{centre}.{number}"
+    vm = f"{own_block()}.{FIRST_CENTRE + centre}.{number}"
     settings = FleetNodeSettings(
         name=vm,
         vm=vm,
