Count the processor time of a property test's examples, not the time of others

Cause: hypothesis' deadline of 200 ms counts elapsed time. An example of test_folds took 294 ms beside load and 2.8 ms when it was repeated. Change: the same limit on processor time, for all property tests of this file; it is as strict where nothing else runs, and also counts the time of draws. Its own tests: time asleep doesn't count, work does.

--- /dev/null
+++ b/tests/examplelimit.py
@@ -0,0 +1,29 @@
+"""Limit on the processor time of the examples of a property test."""
+
+import time
+from collections.abc import Callable
+from functools import wraps
+from typing import ParamSpec
+
+from hypothesis import settings
+
+P = ParamSpec("P")
+
+# As long as hypothesis' own default deadline.
+MAX_EXAMPLE_S = 0.2
+
+
+def limit_processor_time(test: Callable[P, None]) -> Callable[P, None]:
+    """Let a test fail if an example takes too much processor time.
+
+    Replaces hypothesis' deadline, which counts the time of other processes as well.
+    """
+
+    @wraps(test)
+    def limited(*args: P.args, **kwargs: P.kwargs) -> None:
+        began = time.process_time()
+        test(*args, **kwargs)
+        took = time.process_time() - began
+        assert took <= MAX_EXAMPLE_S, f"an example took {took:.3f} s"
+
+    return settings(deadline=None)(limited)
--- /dev/null
+++ b/tests/test_examplelimit.py
@@ -0,0 +1,23 @@
+"""The limit on examples counts their own work only."""
+
+import time
+
+import pytest
+
+from tests.examplelimit import MAX_EXAMPLE_S, limit_processor_time
+
+
+# Guards against: a property test fails because its process was held up by others.
+def test_time_without_work_is_not_counted() -> None:
+    limit_processor_time(lambda: time.sleep(MAX_EXAMPLE_S * 1.5))()
+
+
+def test_example_that_works_too_long_fails() -> None:
+    @limit_processor_time
+    def busy() -> None:
+        end = time.process_time() + MAX_EXAMPLE_S * 1.5
+        while time.process_time() < end:
+            pass
+
+    with pytest.raises(AssertionError, match="an example took"):
+        busy()
--- a/tests/test_folds.py
+++ b/tests/test_folds.py
@@ -44,6 +44,7 @@
     VoidRecord,
 )
 from chivespan.snapshots import Fold, SnapshotStore, replay
+from tests.examplelimit import limit_processor_time
 from tests.fakelog import FakeLog
 
 WRITTEN_AT = datetime(2026, 1, 1, tzinfo=UTC)
@@ -123,6 +124,7 @@
 
 
 @given(append_sequences(CONFIG_CHANGES), st.data())
+@limit_processor_time
 def test_config_restored_from_any_snapshot_equals_a_full_replay(
     appends: list[Append], data: st.DataObject
 ) -> None:
@@ -138,6 +140,7 @@
 
 
 @given(append_sequences(CONFIG_CHANGES))
+@limit_processor_time
 def test_config_versions_only_increase_and_changes_are_atomic(
     appends: list[Append],
 ) -> None:
@@ -254,6 +257,7 @@
 
 
 @given(JOB_STREAMS, st.data())
+@limit_processor_time
 def test_jobs_restored_from_any_snapshot_equal_a_full_replay(
     appends: list[Append], data: st.DataObject
 ) -> None:
@@ -287,6 +291,7 @@
         JOB_RECORDS.filter(lambda one: not isinstance(one, CarriedResults))
     )
 )
+@limit_processor_time
 def test_phases_and_results_of_a_job_are_never_reverted(appends: list[Append]) -> None:
     records = records_of(accepted_job() + appends)
     fold = JobFold()
@@ -385,6 +390,7 @@
 
 
 @given(append_sequences(CLAIM_RECORDS), st.data())
+@limit_processor_time
 def test_claims_keep_their_first_holder_and_outcome(
     appends: list[Append], data: st.DataObject
 ) -> None:
@@ -413,6 +419,7 @@
     st.lists(st.tuples(st.integers(0, 40), st.integers(0, 40)), max_size=6),
     st.integers(0, 40),
 )
+@limit_processor_time
 def test_new_reader_after_retention_has_the_state_of_a_full_replay(
     appends: list[Append], snapshots: list[tuple[int, int]], oldest: int
 ) -> None:
@@ -445,6 +452,7 @@
     JOB_STREAMS,
     st.lists(st.integers(0, 60), max_size=8),
 )
+@limit_processor_time
 def test_late_copies_change_nothing(
     changes: list[Append], jobs: list[Append], copies: list[int]
 ) -> None:
