Let a restarted node hear its peers before it uses the store's word

Reported by operators of similar systems: after a restart a withdrawn key is in use again. Here the store may give an old answer for a while. A node that had just been restarted served a withdrawn route by it for some milliseconds after it was ready, until the report of a peer named a newer configuration.

Change: the first answers of the store on configuration and targets are used once a peer has reported and has sent what it knows newer, at most 300 ms after the start. Peers that know nothing themselves, as when all start at once, are not waited for.

Ruled out: to hold the readiness back only; callers with a remembered address don't ask for it.

--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -31,6 +31,7 @@
     TargetEntry,
 )
 from chivespan.routingstate import NO_VERSION, RoutingState
+from chivespan.startcheck import StartCheck
 from chivespan.storefeed import StoreFeed
 from chivespan.targetset import TargetSet
 
@@ -103,6 +104,7 @@
         self._clock = clock
         self._random = Random()
         self._started = clock.monotonic()
+        self._start_check = StartCheck(links, routing, clock)
         self._targets_read: timedelta | None = None
         self._last_query = timedelta(0)
         self._unreadable: dict[str, bytes] = {}
@@ -174,6 +176,7 @@
     async def _follow_routing(self) -> None:
         """Load the newest document, then read newer ones a limited number of times."""
         newest = await load_newest(self._store, self._sources.routing)
+        await self._start_check.wait()
         self._offer_documents(newest.records)
         self._record_store_success()
         end = newest.end
@@ -197,6 +200,7 @@
                 self._record_store_failure("targets", error)
                 await self._sleep_with_jitter(RETRY_INTERVAL)
                 continue
+            await self._start_check.wait()
             self._targets.replace(self._decode_targets(page.records))
             self._targets_read = self._clock.monotonic()
             self._record_store_success()
--- a/tests/test_fleetwatch.py
+++ b/tests/test_fleetwatch.py
@@ -41,7 +41,7 @@
     store.compact(ROUTING)
     offered: list[bytes] = []
     routing = SimpleNamespace(
-        apply_if_newer=lambda document, _: offered.append(document)
+        version=1, apply_if_newer=lambda document, _: offered.append(document)
     )
     unused = cast(Any, SimpleNamespace(add_listener=lambda _: None))
     drain = timedelta(seconds=2)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -126,6 +126,24 @@
             assert (found.status, removed.status) == (200, 404)
 
 
+# Guards against: after a restart a node serves a route that was withdrawn meanwhile,
+# because the store gave it an old answer.
+async def test_restarted_node_serves_no_withdrawn_route(tmp_path: Path) -> None:
+    old = config(9)
+    async with fleet(tmp_path, 2, target(1)) as (site, tasks):
+        site.publish(old)
+        await site.kill(2)
+        site.publish(config(10, route("r-other", "/other/")))
+        with anyio.fail_after(5):
+            path = f"{STREAM_PREFIX}x"
+            while (await site.call(1, "POST", path, request("a"))).status != 404:
+                await anyio.sleep(0.05)
+        site.publish(old)
+        await site.start(2, tasks)
+        answer = await site.call(2, "POST", path, request("b"))
+        assert answer.status == 404
+
+
 async def test_node_without_the_store_gets_updates_from_a_peer(
     tmp_path: Path,
 ) -> None:
