Release the items of lost nodes during store outages as well

Found by reading: since the items of a lost node are released at the owner's upkeep, which gave up first when the store couldn't be read; before, they were released as the link closed. They would have waited for the end of the outage. The upkeep now releases them before it reads the store; the new test fails on the commit before.

Also: the wait of a starting node ends for good, so that a fleet without a configuration doesn't log peers_not_heard with each read.

--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -310,9 +310,9 @@
                 await self._maintain_partition(self._owners[number])
 
     async def _maintain_partition(self, owner: BatchOwner) -> None:
+        owner.release_silent_items()
         try:
             await owner.load()
-            owner.release_silent_items()
             owner.fail_abandoned_items()
             await owner.delete_expired_jobs()
         except ChivespanError as error:
--- a/chivespan/startcheck.py
+++ b/chivespan/startcheck.py
@@ -28,21 +28,25 @@
         self._routing = routing
         self._clock = clock
         self._started = clock.monotonic()
+        self._is_over = False
 
     async def wait(self) -> None:
         """Wait until a peer has reported, and has sent its newer routing table.
 
         Returns at once after the start.
         """
-        while not self._is_compared:
-            if self._clock.monotonic() - self._started >= PEER_REPORT_TIMEOUT:
-                if self._links.peers:
-                    _log.warning("peers_not_heard", peers=len(self._links.peers))
-                return
-            await anyio.sleep(POLL_INTERVAL_S)
+        while not self._is_over:
+            if self._is_compared:
+                self._is_over = True
+            elif self._clock.monotonic() - self._started >= PEER_REPORT_TIMEOUT:
+                self._is_over = True
+                _log.warning("peers_not_heard", peers=len(self._links.peers))
+            else:
+                await anyio.sleep(POLL_INTERVAL_S)
 
     @property
     def _is_compared(self) -> bool:
+        """Whether this node knows no older routing table than its peers."""
         if self._routing.version != NO_VERSION:
             return True
         reports = [peer.report for peer in self._links.peers.values()]
--- a/tests/test_batchnode.py
+++ b/tests/test_batchnode.py
@@ -11,6 +11,7 @@
 from chivespan.batchnode import TICK, BatchNode
 from chivespan.batchownership import PartitionOwnership
 from chivespan.clock import MILLISECOND, ManualClock
+from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.fleetlinks import NO_REPORT
 from chivespan.nodemessages import ItemStart, ItemState
 from tests.fakelinks import FakeLinks
@@ -110,3 +111,17 @@
     node = Receiver()
     await node.receive_start("10.0.0.3")
     assert len(node.started) == 1
+
+
+# Guards against: items of a lost node wait for the end of a store outage.
+async def test_items_of_a_lost_node_are_released_without_the_store() -> None:
+    released: list[str] = []
+
+    async def load() -> None:
+        raise ChivespanError(ErrorKind.NOT_READY, "the store is down")
+
+    owner = SimpleNamespace(
+        partition=0, load=load, release_silent_items=lambda: released.append("items")
+    )
+    await BatchNode._maintain_partition(cast(Any, None), cast(Any, owner))
+    assert released == ["items"]
