--- a/tools/results.py
+++ b/tools/results.py
@@ -21,7 +21,8 @@
 INTRO = """\
 # Results on the users' bench
 
-Written by `python -m tools.results` from `journal/`; the newest score of each site.
+Written by `python -m tools.results` from `journal/`; the newest full score of each
+site, and the newest quick one, which plays only some of the days, where it is newer.
 Worth is what users were served, less prices; the marks are the site files'. Figures
 under 0.03 apart are noise. "Dirty": the tree had changes beyond the commit named.
 Baseline: least own requests in progress, a fixed number of items a node (a trial).
@@ -54,6 +55,7 @@
     id: str
     at: list[str]
     cmd: str
+    argv: list[str]
     head: str
     dirty: bool
     why: str = ""
@@ -62,13 +64,23 @@
     edited_meanwhile: bool = False
     days: list[Day] = []
 
+    @property
+    def is_quick(self) -> bool:
+        """Whether only some of the site's days were played."""
+        return "--quick" in self.argv
+
 
 @dataclass(frozen=True)
 class Summary:
-    """The newest score of a site and the newest one of its plain baseline."""
+    """The newest score of a site and the newest one of its plain baseline.
+
+    :param entry: the newest full score, or a quick one if there is no full one.
+    :param quick: the newest quick score, if it is newer.
+    """
 
     entry: Entry
     baseline: Entry | None
+    quick: Entry | None
 
     @property
     def standard_days(self) -> list[Day]:
@@ -94,14 +106,28 @@
 
 def newest_scores(journal: Path) -> dict[str, Summary]:
     """Return the newest score and baseline of each site, without trials."""
-    scores: dict[str, Entry] = {}
+    full: dict[str, Entry] = {}
+    quick: dict[str, Entry] = {}
     baselines: dict[str, Entry] = {}
     for entry in entries(journal):
         is_trial = entry.why.startswith(TRIAL)
-        if entry.cmd == "score" and entry.site and not is_trial:
-            newest = baselines if entry.why.startswith(BASELINE) else scores
-            newest[entry.site] = entry
-    return {site: Summary(scores[site], baselines.get(site)) for site in scores}
+        if entry.cmd != "score" or not entry.site or not entry.days or is_trial:
+            continue
+        if entry.why.startswith(BASELINE):
+            baselines[entry.site] = entry
+        elif entry.is_quick:
+            quick[entry.site] = entry
+        else:
+            full[entry.site] = entry
+            quick.pop(entry.site, None)
+    return {
+        site: Summary(
+            full.get(site) or quick[site],
+            baselines.get(site),
+            quick.get(site) if site in full else None,
+        )
+        for site in full | quick
+    }
 
 
 def render_page(journal: Path) -> str:
@@ -114,11 +140,9 @@
 
 def _section(site: str, summary: Summary) -> Iterator[str]:
     entry = summary.entry
-    tree = "dirty" if entry.dirty or entry.edited_meanwhile else "clean"
     yield f"## {site}\n"
     yield (
-        f"Commit {entry.head[:COMMIT_DIGITS]} ({tree}), {entry.at[0]}, "
-        f"entry {entry.id}. "
+        f"{'Quick score. ' if entry.is_quick else ''}{_source(entry)} "
         f"Score {entry.score}; mean worth of the days with trouble "
         f"{summary.mean_of_disturbed_days():.3f}.\n"
     )
@@ -132,6 +156,16 @@
         figures = f"{day.G:.3f} | {base} | {mark}"
         yield f"| {day.name} | {figures} | {rules or 'none'} | {passes} |"
     yield ""
+    if summary.quick is not None:
+        worths = ", ".join(f"{day.name} {day.G:.3f}" for day in summary.quick.days)
+        yield f"Newest quick score: {worths}. {_source(summary.quick)}\n"
+
+
+def _source(entry: Entry) -> str:
+    """Return the commit and the journal entry that figures come from."""
+    tree = "dirty" if entry.dirty or entry.edited_meanwhile else "clean"
+    commit = f"{entry.head[:COMMIT_DIGITS]} ({tree})"
+    return f"Commit {commit}, {entry.at[0]}, entry {entry.id}."
 
 
 def _format_worth(worth: float | None) -> str:
