--- a/chivespan/errors.py
+++ b/chivespan/errors.py
@@ -33,6 +33,7 @@
     INVALID_SETTING = "invalid_setting"
     OWNER_LIMIT = "owner_limit"
     NO_CAPACITY = "no_capacity"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     DEADLINE_PASSED = "deadline_passed"
     NO_DISPATCHER = "no_dispatcher"
     NO_TARGET = "no_target"
@@ -89,6 +90,7 @@
     ErrorKind.INVALID_SETTING: ErrorProperties(422, False),
     ErrorKind.OWNER_LIMIT: ErrorProperties(429, False, SHORT_RETRY_AFTER),
     ErrorKind.NO_CAPACITY: ErrorProperties(503, False, SHORT_RETRY_AFTER),
+    ErrorKind.PROMPT_QUARANTINED: ErrorProperties(503, False, LONG_RETRY_AFTER),
     ErrorKind.DEADLINE_PASSED: ErrorProperties(504, False, SHORT_RETRY_AFTER),
     ErrorKind.NO_DISPATCHER: ErrorProperties(503, False, SHORT_RETRY_AFTER),
     ErrorKind.NO_TARGET: ErrorProperties(503, False, LONG_RETRY_AFTER),
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -36,6 +36,41 @@
     """
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PartCrash:
+    """
+    One request that a run of a target had not begun to answer when the run ended.
+    """
+
+    run: TargetRun
+    request_id: str
+    age_ms: int
+    """
+    Time since the run ended.
+    """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PartEvidence:
+    """
+    What is known of a part of prompts that may crash targets.
+    """
+
+    part: str
+    """
+    Id of the part.
+    """
+    crashes: list[PartCrash]
+    served_age_ms: int
+    """
+    Time since a target answered a request with this part; -1 if unknown.
+    """
+    quarantine_ms: int
+    """
+    Time for which requests with this part are refused; 0 for none.
+    """
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReport:
     """
@@ -72,6 +107,10 @@
     """
     Runs that announced their end in a response to this node while the store still lists them as ready; only with loads.
     """
+    prompt_parts: list[PartEvidence] = field(default_factory=list)
+    """
+    Parts of prompts that are suspected of crashing targets; only with loads.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -110,6 +149,10 @@
     """
     Runs known to have announced their end while the store still lists them as ready.
     """
+    prompt_parts: list[PartEvidence] = field(default_factory=list)
+    """
+    Parts of prompts that are suspected of crashing targets.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -16,6 +16,8 @@
 REQUEST_ID = b"x-chivespan-request-id"
 DEADLINE_MS = b"x-chivespan-deadline-ms"
 LAST_EVENT_ID = b"last-event-id"
+# Parts of the prompt as ID:TOKENS, comma-separated; the last belongs to the request.
+PROMPT_PARTS = b"x-chivespan-prompt-prefix"
 RETRY_AFTER = b"retry-after"
 WAIT_MS = b"x-chivespan-wait-ms"
 # Id of the runner that a request is addressed to; any other responds with 421.
@@ -33,6 +35,9 @@
 ITEM_PATH = "/-/items/"
 METRICS_PATH = "/metrics"
 
+# Bounds the work for one request; longer lists are cut off.
+MAX_PROMPT_PARTS = 64
+
 STATE_DONE = "completed"
 STATE_DEAD = "dead_letter"
 
@@ -131,6 +136,21 @@
 )
 
 
+def shared_prompt_parts(headers: Iterable[Header]) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt that other requests may share.
+
+    >>> shared_prompt_parts([(PROMPT_PARTS, b"5C1E:800, 91bd:410,e440:250")])
+    ('5c1e', '91bd')
+    >>> shared_prompt_parts([])
+    ()
+    """
+    for name, value in headers:
+        if name.lower() == PROMPT_PARTS:
+            entries = value.decode("latin-1").lower().split(",")[:MAX_PROMPT_PARTS]
+            return tuple(entry.partition(":")[0].strip() for entry in entries[:-1])
+    return ()
+
+
 def target_headers(
     headers: Iterable[Header], target_id: str, time_left: timedelta, last_event: int
 ) -> list[Header]:
