Split what relays a response's body out of forwarding

ResponseRelay passes one target's body on, as chunks or in whole events; Forwarder keeps the choice of targets and attempts. No change of behaviour.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -5,10 +5,10 @@
 from another target within the same response.
 """
 
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
+from functools import partial
 from http import HTTPStatus
 from random import Random
 
@@ -24,6 +24,7 @@
 from chivespan.nodemessages import TargetEntry
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
+from chivespan.responserelay import ResponseRelay
 from chivespan.routes import Route
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector, StreamWatch
@@ -282,40 +283,21 @@
             await responder.start(reply.status, wire.caller_headers(reply.headers))
             took = self._clock.monotonic() - request.arrived
             self._metrics.record_first_byte(route.kind.value, took)
-        async for chunk in self._body_chunks(reply, route, progress):
-            await responder.write(chunk)
+        relay = ResponseRelay(
+            reply,
+            responder,
+            progress.splitter,
+            self._clock,
+            progress.record_data,
+            partial(self._event_timeout, route, progress),
+        )
+        if route.resumable and route.is_repeatable:
+            await relay.pass_events()
+        else:
+            await relay.pass_chunks()
         await responder.finish()
         return SendOutcome.DELIVERED
 
-    async def _body_chunks(
-        self, reply: Reply, route: Route, progress: Progress
-    ) -> AsyncIterator[bytes]:
-        """Yield the chunks of a response body.
-
-        A resumable stream is passed on in whole events only, so that another target
-        can continue after the last one.
-        """
-        if not (route.resumable and route.is_repeatable):
-            while (chunk := await reply.next_chunk()) is not None:
-                progress.record_data()
-                yield chunk
-            return
-        splitter = progress.splitter
-        splitter.drop_partial()
-        last_event = self._clock.monotonic()
-        while True:
-            timeout = self._event_timeout(route, progress, last_event)
-            received = await reply.next_chunk(timeout)
-            if received is None:
-                break
-            if whole := splitter.feed(received):
-                progress.record_data()
-                yield whole
-                last_event = self._clock.monotonic()
-        if splitter.has_partial:
-            reason = "the stream ended in the middle of an event"
-            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
-
     def _event_timeout(
         self, route: Route, progress: Progress, last_event: timedelta
     ) -> timedelta | None:
--- /dev/null
+++ b/chivespan/responserelay.py
@@ -0,0 +1,63 @@
+"""Passes the bodies of targets' responses on to a caller.
+
+A stream that may be resumed is passed on in whole events only, so that another target
+can continue after the last one.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chivespan.callerrequest import Responder
+from chivespan.clock import Clock
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.eventstream import EventSplitter
+from chivespan.exchange import Reply
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseRelay:
+    """Passes the body of one target's response on.
+
+    :param splitter: splits the events of the caller's stream, over all its targets.
+    :param record_data: is called when the target has sent data.
+    :param event_timeout: returns the time left for the next event, given the monotonic
+        time at which the last whole event was passed on; None for no limit.
+    """
+
+    reply: Reply
+    responder: Responder
+    splitter: EventSplitter
+    clock: Clock
+    record_data: Callable[[], None]
+    event_timeout: Callable[[timedelta], timedelta | None]
+
+    async def pass_chunks(self) -> None:
+        """Pass the body on as it arrives.
+
+        :raises ChivespanError: ``stream_broken`` when the body is incomplete.
+        """
+        while (chunk := await self.reply.next_chunk()) is not None:
+            self.record_data()
+            await self.responder.write(chunk)
+
+    async def pass_events(self) -> None:
+        """Pass the body on in whole events.
+
+        :raises ChivespanError: ``stream_broken`` when the body is incomplete, ends
+            inside an event, or has no event in time.
+        """
+        self.splitter.drop_partial()
+        last_event = self.clock.monotonic()
+        while True:
+            timeout = self.event_timeout(last_event)
+            received = await self.reply.next_chunk(timeout)
+            if received is None:
+                break
+            if whole := self.splitter.feed(received):
+                self.record_data()
+                await self.responder.write(whole)
+                last_event = self.clock.monotonic()
+        if self.splitter.has_partial:
+            reason = "the stream ended in the middle of an event"
+            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
