Keep prompts that crash targets away from them

What callers saw: requests with one part in their prompt ended one target after the other (BUDGET), and sound requests with the same first part found no target (LOST).

Cause: a request whose target ended before it began to answer was sent to another target, which ended as well, and no node knew of the crashes that others saw.

Change: parts of such requests become suspects; nodes merge the evidence in the reports that they exchange anyway, once for each change; a part with three crashes at different times that no target has answered is quarantined; a suspect isn't sent to another target. The evidence behind a quarantine is kept, so that other parts at the same crashes aren't blamed.

Ruled out: condemning by the number of crashes alone (all targets of a data centre end at once); exonerating any request that a target has begun to answer with a head only (targets send the head before they crash); evidence from resets (a new connection to the target must be refused).

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -24,6 +24,7 @@
 from chivespan.nodemessages import TargetEntry
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
+from chivespan.promptguard import PromptGuard
 from chivespan.responserelay import ResponseRelay
 from chivespan.routes import Route
 from chivespan.targetpick import Candidate, TargetPicker
@@ -32,6 +33,8 @@
 MAX_UNREACHED = 4
 HEAD_TIMEOUT_OBJECTIVES = 1.5
 RESUME_CHECK_INTERVAL = timedelta(milliseconds=200)
+# A target that ends as it begins to answer may still send one event.
+READS_OF_AN_ANSWER = 2
 
 _log = logger("online")
 
@@ -63,12 +66,16 @@
     :ivar response_started: monotonic time at which the last target's response started.
     :ivar can_resume: whether another target could take over the stream, as of
         ``resume_checked``.
+    :ivar prompt_parts: parts of its prompt that other requests may share.
+    :ivar reads: how often the current target has sent data.
+    :ivar may_have_ended: whether the last target may have ended during the attempt.
     :ivar sends: attempts that reached a target.
     :ivar unreached: attempts in which no byte was sent.
     """
 
     deadline: timedelta
     service: str
+    prompt_parts: tuple[str, ...] = ()
     tried: set[str] = field(default_factory=set)
     may_have_run: bool = False
     in_flight: bool = False
@@ -76,6 +83,8 @@
     response_started: timedelta = timedelta(0)
     can_resume: bool = False
     resume_checked: timedelta | None = None
+    reads: int = 0
+    may_have_ended: bool = False
     sends: int = 0
     unreached: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -102,12 +111,14 @@
         silence: SilenceDetector,
         clock: Clock,
         metrics: NodeMetrics,
+        prompt_guard: PromptGuard,
     ) -> None:
         self._picker = picker
         self._load_table = load_table
         self._silence = silence
         self._clock = clock
         self._metrics = metrics
+        self._prompt_guard = prompt_guard
         self._random = Random()
 
     async def serve(
@@ -115,7 +126,9 @@
     ) -> None:
         """Answer a request, or refuse it as soon as it can't be answered in time."""
         progress = Progress(
-            self._deadline(request, route), route.pick_service(self._random)
+            self._deadline(request, route),
+            route.pick_service(self._random),
+            wire.shared_prompt_parts(request.headers),
         )
         outcome = "cancelled"
         try:
@@ -145,6 +158,7 @@
         responder: Responder,
     ) -> None:
         while True:
+            await self._admit(request, progress)
             candidate = self._pick(route, progress)
             if candidate is None:
                 self._log_no_target(request, progress)
@@ -159,7 +173,33 @@
                 outcome = await self._send(request, route, entry, progress, responder)
             if outcome is SendOutcome.DELIVERED:
                 return
+            is_suspect = await self._is_suspect(request, progress, entry)
             self._check_retry_allowed(route, progress, outcome, responder.started)
+            if is_suspect:
+                reason = "the target ended as it began to answer the request"
+                raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
+
+    async def _admit(self, request: CallerRequest, progress: Progress) -> None:
+        """Wait until the request may be sent to a target by what its prompt holds.
+
+        :raises ChivespanError: when it is refused.
+        """
+        try:
+            await self._prompt_guard.admit(request.request_id, progress.prompt_parts)
+        except ChivespanError as error:
+            if not progress.ran_or_may_run:
+                raise
+            raise ChivespanError(ErrorKind.TARGET_FAILED, error.message) from error
+
+    async def _is_suspect(
+        self, request: CallerRequest, progress: Progress, entry: TargetEntry
+    ) -> bool:
+        """Return whether the request may be the cause of its target's end."""
+        if not progress.may_have_ended or progress.reads >= READS_OF_AN_ANSWER:
+            return False
+        return not await self._prompt_guard.may_resend(
+            request.request_id, progress.prompt_parts, entry
+        )
 
     def _log_no_target(self, request: CallerRequest, progress: Progress) -> None:
         """Log the counts that led to no target being chosen."""
@@ -212,6 +252,8 @@
     ) -> SendOutcome:
         """Send a request to one target and pass its response on to the caller."""
         progress.in_flight = True
+        progress.reads = 0
+        progress.may_have_ended = False
         try:
             call = self._call(request, route, entry, progress)
             with self._silence.watch_stream(entry.target_id) as progress.watch:
@@ -227,6 +269,7 @@
         except ChivespanError as error:
             outcome = SendOutcome.BROKEN
             reason = error.message
+            progress.may_have_ended = error.kind is not ErrorKind.TARGET_TIMEOUT
         else:
             reason = str(reply.status)
         progress.in_flight = False
@@ -288,7 +331,7 @@
             responder,
             progress.splitter,
             self._clock,
-            progress.record_data,
+            partial(self._record_data, progress),
             partial(self._event_timeout, route, progress),
         )
         if route.resumable and route.is_repeatable:
@@ -296,8 +339,17 @@
         else:
             await relay.pass_chunks()
         await responder.finish()
+        if reply.status == HTTPStatus.OK:
+            self._prompt_guard.record_answered(progress.prompt_parts)
         return SendOutcome.DELIVERED
 
+    def _record_data(self, progress: Progress) -> None:
+        """Record that the current target has sent data."""
+        progress.record_data()
+        progress.reads += 1
+        if progress.reads == READS_OF_AN_ANSWER:
+            self._prompt_guard.record_answered(progress.prompt_parts)
+
     def _event_timeout(
         self, route: Route, progress: Progress, last_event: timedelta
     ) -> timedelta | None:
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -24,10 +24,12 @@
     DataCentreReport,
     FleetReport,
     LoadReport,
+    PartEvidence,
     SummedReport,
     TargetLoad,
     TargetRun,
 )
+from chivespan.promptquarantine import PromptQuarantine
 from chivespan.relaytiming import RelayTiming
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
@@ -40,6 +42,8 @@
 MAX_KEPT_REPORTS = 100
 # Name of the sum over the whole fleet.
 WHOLE_FLEET = ""
+# Name of the nodes to which this node reports its own counts.
+REPORT_RECEIVERS = "report receivers"
 
 _log = logger("reports")
 
@@ -57,12 +61,14 @@
         describe: Callable[[], LoadReport],
         silence: SilenceDetector,
         targets: TargetSet,
+        quarantine: PromptQuarantine,
     ) -> None:
         self._links = links
         self._load_table = load_table
         self._describe = describe
         self._silence = silence
         self._targets = targets
+        self._quarantine = quarantine
         self._relay_timing = RelayTiming(targets, load_table)
         self._local_peers: list[Peer] = []
         self._sent_loads: OrderedDict[int, list[TargetLoad]] = OrderedDict()
@@ -72,6 +78,8 @@
         self._reports_directly = True
         self._sent_silent: list[str] = []
         self._sent_leaving: list[TargetRun] = []
+        # Version of the evidence on prompts that each receiver has.
+        self._sent_evidence: dict[str, int] = {}
         self._sent_sums: dict[str, DataCentreReport] = {}
         # The latest sum of each other data centre, for when this node becomes a relay.
         self._received_sums: dict[str, DataCentreReport] = {}
@@ -110,11 +118,13 @@
         if isinstance(message, LoadReport):
             self._apply_report(peer, message)
         elif isinstance(message, DataCentreReport):
+            self._quarantine.merge(message.prompt_parts, message.data_centre)
             self._received_sums[message.data_centre] = message
             self._apply_sum(message)
             self._pass_on(message)
         elif isinstance(message, FleetReport):
             for report in message.reports:
+                self._quarantine.merge(report.prompt_parts, peer.node.vm)
                 self._apply_sum(report)
 
     @property
@@ -192,6 +202,7 @@
             self._load_table.report(peer.node.vm, report.loads)
             self._silence.update_peer(peer.node.vm, report.silent)
         self._record_leaving(report.leaving_targets, peer.node.vm)
+        self._quarantine.merge(report.prompt_parts, peer.node.vm)
         bandwidth_changed = report.link_mbps != peer.report.link_mbps
         peer.report = report
         if bandwidth_changed:
@@ -262,7 +273,8 @@
         self._sent_loads[self._sequence] = report.loads
         if len(self._sent_loads) > MAX_KEPT_REPORTS:
             self._sent_loads.popitem(last=False)
-        self._send(self._report_receivers(), report)
+        evidence = self._evidence_for(REPORT_RECEIVERS)
+        self._send(self._report_receivers(), replace(report, prompt_parts=evidence))
 
     def _report_receivers(self) -> list[Peer]:
         """Return the peers to which this node reports its counts directly."""
@@ -285,22 +297,40 @@
         elif silent != self._sent_silent:
             _log.info("silent_targets", targets=silent, before=self._sent_silent)
             self._report_loads()
-        elif self._targets.leaving_runs != self._sent_leaving:
+        elif self._has_news_of_targets():
             self._report_loads()
 
+    def _has_news_of_targets(self) -> bool:
+        """Return whether targets were seen to leave or crash since the last report."""
+        if self._targets.leaving_runs != self._sent_leaving:
+            return True
+        return self._sent_evidence.get(REPORT_RECEIVERS) != self._quarantine.version
+
     def _send_sums(self) -> None:
         """Send the sums to all peers that don't have them yet."""
         centre_sum = self._data_centre_sum()
         for relay in self.remote_relays():
-            if self._sent_sums.get(relay.node.vm) != centre_sum:
-                self._sent_sums[relay.node.vm] = centre_sum
-                relay.send(centre_sum)
+            vm = relay.node.vm
+            evidence = self._evidence_for(vm)
+            if evidence or self._sent_sums.get(vm) != centre_sum:
+                self._sent_sums[vm] = centre_sum
+                relay.send(replace(centre_sum, prompt_parts=evidence))
         if self._is_direct:
             return
         fleet_sum = self._fleet_sum()
-        if self._sent_sums.get(WHOLE_FLEET) != fleet_sum:
+        evidence = self._evidence_for(WHOLE_FLEET)
+        if evidence or self._sent_sums.get(WHOLE_FLEET) != fleet_sum:
             self._sent_sums[WHOLE_FLEET] = fleet_sum
-            self._send(self._local_peers, FleetReport(reports=[fleet_sum]))
+            report = replace(fleet_sum, prompt_parts=evidence)
+            self._send(self._local_peers, FleetReport(reports=[report]))
+
+    def _evidence_for(self, receiver: str) -> list[PartEvidence]:
+        """Return the evidence on prompts that a receiver doesn't have yet."""
+        version = self._quarantine.version
+        if self._sent_evidence.get(receiver) == version:
+            return []
+        self._sent_evidence[receiver] = version
+        return self._quarantine.report
 
     def _data_centre_sum(self) -> DataCentreReport:
         """Return the sum over the nodes of this data centre."""
@@ -336,7 +366,7 @@
 
     def _report_again(self) -> None:
         """Choose the relay and send this node's counts again after peers changed."""
-        self._sent_sums.clear()
+        self._forget_what_was_sent()
         self._choose_relay(self.own_status())
         self._report_loads()
 
@@ -347,10 +377,15 @@
         if relay != self._relay:
             _log.info("relay_chosen", relay=relay, before=self._relay)
             self._relay = relay
-            self._sent_sums.clear()
+            self._forget_what_was_sent()
             if self.is_relay:
                 self._start_relaying()
 
+    def _forget_what_was_sent(self) -> None:
+        """Have everything sent again, since some receivers are new."""
+        self._sent_sums.clear()
+        self._sent_evidence.clear()
+
     def _start_relaying(self) -> None:
         """Count by the sums of the data centres in place of that of another relay."""
         self._forget_sum(WHOLE_FLEET)
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -47,6 +47,8 @@
 from chivespan.platform import documents
 from chivespan.platform.settingsfile import read_settings
 from chivespan.platform.store import PlatformStore
+from chivespan.promptguard import PromptGuard
+from chivespan.promptquarantine import PromptQuarantine
 from chivespan.remotenodes import NodeAnnouncer, RemoteNodes
 from chivespan.routes import CallerLimits
 from chivespan.routingstate import RoutingState
@@ -127,6 +129,7 @@
             silence_timeout_for=timing.silence_timeout,
         )
         self.silence = SilenceDetector(clock)
+        self.quarantine = PromptQuarantine(clock)
         self.links = FleetLinks(settings, end, timing)
         platform = PlatformStore(settings.store.address)
         self.store = MeasuredStore(platform, clock, self.metrics)
@@ -159,6 +162,7 @@
             self.node_status.report,
             self.silence,
             self.targets,
+            self.quarantine,
         )
         self.node_announcer = NodeAnnouncer(self.links, self.reports, self.remote_nodes)
         self.picker = TargetPicker(
@@ -195,7 +199,12 @@
             self.links, self.watch, self.placement, clock, self.batch.handle_request
         )
         forwarder = Forwarder(
-            self.picker, self.load_table, self.silence, clock, self.metrics
+            self.picker,
+            self.load_table,
+            self.silence,
+            clock,
+            self.metrics,
+            PromptGuard(self.quarantine),
         )
         listeners = _listeners(settings)
         app = CallerApp(
@@ -287,6 +296,7 @@
         while True:
             await anyio.sleep(UPKEEP_INTERVAL_S)
             self._writer.flush()
+            self.quarantine.update()
             self._update_gauges()
             if (now := self._settings_mtime_ns()) != modified:
                 modified = now
@@ -296,6 +306,7 @@
         self.metrics.gauge("requests_in_progress", self.server.in_progress)
         self.metrics.gauge("live_peers", len(self.links.peers))
         self.metrics.gauge("routing_version", self.routing.version)
+        self.metrics.gauge("quarantined_parts", len(self.quarantine.quarantined))
 
     def _settings_mtime_ns(self) -> int:
         try:
--- /dev/null
+++ b/chivespan/targetliveness.py
@@ -0,0 +1,35 @@
+"""Finds out whether a target has ended."""
+
+from datetime import timedelta
+
+import anyio
+
+from chivespan.addresses import parse_address
+from chivespan.exchange import CONNECT_TIMEOUT
+
+# A target that ends may close its connections before it stops to accept new ones.
+RECHECK_DELAY = timedelta(milliseconds=50)
+
+
+async def has_ended(address: str) -> bool:
+    """Return whether a target refuses connections, so that its run has ended.
+
+    A target that can't be reached at all may still be running.
+    """
+    if await _refuses_connections(address):
+        return True
+    await anyio.sleep(RECHECK_DELAY.total_seconds())
+    return await _refuses_connections(address)
+
+
+async def _refuses_connections(address: str) -> bool:
+    parsed = parse_address(address)
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT.total_seconds()):
+            stream = await anyio.connect_tcp(parsed.host, parsed.port)
+    except TimeoutError:
+        return False
+    except OSError as error:
+        return isinstance(error.__cause__ or error, ConnectionRefusedError)
+    await stream.aclose()
+    return False
--- a/standins/platformtarget.py
+++ b/standins/platformtarget.py
@@ -205,9 +205,18 @@
 
 
 def encode_target_entry(
-    service: str, address: str, zone: str, slots: int, sequence: int, state: str = ""
+    service: str,
+    address: str,
+    zone: str,
+    slots: int,
+    sequence: int,
+    state: str = "",
+    born: int = 1,
 ) -> bytes:
-    """Return the encoded entry that a target writes to the store about itself."""
+    """Return the encoded entry that a target writes to the store about itself.
+
+    :param born: start time of its run in Unix milliseconds.
+    """
     return msgspec.json.encode(
         {
             "service": service,
@@ -218,7 +227,7 @@
             "state": state or "ready",
             "coldLeftMs": 0,
             "seq": sequence,
-            "born": 1,
+            "born": born,
         }
     )
 
--- a/tests/test_endlessdata.py
+++ b/tests/test_endlessdata.py
@@ -47,6 +47,8 @@
 from chivespan.peerlink import PeerLink, dial_once, listen
 from chivespan.platform.documents import decode_config
 from chivespan.platform.store import PlatformStore
+from chivespan.promptguard import PromptGuard
+from chivespan.promptquarantine import PromptQuarantine
 from chivespan.routes import CallerLimits, Route
 from chivespan.routingstate import RoutingState
 from chivespan.targethttp import HttpRequest, TargetHttp
@@ -347,7 +349,12 @@
     ) as endless:
         rig = Rig(endless.address)
         forwarder = Forwarder(
-            rig.picker, rig.load_table, rig.silence, rig.clock, rig.metrics
+            rig.picker,
+            rig.load_table,
+            rig.silence,
+            rig.clock,
+            rig.metrics,
+            PromptGuard(PromptQuarantine(rig.clock)),
         )
         request, found = online_request(rig, resumable=resumable)
         caller = Caller()
