Don't believe a target's refusal of another request

Callers would have been told "not run, try again" for a request that the target had run or was running, or the request would have run at a second target. An operator of a similar system saw it: a faulty target sent an earlier refusal once more.

Cause: that a response says "not run" was looked at before the id that it echoes, for online requests and for batch items. Change: a refusal with the id of another request counts as a failure of the target, and the log line says so. A refusal without an id is still believed: each exchange has a connection of its own, so nothing earlier can be on it, and a target may refuse before it has read whose request it is. The checks of a response now say in the log why it was left, in place of its status alone.

Ruled out: kept connections of nodes to targets and store; both use one for each exchange.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -237,10 +237,10 @@
         async with exchange(_request_for(held, entry)) as reply:
             if wire.announces_leaving(reply):
                 self._picker.record_leaving(entry)
-            if wire.reports_not_run(reply):
+            if wire.reports_not_run(reply, held.start.item_id):
                 return ItemState.not_run
             if not wire.is_response_to(reply, held.start.item_id):
-                reason = "response belongs to another item"
+                reason = f"response with status {reply.status} to another item"
                 raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
             if reply.status == HTTPStatus.UNPROCESSABLE_ENTITY:
                 return ItemState.impossible
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -24,7 +24,7 @@
 from chivespan.nodemessages import TargetEntry
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
-from chivespan.responserelay import ResponseRelay
+from chivespan.responserelay import ResponseRelay, check_response
 from chivespan.routes import Route
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector, StreamWatch
@@ -266,13 +266,13 @@
         progress: Progress,
         responder: Responder,
     ) -> SendOutcome:
-        """Pass a response on, unless another target should be tried instead."""
-        if wire.reports_not_run(reply):
+        """Pass a response on, unless another target should be tried instead.
+
+        :raises ChivespanError: when the response is invalid or incomplete.
+        """
+        if wire.reports_not_run(reply, request.request_id):
             return SendOutcome.NOT_RUN
-        if not wire.is_response_to(reply, request.request_id):
-            return SendOutcome.BROKEN
-        if wire.implies_not_run(reply.status):
-            return SendOutcome.BROKEN
+        check_response(reply, request.request_id)
         if responder.started and reply.status != HTTPStatus.OK:
             return SendOutcome.BROKEN
         failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -174,10 +174,21 @@
     ]
 
 
-def reports_not_run(reply: Reply) -> bool:
-    """Return whether the runner reports that it did not execute the request."""
+def reports_not_run(reply: Reply, request_id: str) -> bool:
+    """Return whether the runner reports that it did not execute this request.
+
+    A refusal with the id of another request says nothing about this one. A refusal
+    without an id does: it may precede the parsing of the request, and the connection
+    has carried no other request.
+    """
     other_target = reply.status == HTTPStatus.MISDIRECTED_REQUEST
-    return other_target or reply.header(NOT_RUN) is not None
+    refused = other_target or reply.header(NOT_RUN) is not None
+    return refused and not is_response_to_other(reply, request_id)
+
+
+def is_response_to_other(reply: Reply, request_id: str) -> bool:
+    """Return whether a response has the id of another request."""
+    return reply.header(REQUEST_ID) not in (None, request_id.encode())
 
 
 def announces_leaving(reply: Reply) -> bool:
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -1,4 +1,4 @@
-"""Passes the bodies of targets' responses on to a caller.
+"""Checks targets' responses, and passes their bodies on to a caller.
 
 A stream that may be resumed is passed on in whole events only, so that another target
 can continue after the last one.
@@ -13,6 +13,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import EventSplitter
 from chivespan.exchange import Reply
+from chivespan.platform import wire
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,3 +62,20 @@
         if self.splitter.has_partial:
             reason = "the stream ended in the middle of an event"
             raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+
+
+def check_response(reply: Reply, request_id: str) -> None:
+    """Check that a response may be passed on, and doesn't claim "not run" falsely.
+
+    :raises ChivespanError: ``target_failed`` if it may not.
+    """
+    if wire.is_response_to_other(reply, request_id):
+        raise _failed(f"response with status {reply.status} to another request")
+    if not wire.is_response_to(reply, request_id):
+        raise _failed(f"response with status {reply.status} without id or seal")
+    if wire.implies_not_run(reply.status):
+        raise _failed(f"status {reply.status} without the statement of not run")
+
+
+def _failed(reason: str) -> ChivespanError:
+    return ChivespanError(ErrorKind.TARGET_FAILED, reason)
