Pass on only what continues a stream that broke off

Callers would have found an event twice or missed one, an error's text between events, or a stream that ended as complete without its rest. An operator of a similar system saw it: a stream broke off, and the next target answered with an error.

Cause: of a response that continues a stream only the status was checked. A document with status 200, events that start again or leave a gap, and text without ids were passed on, and a proper end after them ended the caller's answer as complete. Change: such a response must have a stream's content type, and each event of a resumable stream the id that follows on the last one passed on, from 1 or from the event that the caller names. A missing content type is borne. What is out of order is dropped with the rest of its bytes, and the stream goes on at another target or is cut.

Ruled out: a response with an error's status; it was never passed on. Batch items checked each id already. The product's own API checks the index and request of each token and ends only with a finish reason.

--- a/chivespan/eventstream.py
+++ b/chivespan/eventstream.py
@@ -1,6 +1,9 @@
 """Parsing of server-sent events and their ids from chunks of a stream."""
 
+import re
+from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import StrEnum
 
 from chivespan.errors import ChivespanError, ErrorKind
 
@@ -8,6 +11,20 @@
 # Ids number the events of one stream.
 MAX_ID_DIGITS = 18
 _END = b"\n\n"
+_ID_LINE = re.compile(rb"^id:(.*)$", re.MULTILINE)
+
+
+class EventOrder(StrEnum):
+    """What the ids of a stream's events must satisfy.
+
+    - ``ANY``: nothing; events may have no id.
+    - ``INCREASING``: each id is larger than the one before.
+    - ``CONSECUTIVE``: each id is the one before plus 1.
+    """
+
+    ANY = "any"
+    INCREASING = "increasing"
+    CONSECUTIVE = "consecutive"
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +42,9 @@
 class EventSplitter:
     r"""Splits a stream at event boundaries and tracks the id of the last event.
 
+    :param order: what the ids of the events must satisfy.
+    :param last_id: id after which the stream starts.
+
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     b'id: 1\ndata: a\n\n'
@@ -32,9 +52,10 @@
     (1, b'id: 2\ndata: b\n\n', 2)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, order: EventOrder = EventOrder.ANY, last_id: int = 0) -> None:
         self._buffer = bytearray()
-        self.last_id = 0
+        self._order = order
+        self.last_id = last_id
 
     @property
     def has_partial(self) -> bool:
@@ -44,7 +65,8 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the bytes of all events that are now complete.
 
-        :raises ChivespanError: ``stream_broken`` if an event is too large.
+        :raises ChivespanError: ``stream_broken`` if an event is too large, or if the
+            ids of the complete events are out of order; these events are dropped.
         """
         searched = max(0, len(self._buffer) - len(_END) + 1)
         self._buffer += chunk
@@ -69,15 +91,30 @@
             raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
 
     def _update_last_id(self, complete: bytes) -> None:
-        start = complete.rfind(b"id:")
-        while start > 0 and complete[start - 1 : start] != b"\n":
-            start = complete.rfind(b"id:", 0, start)
-        if start < 0:
-            return
-        value = complete[start + 3 : complete.find(b"\n", start)].strip()
-        event_id = _parse_id(value.decode("latin-1"))
-        if event_id is not None:
-            self.last_id = event_id
+        last_id = self.last_id
+        for event_id in _event_ids(complete):
+            if not self._may_follow(event_id, last_id):
+                reason = f"event {event_id} follows event {last_id}"
+                raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+            last_id = last_id if event_id is None else event_id
+        self.last_id = last_id
+
+    def _may_follow(self, event_id: int | None, last_id: int) -> bool:
+        if self._order is EventOrder.ANY:
+            return True
+        if event_id is None:
+            return False
+        if self._order is EventOrder.CONSECUTIVE:
+            return event_id == last_id + 1
+        return event_id > last_id
+
+
+def _event_ids(complete: bytes) -> Iterator[int | None]:
+    """Yield the numeric id of each complete event; None for any other id or none."""
+    for event in complete.split(_END):
+        if event.strip():
+            line = _ID_LINE.search(event)
+            yield parse_event_id(line[1].strip().decode("latin-1")) if line else None
 
 
 def parse_events(complete: bytes) -> list[StreamEvent]:
@@ -103,13 +140,13 @@
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
-            event_id = _parse_id(value)
+            event_id = parse_event_id(value)
         elif name == "data":
             data.append(value)
     return StreamEvent(event_id, "\n".join(data))
 
 
-def _parse_id(value: str) -> int | None:
+def parse_event_id(value: str) -> int | None:
     """Return a numeric id; None for any other id."""
     if value.isascii() and value.isdigit() and len(value) <= MAX_ID_DIGITS:
         return int(value)
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -17,14 +17,14 @@
 from chivespan.callerrequest import CallerRequest, Responder, parse_milliseconds
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.eventstream import EventSplitter
+from chivespan.eventstream import EventOrder, EventSplitter, parse_event_id
 from chivespan.exchange import Call, NotSent, Reply, exchange
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nodemessages import TargetEntry
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
-from chivespan.responserelay import ResponseRelay, check_response
+from chivespan.responserelay import ResponseRelay, check_continues, check_response
 from chivespan.routes import Route
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector, StreamWatch
@@ -115,7 +115,9 @@
     ) -> None:
         """Answer a request, or refuse it as soon as it can't be answered in time."""
         progress = Progress(
-            self._deadline(request, route), route.pick_service(self._random)
+            self._deadline(request, route),
+            route.pick_service(self._random),
+            splitter=_splitter(request, route),
         )
         outcome = "cancelled"
         try:
@@ -273,8 +275,8 @@
         if wire.reports_not_run(reply, request.request_id):
             return SendOutcome.NOT_RUN
         check_response(reply, request.request_id)
-        if responder.started and reply.status != HTTPStatus.OK:
-            return SendOutcome.BROKEN
+        if responder.started:
+            check_continues(reply)
         failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if failed and self._can_resume(route, progress):
             return SendOutcome.BROKEN
@@ -408,6 +410,16 @@
         )
 
 
+def _splitter(request: CallerRequest, route: Route) -> EventSplitter:
+    """Return the splitter for a response, which starts at the event that is due."""
+    if not route.resumable:
+        return EventSplitter()
+    last_event = parse_event_id(request.header(wire.LAST_EVENT_ID) or "0")
+    if last_event is None:
+        return EventSplitter(EventOrder.INCREASING)
+    return EventSplitter(EventOrder.CONSECUTIVE, last_event)
+
+
 def _timed_out(progress: Progress) -> ChivespanError:
     if progress.ran_or_may_run:
         reason = "no target sent a complete response in time"
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from http import HTTPStatus
 
 from chivespan.callerrequest import Responder
 from chivespan.clock import Clock
@@ -15,6 +16,8 @@
 from chivespan.exchange import Reply
 from chivespan.platform import wire
 
+EVENT_STREAM = b"text/event-stream"
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseRelay:
@@ -77,5 +80,22 @@
         raise _failed(f"status {reply.status} without the statement of not run")
 
 
+def check_continues(reply: Reply) -> None:
+    """Check that a response may continue a stream that another target has begun.
+
+    :raises ChivespanError: ``target_failed`` if it may not.
+    """
+    if reply.status != HTTPStatus.OK:
+        raise _failed(f"status {reply.status} in the middle of a stream")
+    if not is_event_stream(reply):
+        raise _failed("response of another content type in the middle of a stream")
+
+
+def is_event_stream(reply: Reply) -> bool:
+    """Return whether the body of a response consists of events."""
+    content_type = reply.header(b"content-type")
+    return content_type is None or content_type.lower().startswith(EVENT_STREAM)
+
+
 def _failed(reason: str) -> ChivespanError:
     return ChivespanError(ErrorKind.TARGET_FAILED, reason)
--- a/tests/test_brokenresponses.py
+++ b/tests/test_brokenresponses.py
@@ -48,3 +48,53 @@
     async with raw_site(refusal(status, request_id)) as site:
         expected = ItemState.not_run if believed else ItemState.broken
         assert (await site.run_item()).state is expected
+
+
+BROKEN = target(head("200 OK", CHUNKED), chunk(events(1) + b"id: 2\nda"))
+STREAM = head("200 OK", CHUNKED)
+JSON = head("200 OK", CHUNKED, content_type="application/json")
+ERROR_TEXT = b'{"error": "full"}\n\n'
+NOT_CONTINUING = {
+    "error": target(head("500 no", CHUNKED), chunk(ERROR_TEXT), LAST_CHUNK),
+    "not found": target(head("404 no", CHUNKED), chunk(ERROR_TEXT), LAST_CHUNK),
+    "error with status 200": target(JSON, chunk(ERROR_TEXT), LAST_CHUNK),
+    "other content type": target(JSON, chunk(events(2, 3)), LAST_CHUNK),
+    "text without id": target(STREAM, chunk(ERROR_TEXT), LAST_CHUNK),
+    "gap": whole(3),
+    "repeat": whole(1, 2, 3),
+    "gap after a sound event": whole(2, 4),
+    "event twice": whole(2, 2, 3),
+    "head inside the stream": target(
+        STREAM, chunk(events(2)), chunk(b"HTTP/1.1 500 no\r\n\r\nfull\n\n"), LAST_CHUNK
+    ),
+}
+
+
+# Guards against: after a stream broke off, an error's text, an event twice or out of
+# order is passed on in its middle, or it ends as if it were complete.
+@pytest.mark.parametrize("case", NOT_CONTINUING)
+async def test_response_that_does_not_continue_the_stream_is_not_passed_on(
+    case: str,
+) -> None:
+    second = NOT_CONTINUING[case]
+    async with raw_site(BROKEN, second) as site:
+        answer = await site.ask()
+        assert answer.status == 200
+        assert not answer.complete
+        assert answer.body in (events(1), events(1, 2))
+
+
+async def test_stream_that_broke_off_is_continued_at_the_next_event() -> None:
+    second = whole(2, 3)
+    async with raw_site(BROKEN, second) as site:
+        answer = await site.ask()
+        assert (answer.body, answer.complete) == (WHOLE, True)
+        assert b"\r\nlast-event-id: 1\r\n" in second.requests[0]
+
+
+async def test_caller_continues_its_own_stream_after_the_event_that_it_names() -> None:
+    async with raw_site(whole(3, 4), whole(3, 4)) as site:
+        answer = await site.ask("Last-Event-Id: 2")
+        assert (answer.body, answer.complete) == (events(3, 4), True)
+        answer = await site.ask("Last-Event-Id: 1")
+        assert (answer.body, answer.complete) == (b"", False)
