Never continue an answer that isn't a stream

Callers would have found a whole stream behind a part of an error document: on a route whose streams may be resumed, a first target's answer with status 404, or another content type, that broke off was continued with the next target's stream from its first event.

Cause: whether an answer may be continued was decided by the route alone. Change: it is decided by what has been passed on of it: a response with status 200 and a stream's content type, on a route whose streams may be resumed. Anything else is cut off for the caller.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -24,7 +24,12 @@
 from chivespan.nodemessages import TargetEntry
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
-from chivespan.responserelay import ResponseRelay, check_continues, check_response
+from chivespan.responserelay import (
+    ResponseRelay,
+    check_continues,
+    check_response,
+    is_event_stream,
+)
 from chivespan.routes import Route
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector, StreamWatch
@@ -63,6 +68,7 @@
     :ivar response_started: monotonic time at which the last target's response started.
     :ivar can_resume: whether another target could take over the stream, as of
         ``resume_checked``.
+    :ivar can_continue: whether another target may continue the response passed on.
     :ivar sends: attempts that reached a target.
     :ivar unreached: attempts in which no byte was sent.
     """
@@ -76,6 +82,7 @@
     response_started: timedelta = timedelta(0)
     can_resume: bool = False
     resume_checked: timedelta | None = None
+    can_continue: bool = False
     sends: int = 0
     unreached: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -190,7 +197,7 @@
             return
         progress.sends += 1
         exhausted = progress.sends >= route.max_attempts
-        may_continue = route.resumable if started else True
+        may_continue = progress.can_continue if started else True
         may_repeat = route.is_repeatable and may_continue and not exhausted
         if outcome is SendOutcome.BROKEN and not may_repeat:
             reason = "the target failed while it may have run the request"
@@ -293,7 +300,8 @@
             progress.record_data,
             partial(self._event_timeout, route, progress),
         )
-        if route.resumable and route.is_repeatable:
+        progress.can_continue = route.is_resumable and is_event_stream(reply)
+        if progress.can_continue:
             await relay.pass_events()
         else:
             await relay.pass_chunks()
@@ -412,7 +420,7 @@
 
 def _splitter(request: CallerRequest, route: Route) -> EventSplitter:
     """Return the splitter for a response, which starts at the event that is due."""
-    if not route.resumable:
+    if not route.is_resumable:
         return EventSplitter()
     last_event = parse_event_id(request.header(wire.LAST_EVENT_ID) or "0")
     if last_event is None:
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -92,9 +92,10 @@
 
 
 def is_event_stream(reply: Reply) -> bool:
-    """Return whether the body of a response consists of events."""
+    """Return whether the body of a response on a stream route consists of events."""
     content_type = reply.header(b"content-type")
-    return content_type is None or content_type.lower().startswith(EVENT_STREAM)
+    is_stream = content_type is None or content_type.lower().startswith(EVENT_STREAM)
+    return is_stream and reply.status == HTTPStatus.OK
 
 
 def _failed(reason: str) -> ChivespanError:
--- a/chivespan/routes.py
+++ b/chivespan/routes.py
@@ -60,9 +60,12 @@
     @property
     def is_repeatable(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RouteKind.IDEMPOTENT or (
-            self.kind is RouteKind.STREAM and self.resumable
-        )
+        return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether its responses are streams that another target may continue."""
+        return self.kind is RouteKind.STREAM and self.resumable
 
     @property
     def main_service(self) -> str:
--- a/tests/test_brokenresponses.py
+++ b/tests/test_brokenresponses.py
@@ -98,3 +98,22 @@
         assert (answer.body, answer.complete) == (events(3, 4), True)
         answer = await site.ask("Last-Event-Id: 1")
         assert (answer.body, answer.complete) == (b"", False)
+
+
+TEXT = head("404 no", "Content-Length: 9", content_type="text/plain")
+CUT_TEXT = target(TEXT, b"not")
+CUT_JSON = target(JSON, chunk(ERROR_TEXT))
+
+
+# Guards against: an error document that broke off is continued with another target's
+# stream.
+@pytest.mark.parametrize(("first", "status"), [(CUT_TEXT, 404), (CUT_JSON, 200)])
+async def test_response_that_is_no_stream_is_not_continued(
+    first: RawTarget, status: int
+) -> None:
+    second = whole(1, 2, 3)
+    async with raw_site(first, second) as site:
+        answer = await site.ask()
+        assert (answer.status, answer.complete) == (status, False)
+        assert answer.body in (b"", b"not", ERROR_TEXT)
+        assert not second.requests
