Break off a stream that ended inside an event on all stream routes

Callers would have got a stream that ended inside an event as a complete answer: on routes whose streams may not be resumed, a target's stream without length and chunks was passed on in raw chunks, and the end of its connection ended the caller's answer properly.

Cause: events were followed only where a stream may be resumed. Change: every response with a stream's content type on a stream route is passed on in whole events. On routes that can't be resumed their ids have to increase, which keeps text behind a stream's end, such as the head of another response, from its caller. Batch items use the same splitter.

Ruled out: a connection that is reset behind the last byte; it was an error before, too. Batch items noticed the partial event before.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -18,7 +18,7 @@
 from chivespan.batchyield import YieldRule
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.eventstream import EventSplitter, parse_events
+from chivespan.eventstream import EventOrder, EventSplitter, parse_events
 from chivespan.exchange import Call, NotSent, Reply, exchange
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
@@ -259,7 +259,7 @@
         :raises _Yielded: if the item yields its slot.
         :raises ChivespanError: ``stream_broken`` if the stream is incomplete.
         """
-        splitter = EventSplitter()
+        splitter = EventSplitter(EventOrder.CONSECUTIVE, len(held.events))
         checked = last_event = self._clock.monotonic()
         while True:
             # Parts of an event don't extend its time limit.
@@ -271,18 +271,12 @@
             if whole:
                 watch.record_data()
                 last_event = self._clock.monotonic()
-            for event in parse_events(whole):
-                if event.event_id != len(held.events) + 1:
-                    reason = f"event {event.event_id} follows event {len(held.events)}"
-                    raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
-                held.events.append(event.data)
+            held.events += [event.data for event in parse_events(whole)]
             now = self._clock.monotonic()
             if self._yield_rule.must_yield(entry, now - checked):
                 raise _Yielded
             checked = now
-        if splitter.has_partial:
-            reason = "stream ended inside an event"
-            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+        splitter.check_end()
 
     def _is_full(self, entry: TargetEntry) -> bool:
         return self._load_table.total(entry.target_id) >= entry.slots
--- a/chivespan/eventstream.py
+++ b/chivespan/eventstream.py
@@ -57,11 +57,6 @@
         self._order = order
         self.last_id = last_id
 
-    @property
-    def has_partial(self) -> bool:
-        """Whether an incomplete event is buffered."""
-        return bool(self._buffer)
-
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the bytes of all events that are now complete.
 
@@ -81,10 +76,19 @@
         self._update_last_id(complete)
         return complete
 
-    def drop_partial(self) -> None:
-        """Discard the incomplete event of a stream that was interrupted."""
+    def start_response(self) -> None:
+        """Discard the incomplete event of a response that another one continues."""
         self._buffer.clear()
 
+    def check_end(self) -> None:
+        """Check that the stream may be complete where a response has ended.
+
+        :raises ChivespanError: ``stream_broken`` when it has been broken off.
+        """
+        if self._buffer:
+            reason = "the stream ended in the middle of an event"
+            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+
     def _check_partial(self) -> None:
         if len(self._buffer) > MAX_EVENT_BYTES:
             reason = f"an event exceeds the limit of {MAX_EVENT_BYTES} bytes"
@@ -111,10 +115,9 @@
 
 def _event_ids(complete: bytes) -> Iterator[int | None]:
     """Yield the numeric id of each complete event; None for any other id or none."""
-    for event in complete.split(_END):
-        if event.strip():
-            line = _ID_LINE.search(event)
-            yield parse_event_id(line[1].strip().decode("latin-1")) if line else None
+    for event in complete.removesuffix(_END).split(_END):
+        line = _ID_LINE.search(event)
+        yield parse_event_id(line[1].strip().decode("latin-1")) if line else None
 
 
 def parse_events(complete: bytes) -> list[StreamEvent]:
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -17,7 +17,7 @@
 from chivespan.callerrequest import CallerRequest, Responder, parse_milliseconds
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.eventstream import EventOrder, EventSplitter, parse_event_id
+from chivespan.eventstream import EventSplitter
 from chivespan.exchange import Call, NotSent, Reply, exchange
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
@@ -29,6 +29,7 @@
     check_continues,
     check_response,
     is_event_stream,
+    splitter_for,
 )
 from chivespan.routes import Route
 from chivespan.targetpick import Candidate, TargetPicker
@@ -124,7 +125,7 @@
         progress = Progress(
             self._deadline(request, route),
             route.pick_service(self._random),
-            splitter=_splitter(request, route),
+            splitter=splitter_for(route, request.header(wire.LAST_EVENT_ID)),
         )
         outcome = "cancelled"
         try:
@@ -282,16 +283,14 @@
         if wire.reports_not_run(reply, request.request_id):
             return SendOutcome.NOT_RUN
         check_response(reply, request.request_id)
+        is_stream = is_event_stream(reply, route, request.method)
         if responder.started:
-            check_continues(reply)
+            check_continues(reply, is_stream)
         failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if failed and self._can_resume(route, progress):
             return SendOutcome.BROKEN
         progress.response_started = self._clock.monotonic()
-        if not responder.started:
-            await responder.start(reply.status, wire.caller_headers(reply.headers))
-            took = self._clock.monotonic() - request.arrived
-            self._metrics.record_first_byte(route.kind.value, took)
+        progress.can_continue = is_stream and route.resumable
         relay = ResponseRelay(
             reply,
             responder,
@@ -300,12 +299,11 @@
             progress.record_data,
             partial(self._event_timeout, route, progress),
         )
-        progress.can_continue = route.is_resumable and is_event_stream(reply)
-        if progress.can_continue:
-            await relay.pass_events()
-        else:
-            await relay.pass_chunks()
-        await responder.finish()
+        if not responder.started:
+            await relay.start()
+            took = self._clock.monotonic() - request.arrived
+            self._metrics.record_first_byte(route.kind.value, took)
+        await relay.pass_body(is_stream)
         return SendOutcome.DELIVERED
 
     def _event_timeout(
@@ -418,16 +416,6 @@
         )
 
 
-def _splitter(request: CallerRequest, route: Route) -> EventSplitter:
-    """Return the splitter for a response, which starts at the event that is due."""
-    if not route.is_resumable:
-        return EventSplitter()
-    last_event = parse_event_id(request.header(wire.LAST_EVENT_ID) or "0")
-    if last_event is None:
-        return EventSplitter(EventOrder.INCREASING)
-    return EventSplitter(EventOrder.CONSECUTIVE, last_event)
-
-
 def _timed_out(progress: Progress) -> ChivespanError:
     if progress.ran_or_may_run:
         reason = "no target sent a complete response in time"
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -1,7 +1,7 @@
 """Checks targets' responses, and passes their bodies on to a caller.
 
-A stream that may be resumed is passed on in whole events only, so that another target
-can continue after the last one.
+A stream is passed on in whole events only: one that ends inside an event was broken
+off, and another target may continue it after the last one.
 """
 
 from collections.abc import Callable
@@ -12,16 +12,17 @@
 from chivespan.callerrequest import Responder
 from chivespan.clock import Clock
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.eventstream import EventSplitter
+from chivespan.eventstream import EventOrder, EventSplitter, parse_event_id
 from chivespan.exchange import Reply
 from chivespan.platform import wire
+from chivespan.routes import Route, RouteKind
 
 EVENT_STREAM = b"text/event-stream"
 
 
 @dataclass(frozen=True, slots=True)
 class ResponseRelay:
-    """Passes the body of one target's response on.
+    """Passes one target's response on.
 
     :param splitter: splits the events of the caller's stream, over all its targets.
     :param record_data: is called when the target has sent data.
@@ -36,7 +37,20 @@
     record_data: Callable[[], None]
     event_timeout: Callable[[timedelta], timedelta | None]
 
-    async def pass_chunks(self) -> None:
+    async def start(self) -> None:
+        """Pass the head on."""
+        headers = wire.caller_headers(self.reply.headers)
+        await self.responder.start(self.reply.status, headers)
+
+    async def pass_body(self, is_stream: bool) -> None:
+        """Pass the body on, and end the caller's response.
+
+        :raises ChivespanError: ``stream_broken`` when the body is incomplete.
+        """
+        await (self._pass_events() if is_stream else self._pass_chunks())
+        await self.responder.finish()
+
+    async def _pass_chunks(self) -> None:
         """Pass the body on as it arrives.
 
         :raises ChivespanError: ``stream_broken`` when the body is incomplete.
@@ -45,13 +59,13 @@
             self.record_data()
             await self.responder.write(chunk)
 
-    async def pass_events(self) -> None:
+    async def _pass_events(self) -> None:
         """Pass the body on in whole events.
 
         :raises ChivespanError: ``stream_broken`` when the body is incomplete, ends
             inside an event, or has no event in time.
         """
-        self.splitter.drop_partial()
+        self.splitter.start_response()
         last_event = self.clock.monotonic()
         while True:
             timeout = self.event_timeout(last_event)
@@ -62,9 +76,20 @@
                 self.record_data()
                 await self.responder.write(whole)
                 last_event = self.clock.monotonic()
-        if self.splitter.has_partial:
-            reason = "the stream ended in the middle of an event"
-            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+        self.splitter.check_end()
+
+
+def splitter_for(route: Route, last_event: str) -> EventSplitter:
+    """Return the splitter for the caller's stream.
+
+    :param last_event: the last event that the caller has received, as it states it.
+    """
+    last_id = parse_event_id(last_event or "0")
+    if route.kind is not RouteKind.STREAM:
+        return EventSplitter()
+    if last_id is None or not route.resumable:
+        return EventSplitter(EventOrder.INCREASING)
+    return EventSplitter(EventOrder.CONSECUTIVE, last_id)
 
 
 def check_response(reply: Reply, request_id: str) -> None:
@@ -80,22 +105,23 @@
         raise _failed(f"status {reply.status} without the statement of not run")
 
 
-def check_continues(reply: Reply) -> None:
+def check_continues(reply: Reply, is_stream: bool) -> None:
     """Check that a response may continue a stream that another target has begun.
 
     :raises ChivespanError: ``target_failed`` if it may not.
     """
     if reply.status != HTTPStatus.OK:
         raise _failed(f"status {reply.status} in the middle of a stream")
-    if not is_event_stream(reply):
+    if not is_stream:
         raise _failed("response of another content type in the middle of a stream")
 
 
-def is_event_stream(reply: Reply) -> bool:
-    """Return whether the body of a response on a stream route consists of events."""
-    content_type = reply.header(b"content-type")
-    is_stream = content_type is None or content_type.lower().startswith(EVENT_STREAM)
-    return is_stream and reply.status == HTTPStatus.OK
+def is_event_stream(reply: Reply, route: Route, method: str) -> bool:
+    """Return whether the body of a response consists of events."""
+    content_type = reply.header(b"content-type") or EVENT_STREAM
+    is_stream = content_type.lower().startswith(EVENT_STREAM)
+    is_whole = reply.status == HTTPStatus.OK and method != "HEAD"
+    return route.kind is RouteKind.STREAM and is_whole and is_stream
 
 
 def _failed(reason: str) -> ChivespanError:
--- a/tests/test_brokenresponses.py
+++ b/tests/test_brokenresponses.py
@@ -117,3 +117,31 @@
         assert (answer.status, answer.complete) == (status, False)
         assert answer.body in (b"", b"not", ERROR_TEXT)
         assert not second.requests
+
+
+CUT_INSIDE = events(1) + b"id: 2\nda"
+
+
+# Guards against: a stream without length and chunks ends inside an event, or is reset,
+# and ends the caller's answer as complete.
+@pytest.mark.parametrize("resumable", [True, False])
+@pytest.mark.parametrize(
+    ("body", "reset", "complete"),
+    [
+        (WHOLE, False, True),
+        (CUT_INSIDE, False, False),
+        (events(1) + b"id: 2\n", False, False),
+        (WHOLE, True, False),
+        (CUT_INSIDE, True, False),
+    ],
+)
+async def test_stream_that_ends_with_its_connection(
+    resumable: bool, body: bytes, reset: bool, complete: bool
+) -> None:
+    async with raw_site(target(head(), body, reset=reset), resumable=resumable) as site:
+        answer = await site.ask()
+        assert (answer.status, answer.complete) == (200, complete)
+        assert WHOLE.startswith(answer.body)
+        assert complete == (answer.body == WHOLE) or reset
+        expected = ItemState.done if complete else ItemState.broken
+        assert (await site.run_item()).state is expected
