Pass streams on without the length of their first target

Callers would have found their stream cut although a second target had continued it: the first target's Content-Length was passed on, the rest of another target may be longer (its text differs), and the HTTP server then ends the answer at the length. A length of 0 would have ended the answer with its head, whatever came.

Change: a stream is passed on in chunks. Status, seal and body stay the target's.

Measured: the test failed before (cut at the length) and passes now, with the rest of test_brokenresponses.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -300,7 +300,7 @@
             partial(self._event_timeout, route, progress),
         )
         if not responder.started:
-            await relay.start()
+            await relay.start(is_stream)
             took = self._clock.monotonic() - request.arrived
             self._metrics.record_first_byte(route.kind.value, took)
         await relay.pass_body(is_stream)
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -1,7 +1,9 @@
 """Checks targets' responses, and passes their bodies on to a caller.
 
 A stream is passed on in whole events only: one that ends inside an event was broken
-off, and another target may continue it after the last one.
+off, and another target may continue it after the last one. It is passed on without a
+length, so that its caller can tell that it was broken off, and as the rest of another
+target may be longer.
 """
 
 from collections.abc import Callable
@@ -18,6 +20,7 @@
 from chivespan.routes import Route, RouteKind
 
 EVENT_STREAM = b"text/event-stream"
+CONTENT_LENGTH = b"content-length"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,9 +40,11 @@
     record_data: Callable[[], None]
     event_timeout: Callable[[timedelta], timedelta | None]
 
-    async def start(self) -> None:
-        """Pass the head on."""
+    async def start(self, is_stream: bool) -> None:
+        """Pass the head on, without the length of a stream."""
         headers = wire.caller_headers(self.reply.headers)
+        if is_stream:
+            headers = [each for each in headers if each[0].lower() != CONTENT_LENGTH]
         await self.responder.start(self.reply.status, headers)
 
     async def pass_body(self, is_stream: bool) -> None:
--- a/tests/test_brokenresponses.py
+++ b/tests/test_brokenresponses.py
@@ -145,3 +145,11 @@
         assert complete == (answer.body == WHOLE) or reset
         expected = ItemState.done if complete else ItemState.broken
         assert (await site.run_item()).state is expected
+
+
+# Guards against: a stream with a length is continued by a longer one, and is cut there.
+async def test_stream_with_a_length_is_continued_by_a_longer_one() -> None:
+    first = target(head("200 OK", "Content-Length: 40"), events(1))
+    async with raw_site(first, whole(2, 3, 4, 5)) as site:
+        answer = await site.ask()
+        assert (answer.body, answer.complete) == (events(1, 2, 3, 4, 5), True)
