Take a stream without any event for broken off

Callers would have got an empty stream, or one without its rest, as complete, and batch jobs an empty result, where a target stopped behind the head of its answer: a body without length and chunks ends with its connection, whatever was still to come. An operator of a similar system saw callers get a 200 with an empty body.

Change: a stream, and an item's run, of which no event has come isn't complete. One that goes on after an earlier run may have no event left, as that one may have broken off behind its last event; this is believed only where the end is stated by a length or chunks.

Weighed: not to believe a stated end either. A sound target then could never complete a stream that broke off behind its last event, for the node or for the caller that continues it; and what a target states of its response is all that tells an end from a cut.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -276,7 +276,7 @@
             if self._yield_rule.must_yield(entry, now - checked):
                 raise _Yielded
             checked = now
-        splitter.check_end()
+        splitter.check_end(reply.is_delimited)
 
     def _is_full(self, entry: TargetEntry) -> bool:
         return self._load_table.total(entry.target_id) >= entry.slots
--- a/chivespan/eventstream.py
+++ b/chivespan/eventstream.py
@@ -55,6 +55,7 @@
     def __init__(self, order: EventOrder = EventOrder.ANY, last_id: int = 0) -> None:
         self._buffer = bytearray()
         self._order = order
+        self._has_event = False
         self.last_id = last_id
 
     def feed(self, chunk: bytes) -> bytes:
@@ -79,15 +80,22 @@
     def start_response(self) -> None:
         """Discard the incomplete event of a response that another one continues."""
         self._buffer.clear()
+        self._has_event = False
 
-    def check_end(self) -> None:
+    def check_end(self, is_stated: bool) -> None:
         """Check that the stream may be complete where a response has ended.
 
+        A response may have no event where an earlier one has sent them all.
+
+        :param is_stated: whether the response stated its end by a length or chunks.
         :raises ChivespanError: ``stream_broken`` when it has been broken off.
         """
         if self._buffer:
             reason = "the stream ended in the middle of an event"
             raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+        if not self._has_event and not (is_stated and self.last_id):
+            reason = "the stream ended without an event"
+            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
 
     def _check_partial(self) -> None:
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -102,6 +110,7 @@
                 raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
             last_id = last_id if event_id is None else event_id
         self.last_id = last_id
+        self._has_event = True
 
     def _may_follow(self, event_id: int | None, last_id: int) -> bool:
         if self._order is EventOrder.ANY:
--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -94,6 +94,14 @@
     headers: Sequence[Header]
     _reader: "_Reader" = field(repr=False)
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the body has a stated end, by a length or chunks.
+
+        Any other body ends with its connection, and may have been cut.
+        """
+        return self._reader.response.is_delimited
+
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; ``name`` is in lower case."""
         for known, value in self.headers:
--- a/chivespan/responseparser.py
+++ b/chivespan/responseparser.py
@@ -44,6 +44,12 @@
         """The parse error, unless the response was complete before it."""
         return None if self.is_complete else self._parse_error
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the body has a length or chunks, so that its end is stated."""
+        names = {name.lower() for name, _ in self._headers}
+        return bool(names & {_CONTENT_LENGTH, _TRANSFER_ENCODING})
+
     def feed(self, received: bytes) -> None:
         """Parse received bytes; :attr:`parse_error` is set if they are invalid."""
         try:
@@ -53,7 +59,7 @@
 
     def end(self) -> bool:
         """Handle the end of the connection; return whether the response is complete."""
-        if self.head_complete and self._ends_with_connection():
+        if self.head_complete and not self.is_delimited:
             self.is_complete = True
         return self.is_complete
 
@@ -95,8 +101,3 @@
         """Mark the response as complete."""
         if self.head_complete:
             self.is_complete = True
-
-    def _ends_with_connection(self) -> bool:
-        """Return whether the body is delimited by the end of the connection."""
-        names = {name.lower() for name, _ in self._headers}
-        return not names & {_CONTENT_LENGTH, _TRANSFER_ENCODING}
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -68,7 +68,7 @@
         """Pass the body on in whole events.
 
         :raises ChivespanError: ``stream_broken`` when the body is incomplete, ends
-            inside an event, or has no event in time.
+            inside an event or without one, or has no event in time.
         """
         self.splitter.start_response()
         last_event = self.clock.monotonic()
@@ -81,7 +81,7 @@
                 self.record_data()
                 await self.responder.write(whole)
                 last_event = self.clock.monotonic()
-        self.splitter.check_end()
+        self.splitter.check_end(self.reply.is_delimited)
 
 
 def splitter_for(route: Route, last_event: str) -> EventSplitter:
--- a/tests/test_brokenresponses.py
+++ b/tests/test_brokenresponses.py
@@ -119,6 +119,41 @@
         assert not second.requests
 
 
+NO_EVENT = {
+    "unframed": target(head()),
+    "unframed, other text": target(head(), b"\n\n"),
+    "length 0": target(head("200 OK", EMPTY)),
+    "last chunk only": target(STREAM, LAST_CHUNK),
+}
+
+
+# Guards against: a target stopped behind the head of its response, and the caller gets
+# an empty stream, or one without its rest, as if it were complete.
+@pytest.mark.parametrize("case", NO_EVENT)
+@pytest.mark.parametrize("resumable", [True, False])
+async def test_stream_without_any_event_is_not_complete(
+    case: str, resumable: bool
+) -> None:
+    async with raw_site(NO_EVENT[case], resumable=resumable) as site:
+        answer = await site.ask()
+        assert (answer.body.strip(), answer.complete) == (b"", False)
+        assert (await site.run_item()).state is ItemState.broken
+
+
+# A stream may have broken off behind its last event, and the next target has none left.
+@pytest.mark.parametrize("case", NO_EVENT)
+async def test_stream_that_goes_on_without_an_event_ends_where_that_is_stated(
+    case: str,
+) -> None:
+    is_stated = not case.startswith("unframed")
+    async with raw_site(BROKEN, NO_EVENT[case]) as site:
+        answer = await site.ask()
+        assert (answer.body, answer.complete) == (events(1), is_stated)
+    async with raw_site(NO_EVENT[case]) as site:
+        expected = ItemState.done if is_stated else ItemState.broken
+        assert (await site.run_item(["e1"])).state is expected
+
+
 CUT_INSIDE = events(1) + b"id: 2\nda"
 
 
