Call plain services on a connection of their own

Callers of a plain service could get the answer to an earlier call, of another caller: a target that sent a response once more on a kept connection had it taken for the response to the next idempotent call.

Cause: the entries' client kept connections for idempotent calls, their responses name no request, and the HTTP client parses what follows a response as the next one. Change: each call opens a connection, as calls that aren't idempotent did before.

Ruled out: token streams, whose events name their request; a node's own exchanges, which keep no connection; the platform's store (one exchange for each call as well).

Measured: both cases (sent at once, and late) failed before, with the first answer in place of the second, and pass now.

--- a/chivespan/plainclient.py
+++ b/chivespan/plainclient.py
@@ -33,7 +33,8 @@
     ) -> HttpResponse:
         """Send the call once and return the target's response.
 
-        A call that is not idempotent uses a new connection rather than a pooled one.
+        Responses of plain services don't name their request. Each call therefore uses
+        a new connection, on which no response to an earlier one can arrive.
 
         :raises ChivespanError: ``target_unreachable`` only if no byte was sent.
         """
@@ -46,6 +47,6 @@
             request.path,
             headers,
             request.body,
-            fresh=not request.idempotent,
+            fresh=True,
         )
         return await self._http.call(outgoing, timeout)
--- a/chivespan/targethttp.py
+++ b/chivespan/targethttp.py
@@ -1,7 +1,7 @@
 """HTTP client for targets: connection pools, timeouts and mapping of errors.
 
-A connection that timed out is closed and not reused. A request that isn't idempotent
-always uses a connection of its own.
+A connection that timed out is closed and not reused. A request always uses a connection
+of its own if it isn't idempotent, or if its response can't be told from another one's.
 """
 
 from collections.abc import AsyncIterator, Sequence
--- /dev/null
+++ b/tests/test_pooledcalls.py
@@ -0,0 +1,60 @@
+"""Responses that a target sends once more on a connection kept for further calls."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from datetime import timedelta
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from chivespan.plainclient import PlainClient, PlainRequest
+from chivespan.targethttp import TargetHttp
+
+pytestmark = pytest.mark.anyio
+
+S = timedelta(seconds=1)
+
+
+def response(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+@asynccontextmanager
+async def repeating_target(delay_s: float) -> AsyncIterator[str]:
+    """Serve requests in turn, and send each response once more after a delay.
+
+    :param delay_s: negative to send both at once.
+    """
+    numbers = iter(range(1, 100))
+
+    async def serve(stream: SocketStream) -> None:
+        earlier = b""
+        async with stream:
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while await stream.receive():
+                    own = response(b"%d" % next(numbers))
+                    if delay_s < 0:
+                        await stream.send(own + own)
+                    else:
+                        await stream.send(earlier + own)
+                        earlier = own
+
+    async with (
+        await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(listener.serve, serve)
+        yield f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        tasks.cancel_scope.cancel()
+
+
+# Guards against: a response that a target sent once more reaches another caller.
+@pytest.mark.parametrize("delay_s", [-1, 0])
+async def test_repeated_response_is_not_taken_for_the_next_one(delay_s: float) -> None:
+    async with repeating_target(delay_s) as address, TargetHttp() as http:
+        client = PlainClient(http)
+        for number in range(1, 5):
+            request = PlainRequest(f"r{number}", "GET", "/", "", b"", idempotent=True)
+            answer = await client.call(address, request, S)
+            assert answer.body == b"%d" % number
