Open a connection for each token stream of the separate programs

Callers of a model could be refused (400) for a request that an engine was running: a refusal sent behind an earlier stream on a kept connection was taken for the answer to the next one. Tokens name their request, refusals don't.

Change: the engine client opens a connection for each stream, as it did for retries, orders and cancellations. Only load reports, which may be old anyway, still share connections.

Measured: the test failed before (target_refused for the second stream) and passes now, with test_online, test_golden, test_entries, test_jobs, test_itemrunner, test_orders and test_demo. What a connection for each stream costs the separate programs isn't measured.

--- a/bench/stateworker.py
+++ b/bench/stateworker.py
@@ -64,8 +64,6 @@
         address: str,
         request: EngineRequest,
         limits: StreamLimits,
-        *,
-        fresh: bool = False,
     ) -> AsyncGenerator[Token, None]:
         await anyio.lowlevel.checkpoint()
         yield Token(0, request.prompt, "stop")
--- a/chivespan/engineclient.py
+++ b/chivespan/engineclient.py
@@ -68,8 +68,6 @@
         address: str,
         request: EngineRequest,
         limits: StreamLimits,
-        *,
-        fresh: bool = False,
     ) -> AsyncGenerator[Token, None]:
         """Yield the tokens that follow ``request.resume_tokens``.
 
@@ -77,11 +75,10 @@
         end raises. The end-of-stream event after that token is optional, since no
         content follows it.
 
-        :param fresh: whether to open a new connection.
         :raises ChivespanError: ``target_unreachable``, ``target_failed``,
             ``target_timeout`` or ``stream_broken``.
         """
-        outgoing = _post(address, "/v1/completions", request, fresh=fresh)
+        outgoing = _post(address, "/v1/completions", request)
         try:
             async with self._http.open(outgoing, limits.first_token) as response:
                 await _check_status(address, response)
@@ -97,7 +94,7 @@
     async def cancel(self, address: str, request_id: str) -> None:
         """Cancel a request over a new connection, which frees its slot."""
         cancel = EngineCancel(request_id=request_id)
-        outgoing = _post(address, "/v1/cancel", cancel, fresh=True)
+        outgoing = _post(address, "/v1/cancel", cancel)
         await self._http.call(outgoing, CALL_TIMEOUT)
 
     async def load(self, address: str) -> EngineLoad:
@@ -113,7 +110,7 @@
 
     async def order(self, address: str, order: EngineOrder) -> bool:
         """Send an order; return False if the engine rejected its fencing token."""
-        outgoing = _post(address, "/orders", order, fresh=True)
+        outgoing = _post(address, "/orders", order)
         response = await self._http.call(outgoing, CALL_TIMEOUT)
         return response.status < 400
 
@@ -159,7 +156,7 @@
 
 
 async def _read_to_end(lines: AsyncIterator[bytes], timeout: timedelta) -> None:
-    """Read the rest of a stream after its last token, so the connection can be reused.
+    """Read the rest of a stream after its last token, so the engine can finish it.
 
     The response is already complete; if the read times out, the connection is closed.
     """
@@ -213,9 +210,10 @@
     return body[:ERROR_TEXT_BYTES]
 
 
-def _post(address: str, path: str, body: object, *, fresh: bool) -> HttpRequest:
+def _post(address: str, path: str, body: object) -> HttpRequest:
+    """Return a request on a new connection, as a refusal doesn't name its request."""
     encoded = msgspec.json.encode(body)
-    return HttpRequest(address, "POST", path, (JSON_HEADER,), encoded, fresh)
+    return HttpRequest(address, "POST", path, (JSON_HEADER,), encoded, fresh=True)
 
 
 def _decode(address: str, body: bytes, cls: type[T]) -> T:
--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -54,8 +54,6 @@
         address: str,
         request: EngineRequest,
         limits: StreamLimits,
-        *,
-        fresh: bool = False,
     ) -> AsyncGenerator[Token, None]:
         """Yield the tokens that follow the request's resume tokens."""
         ...
@@ -217,8 +215,7 @@
         self, slot: RevocableSlot, request: EngineRequest, progress: _Progress
     ) -> None:
         limits = StreamLimits(FIRST_TOKEN_TIMEOUT, TOKEN_GAP_TIMEOUT)
-        fresh = progress.attempts > 1
-        stream = self._engines.stream(slot.grant.address, request, limits, fresh=fresh)
+        stream = self._engines.stream(slot.grant.address, request, limits)
         async with aclosing(stream):
             async for token in stream:
                 progress.tokens.append(token.text)
--- a/chivespan/online.py
+++ b/chivespan/online.py
@@ -202,7 +202,6 @@
             slot.grant.address,
             engine_request,
             self._limits(request),
-            fresh=progress.attempt > 1,
         )
         try:
             async with aclosing(stream):
--- a/tests/batchfakes.py
+++ b/tests/batchfakes.py
@@ -108,8 +108,6 @@
         address: str,
         request: EngineRequest,
         limits: StreamLimits,
-        *,
-        fresh: bool = False,
     ) -> AsyncGenerator[Token, None]:
         self.streams[request.prompt] += 1
         self.resumed[request.prompt] = list(request.resume_tokens)
--- a/tests/faults/staterig.py
+++ b/tests/faults/staterig.py
@@ -151,8 +151,6 @@
         address: str,
         request: EngineRequest,
         limits: StreamLimits,
-        *,
-        fresh: bool = False,
     ) -> AsyncGenerator[Token, None]:
         self.journal.add("start", request.request_id, detail=request.prompt)
         count = token_count(request.prompt, TOKENS)
--- a/tests/test_pooledcalls.py
+++ b/tests/test_pooledcalls.py
@@ -1,5 +1,6 @@
 """Responses that a target sends once more on a connection kept for further calls."""
 
+import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from datetime import timedelta
@@ -8,6 +9,8 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
+from chivespan.engineapi import EngineRequest
+from chivespan.engineclient import EngineClient, StreamLimits
 from chivespan.plainclient import PlainClient, PlainRequest
 from chivespan.targethttp import TargetHttp
 
@@ -58,3 +61,47 @@
             request = PlainRequest(f"r{number}", "GET", "/", "", b"", idempotent=True)
             answer = await client.call(address, request, S)
             assert answer.body == b"%d" % number
+
+
+@asynccontextmanager
+async def refusing_engine() -> AsyncIterator[str]:
+    """Serve token streams, and send a refusal behind each."""
+
+    async def serve(stream: SocketStream) -> None:
+        async with stream:
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while request := await stream.receive():
+                    body = request.partition(b"\r\n\r\n")[2] or await stream.receive()
+                    body = token(json.loads(body)["request_id"])
+                    await stream.send(response(body) + b"HTTP/1.1 400 no\r\n\r\n")
+
+    async with (
+        await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(listener.serve, serve)
+        yield f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        tasks.cancel_scope.cancel()
+
+
+def token(request_id: str) -> bytes:
+    choice = {"index": 0, "text": "a", "finish_reason": "stop"}
+    event = {"id": request_id, "token_index": 0, "choices": [choice]}
+    return b"data: " + json.dumps(event).encode() + b"\n\n"
+
+
+# Guards against: an earlier request's refusal is taken for that of the next stream.
+async def test_repeated_refusal_is_not_taken_for_that_of_the_next_stream() -> None:
+    async with refusing_engine() as address, TargetHttp() as http:
+        client = EngineClient(http)
+        for name in ("a", "b"):
+            request = EngineRequest(
+                model="m",
+                prompt="p",
+                max_tokens=1,
+                stream=True,
+                request_id=name,
+                resume_tokens=[],
+            )
+            tokens = client.stream(address, request, StreamLimits(S, S))
+            assert [each.text async for each in tokens] == ["a"]
