Keep items at a target that falls silent for a second

Items of a batch job were started again, and their target was counted as failed, ejected after the third of them and closed to online callers, when a sound target paused for 1.3 s.

Cause: an item's run was given up 0.6 s after its last event, or 1 s without a response. Change: 2 s and 2.5 s. Events are kept when a run is given up, but its prompt is read again elsewhere, and the failures close a sound target to callers. At a target that has failed an item now loses up to 1.5 s more, of due times of 18 s and longer.

Weighed for online streams, and left: a resumable stream moves after the route's longest gap if another target can continue it at once, since the pause alone makes it late; the target is left out for a second after three of these, about as long as its pause, and then gets one request at a time. Left out as silent (0.3 s) ends with the next event, and doesn't hold where all targets are silent. With no other target nothing is cut.

Measured: the test's three cases for items failed before (broken) and pass now; those for online streams pass on both.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -37,8 +37,9 @@
 
 RUN_TIME = timedelta(seconds=30)
 MAX_RUN_BYTES = 16 * 1024 * 1024
-HEAD_TIMEOUT = timedelta(seconds=1)
-EVENT_TIMEOUT = timedelta(milliseconds=600)
+# A sound target may fall silent for a second or so, also before it starts an item.
+HEAD_TIMEOUT = timedelta(seconds=2.5)
+EVENT_TIMEOUT = timedelta(seconds=2)
 REPEAT_INTERVAL = timedelta(seconds=1)
 
 _log = logger("executor")
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -204,6 +204,8 @@
 
     async def run_item(self, events_before: Sequence[str] = ()) -> ItemStatus:
         """Run a batch item at the first target; return the status of its end."""
+        self.executor.return_items()
+        self.statuses.clear()
         self.executor.start(
             ItemStart(
                 partition=1,
