--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -18,7 +18,7 @@
 from chivespan.batchyield import YieldRule
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.eventstream import EventSplitter, parse_events
+from chivespan.eventstream import EventOrder, EventSplitter, parse_events
 from chivespan.exchange import Call, NotSent, Reply, exchange
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
@@ -37,8 +37,9 @@
 
 RUN_TIME = timedelta(seconds=30)
 MAX_RUN_BYTES = 16 * 1024 * 1024
-HEAD_TIMEOUT = timedelta(seconds=1)
-EVENT_TIMEOUT = timedelta(milliseconds=600)
+# A sound target may fall silent for a second or so, also before it starts an item.
+HEAD_TIMEOUT = timedelta(seconds=2.5)
+EVENT_TIMEOUT = timedelta(seconds=2)
 REPEAT_INTERVAL = timedelta(seconds=1)
 
 _log = logger("executor")
@@ -237,10 +238,10 @@
         async with exchange(_request_for(held, entry)) as reply:
             if wire.announces_leaving(reply):
                 self._picker.record_leaving(entry)
-            if wire.reports_not_run(reply):
+            if wire.reports_not_run(reply, held.start.item_id):
                 return ItemState.not_run
             if not wire.is_response_to(reply, held.start.item_id):
-                reason = "response belongs to another item"
+                reason = f"response with status {reply.status} to another item"
                 raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
             if reply.status == HTTPStatus.UNPROCESSABLE_ENTITY:
                 return ItemState.impossible
@@ -259,7 +260,7 @@
         :raises _Yielded: if the item yields its slot.
         :raises ChivespanError: ``stream_broken`` if the stream is incomplete.
         """
-        splitter = EventSplitter()
+        splitter = EventSplitter(EventOrder.CONSECUTIVE, len(held.events))
         checked = last_event = self._clock.monotonic()
         while True:
             # Parts of an event don't extend its time limit.
@@ -271,18 +272,12 @@
             if whole:
                 watch.record_data()
                 last_event = self._clock.monotonic()
-            for event in parse_events(whole):
-                if event.event_id != len(held.events) + 1:
-                    reason = f"event {event.event_id} follows event {len(held.events)}"
-                    raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
-                held.events.append(event.data)
+            held.events += [event.data for event in parse_events(whole)]
             now = self._clock.monotonic()
             if self._yield_rule.must_yield(entry, now - checked):
                 raise _Yielded
             checked = now
-        if splitter.has_partial:
-            reason = "stream ended inside an event"
-            raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+        splitter.check_end(reply.is_delimited)
 
     def _is_full(self, entry: TargetEntry) -> bool:
         return self._load_table.total(entry.target_id) >= entry.slots
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -25,7 +25,13 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
 from chivespan.promptguard import PromptGuard
-from chivespan.responserelay import ResponseRelay
+from chivespan.responserelay import (
+    ResponseRelay,
+    check_continues,
+    check_response,
+    is_event_stream,
+    splitter_for,
+)
 from chivespan.routes import Route
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector, StreamWatch
@@ -67,8 +73,9 @@
     :ivar can_resume: whether another target could take over the stream, as of
         ``resume_checked``.
     :ivar prompt_parts: parts of its prompt that other requests may share.
-    :ivar reads: how often the current target has sent data.
+    :ivar reads: how often the current target has sent whole events.
     :ivar may_have_ended: whether the last target may have ended during the attempt.
+    :ivar can_continue: whether another target may continue the response passed on.
     :ivar sends: attempts that reached a target.
     :ivar unreached: attempts in which no byte was sent.
     """
@@ -85,6 +92,7 @@
     resume_checked: timedelta | None = None
     reads: int = 0
     may_have_ended: bool = False
+    can_continue: bool = False
     sends: int = 0
     unreached: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -129,6 +137,7 @@
             self._deadline(request, route),
             route.pick_service(self._random),
             wire.shared_prompt_parts(request.headers),
+            splitter=splitter_for(route, request.header(wire.LAST_EVENT_ID)),
         )
         outcome = "cancelled"
         try:
@@ -228,7 +237,7 @@
             return
         progress.sends += 1
         exhausted = progress.sends >= route.max_attempts
-        may_continue = route.resumable if started else True
+        may_continue = progress.can_continue if started else True
         may_repeat = route.is_repeatable and may_continue and not exhausted
         if outcome is SendOutcome.BROKEN and not may_repeat:
             reason = "the target failed while it may have run the request"
@@ -309,44 +318,42 @@
         progress: Progress,
         responder: Responder,
     ) -> SendOutcome:
-        """Pass a response on, unless another target should be tried instead."""
-        if wire.reports_not_run(reply):
+        """Pass a response on, unless another target should be tried instead.
+
+        :raises ChivespanError: when the response is invalid or incomplete.
+        """
+        if wire.reports_not_run(reply, request.request_id):
             return SendOutcome.NOT_RUN
-        if not wire.is_response_to(reply, request.request_id):
-            return SendOutcome.BROKEN
-        if wire.implies_not_run(reply.status):
-            return SendOutcome.BROKEN
-        if responder.started and reply.status != HTTPStatus.OK:
-            return SendOutcome.BROKEN
+        check_response(reply, request.request_id)
+        is_stream = is_event_stream(reply, route, request.method)
+        if responder.started:
+            check_continues(reply, is_stream)
         failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if failed and self._can_resume(route, progress):
             return SendOutcome.BROKEN
         progress.response_started = self._clock.monotonic()
-        if not responder.started:
-            await responder.start(reply.status, wire.caller_headers(reply.headers))
-            took = self._clock.monotonic() - request.arrived
-            self._metrics.record_first_byte(route.kind.value, took)
+        progress.can_continue = is_stream and route.resumable
         relay = ResponseRelay(
             reply,
             responder,
             progress.splitter,
             self._clock,
-            partial(self._record_data, progress),
+            partial(self._record_data, progress, is_stream),
             partial(self._event_timeout, route, progress),
         )
-        if route.resumable and route.is_repeatable:
-            await relay.pass_events()
-        else:
-            await relay.pass_chunks()
-        await responder.finish()
-        if reply.status == HTTPStatus.OK:
+        if not responder.started:
+            await relay.start(is_stream)
+            took = self._clock.monotonic() - request.arrived
+            self._metrics.record_first_byte(route.kind.value, took)
+        await relay.pass_body(is_stream)
+        if reply.status == HTTPStatus.OK and reply.is_delimited:
             self._prompt_guard.record_answered(progress.prompt_parts)
         return SendOutcome.DELIVERED
 
-    def _record_data(self, progress: Progress) -> None:
-        """Record that the current target has sent data."""
+    def _record_data(self, progress: Progress, is_stream: bool) -> None:
+        """Record that the current target has sent data, of a stream whole events."""
         progress.record_data()
-        progress.reads += 1
+        progress.reads += is_stream
         if progress.reads == READS_OF_AN_ANSWER:
             self._prompt_guard.record_answered(progress.prompt_parts)
 
