--- a/chivespan/partsuspicion.py
+++ b/chivespan/partsuspicion.py
@@ -1,6 +1,6 @@
 """Evidence that one part of prompts crashes targets."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TypeAlias
@@ -17,8 +17,7 @@
 QUARANTINE_LIFETIME = timedelta(minutes=10)
 # Targets answered the part so shortly before a crash that it isn't the cause.
 ANSWER_VALIDITY = timedelta(seconds=30)
-MAX_RUNS = 6
-MAX_REQUESTS_OF_A_RUN = 2
+MAX_CRASHES = 24
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -70,16 +69,12 @@
 
         :param explained: ended runs that another part is known to have caused.
         """
-        times = sorted(
-            at for crash, at in self.crashes.items() if crash.run not in explained
-        )
-        count = 0
-        last: timedelta | None = None
-        for at in times:
-            if last is None or at - last >= SEPARATION_TIME:
-                count += 1
-                last = at
-        return count
+        unexplained = {
+            crash: at
+            for crash, at in self.crashes.items()
+            if crash.run not in explained
+        }
+        return len(_groups(unexplained))
 
     def note_sufficient(
         self, now: timedelta, explained: Collection[Run], most: int
@@ -118,17 +113,15 @@
     def add_crash(self, crash: CrashedRequest, at: timedelta) -> bool:
         """Add a crash; return whether it is kept and is new.
 
-        The kept ones don't depend on the order in which they are added.
+        Of too many, one of the largest group at about the same time is dropped, since
+        crashes at different times say more.
         """
         if crash in self.crashes or self.quarantined_until is not None:
             return False
         self.crashes[crash] = at
-        of_run = sorted(each for each in self.crashes if each.run == crash.run)
-        for surplus in of_run[MAX_REQUESTS_OF_A_RUN:]:
-            del self.crashes[surplus]
-        for run in sorted({each.run for each in self.crashes})[MAX_RUNS:]:
-            for each in [each for each in self.crashes if each.run == run]:
-                del self.crashes[each]
+        if len(self.crashes) > MAX_CRASHES:
+            largest = max(_groups(self.crashes), key=len)
+            del self.crashes[max(largest)]
         return crash in self.crashes
 
     def quarantine_has_ended(self, now: timedelta) -> bool:
@@ -152,3 +145,15 @@
 
     def _unexplained_runs(self, explained: Collection[Run]) -> int:
         return len({crash.run for crash in self.crashes} - set(explained))
+
+
+def _groups(crashes: Mapping[CrashedRequest, timedelta]) -> list[list[CrashedRequest]]:
+    """Return the crashes grouped by time; each group has those that may be one."""
+    groups: list[list[CrashedRequest]] = []
+    first: timedelta | None = None
+    for crash, at in sorted(crashes.items(), key=lambda item: (item[1], item[0])):
+        if first is None or at - first >= SEPARATION_TIME:
+            groups.append([])
+            first = at
+        groups[-1].append(crash)
+    return groups
