Log answers that are cut and idle connections that are closed

The log didn't tell a cut answer from one that ended in an error, nor when an idle connection was closed and under which limit. No logic changes.

--- a/chivespan/callerserver.py
+++ b/chivespan/callerserver.py
@@ -14,11 +14,14 @@
 
 from chivespan.addresses import Address
 from chivespan.httpserver import HttpServer
+from chivespan.logs import logger
 from chivespan.routes import CallerLimits
 
 # Covers the way of a request that was sent before its caller noticed the stop.
 SHUTDOWN_LINGER_S = 0.2
 
+_log = logger("callers")
+
 
 class LimitedProtocol(HttpToolsProtocol):
     """A connection with limits on the size and duration of request heads."""
@@ -56,6 +59,15 @@
         else:
             super().shutdown()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close the connection, which has been idle for too long."""
+        _log.info(
+            "idle_connection_closed",
+            client=self.client,
+            limit_s=self.timeout_keep_alive,
+        )
+        super().timeout_keep_alive_handler()
+
     def on_message_begin(self) -> None:
         """Start the timer of a request head."""
         super().on_message_begin()
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -404,6 +404,13 @@
         """
         if not responder.started:
             await responder.send_error(error)
+            return
+        _log.notice(
+            "response_cut",
+            request=responder.request_id,
+            kind=error.kind.value,
+            reason=error.message,
+        )
 
     def _time_left(self, progress: Progress) -> timedelta:
         return max(NO_WAIT, progress.deadline - self._clock.monotonic())
--- a/chivespan/routingstate.py
+++ b/chivespan/routingstate.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from chivespan.clock import MILLISECOND
 from chivespan.errors import ChivespanError
 from chivespan.logs import logger
 from chivespan.routes import RoutingTable
@@ -63,6 +64,7 @@
             replaces=self.version,
             source=source,
             routes=len(table.routes),
+            idle_timeout_ms=table.limits.idle_timeout // MILLISECOND,
         )
         self._table, self._document = table, document
         self._changed.set()
