Keep a paused stream until another target has accepted it

What callers saw: a stream that had begun broke off, with neither the rest of the answer nor an error, though its target was sound and only paused.

Cause: after the route's longest gap without an event the node closed the connection to the paused target first and looked for another one then. When none had room, or the one asked turned the request away (counts of slots are as old as a report), nothing was left to go on with, and the answer was cut. Class: giving up what works before its replacement is certain. It needs no trouble anywhere, so it can fall beside a change of the configuration.

Now the next target is asked while the paused one is kept; the first of the two to send wins. Counts, silence and health of the paused target end at that moment, as before.

Evidence: both new tests failed on the code before ("peer closed connection without sending complete message body").

--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -6,8 +6,8 @@
 """
 
 import re
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from datetime import timedelta
 from math import inf
@@ -105,13 +105,25 @@
         """Return the next bytes of the body; None at its end.
 
         On a timeout the whole ``async with exchange(...)`` block is cancelled, and
-        :func:`exchange` raises ``stream_broken``.
+        :func:`exchange` raises ``stream_broken``; in a :meth:`pausable` block, only
+        that block is cancelled.
 
         :param timeout: time limit for these bytes, besides that for the whole body.
         :raises ChivespanError: ``stream_broken`` when the body is incomplete.
         """
         return await self._reader.next_chunk(timeout)
 
+    @contextmanager
+    def pausable(self) -> Iterator[anyio.CancelScope]:
+        """Return the scope of a block after whose timeout the body can be read on."""
+        with anyio.CancelScope() as self._reader.pause:
+            yield self._reader.pause
+        self._reader.pause = None
+
+    async def close(self) -> None:
+        """Close the connection before the end of the body."""
+        await self._reader.close()
+
     async def body(self) -> bytes:
         """Return the whole body.
 
@@ -173,6 +185,7 @@
     a separate scope for each read would cost more than the read itself.
 
     :param scope: the cancel scope of the exchange.
+    :ivar pause: the scope that a timeout of a read cancels instead, if any.
     """
 
     def __init__(
@@ -183,6 +196,7 @@
         self._scope = scope
         self._bytes_left = MAX_HEAD_BYTES
         self._deadline = inf
+        self.pause: anyio.CancelScope | None = None
         self.response = ResponseParser(call.method)
 
     async def read_head(self, request: bytes) -> None:
@@ -212,6 +226,10 @@
                 raise self._error("connection closed in the middle of the response")
         return chunk
 
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
     def timeout_error(self) -> ChivespanError:
         """Return the error for a response that exceeded a time limit."""
         if self.response.head_complete:
@@ -227,8 +245,10 @@
         """
         if (parse_error := self.response.parse_error) is not None:
             raise self._error(repr(parse_error))
-        deadline = self._deadline if timeout is None else _time_after(timeout)
-        self._scope.deadline = min(deadline, self._deadline)
+        scope, deadline = self._scope, self._deadline
+        if timeout is not None and (limit := _time_after(timeout)) < deadline:
+            scope, deadline = self.pause or scope, limit
+        scope.deadline = deadline
         try:
             received = await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
@@ -237,7 +257,7 @@
             raise self._error(repr(error.__cause__ or error)) from error
         finally:
             # Time that the caller spends on processing the bytes isn't limited.
-            self._scope.deadline = inf
+            scope.deadline = inf
         self._bytes_left -= len(received)
         if self._bytes_left < 0:
             raise self._error("response exceeds its size limit")
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import AsyncIterator
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
@@ -25,6 +26,7 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
 from chivespan.routes import Route
+from chivespan.streamhandover import Handover
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector, StreamWatch
 
@@ -42,12 +44,17 @@
     - ``UNREACHED``: no byte of the request was sent.
     - ``NOT_RUN``: the target stated that it didn't run the request.
     - ``BROKEN``: the target failed and may have run the request.
+    - ``HANDED_OVER``: the target paused, and another one has taken over the stream.
     """
 
     DELIVERED = "delivered"
     UNREACHED = "unreached"
     NOT_RUN = "not_run"
     BROKEN = "broken"
+    HANDED_OVER = "handed_over"
+
+
+_MAY_HAVE_RUN = frozenset({SendOutcome.BROKEN, SendOutcome.HANDED_OVER})
 
 
 @dataclass(slots=True)
@@ -64,6 +71,10 @@
         ``resume_checked``.
     :ivar sends: attempts that reached a target.
     :ivar unreached: attempts in which no byte was sent.
+    :ivar entry: the target of the current attempt.
+    :ivar holds: what the current attempt holds: its place in the counts of its target.
+    :ivar handover: the hand-over that the current attempt is part of.
+    :ivar handover_outcome: result of the attempt that took over.
     """
 
     deadline: timedelta
@@ -79,6 +90,10 @@
     unreached: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
     watch: StreamWatch | None = None
+    entry: TargetEntry | None = None
+    holds: ExitStack = field(default_factory=ExitStack)
+    handover: Handover | None = None
+    handover_outcome: SendOutcome = SendOutcome.BROKEN
 
     def record_data(self) -> None:
         """Record that the current target has sent data."""
@@ -150,16 +165,35 @@
                 raise self._refusal(
                     progress, "no target has a free slot or a short queue"
                 )
-            entry = candidate.entry
-            progress.tried.add(entry.target_id)
-            progress.expects_slot = candidate.free > 0
-            progress.resume_checked = None
-            with self._load_table.track_online(entry.target_id):
-                outcome = await self._send(request, route, entry, progress, responder)
+            outcome = await self._attempt(
+                request, route, candidate, progress, responder
+            )
+            if outcome is SendOutcome.HANDED_OVER:
+                outcome = progress.handover_outcome
             if outcome is SendOutcome.DELIVERED:
                 return
             self._check_retry_allowed(route, progress, outcome, responder.started)
 
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        route: Route,
+        candidate: Candidate,
+        progress: Progress,
+        responder: Responder,
+    ) -> SendOutcome:
+        """Send a request to a candidate, which is counted there meanwhile."""
+        entry = progress.entry = candidate.entry
+        progress.tried.add(entry.target_id)
+        progress.expects_slot = candidate.free > 0
+        progress.resume_checked = None
+        with ExitStack() as holds:
+            progress.holds = holds
+            holds.enter_context(self._load_table.track_online(entry.target_id))
+            watch = self._silence.watch_stream(entry.target_id)
+            progress.watch = holds.enter_context(watch)
+            return await self._send(request, route, entry, progress, responder)
+
     def _log_no_target(self, request: CallerRequest, progress: Progress) -> None:
         """Log the counts that led to no target being chosen."""
         candidates = self._picker.candidates(progress.service)
@@ -213,13 +247,12 @@
         progress.in_flight = True
         try:
             call = self._call(request, route, entry, progress)
-            with self._silence.watch_stream(entry.target_id) as progress.watch:
-                async with exchange(call) as reply:
-                    if wire.announces_leaving(reply):
-                        self._picker.record_leaving(entry)
-                    outcome = await self._relay_response(
-                        reply, request, route, progress, responder
-                    )
+            async with exchange(call) as reply:
+                if wire.announces_leaving(reply):
+                    self._picker.record_leaving(entry)
+                outcome = await self._relay_response(
+                    reply, request, route, progress, responder
+                )
         except NotSent as error:
             outcome = SendOutcome.UNREACHED
             reason = error.message
@@ -229,8 +262,9 @@
         else:
             reason = str(reply.status)
         progress.in_flight = False
-        progress.may_have_run |= outcome is SendOutcome.BROKEN
-        self._record_outcome(request, entry, progress, outcome, reason)
+        progress.may_have_run |= outcome in _MAY_HAVE_RUN
+        if outcome is not SendOutcome.HANDED_OVER:
+            self._record_outcome(request, entry, progress, outcome, reason)
         return outcome
 
     def _call(
@@ -282,11 +316,77 @@
             await responder.start(reply.status, wire.caller_headers(reply.headers))
             took = self._clock.monotonic() - request.arrived
             self._metrics.record_first_byte(route.kind.value, took)
-        async for chunk in self._body_chunks(reply, route, progress):
-            await responder.write(chunk)
+        if progress.handover is not None:
+            await progress.handover.accept()
+        progress.splitter.drop_partial()
+        while True:
+            with reply.pausable() as until_pause:
+                async for chunk in self._body_chunks(reply, route, progress):
+                    await responder.write(chunk)
+            if not until_pause.cancelled_caught:
+                break
+            if await self._hand_over(reply, request, route, progress, responder):
+                return SendOutcome.HANDED_OVER
         await responder.finish()
         return SendOutcome.DELIVERED
 
+    async def _hand_over(
+        self,
+        paused: Reply,
+        request: CallerRequest,
+        route: Route,
+        progress: Progress,
+        responder: Responder,
+    ) -> bool:
+        """Try to continue a paused stream at another target; return whether it did.
+
+        If none accepts, the paused stream is to be read on.
+        """
+        candidate = self._pick_within(self._time_left(progress), progress)
+        if candidate is None or progress.entry is None:
+            return False
+        entry, holds, watch = progress.entry, progress.holds, progress.watch
+        outcome: SendOutcome | None = None
+
+        def give_up_paused() -> None:
+            holds.close()
+            self._record_outcome(
+                request, entry, progress, SendOutcome.HANDED_OVER, "stream paused"
+            )
+
+        async def attempt() -> None:
+            nonlocal outcome
+            outcome = await self._attempt(
+                request, route, candidate, progress, responder
+            )
+
+        progress.sends += 1
+        handover = Handover(paused, progress.splitter, give_up_paused)
+        progress.handover = handover
+        await handover.run(attempt)
+        progress.handover = None
+        _log.info(
+            "handover_tried",
+            request=request.request_id,
+            paused=entry.target_id,
+            other=candidate.entry.target_id,
+            accepted=handover.accepted,
+            outcome=outcome.value if outcome else "paused_stream_went_on",
+        )
+        if handover.accepted:
+            if outcome and outcome is not SendOutcome.HANDED_OVER:
+                progress.handover_outcome = outcome
+            return True
+        if outcome is SendOutcome.UNREACHED:
+            progress.sends -= 1
+            progress.unreached += 1
+        progress.entry, progress.holds, progress.watch = entry, holds, watch
+        progress.in_flight = True
+        if handover.events:
+            progress.record_data()
+            await responder.write(handover.events)
+        return False
+
     async def _body_chunks(
         self, reply: Reply, route: Route, progress: Progress
     ) -> AsyncIterator[bytes]:
@@ -301,7 +401,6 @@
                 yield chunk
             return
         splitter = progress.splitter
-        splitter.drop_partial()
         last_event = self._clock.monotonic()
         while True:
             timeout = self._event_timeout(route, progress, last_event)
@@ -385,7 +484,7 @@
         if outcome is SendOutcome.UNREACHED:
             left_out = True
             self._picker.record_unreachable(entry.target_id)
-        elif outcome is SendOutcome.BROKEN:
+        elif outcome in _MAY_HAVE_RUN:
             left_out = self._picker.record_failure(entry.target_id)
         _log.info(
             "send_failed",
--- a/standins/platformtarget.py
+++ b/standins/platformtarget.py
@@ -61,6 +61,8 @@
         -1 nothing.
     :param trickle_after: event after which streams send single bytes of the next event
         without end; -1 for none.
+    :param pause_after: event after which streams pause once for ``pause_ms``; 0 pauses
+        before the first, -1 for none.
     :param status: status with which every request fails after it ran; 0 for none.
     :param other_id: whether responses carry the id of another request.
     :param full: whether every request is refused as not run.
@@ -71,6 +73,8 @@
     break_count: int = 1_000_000
     silent_after: int = -1
     trickle_after: int = -1
+    pause_after: int = -1
+    pause_ms: float = 0
     status: int = 0
     other_id: bool = False
     full: bool = False
@@ -196,6 +200,8 @@
             if breaks and number > faults.break_after:
                 yield b"id: 9"
                 raise ConnectionResetError("stream aborted by an injected fault")
+            if number == faults.pause_after + 1:
+                await anyio.sleep(faults.pause_ms / 1000)
             if 0 < faults.silent_after < number:
                 await anyio.sleep(3600)
             while 0 <= faults.trickle_after < number:
--- a/tests/test_stalledstreams.py
+++ b/tests/test_stalledstreams.py
@@ -63,3 +63,28 @@
         assert await stream(site, "a") == complete("a")
         assert len(slow.arrivals) == 1
         assert not other.arrivals
+
+
+# Guards against: a stream is cut since its target pauses and no other has a free slot.
+async def test_stream_that_no_other_target_takes_over_outlasts_a_pause(
+    tmp_path: Path,
+) -> None:
+    paused, full = target(1), target(2, data_centre="dc-2")
+    paused.faults = TargetFaults(pause_after=2, pause_ms=700)
+    full.faults = TargetFaults(full=True)
+    async with fleet(tmp_path, 1, paused, full) as (site, _):
+        assert await stream(site, "a") == complete("a")
+        assert not paused.aborted
+
+
+# Guards against: what a paused target sends while another one is asked is lost.
+async def test_stream_goes_on_where_it_was_if_its_target_wakes_first(
+    tmp_path: Path,
+) -> None:
+    paused, slow = target(1), target(2, data_centre="dc-2")
+    paused.faults = TargetFaults(pause_after=2, pause_ms=400)
+    slow.faults = TargetFaults(silent_after=0)
+    async with fleet(tmp_path, 1, paused, slow) as (site, _):
+        assert await stream(site, "a") == complete("a")
+        assert slow.arrivals
+        assert not paused.aborted
