Read the idle timeout when it is used, not when a caller connects

Cause: the caller server copied the timeout once for each connection. Class: a setting captured at connect time. The other limits (head size, head time, body size) are read for each request.

Now the timer starts under the timeout in force at the end of each response, and is renewed if it was raised meanwhile. A lowered timeout holds from the next idle time on, since callers may not have learned of it.

Evidence: test_raised_idle_timeout_holds_for_open_connections failed before ("EndOfStream").

--- a/chivespan/callerserver.py
+++ b/chivespan/callerserver.py
@@ -34,8 +34,7 @@
         self._head_bytes = 0
         self._in_head = False
         self._head_timer: asyncio.TimerHandle | None = None
-        idle = type(self).limits().idle_timeout
-        self.timeout_keep_alive = ceil(idle.total_seconds())
+        self._idle_since = self.loop.time()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer of the request head."""
@@ -59,15 +58,30 @@
         else:
             super().shutdown()
 
+    def on_response_complete(self) -> None:
+        """Start the timer of an idle connection, unless a request is waiting."""
+        self._idle_since = self.loop.time()
+        self.timeout_keep_alive = self._idle_timeout_s()
+        super().on_response_complete()
+
     def timeout_keep_alive_handler(self) -> None:
-        """Close the connection, which has been idle for too long."""
-        _log.info(
-            "idle_connection_closed",
-            client=self.client,
-            limit_s=self.timeout_keep_alive,
-        )
+        """Close an idle connection, unless its timeout was raised meanwhile.
+
+        A lowered timeout holds from the next idle time on, as callers may not know it.
+        """
+        limit_s = self._idle_timeout_s()
+        left_s = self._idle_since + limit_s - self.loop.time()
+        if left_s > 0:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                left_s, self.timeout_keep_alive_handler
+            )
+            return
+        _log.info("idle_connection_closed", client=self.client, limit_s=limit_s)
         super().timeout_keep_alive_handler()
 
+    def _idle_timeout_s(self) -> int:
+        return ceil(type(self).limits().idle_timeout.total_seconds())
+
     def on_message_begin(self) -> None:
         """Start the timer of a request head."""
         super().on_message_begin()
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -1,6 +1,7 @@
 """Limits of the caller server on the size and duration of request heads."""
 
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from datetime import timedelta
@@ -30,6 +31,11 @@
     await send({"type": "http.response.body", "body": b""})
 
 
+def _changing(versions: Sequence[CallerLimits]) -> Callable[[], CallerLimits]:
+    started = time.monotonic()
+    return lambda: versions[min(len(versions) - 1, int(time.monotonic() - started))]
+
+
 @asynccontextmanager
 async def connected() -> AsyncIterator[anyio.abc.SocketStream]:
     async with connected_server() as (stream, _):
@@ -38,10 +44,11 @@
 
 @asynccontextmanager
 async def connected_server(
-    limits: CallerLimits = LIMITS,
+    *versions: CallerLimits,
 ) -> AsyncIterator[tuple[anyio.abc.SocketStream, CallerServer]]:
+    """Connect to a server; the limits stay the last of some versions, one a second."""
     address = Address(HOST, 8161)
-    server = CallerServer(_app, [address], lambda: limits)
+    server = CallerServer(_app, [address], _changing(versions or (LIMITS,)))
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.run)
         for _ in range(100):
@@ -121,3 +128,25 @@
         assert await status_of(stream) == 204
         with pytest.raises(anyio.EndOfStream):
             await stream.receive()
+
+
+# Guards against: a raised idle timeout doesn't reach open connections, so that they are
+# closed while callers may still use them.
+async def test_raised_idle_timeout_holds_for_open_connections() -> None:
+    raised = replace(LIMITS, idle_timeout=timedelta(seconds=10))
+    request = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
+    async with connected_server(LIMITS, raised) as (stream, _):
+        await stream.send(request)
+        assert await status_of(stream) == 204
+        await anyio.sleep(1.5)
+        await stream.send(request)
+        assert await status_of(stream) == 204
+
+
+# Guards against: a connection that is idle for longer than the timeout stays open.
+async def test_idle_connection_is_closed_after_the_timeout() -> None:
+    async with connected() as stream:
+        await stream.send(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        assert await status_of(stream) == 204
+        with anyio.fail_after(2), pytest.raises(anyio.EndOfStream):
+            await stream.receive()
