Reject responses with a status that can't be passed on

When a target answered with a status of 600 or more, the connection was closed with neither an answer nor an error.

Cause: the parser takes any three digits, and the HTTP server library has no status line for these; its error came after the answer counted as begun. Now such a response is invalid, as any other that can't be parsed: the request goes on at another target, or ends with 502.

Evidence: test_invalid_status_of_a_target_ends_in_an_error failed before with no byte received.

--- a/chivespan/responseparser.py
+++ b/chivespan/responseparser.py
@@ -11,6 +11,8 @@
 
 Header: TypeAlias = tuple[bytes, bytes]
 
+# A higher status can't be passed on.
+MAX_STATUS = 599
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
 
@@ -76,12 +78,17 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Complete the head, unless the response is an interim one."""
+        """Complete the head, unless the response is an interim one.
+
+        :raises ValueError: when the status is invalid; :meth:`feed` handles it.
+        """
         if self.head_complete:
             return
         status = self._parser.get_status_code()
         if status < HTTPStatus.OK:
             return
+        if status > MAX_STATUS:
+            raise ValueError(f"status {status} is invalid")
         self.status = status
         self.head_complete = True
         self.is_complete = not self._has_body
