Refuse a deadline beyond all bounds as a bad request

A caller whose deadline was infinite or had 300 digits got a bare 500 of the HTTP server library, without kind or request id: the number overflows a duration, and that error wasn't caught. It gets 400 now, as for any other value that is no number of milliseconds.

Evidence: test_invalid_deadline_is_refused_as_such failed before for 1e300 and inf.

--- a/chivespan/callerrequest.py
+++ b/chivespan/callerrequest.py
@@ -113,6 +113,6 @@
         return None
     try:
         return float(value) * MILLISECOND
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         reason = f"{value!r} is not a number of milliseconds"
         raise ChivespanError(ErrorKind.BAD_REQUEST, reason) from error
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -105,3 +105,12 @@
     other = head(b"200 OK", b"content-length: 0")
     async with node_before(head(status, b"content-length: 0") + other) as stream:
         assert (await answer_to(stream)).startswith(b"HTTP/1.1 502 ")
+
+
+# Guards against: a deadline beyond all bounds ends in an error outside the closed list.
+@pytest.mark.parametrize("value", [b"1e300", b"inf", b"nan"])
+async def test_invalid_deadline_is_refused_as_such(value: bytes) -> None:
+    async with node_before(head(b"200 OK", b"content-length: 0")) as stream:
+        deadline = b"x-chivespan-deadline-ms: %b\r\n" % value
+        answer = await answer_to(stream, deadline)
+        assert answer.startswith(b"HTTP/1.1 400 ")
