Announce no length for a stream that another target may continue

Cause: the first target's Content-Length was passed on, but the rest of the body comes from another target and need not have that length. The HTTP server library then ends the connection, at the byte that is too much or at the end that comes too early. Such streams are sent in chunks now, whatever the target uses; the events are unchanged.

Evidence: test_resumed_stream_ends_as_the_second_target_ends_it failed before, for a length that is too small and one that is too large.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -313,7 +313,10 @@
             return SendOutcome.BROKEN
         progress.response_started = self._clock.monotonic()
         if not responder.started:
-            await responder.start(reply.status, wire.caller_headers(reply.headers))
+            headers = wire.caller_headers(
+                reply.headers, may_be_resumed=route.may_be_continued
+            )
+            await responder.start(reply.status, headers)
             took = self._clock.monotonic() - request.arrived
             self._metrics.record_first_byte(route.kind.value, took)
         if progress.handover is not None:
@@ -395,7 +398,7 @@
         A resumable stream is passed on in whole events only, so that another target
         can continue after the last one.
         """
-        if not (route.resumable and route.is_repeatable):
+        if not route.may_be_continued:
             while (chunk := await reply.next_chunk()) is not None:
                 progress.record_data()
                 yield chunk
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -165,13 +165,18 @@
     return target_headers(encoded_headers, target_id, time_left, last_event)
 
 
-def caller_headers(headers: Iterable[Header]) -> list[Header]:
-    """Return the headers of a runner's response as they are sent to the client."""
-    return [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_BY_HOP_HEADERS
-    ]
+def caller_headers(
+    headers: Iterable[Header], *, may_be_resumed: bool = False
+) -> list[Header]:
+    """Return the headers of a runner's response as they are sent to the client.
+
+    :param may_be_resumed: whether another runner may send the rest of the body, which
+        then need not have the announced length.
+    """
+    dropped = _HOP_BY_HOP_HEADERS
+    if may_be_resumed:
+        dropped = dropped | {b"content-length"}
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
 def reports_not_run(reply: Reply) -> bool:
--- a/chivespan/routes.py
+++ b/chivespan/routes.py
@@ -64,6 +64,11 @@
             self.kind is RouteKind.STREAM and self.resumable
         )
 
+    @property
+    def may_be_continued(self) -> bool:
+        """Whether another target may continue a response that has begun."""
+        return self.resumable and self.is_repeatable
+
     @property
     def main_service(self) -> str:
         """The service with the largest share of the requests."""
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -114,3 +114,19 @@
         deadline = b"x-chivespan-deadline-ms: %b\r\n" % value
         answer = await answer_to(stream, deadline)
         assert answer.startswith(b"HTTP/1.1 400 ")
+
+
+# Guards against: a stream that another target continues is cut at the length that the
+# first one announced, which the rest need not have.
+@pytest.mark.parametrize("length", [40, 400])
+async def test_resumed_stream_ends_as_the_second_target_ends_it(length: int) -> None:
+    first = b"id: 1\ndata: a\n\n"
+    rest = b"id: 2\ndata: bb\n\nid: 3\ndata: cc\n\n"
+    async with node_before(
+        head(b"200 OK", b"content-length: %d" % length) + first,
+        head(b"200 OK", b"content-length: %d" % len(rest)) + rest,
+    ) as stream:
+        answer = await answer_to(stream)
+        assert b"content-length" not in answer
+        assert all(event + b"\n\n" in answer for event in (b"data: a", b"data: bb"))
+        assert answer.endswith(b"data: cc\n\n\r\n0\r\n\r\n")
