Log errors outside the closed list, and answer them with a kind

An error that wasn't a ChivespanError ended a request with a bare 500 of the HTTP server library, or cut an answer that had begun, and stood only as a traceback on standard error: the log couldn't tell why such a request ended. It is a line with the request's id now, and an answer of kind `internal` where none has begun.

Evidence: test_unexpected_error_is_answered_with_its_kind failed before.

--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -74,7 +74,24 @@
         if listener is not Listener.FRONT:
             await self._handlers[listener](scope, responder)
             return
-        await self._handle_front(scope, receive, responder)
+        try:
+            await self._handle_front(scope, receive, responder)
+        except Exception as error:
+            await self._end_unexpectedly(responder, error)
+
+    async def _end_unexpectedly(self, responder: Responder, error: Exception) -> None:
+        """Log an error outside the closed list, and answer if nothing was sent yet."""
+        _log.error(
+            "request_failed",
+            request=responder.request_id,
+            reason=repr(error),
+            response_started=responder.started,
+        )
+        self._metrics.incr("request_failed")
+        if responder.started:
+            raise error
+        reason = "the request ended with an unexpected error"
+        await responder.send_error(ChivespanError(ErrorKind.INTERNAL, reason))
 
     async def _handle_ready(self, _scope: Scope, responder: Responder) -> None:
         ready = self._node_status.is_ready
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -130,3 +130,17 @@
         assert b"content-length" not in answer
         assert all(event + b"\n\n" in answer for event in (b"data: a", b"data: bb"))
         assert answer.endswith(b"data: cc\n\n\r\n0\r\n\r\n")
+
+
+# Guards against: an unexpected error leaves no log line, and an answer without a kind.
+async def test_unexpected_error_is_answered_with_its_kind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def fail(*_arguments: object) -> None:
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(Forwarder, "serve", fail)
+    async with node_before(b"") as stream:
+        answer = await answer_to(stream)
+        assert answer.startswith(b"HTTP/1.1 500 ")
+        assert b'"internal"' in answer
