End a stopping node in time beside a request that is never completed

The check goes on until the process ends now, and ends it in the margin before the kill.

Evidence: test_stopping_node_ends_in_time_beside_an_unfinished_request failed before (still running after the 8 s of its grace period).

--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -270,16 +270,17 @@
         """Stop once callers use other nodes, or when the grace period expires."""
         await self.node_list.unlist()
         while not self.node_status.must_end:
-            if (
-                self.node_status.cached_addresses_expired
-                and not self.server.in_progress
-            ):
-                break
+            if self._is_unused():
+                # An unfinished request may still keep it from ending.
+                self.server.stop()
             await anyio.sleep(UPKEEP_INTERVAL_S)
-        if self.node_status.must_end:
-            _log.warning("time_is_up", in_progress=self.server.in_progress)
-            self.server.stop_now()
-        self.server.stop()
+        _log.warning("time_is_up", in_progress=self.server.in_progress)
+        self.server.stop_now()
+
+    def _is_unused(self) -> bool:
+        """Return whether no caller uses this node any more."""
+        expired = self.node_status.cached_addresses_expired
+        return expired and not self.server.in_progress
 
     async def _run_upkeep(self) -> None:
         """Flush the log, update gauges and reload changed settings, periodically."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -29,6 +29,8 @@
 BATCH_PREFIX = "/batch/"
 FRONT_PORT, READY_PORT, CONTROL_PORT, DIRECTORY_PORT = 8161, 8167, 8166, 8164
 RELAY_OFFSET = 80
+# From SIGTERM until the platform kills a node.
+GRACE_S = 8
 ROOT = Path(__file__).parent.parent
 _block_numbers = count(1)
 
@@ -253,7 +255,7 @@
 control = "{vm}:{CONTROL_PORT}"
 directory = "{vm}:{DIRECTORY_PORT}"
 [bounds]
-graceS = 8
+graceS = {GRACE_S}
 [platform]
 address = "{self.relay_addresses.get(self.store_address, self.store_address)}"
 """
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,6 +12,8 @@
 from tests.fleet import (
     BATCH_PREFIX,
     DIRECTORY_PORT,
+    FRONT_PORT,
+    GRACE_S,
     ONCE_PREFIX,
     STREAM_PREFIX,
     batch_route,
@@ -369,6 +371,24 @@
         assert refused.headers["connection"] == "close"
 
 
+# Guards against: a caller that never completes its request keeps a stopping node alive
+# until the platform kills it.
+async def test_stopping_node_ends_in_time_beside_an_unfinished_request(
+    tmp_path: Path,
+) -> None:
+    async with fleet(tmp_path, 1, target(1)) as (site, _):
+        document = json.loads(config(2))
+        document["limits"] = {"headerTimeoutMs": 60_000}
+        site.publish(json.dumps(document).encode())
+        with anyio.fail_after(5):
+            while site.events(1, "routing_in_force")[-1]["version"] != 2:
+                await anyio.sleep(0.05)
+        async with await anyio.connect_tcp(site.vm(1), FRONT_PORT) as stream:
+            await stream.send(b"GET / HTTP/1.1\r\n")
+            with anyio.fail_after(GRACE_S):
+                assert await site.stop(1) == 0
+
+
 async def test_invalid_submission_is_refused_and_nodes_keep_running(
     tmp_path: Path,
 ) -> None:
