--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -5,9 +5,8 @@
 from another target within the same response.
 """
 
-from dataclasses import dataclass, field
+from contextlib import ExitStack
 from datetime import timedelta
-from enum import StrEnum
 from functools import partial
 from http import HTTPStatus
 from random import Random
@@ -17,7 +16,6 @@
 from chivespan.callerrequest import CallerRequest, Responder, parse_milliseconds
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.eventstream import EventSplitter
 from chivespan.exchange import Call, NotSent, Reply, exchange
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
@@ -25,6 +23,7 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
 from chivespan.promptguard import PromptGuard
+from chivespan.requestprogress import MAY_HAVE_RUN, Progress, SendOutcome
 from chivespan.responserelay import (
     ResponseRelay,
     check_continues,
@@ -33,8 +32,9 @@
     splitter_for,
 )
 from chivespan.routes import Route
+from chivespan.streamhandover import Handover
 from chivespan.targetpick import Candidate, TargetPicker
-from chivespan.targetsilence import SilenceDetector, StreamWatch
+from chivespan.targetsilence import SilenceDetector
 
 MAX_UNREACHED = 4
 HEAD_TIMEOUT_OBJECTIVES = 1.5
@@ -45,70 +45,6 @@
 _log = logger("online")
 
 
-class SendOutcome(StrEnum):
-    """Result of sending a request to one target.
-
-    - ``DELIVERED``: the complete response was passed on to the caller.
-    - ``UNREACHED``: no byte of the request was sent.
-    - ``NOT_RUN``: the target stated that it didn't run the request.
-    - ``BROKEN``: the target failed and may have run the request.
-    """
-
-    DELIVERED = "delivered"
-    UNREACHED = "unreached"
-    NOT_RUN = "not_run"
-    BROKEN = "broken"
-
-
-@dataclass(slots=True)
-class Progress:
-    """State of one request over all its attempts.
-
-    :ivar deadline: monotonic time by which the complete response is due.
-    :ivar tried: ids of the targets chosen so far.
-    :ivar may_have_run: whether a target may have started to run the request.
-    :ivar in_flight: whether an attempt is in progress whose outcome isn't known yet.
-    :ivar expects_slot: whether the target had a free slot when it was chosen.
-    :ivar response_started: monotonic time at which the last target's response started.
-    :ivar can_resume: whether another target could take over the stream, as of
-        ``resume_checked``.
-    :ivar prompt_parts: parts of its prompt that other requests may share.
-    :ivar reads: how often the current target has sent whole events.
-    :ivar may_have_ended: whether the last target may have ended during the attempt.
-    :ivar can_continue: whether another target may continue the response passed on.
-    :ivar sends: attempts that reached a target.
-    :ivar unreached: attempts in which no byte was sent.
-    """
-
-    deadline: timedelta
-    service: str
-    prompt_parts: tuple[str, ...] = ()
-    tried: set[str] = field(default_factory=set)
-    may_have_run: bool = False
-    in_flight: bool = False
-    expects_slot: bool = False
-    response_started: timedelta = timedelta(0)
-    can_resume: bool = False
-    resume_checked: timedelta | None = None
-    reads: int = 0
-    may_have_ended: bool = False
-    can_continue: bool = False
-    sends: int = 0
-    unreached: int = 0
-    splitter: EventSplitter = field(default_factory=EventSplitter)
-    watch: StreamWatch | None = None
-
-    def record_data(self) -> None:
-        """Record that the current target has sent data."""
-        if self.watch is not None:
-            self.watch.record_data()
-
-    @property
-    def ran_or_may_run(self) -> bool:
-        """Whether the request may have run, so that an error can't claim "not run"."""
-        return self.may_have_run or self.in_flight
-
-
 class Forwarder:
     """Forwards the online requests that this node receives."""
 
@@ -174,15 +110,14 @@
                 raise self._refusal(
                     progress, "no target has a free slot or a short queue"
                 )
-            entry = candidate.entry
-            progress.tried.add(entry.target_id)
-            progress.expects_slot = candidate.free > 0
-            progress.resume_checked = None
-            with self._load_table.track_online(entry.target_id):
-                outcome = await self._send(request, route, entry, progress, responder)
+            outcome = await self._attempt(
+                request, route, candidate, progress, responder
+            )
+            if outcome is SendOutcome.HANDED_OVER:
+                outcome = progress.handover_outcome
             if outcome is SendOutcome.DELIVERED:
                 return
-            is_suspect = await self._is_suspect(request, progress, entry)
+            is_suspect = await self._is_suspect(request, progress)
             self._check_retry_allowed(route, progress, outcome, responder.started)
             if is_suspect:
                 reason = "the target ended as it began to answer the request"
@@ -200,16 +135,36 @@
                 raise
             raise ChivespanError(ErrorKind.TARGET_FAILED, error.message) from error
 
-    async def _is_suspect(
-        self, request: CallerRequest, progress: Progress, entry: TargetEntry
-    ) -> bool:
+    async def _is_suspect(self, request: CallerRequest, progress: Progress) -> bool:
         """Return whether the request may be the cause of its target's end."""
         if not progress.may_have_ended or progress.reads >= READS_OF_AN_ANSWER:
             return False
+        if progress.entry is None:
+            return False
         return not await self._prompt_guard.may_resend(
-            request.request_id, progress.prompt_parts, entry
+            request.request_id, progress.prompt_parts, progress.entry
         )
 
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        route: Route,
+        candidate: Candidate,
+        progress: Progress,
+        responder: Responder,
+    ) -> SendOutcome:
+        """Send a request to a candidate, which is counted there meanwhile."""
+        entry = progress.entry = candidate.entry
+        progress.tried.add(entry.target_id)
+        progress.expects_slot = candidate.free > 0
+        progress.resume_checked = None
+        with ExitStack() as holds:
+            progress.holds = holds
+            holds.enter_context(self._load_table.track_online(entry.target_id))
+            watch = self._silence.watch_stream(entry.target_id)
+            progress.watch = holds.enter_context(watch)
+            return await self._send(request, route, entry, progress, responder)
+
     def _log_no_target(self, request: CallerRequest, progress: Progress) -> None:
         """Log the counts that led to no target being chosen."""
         candidates = self._picker.candidates(progress.service)
@@ -265,13 +220,12 @@
         progress.may_have_ended = False
         try:
             call = self._call(request, route, entry, progress)
-            with self._silence.watch_stream(entry.target_id) as progress.watch:
-                async with exchange(call) as reply:
-                    if wire.announces_leaving(reply):
-                        self._picker.record_leaving(entry)
-                    outcome = await self._relay_response(
-                        reply, request, route, progress, responder
-                    )
+            async with exchange(call) as reply:
+                if wire.announces_leaving(reply):
+                    self._picker.record_leaving(entry)
+                outcome = await self._relay_response(
+                    reply, request, route, progress, responder
+                )
         except NotSent as error:
             outcome = SendOutcome.UNREACHED
             reason = error.message
@@ -282,8 +236,9 @@
         else:
             reason = str(reply.status)
         progress.in_flight = False
-        progress.may_have_run |= outcome is SendOutcome.BROKEN
-        self._record_outcome(request, entry, progress, outcome, reason)
+        progress.may_have_run |= outcome in MAY_HAVE_RUN
+        if outcome is not SendOutcome.HANDED_OVER:
+            self._record_outcome(request, entry, progress, outcome, reason)
         return outcome
 
     def _call(
@@ -345,11 +300,72 @@
             await relay.start(is_stream)
             took = self._clock.monotonic() - request.arrived
             self._metrics.record_first_byte(route.kind.value, took)
-        await relay.pass_body(is_stream)
+        if progress.handover is not None:
+            await progress.handover.accept()
+        hand_over = partial(self._hand_over, reply, request, route, progress, responder)
+        if not await relay.pass_body(is_stream, hand_over):
+            return SendOutcome.HANDED_OVER
         if reply.status == HTTPStatus.OK and reply.is_delimited:
             self._prompt_guard.record_answered(progress.prompt_parts)
         return SendOutcome.DELIVERED
 
+    async def _hand_over(
+        self,
+        paused: Reply,
+        request: CallerRequest,
+        route: Route,
+        progress: Progress,
+        responder: Responder,
+    ) -> bool:
+        """Try to continue a paused stream at another target; return whether it did.
+
+        If none accepts, the paused stream is to be read on.
+        """
+        candidate = self._pick_within(self._time_left(progress), progress)
+        if candidate is None or progress.entry is None:
+            return False
+        entry, holds, watch = progress.entry, progress.holds, progress.watch
+        outcome: SendOutcome | None = None
+
+        def give_up_paused() -> None:
+            holds.close()
+            self._record_outcome(
+                request, entry, progress, SendOutcome.HANDED_OVER, "stream paused"
+            )
+
+        async def attempt() -> None:
+            nonlocal outcome
+            outcome = await self._attempt(
+                request, route, candidate, progress, responder
+            )
+
+        progress.sends += 1
+        handover = Handover(paused, progress.splitter, give_up_paused)
+        progress.handover = handover
+        await handover.run(attempt)
+        progress.handover = None
+        _log.info(
+            "handover_tried",
+            request=request.request_id,
+            paused=entry.target_id,
+            other=candidate.entry.target_id,
+            accepted=handover.accepted,
+            outcome=outcome.value if outcome else "paused_stream_went_on",
+        )
+        if handover.accepted:
+            if outcome and outcome is not SendOutcome.HANDED_OVER:
+                progress.handover_outcome = outcome
+            return True
+        if outcome is SendOutcome.UNREACHED:
+            progress.sends -= 1
+            progress.unreached += 1
+        progress.entry, progress.holds, progress.watch = entry, holds, watch
+        progress.in_flight = True
+        if handover.events:
+            self._record_data(progress, True)
+            await responder.write(handover.events)
+        return False
+
     def _record_data(self, progress: Progress, is_stream: bool) -> None:
         """Record that the current target has sent data, of a stream whole events."""
         progress.record_data()
@@ -426,7 +442,7 @@
         if outcome is SendOutcome.UNREACHED:
             left_out = True
             self._picker.record_unreachable(entry.target_id)
-        elif outcome is SendOutcome.BROKEN:
+        elif outcome in MAY_HAVE_RUN:
             left_out = self._picker.record_failure(entry.target_id)
         _log.info(
             "send_failed",
@@ -445,6 +461,13 @@
         """
         if not responder.started:
             await responder.send_error(error)
+            return
+        _log.notice(
+            "response_cut",
+            request=responder.request_id,
+            kind=error.kind.value,
+            reason=error.message,
+        )
 
     def _time_left(self, progress: Progress) -> timedelta:
         return max(NO_WAIT, progress.deadline - self._clock.monotonic())
--- /dev/null
+++ b/chivespan/requestprogress.py
@@ -0,0 +1,88 @@
+"""The state of one online request over all its attempts."""
+
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import StrEnum
+
+from chivespan.eventstream import EventSplitter
+from chivespan.nodemessages import TargetEntry
+from chivespan.streamhandover import Handover
+from chivespan.targetsilence import StreamWatch
+
+
+class SendOutcome(StrEnum):
+    """Result of sending a request to one target.
+
+    - ``DELIVERED``: the complete response was passed on to the caller.
+    - ``UNREACHED``: no byte of the request was sent.
+    - ``NOT_RUN``: the target stated that it didn't run the request.
+    - ``BROKEN``: the target failed and may have run the request.
+    - ``HANDED_OVER``: the target paused, and another one has taken over the stream.
+    """
+
+    DELIVERED = "delivered"
+    UNREACHED = "unreached"
+    NOT_RUN = "not_run"
+    BROKEN = "broken"
+    HANDED_OVER = "handed_over"
+
+
+MAY_HAVE_RUN = frozenset({SendOutcome.BROKEN, SendOutcome.HANDED_OVER})
+
+
+@dataclass(slots=True)
+class Progress:
+    """State of one request over all its attempts.
+
+    :ivar deadline: monotonic time by which the complete response is due.
+    :ivar tried: ids of the targets chosen so far.
+    :ivar may_have_run: whether a target may have started to run the request.
+    :ivar in_flight: whether an attempt is in progress whose outcome isn't known yet.
+    :ivar expects_slot: whether the target had a free slot when it was chosen.
+    :ivar response_started: monotonic time at which the last target's response started.
+    :ivar can_resume: whether another target could take over the stream, as of
+        ``resume_checked``.
+    :ivar prompt_parts: parts of its prompt that other requests may share.
+    :ivar reads: how often the current target has sent whole events.
+    :ivar may_have_ended: whether the last target may have ended during the attempt.
+    :ivar can_continue: whether another target may continue the response passed on.
+    :ivar sends: attempts that reached a target.
+    :ivar unreached: attempts in which no byte was sent.
+    :ivar entry: the target of the current attempt.
+    :ivar holds: what the current attempt holds: its place in the counts of its target.
+    :ivar handover: the hand-over that the current attempt is part of.
+    :ivar handover_outcome: result of the attempt that took over.
+    """
+
+    deadline: timedelta
+    service: str
+    prompt_parts: tuple[str, ...] = ()
+    tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+    in_flight: bool = False
+    expects_slot: bool = False
+    response_started: timedelta = timedelta(0)
+    can_resume: bool = False
+    resume_checked: timedelta | None = None
+    reads: int = 0
+    may_have_ended: bool = False
+    can_continue: bool = False
+    sends: int = 0
+    unreached: int = 0
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    watch: StreamWatch | None = None
+    entry: TargetEntry | None = None
+    holds: ExitStack = field(default_factory=ExitStack)
+    handover: Handover | None = None
+    handover_outcome: SendOutcome = SendOutcome.BROKEN
+
+    def record_data(self) -> None:
+        """Record that the current target has sent data."""
+        if self.watch is not None:
+            self.watch.record_data()
+
+    @property
+    def ran_or_may_run(self) -> bool:
+        """Whether the request may have run, so that an error can't claim "not run"."""
+        return self.may_have_run or self.in_flight
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -6,7 +6,7 @@
 target may be longer.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
@@ -47,13 +47,35 @@
             headers = [each for each in headers if each[0].lower() != CONTENT_LENGTH]
         await self.responder.start(self.reply.status, headers)
 
-    async def pass_body(self, is_stream: bool) -> None:
+    async def pass_body(
+        self, is_stream: bool, hand_over: Callable[[], Awaitable[bool]]
+    ) -> bool:
         """Pass the body on, and end the caller's response.
 
+        :param hand_over: is called when a stream pauses; returns whether another
+            target continues it.
+        :returns: whether the body was passed on to its end.
         :raises ChivespanError: ``stream_broken`` when the body is incomplete.
         """
-        await (self._pass_events() if is_stream else self._pass_chunks())
+        if not is_stream:
+            await self._pass_chunks()
+        elif not await self._pass_stream(hand_over):
+            return False
         await self.responder.finish()
+        return True
+
+    async def _pass_stream(self, hand_over: Callable[[], Awaitable[bool]]) -> bool:
+        """Pass a stream on; return whether it was passed on to its end."""
+        self.splitter.start_response()
+        while True:
+            with self.reply.pausable() as until_pause:
+                await self._pass_events()
+            if not until_pause.cancelled_caught:
+                break
+            if await hand_over():
+                return False
+        self.splitter.check_end(self.reply.is_delimited)
+        return True
 
     async def _pass_chunks(self) -> None:
         """Pass the body on as it arrives.
@@ -67,10 +89,8 @@
     async def _pass_events(self) -> None:
         """Pass the body on in whole events.
 
-        :raises ChivespanError: ``stream_broken`` when the body is incomplete, ends
-            inside an event or without one, or has no event in time.
+        :raises ChivespanError: ``stream_broken`` when the body is incomplete.
         """
-        self.splitter.start_response()
         last_event = self.clock.monotonic()
         while True:
             timeout = self.event_timeout(last_event)
@@ -81,7 +101,6 @@
                 self.record_data()
                 await self.responder.write(whole)
                 last_event = self.clock.monotonic()
-        self.splitter.check_end(self.reply.is_delimited)
 
 
 def splitter_for(route: Route, last_event: str) -> EventSplitter:
