Take a connection that is reset while it opens for no sign of an ended target

Cause: the event loop reports a connection that the peer resets while it opens as a RuntimeError, as exchange knows already. From the check whether a target has ended it would have gone on to the request or the item.

Change: it counts as not refused: somebody accepted. A time-out is an OSError without a refusal as its cause, so it needs no case of its own.

--- a/chivespan/targetliveness.py
+++ b/chivespan/targetliveness.py
@@ -27,9 +27,7 @@
     try:
         with anyio.fail_after(CONNECT_TIMEOUT.total_seconds()):
             stream = await anyio.connect_tcp(parsed.host, parsed.port)
-    except TimeoutError:
-        return False
-    except OSError as error:
+    except (OSError, RuntimeError) as error:
         return isinstance(error.__cause__ or error, ConnectionRefusedError)
     await stream.aclose()
     return False
