Collect evidence on prompt parts from batch items

Cause: a target that crashed under a batch item left no trace beyond item_broken. A part that only items carry was never found, and an item that met a crash beside a harmful request couldn't speak for its own parts.

Change: the executor records that a target answers an item's parts after two reads with whole events, or at the end of an answer with any event.

Ruled out: the reason of the break as evidence. A reset of one connection reads like a crash.

Nothing acts on the evidence yet.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -20,6 +20,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import EventSplitter, parse_events
 from chivespan.exchange import Call, NotSent, Reply, exchange
+from chivespan.itemquarantine import ItemQuarantine
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -31,6 +32,7 @@
 )
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
+from chivespan.promptquarantine import PromptQuarantine
 from chivespan.targetpick import TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector, StreamWatch
@@ -40,6 +42,8 @@
 HEAD_TIMEOUT = timedelta(seconds=1)
 EVENT_TIMEOUT = timedelta(milliseconds=600)
 REPEAT_INTERVAL = timedelta(seconds=1)
+# A target may send its first events together and crash right after.
+READS_THAT_PROVE_AN_ANSWER = 2
 
 _log = logger("executor")
 
@@ -55,13 +59,17 @@
     """An item that this node holds.
 
     :ivar events: data of all events received so far.
+    :ivar parts: ids of the parts of its prompt that other requests may share.
     :ivar state: state that is reported to the owner.
+    :ivar answered: whether a target has answered its prompt in the current run.
     :ivar scope: cancels the current run; None while the item doesn't run.
     """
 
     start: ItemStart
     events: list[str]
+    parts: tuple[str, ...] = ()
     state: ItemState = ItemState.paused
+    answered: bool = False
     scope: anyio.CancelScope | None = field(default=None, repr=False)
 
     @property
@@ -110,6 +118,7 @@
         clock: Clock,
         metrics: NodeMetrics,
         send_status: Callable[[ItemStatus], None],
+        quarantine: PromptQuarantine,
     ) -> None:
         self._targets = targets
         self._picker = picker
@@ -118,6 +127,7 @@
         self._clock = clock
         self._metrics = metrics
         self._send_status = send_status
+        self._quarantine = ItemQuarantine(quarantine)
         self._yield_rule = YieldRule(picker, load_table, clock, Random())
         self._items: dict[tuple[str, str], HeldItem] = {}
         self._tasks: TaskGroup | None = None
@@ -143,7 +153,8 @@
             self._send_status(status_without_run(message, ItemState.returned))
             return
         if held is None:
-            held = self._items[key] = HeldItem(message, list(message.events))
+            parts = wire.item_prompt_parts(_headers(message))
+            held = self._items[key] = HeldItem(message, list(message.events), parts)
         else:
             held.start = _retargeted(held.start, message)
         if held.state is ItemState.done:
@@ -206,6 +217,7 @@
             return ItemState.not_run
         if self._is_full(entry):
             return ItemState.paused
+        held.answered = False
         with self._load_table.track_batch(entry.target_id):
             try:
                 return await self._exchange(held, entry)
@@ -215,13 +227,15 @@
                 self._picker.record_unreachable(entry.target_id)
                 return ItemState.not_run
             except ChivespanError as error:
-                return self._broken(held, entry, error.message)
+                return await self._broken(held, entry, error.message)
             except Exception as error:
                 # Nothing that a target sends may stop this process.
                 _log.exception("item_run_failed", item=held.start.item_id)
-                return self._broken(held, entry, repr(error))
+                return await self._broken(held, entry, repr(error))
 
-    def _broken(self, held: HeldItem, entry: TargetEntry, reason: str) -> ItemState:
+    async def _broken(
+        self, held: HeldItem, entry: TargetEntry, reason: str
+    ) -> ItemState:
         """Record that a target failed during a run."""
         self._picker.record_failure(entry.target_id)
         _log.info(
@@ -230,6 +244,9 @@
             target=entry.target_id,
             reason=reason,
         )
+        if not held.answered:
+            item_id = held.start.item_id
+            await self._quarantine.record_break(held.parts, item_id, entry)
         return ItemState.broken
 
     async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
@@ -260,6 +277,7 @@
         :raises ChivespanError: ``stream_broken`` if the stream is incomplete.
         """
         splitter = EventSplitter()
+        reads = 0
         checked = last_event = self._clock.monotonic()
         while True:
             # Parts of an event don't extend its time limit.
@@ -271,11 +289,15 @@
             if whole:
                 watch.record_data()
                 last_event = self._clock.monotonic()
-            for event in parse_events(whole):
+            events = parse_events(whole)
+            for event in events:
                 if event.event_id != len(held.events) + 1:
                     reason = f"event {event.event_id} follows event {len(held.events)}"
                     raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
                 held.events.append(event.data)
+            reads += bool(events)
+            if reads >= READS_THAT_PROVE_AN_ANSWER:
+                self._record_answered(held)
             now = self._clock.monotonic()
             if self._yield_rule.must_yield(entry, now - checked):
                 raise _Yielded
@@ -283,6 +305,13 @@
         if splitter.has_partial:
             reason = "stream ended inside an event"
             raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
+        if reads:
+            self._record_answered(held)
+
+    def _record_answered(self, held: HeldItem) -> None:
+        if not held.answered:
+            held.answered = True
+            self._quarantine.record_answered(held.parts)
 
     def _is_full(self, entry: TargetEntry) -> bool:
         return self._load_table.total(entry.target_id) >= entry.slots
@@ -291,7 +320,7 @@
 def _request_for(held: HeldItem, entry: TargetEntry) -> Call:
     start = held.start
     headers = wire.item_headers(
-        [(header.name, header.value) for header in start.headers],
+        _headers(start),
         start.item_id,
         start.host,
         entry.target_id,
@@ -310,6 +339,10 @@
     )
 
 
+def _headers(start: ItemStart) -> list[tuple[str, str]]:
+    return [(header.name, header.value) for header in start.headers]
+
+
 def _retargeted(held_start: ItemStart, message: ItemStart) -> ItemStart:
     """Return a held item's start message with the target of a new start message."""
     return ItemStart(
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -182,6 +182,7 @@
             clock,
             self.metrics,
             self._notify_owner,
+            self.quarantine,
         )
         self.batch = BatchNode(
             settings,
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -151,6 +151,14 @@
     return ()
 
 
+def item_prompt_parts(headers: Iterable[tuple[str, str]]) -> tuple[str, ...]:
+    """Return the ids of the parts of a batch item's prompt that others may share."""
+    return shared_prompt_parts(
+        (name.encode(errors="replace"), value.encode(errors="replace"))
+        for name, value in headers
+    )
+
+
 def target_headers(
     headers: Iterable[Header], target_id: str, time_left: timedelta, last_event: int
 ) -> list[Header]:
--- a/tests/test_endlessdata.py
+++ b/tests/test_endlessdata.py
@@ -232,6 +232,7 @@
             self.clock,
             self.metrics,
             self.statuses.append,
+            PromptQuarantine(self.clock),
         )
 
     async def run_item(self, tasks: TaskGroup) -> ItemState:
