Keep batch items with harmful prompt parts away from targets

Cause: an item whose target crashed was started again after 200 ms, at the next target, without end; each start of an item with a harmful part ends one target.

Change: the owner of a partition leaves items with a part in quarantine out of those it may start, so that they take no room, count in no backlog and cost no messages. They are ready again when the quarantine ends, and are given up like any other item at the end of the retention. Waiting at the owner does not prolong a quarantine; an attempt to send does. An item that a target broke off waits as well while one of its parts may not be resent, but not longer than 5 to 10 s after its first break; the time doubles with each break, and differs by item so that items with one part don't come back together. The node that runs items checks once more before it sends one, for owners that don't have the evidence yet or that took over and don't know of the breaks.

Ruled out: waiting until the evidence expires (ten minutes), since a sound item that met two crashes by chance would be given up before; a wait by part instead of by item, since it would stop a whole job after two crashes; looking up an item's crashes in the evidence, which need not keep all requests of a crash; a new state of items in the messages, since older owners can't read it.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -20,7 +20,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import EventSplitter, parse_events
 from chivespan.exchange import Call, NotSent, Reply, exchange
-from chivespan.itemquarantine import ItemQuarantine
+from chivespan.itemquarantine import ItemBreaks, ItemQuarantine
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -62,6 +62,7 @@
     :ivar parts: ids of the parts of its prompt that other requests may share.
     :ivar state: state that is reported to the owner.
     :ivar answered: whether a target has answered its prompt in the current run.
+    :ivar breaks: the runs that broke off before that.
     :ivar scope: cancels the current run; None while the item doesn't run.
     """
 
@@ -70,6 +71,7 @@
     parts: tuple[str, ...] = ()
     state: ItemState = ItemState.paused
     answered: bool = False
+    breaks: ItemBreaks = field(default_factory=ItemBreaks)
     scope: anyio.CancelScope | None = field(default=None, repr=False)
 
     @property
@@ -127,7 +129,7 @@
         self._clock = clock
         self._metrics = metrics
         self._send_status = send_status
-        self._quarantine = ItemQuarantine(quarantine)
+        self._quarantine = ItemQuarantine(quarantine, clock)
         self._yield_rule = YieldRule(picker, load_table, clock, Random())
         self._items: dict[tuple[str, str], HeldItem] = {}
         self._tasks: TaskGroup | None = None
@@ -217,6 +219,8 @@
             return ItemState.not_run
         if self._is_full(entry):
             return ItemState.paused
+        if self._is_held_back(held):
+            return ItemState.not_run
         held.answered = False
         with self._load_table.track_batch(entry.target_id):
             try:
@@ -233,6 +237,17 @@
                 _log.exception("item_run_failed", item=held.start.item_id)
                 return await self._broken(held, entry, repr(error))
 
+    def _is_held_back(self, held: HeldItem) -> bool:
+        """Return whether an item may not be sent, though its owner didn't know yet."""
+        start = held.start
+        part = self._quarantine.find_blocking(held.parts, start.item_id, held.breaks)
+        if part is None:
+            return False
+        _log.info(
+            "item_not_sent", job=start.job_id, item=start.item_id, prompt_part=part
+        )
+        return True
+
     async def _broken(
         self, held: HeldItem, entry: TargetEntry, reason: str
     ) -> ItemState:
@@ -245,6 +260,7 @@
             reason=reason,
         )
         if not held.answered:
+            held.breaks.record(self._clock.monotonic())
             item_id = held.start.item_id
             await self._quarantine.record_break(held.parts, item_id, entry)
         return ItemState.broken
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -19,6 +19,7 @@
 from chivespan.codec import decode, encode
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.keyedstore import KeyedRecord
+from chivespan.platform import wire
 
 MAX_ID_CHARS = 100
 _JOB = "job"
@@ -60,6 +61,7 @@
     :ivar results: ordered by position.
     :ivar result_parts: number of records of each result.
     :ivar finished_ids: ids of the items that have a result.
+    :ivar prompt_parts: shared parts of the prompts of items, filled in when asked for.
     """
 
     job_id: str
@@ -69,6 +71,7 @@
     result_parts: list[int] = field(default_factory=list)
     finished_ids: set[str] = field(default_factory=set)
     ended: bool = False
+    prompt_parts: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     @property
     def submitted(self) -> datetime:
@@ -86,6 +89,14 @@
             if item_id not in self.finished_ids:
                 yield item
 
+    def prompt_parts_of(self, item: BatchItem) -> tuple[str, ...]:
+        """Return the parts of an item's prompt that other requests may share."""
+        known = self.prompt_parts.get(item.item_id)
+        if known is None:
+            headers = ((each.name, each.value) for each in item.headers)
+            known = self.prompt_parts[item.item_id] = wire.item_prompt_parts(headers)
+        return known
+
     def keys(self) -> Iterator[str]:
         """Yield the keys of all records of the job, the head record's key last."""
         for part in range(self.head.chunks):
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -39,6 +39,7 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.onlinepeak import OnlinePeak
+from chivespan.promptquarantine import PromptQuarantine
 from chivespan.routingstate import RoutingState
 from chivespan.targetpick import TargetPicker
 
@@ -67,6 +68,7 @@
         clock: Clock,
         metrics: NodeMetrics,
         capacity_policy: CapacityPolicy,
+        quarantine: PromptQuarantine,
     ) -> None:
         self._links = links
         self._ownership = ownership
@@ -96,6 +98,7 @@
                 timedelta(seconds=settings.job_status_s),
                 settings.store.max_record_bytes,
                 metrics,
+                quarantine,
             )
             for number, ledger in enumerate(self._stores)
         ]
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -13,6 +13,7 @@
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError
 from chivespan.itemduration import ItemDurationEstimator
+from chivespan.itemquarantine import ItemQuarantine
 from chivespan.itemrun import ItemRun
 from chivespan.itemtimes import ItemPhase, ItemTimes
 from chivespan.ledgerstore import LedgerStore
@@ -25,6 +26,7 @@
     ItemStop,
 )
 from chivespan.nodemetrics import NodeMetrics
+from chivespan.promptquarantine import PromptQuarantine
 from chivespan.routes import Route, RouteKind
 from chivespan.routingstate import RoutingState
 
@@ -63,6 +65,7 @@
         job_status: timedelta,
         max_record_bytes: int,
         metrics: NodeMetrics,
+        quarantine: PromptQuarantine,
     ) -> None:
         self.partition = partition
         self._metrics = metrics
@@ -76,6 +79,7 @@
         self._start_not_before = NO_WAIT
         self._owner_since = clock.now()
         self._caught_up = False
+        self._quarantine = ItemQuarantine(quarantine, clock)
         self._durations = ItemDurationEstimator()
         self._early_statuses: list[tuple[str, ItemStatus]] = []
         self._finished: list[WriteResult] = []
@@ -116,6 +120,7 @@
         wall_time = self._clock.now()
         if now < self._start_not_before or not self._caught_up:
             return
+        suspects = self._quarantine.suspects
         for job in self._store.ledger.open_jobs():
             route = self._route_of(job)
             if route is None:
@@ -127,6 +132,8 @@
                 run = self._runs.get((job.job_id, item.item_id))
                 if run and not run.can_start(now):
                     continue
+                if suspects and self._is_held_back(job, item, suspects):
+                    continue
                 remaining = self._remaining(run)
                 yield WaitingItem(
                     partition=self.partition,
@@ -160,6 +167,9 @@
             body=b"" if holds else item.body,
             events=[] if holds else list(run.events),
         )
+        if run.held_back:
+            part = run.held_back
+            _log.info("item_let_go", job=key[0], item=key[1], prompt_part=part)
         run.start(placement.vm, placement.entry.target_id, self._clock.monotonic())
         if not self._send(placement.vm, message):
             self._release_item(key, run)
@@ -255,6 +265,24 @@
             for item in job.waiting_items():
                 self._finish((job.job_id, item.item_id), done=False, text="")
 
+    def _is_held_back(
+        self, job: LedgerJob, item: BatchItem, suspects: frozenset[str]
+    ) -> bool:
+        """Return whether an item may not be sent, as it may crash its target."""
+        parts = job.prompt_parts_of(item)
+        if suspects.isdisjoint(parts):
+            return False
+        run = self._run_of((job.job_id, item.item_id))
+        part = self._quarantine.blocking_part(parts, item.item_id, run.breaks)
+        if part is None:
+            return False
+        if run.held_back != part:
+            run.held_back = part
+            _log.info(
+                "item_held_back", job=job.job_id, item=item.item_id, prompt_part=part
+            )
+        return True
+
     def _is_abandoned(self, job: LedgerJob, now: datetime) -> bool:
         """Return whether a job's remaining items are to be failed without a run."""
         if self._routing.table is None:
@@ -288,6 +316,8 @@
         elif status.state is ItemState.paused:
             run.not_before = self._clock.monotonic() + YIELDED_RETRY_DELAY
         else:
+            if status.state is ItemState.broken:
+                run.breaks.record(self._clock.monotonic())
             run.not_before = self._clock.monotonic() + FAILED_RETRY_DELAY
 
     def _record_run_duration(self, run: ItemRun, status: ItemStatus) -> None:
--- a/chivespan/itemrun.py
+++ b/chivespan/itemrun.py
@@ -1,9 +1,10 @@
 """The state that a partition's owner keeps for each batch item it has started."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from chivespan.clock import NO_WAIT
+from chivespan.itemquarantine import ItemBreaks
 from chivespan.itemtimes import ItemPhase, ItemTimes
 
 # A node whose link has broken has this long to come back and report its items.
@@ -27,6 +28,8 @@
     :ivar started: start of the last run.
     :ivar last_heard: time of the node's last status for the item, or of its start.
     :ivar link_lost: when the link with the node broke; None if it has reported since.
+    :ivar breaks: the runs that its targets broke off.
+    :ivar held_back: part of its prompt because of which it waits; empty for none.
     :ivar settled: whether the final result is known.
     """
 
@@ -40,16 +43,20 @@
     started: timedelta = NO_WAIT
     last_heard: timedelta = NO_WAIT
     link_lost: timedelta | None = None
+    breaks: ItemBreaks = field(default_factory=ItemBreaks)
+    held_back: str = ""
     settled: bool = False
 
     def after_node_loss(self, now: timedelta) -> "ItemRun":
-        """Return the state without the lost node: failures and returned events stay."""
+        """Return the state without the lost node; failures and returned events stay."""
         self.times.record_node_loss(self.event_count - len(self.events), now)
         return ItemRun(
             self.times,
             failures=self.failures,
             events=self.events,
             event_count=len(self.events),
+            breaks=self.breaks,
+            held_back=self.held_back,
         )
 
     def start(self, vm: str, target_id: str, now: timedelta) -> None:
@@ -57,6 +64,7 @@
         self.vm = vm
         self.target_id = target_id
         self.started = now
+        self.held_back = ""
         self.record_report(now)
         self.times.enter(ItemPhase.running, now)
 
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -195,6 +195,7 @@
             clock,
             self.metrics,
             BATCH_CAPACITY_POLICIES[policies.batch_room],
+            self.quarantine,
         )
         questions = BatchOwnerClient(
             self.links, self.watch, self.placement, clock, self.batch.handle_request
--- a/chivespan/promptquarantine.py
+++ b/chivespan/promptquarantine.py
@@ -77,6 +77,12 @@
         """The parts in quarantine."""
         return [part for part in self._suspicions if self._is_quarantined(part)]
 
+    @property
+    def suspects(self) -> frozenset[str]:
+        """The parts in quarantine and those with evidence against them."""
+        known = self._suspicions.items()
+        return frozenset(part for part, suspicion in known if suspicion.crashes)
+
     @property
     def report(self) -> list[PartEvidence]:
         """The evidence for peers, which need it once for each version."""
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from chivespan.batchchanges import AcceptJob
 from chivespan.batchowner import TAKEOVER_DELAY, BatchOwner
 from chivespan.batchschedule import Placement
 from chivespan.clock import NO_WAIT, ManualClock
@@ -14,6 +15,7 @@
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform.documents import decode_config
+from chivespan.promptquarantine import PromptQuarantine
 from chivespan.routingstate import RoutingState
 from tests.factories import target_entry
 from tests.fakestore import FakeStore
@@ -31,6 +33,7 @@
     def __init__(self) -> None:
         self.clock = ManualClock()
         self.metrics = NodeMetrics()
+        self.quarantine = PromptQuarantine(self.clock)
         self.store = FakeStore()
         self.ledger = LedgerStore(self.store, PARTITION, self.clock, 2_000_000)
         routing = RoutingState(decode_config)
@@ -45,10 +48,13 @@
             timedelta(seconds=120),
             100_000,
             self.metrics,
+            self.quarantine,
         )
 
     async def accept(self, items: int) -> None:
-        change = job("j", items=items)
+        await self.accept_job(job("j", items=items))
+
+    async def accept_job(self, change: AcceptJob) -> None:
         object.__setattr__(change, "host", HOST)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.ledger.run)
