--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -20,6 +20,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import EventOrder, EventSplitter, parse_events
 from chivespan.exchange import Call, NotSent, Reply, exchange
+from chivespan.itemquarantine import ItemBreaks, ItemQuarantine
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -30,7 +31,9 @@
     TargetEntry,
 )
 from chivespan.nodemetrics import NodeMetrics
+from chivespan.partsuspicion import READS_OF_AN_ANSWER
 from chivespan.platform import wire
+from chivespan.promptquarantine import PromptQuarantine
 from chivespan.targetpick import TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector, StreamWatch
@@ -56,13 +59,19 @@
     """An item that this node holds.
 
     :ivar events: data of all events received so far.
+    :ivar parts: ids of the parts of its prompt that other requests may share.
     :ivar state: state that is reported to the owner.
+    :ivar answered: whether a target has answered its prompt in the current run.
+    :ivar breaks: the runs that broke off before that.
     :ivar scope: cancels the current run; None while the item doesn't run.
     """
 
     start: ItemStart
     events: list[str]
+    parts: tuple[str, ...] = ()
     state: ItemState = ItemState.paused
+    answered: bool = False
+    breaks: ItemBreaks = field(default_factory=ItemBreaks)
     scope: anyio.CancelScope | None = field(default=None, repr=False)
 
     @property
@@ -111,6 +120,7 @@
         clock: Clock,
         metrics: NodeMetrics,
         send_status: Callable[[ItemStatus], None],
+        quarantine: PromptQuarantine,
     ) -> None:
         self._targets = targets
         self._picker = picker
@@ -119,6 +129,7 @@
         self._clock = clock
         self._metrics = metrics
         self._send_status = send_status
+        self._quarantine = ItemQuarantine(quarantine, clock)
         self._yield_rule = YieldRule(picker, load_table, clock, Random())
         self._items: dict[tuple[str, str], HeldItem] = {}
         self._tasks: TaskGroup | None = None
@@ -144,7 +155,8 @@
             self._send_status(status_without_run(message, ItemState.returned))
             return
         if held is None:
-            held = self._items[key] = HeldItem(message, list(message.events))
+            parts = wire.item_prompt_parts(_headers(message))
+            held = self._items[key] = HeldItem(message, list(message.events), parts)
         else:
             held.start = _retargeted(held.start, message)
         if held.state is ItemState.done:
@@ -207,6 +219,9 @@
             return ItemState.not_run
         if self._is_full(entry):
             return ItemState.paused
+        if self._is_held_back(held):
+            return ItemState.not_run
+        held.answered = False
         with self._load_table.track_batch(entry.target_id):
             try:
                 return await self._exchange(held, entry)
@@ -216,13 +231,26 @@
                 self._picker.record_unreachable(entry.target_id)
                 return ItemState.not_run
             except ChivespanError as error:
-                return self._broken(held, entry, error.message)
+                return await self._broken(held, entry, error.message)
             except Exception as error:
                 # Nothing that a target sends may stop this process.
                 _log.exception("item_run_failed", item=held.start.item_id)
-                return self._broken(held, entry, repr(error))
+                return await self._broken(held, entry, repr(error))
+
+    def _is_held_back(self, held: HeldItem) -> bool:
+        """Return whether an item may not be sent, though its owner didn't know yet."""
+        start = held.start
+        part = self._quarantine.find_blocking(held.parts, start.item_id, held.breaks)
+        if part is None:
+            return False
+        _log.info(
+            "item_not_sent", job=start.job_id, item=start.item_id, prompt_part=part
+        )
+        return True
 
-    def _broken(self, held: HeldItem, entry: TargetEntry, reason: str) -> ItemState:
+    async def _broken(
+        self, held: HeldItem, entry: TargetEntry, reason: str
+    ) -> ItemState:
         """Record that a target failed during a run."""
         self._picker.record_failure(entry.target_id)
         _log.info(
@@ -231,6 +259,10 @@
             target=entry.target_id,
             reason=reason,
         )
+        if not held.answered:
+            held.breaks.record(self._clock.monotonic())
+            item_id = held.start.item_id
+            await self._quarantine.record_break(held.parts, item_id, entry)
         return ItemState.broken
 
     async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
@@ -261,6 +293,7 @@
         :raises ChivespanError: ``stream_broken`` if the stream is incomplete.
         """
         splitter = EventSplitter(EventOrder.CONSECUTIVE, len(held.events))
+        reads = 0
         checked = last_event = self._clock.monotonic()
         while True:
             # Parts of an event don't extend its time limit.
@@ -273,11 +306,21 @@
                 watch.record_data()
                 last_event = self._clock.monotonic()
             held.events += [event.data for event in parse_events(whole)]
+            reads += bool(whole)
+            if reads >= READS_OF_AN_ANSWER:
+                self._record_answered(held)
             now = self._clock.monotonic()
             if self._yield_rule.must_yield(entry, now - checked):
                 raise _Yielded
             checked = now
         splitter.check_end(reply.is_delimited)
+        if reads and reply.is_delimited:
+            self._record_answered(held)
+
+    def _record_answered(self, held: HeldItem) -> None:
+        if not held.answered:
+            held.answered = True
+            self._quarantine.record_answered(held.parts)
 
     def _is_full(self, entry: TargetEntry) -> bool:
         return self._load_table.total(entry.target_id) >= entry.slots
@@ -286,7 +329,7 @@
 def _request_for(held: HeldItem, entry: TargetEntry) -> Call:
     start = held.start
     headers = wire.item_headers(
-        [(header.name, header.value) for header in start.headers],
+        _headers(start),
         start.item_id,
         start.host,
         entry.target_id,
@@ -305,6 +348,10 @@
     )
 
 
+def _headers(start: ItemStart) -> list[tuple[str, str]]:
+    return [(header.name, header.value) for header in start.headers]
+
+
 def _retargeted(held_start: ItemStart, message: ItemStart) -> ItemStart:
     """Return a held item's start message with the target of a new start message."""
     return ItemStart(
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -21,6 +21,7 @@
 from chivespan.logs import logger
 from chivespan.nodemessages import TargetEntry
 from chivespan.nodemetrics import NodeMetrics
+from chivespan.partsuspicion import READS_OF_AN_ANSWER
 from chivespan.platform import wire
 from chivespan.promptguard import PromptGuard
 from chivespan.requestprogress import MAY_HAVE_RUN, Progress, SendOutcome
@@ -39,8 +40,6 @@
 MAX_UNREACHED = 4
 HEAD_TIMEOUT_OBJECTIVES = 1.5
 RESUME_CHECK_INTERVAL = timedelta(milliseconds=200)
-# A target that ends as it begins to answer may still send one event.
-READS_OF_AN_ANSWER = 2
 
 _log = logger("online")
 
--- a/chivespan/partsuspicion.py
+++ b/chivespan/partsuspicion.py
@@ -7,6 +7,8 @@
 
 Run: TypeAlias = tuple[str, int]
 
+# A target that ends as it begins to answer may still send one event.
+READS_OF_AN_ANSWER = 2
 MIN_CRASHES = 3
 MIN_CRASHED_REQUESTS = 2
 # Targets that end within this time may have ended together, whatever they did.
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -155,6 +155,7 @@
             timedelta,
         )
         self.statuses: list[ItemStatus] = []
+        quarantine = PromptQuarantine(self.clock)
         self.executor = BatchExecutor(
             self.target_set,
             self.picker,
@@ -163,6 +164,7 @@
             self.clock,
             self.metrics,
             self.statuses.append,
+            quarantine,
         )
         self.front = Address(_front_host, next(_front_ports))
         routing = RoutingState(decode_config)
@@ -178,7 +180,7 @@
                 self.silence,
                 self.clock,
                 self.metrics,
-                PromptGuard(PromptQuarantine(self.clock)),
+                PromptGuard(quarantine),
             ),
             cast(BatchFrontend, None),
             self.metrics,
