--- a/tests/test_quarantineditems.py
+++ b/tests/test_quarantineditems.py
@@ -288,9 +288,10 @@
         await running.accept_job(job_of(running, "j", *[HARMFUL] * 3, *["5a"] * 20))
         sound = {f"j-{number}" for number in range(3, 23)}
         await until(lambda: running.done == sound)
-        while running.quarantine.quarantined != [HARMFUL]:
-            running.clock.advance(SUSPECT_DELAY / 50)
-            await anyio.sleep(0.01)
+        with anyio.fail_after(10):
+            while running.quarantine.quarantined != [HARMFUL]:
+                running.clock.advance(SUSPECT_DELAY / 50)
+                await anyio.sleep(0.01)
         cut = {
             each.item_id for each in running.statuses if each.state is ItemState.broken
         }
