Test that a plain service's cut response is an error

The separate programs read responses with another parser than the node. Six kinds of cuts, among them a body without length whose connection is reset, end in an error there as well; nothing had to be changed.

--- a/tests/test_pooledcalls.py
+++ b/tests/test_pooledcalls.py
@@ -11,8 +11,10 @@
 
 from chivespan.engineapi import EngineRequest
 from chivespan.engineclient import EngineClient, StreamLimits
+from chivespan.errors import ChivespanError
 from chivespan.plainclient import PlainClient, PlainRequest
 from chivespan.targethttp import TargetHttp
+from tests.rawtargets import raw_site, target
 
 pytestmark = pytest.mark.anyio
 
@@ -105,3 +107,26 @@
             )
             tokens = client.stream(address, request, StreamLimits(S, S))
             assert [each.text async for each in tokens] == ["a"]
+
+
+CUT = {
+    "head": target(b"HTTP/1.1 200 OK\r\nX-A: b"),
+    "end of the head": target(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"),
+    "length": target(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na"),
+    "chunks": target(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n"
+    ),
+    "reset": target(b"HTTP/1.1 200 OK\r\n\r\n", b"a", reset=True),
+    "two lengths": target(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na"
+    ),
+}
+
+
+# Guards against: a plain service's response that was cut is passed on as a whole one.
+@pytest.mark.parametrize("case", CUT)
+async def test_cut_response_of_a_plain_service_is_an_error(case: str) -> None:
+    async with raw_site(CUT[case]), TargetHttp() as http:
+        request = PlainRequest("r", "GET", "/", "", b"", idempotent=True)
+        with pytest.raises(ChivespanError):
+            await PlainClient(http).call(CUT[case].address, request, S)
