Move the time limit of events to what relays a response

ResponseRelay now times the events that it passes on, and keeps the cached answer to whether another target could take over, which each attempt had to reset in Progress. No change of behaviour.

Measured: test_brokenresponses, test_stalledstreams, test_pausingtargets, test_endlessdata and test_node pass.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -37,7 +37,6 @@
 
 MAX_UNREACHED = 4
 HEAD_TIMEOUT_OBJECTIVES = 1.5
-RESUME_CHECK_INTERVAL = timedelta(milliseconds=200)
 
 _log = logger("online")
 
@@ -67,8 +66,6 @@
     :ivar in_flight: whether an attempt is in progress whose outcome isn't known yet.
     :ivar expects_slot: whether the target had a free slot when it was chosen.
     :ivar response_started: monotonic time at which the last target's response started.
-    :ivar can_resume: whether another target could take over the stream, as of
-        ``resume_checked``.
     :ivar can_continue: whether another target may continue the response passed on.
     :ivar sends: attempts that reached a target.
     :ivar unreached: attempts in which no byte was sent.
@@ -81,8 +78,6 @@
     in_flight: bool = False
     expects_slot: bool = False
     response_started: timedelta = timedelta(0)
-    can_resume: bool = False
-    resume_checked: timedelta | None = None
     can_continue: bool = False
     sends: int = 0
     unreached: int = 0
@@ -164,7 +159,6 @@
             entry = candidate.entry
             progress.tried.add(entry.target_id)
             progress.expects_slot = candidate.free > 0
-            progress.resume_checked = None
             with self._load_table.track_online(entry.target_id):
                 outcome = await self._send(request, route, entry, progress, responder)
             if outcome is SendOutcome.DELIVERED:
@@ -297,7 +291,8 @@
             progress.splitter,
             self._clock,
             progress.record_data,
-            partial(self._event_timeout, route, progress),
+            route.longest_gap,
+            partial(self._can_resume, route, progress),
         )
         if not responder.started:
             await relay.start(is_stream)
@@ -306,19 +301,6 @@
         await relay.pass_body(is_stream)
         return SendOutcome.DELIVERED
 
-    def _event_timeout(
-        self, route: Route, progress: Progress, last_event: timedelta
-    ) -> timedelta | None:
-        """Return the time left for the next event; None if no target can take over.
-
-        Parts of an event don't extend it: a stalled target may still send some bytes.
-
-        :param last_event: monotonic time at which the last whole event was passed on.
-        """
-        if route.longest_gap and self._can_still_resume(route, progress):
-            return route.longest_gap - (self._clock.monotonic() - last_event)
-        return None
-
     def _can_resume(
         self, route: Route, progress: Progress, in_time: bool = False
     ) -> bool:
@@ -331,15 +313,6 @@
         wait = route.objective if in_time else self._time_left(progress)
         return self._pick_within(wait, progress) is not None
 
-    def _can_still_resume(self, route: Route, progress: Progress) -> bool:
-        """Return a cached result of :meth:`_can_resume`, to save the cost per chunk."""
-        now = self._clock.monotonic()
-        checked = progress.resume_checked
-        if checked is None or now - checked > RESUME_CHECK_INTERVAL:
-            progress.resume_checked = now
-            progress.can_resume = self._can_resume(route, progress)
-        return progress.can_resume
-
     def _pick(self, route: Route, progress: Progress) -> Candidate | None:
         """Return the next target; None if none is available in time.
 
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -21,16 +21,18 @@
 
 EVENT_STREAM = b"text/event-stream"
 CONTENT_LENGTH = b"content-length"
+RESUME_CHECK_INTERVAL = timedelta(milliseconds=200)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ResponseRelay:
     """Passes one target's response on.
 
     :param splitter: splits the events of the caller's stream, over all its targets.
     :param record_data: is called when the target has sent data.
-    :param event_timeout: returns the time left for the next event, given the monotonic
-        time at which the last whole event was passed on; None for no limit.
+    :param longest_gap: time limit from one event to the next if another target can take
+        over the stream; 0 for no limit.
+    :param can_resume: returns whether another target can take over the stream.
     """
 
     reply: Reply
@@ -38,7 +40,10 @@
     splitter: EventSplitter
     clock: Clock
     record_data: Callable[[], None]
-    event_timeout: Callable[[timedelta], timedelta | None]
+    longest_gap: timedelta
+    can_resume: Callable[[], bool]
+    _could_resume: bool = False
+    _resume_checked: timedelta | None = None
 
     async def start(self, is_stream: bool) -> None:
         """Pass the head on, without the length of a stream."""
@@ -73,7 +78,7 @@
         self.splitter.start_response()
         last_event = self.clock.monotonic()
         while True:
-            timeout = self.event_timeout(last_event)
+            timeout = self._event_timeout(last_event)
             received = await self.reply.next_chunk(timeout)
             if received is None:
                 break
@@ -83,6 +88,26 @@
                 last_event = self.clock.monotonic()
         self.splitter.check_end(self.reply.is_delimited)
 
+    def _event_timeout(self, last_event: timedelta) -> timedelta | None:
+        """Return the time left for the next event; None if no target can take over.
+
+        Parts of an event don't extend it: a stalled target may still send some bytes.
+
+        :param last_event: monotonic time at which the last whole event was passed on.
+        """
+        if self.longest_gap and self._can_still_resume():
+            return self.longest_gap - (self.clock.monotonic() - last_event)
+        return None
+
+    def _can_still_resume(self) -> bool:
+        """Return a cached result of ``can_resume``, to save the cost per chunk."""
+        now = self.clock.monotonic()
+        checked = self._resume_checked
+        if checked is None or now - checked > RESUME_CHECK_INTERVAL:
+            self._resume_checked = now
+            self._could_resume = self.can_resume()
+        return self._could_resume
+
 
 def splitter_for(route: Route, last_event: str) -> EventSplitter:
     """Return the splitter for the caller's stream.
