Keep the caller's connection behind a 304 with a length

A caller's next request on a kept connection met a closed one: a target's answer with status 304 may state the length of the body that it leaves out, and the HTTP server took the missing bytes for a broken answer and closed the connection, unannounced.

Change: that length isn't passed on. Measured: the case with status 304 failed before and passes now; HEAD passed.

--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -46,9 +46,12 @@
     _resume_checked: timedelta | None = None
 
     async def start(self, is_stream: bool) -> None:
-        """Pass the head on, without the length of a stream."""
+        """Pass the head on, without the length of a stream or of a missing body.
+
+        The HTTP server takes a body that is shorter than its length for broken off.
+        """
         headers = wire.caller_headers(self.reply.headers)
-        if is_stream:
+        if is_stream or self.reply.status == HTTPStatus.NOT_MODIFIED:
             headers = [each for each in headers if each[0].lower() != CONTENT_LENGTH]
         await self.responder.start(self.reply.status, headers)
 
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -183,13 +183,11 @@
         self, *lines: str, method: str = "POST", version: str = "1.1"
     ) -> Answer:
         """Send a request and return what arrived until the connection ended."""
-        sent = [f"{method} /s/1 HTTP/{version}", f"Host: {HOST}", "Content-Length: 0"]
-        sent += [f"X-Chivespan-Request-Id: {REQUEST_ID}", *lines]
         parser = ResponseParser(method)
         body = b""
         with anyio.fail_after(8):
             async with await anyio.connect_tcp(*self.front_address) as stream:
-                await stream.send("\r\n".join([*sent, "", ""]).encode())
+                await stream.send(self.request(*lines, method=method, version=version))
                 with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
                     while not parser.is_complete:
                         parser.feed(await stream.receive())
@@ -198,6 +196,12 @@
         headers = {n.decode().lower(): v.decode() for n, v in parser.headers}
         return Answer(parser.status, body, parser.is_complete, headers)
 
+    def request(self, *lines: str, method: str = "POST", version: str = "1.1") -> bytes:
+        """Return the bytes of a request."""
+        sent = [f"{method} /s/1 HTTP/{version}", f"Host: {HOST}", "Content-Length: 0"]
+        sent += [f"X-Chivespan-Request-Id: {REQUEST_ID}", *lines, "", ""]
+        return "\r\n".join(sent).encode()
+
     @property
     def front_address(self) -> tuple[str, int]:
         return (self.front.host, self.front.port)
--- a/tests/test_cutresponses.py
+++ b/tests/test_cutresponses.py
@@ -1,5 +1,6 @@
 """Responses that a target cuts at any byte: no part of one may look complete."""
 
+import anyio
 import pytest
 
 from chivespan.nodemessages import ItemState
@@ -145,3 +146,21 @@
         answer = await site.ask()
         assert (answer.status, answer.complete) == (200, not reset)
         assert reset or answer.body == b"body"
+
+
+# Guards against: a kept connection is closed, unannounced, behind an answer that has no
+# body although its target states a length.
+@pytest.mark.parametrize(("method", "status"), [("POST", 304), ("HEAD", 200)])
+async def test_connection_is_kept_behind_an_answer_without_body(
+    method: str, status: int
+) -> None:
+    bodiless = target(head(f"{status} x", "Content-Length: 5"))
+    async with (
+        raw_site(bodiless, kind="non_idempotent") as site,
+        await anyio.connect_tcp(*site.front_address) as stream,
+    ):
+        for _ in range(2):
+            await stream.send(site.request(method=method))
+            with anyio.fail_after(2):
+                assert b" %d " % status in await stream.receive()
+            await anyio.sleep(0.05)
