--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -39,7 +39,6 @@
 
 MAX_UNREACHED = 4
 HEAD_TIMEOUT_OBJECTIVES = 1.5
-RESUME_CHECK_INTERVAL = timedelta(milliseconds=200)
 
 _log = logger("online")
 
@@ -156,7 +155,6 @@
         entry = progress.entry = candidate.entry
         progress.tried.add(entry.target_id)
         progress.expects_slot = candidate.free > 0
-        progress.resume_checked = None
         with ExitStack() as holds:
             progress.holds = holds
             holds.enter_context(self._load_table.track_online(entry.target_id))
@@ -293,7 +291,8 @@
             progress.splitter,
             self._clock,
             partial(self._record_data, progress, is_stream),
-            partial(self._event_timeout, route, progress),
+            route.longest_gap,
+            partial(self._can_resume, route, progress),
         )
         if not responder.started:
             await relay.start(is_stream)
@@ -372,19 +371,6 @@
         if progress.reads == READS_OF_AN_ANSWER:
             self._prompt_guard.record_answered(progress.prompt_parts)
 
-    def _event_timeout(
-        self, route: Route, progress: Progress, last_event: timedelta
-    ) -> timedelta | None:
-        """Return the time left for the next event; None if no target can take over.
-
-        Parts of an event don't extend it: a stalled target may still send some bytes.
-
-        :param last_event: monotonic time at which the last whole event was passed on.
-        """
-        if route.longest_gap and self._can_still_resume(route, progress):
-            return route.longest_gap - (self._clock.monotonic() - last_event)
-        return None
-
     def _can_resume(
         self, route: Route, progress: Progress, in_time: bool = False
     ) -> bool:
@@ -397,15 +383,6 @@
         wait = route.objective if in_time else self._time_left(progress)
         return self._pick_within(wait, progress) is not None
 
-    def _can_still_resume(self, route: Route, progress: Progress) -> bool:
-        """Return a cached result of :meth:`_can_resume`, to save the cost per chunk."""
-        now = self._clock.monotonic()
-        checked = progress.resume_checked
-        if checked is None or now - checked > RESUME_CHECK_INTERVAL:
-            progress.resume_checked = now
-            progress.can_resume = self._can_resume(route, progress)
-        return progress.can_resume
-
     def _pick(self, route: Route, progress: Progress) -> Candidate | None:
         """Return the next target; None if none is available in time.
 
--- a/chivespan/requestprogress.py
+++ b/chivespan/requestprogress.py
@@ -41,8 +41,6 @@
     :ivar in_flight: whether an attempt is in progress whose outcome isn't known yet.
     :ivar expects_slot: whether the target had a free slot when it was chosen.
     :ivar response_started: monotonic time at which the last target's response started.
-    :ivar can_resume: whether another target could take over the stream, as of
-        ``resume_checked``.
     :ivar prompt_parts: parts of its prompt that other requests may share.
     :ivar reads: how often the current target has sent whole events.
     :ivar may_have_ended: whether the last target may have ended during the attempt.
@@ -63,8 +61,6 @@
     in_flight: bool = False
     expects_slot: bool = False
     response_started: timedelta = timedelta(0)
-    can_resume: bool = False
-    resume_checked: timedelta | None = None
     reads: int = 0
     may_have_ended: bool = False
     can_continue: bool = False
