Convict a part of five crashes at two times, and let quarantines end

Ruled out: a shorter time that separates crashes, since targets that end together are seen some time apart at a node that is slow.

--- a/chivespan/partsuspicion.py
+++ b/chivespan/partsuspicion.py
@@ -10,6 +10,9 @@
 # A target that ends as it begins to answer may still send one event.
 READS_OF_AN_ANSWER = 2
 MIN_CRASHES = 3
+# So many ended runs need fewer different times.
+MANY_RUNS = 5
+MIN_CRASHES_OF_MANY_RUNS = 2
 MIN_CRASHED_REQUESTS = 2
 # Targets that end within this time may have ended together, whatever they did.
 SEPARATION_TIME = timedelta(milliseconds=150)
@@ -86,10 +89,12 @@
         :param most: crashes that the strongest suspect may have caused.
         """
         crashes = self.separate_crashes(explained)
+        runs = self._unexplained_runs(explained)
+        needed = MIN_CRASHES_OF_MANY_RUNS if runs >= MANY_RUNS else MIN_CRASHES
         suffices = (
-            crashes >= max(MIN_CRASHES, most)
+            crashes >= max(needed, most)
+            and runs >= MIN_CRASHES
             and self.crashed_requests >= MIN_CRASHED_REQUESTS
-            and self._unexplained_runs(explained) >= MIN_CRASHES
         )
         if not suffices:
             self.sufficient_since = None
--- a/chivespan/promptquarantine.py
+++ b/chivespan/promptquarantine.py
@@ -254,7 +254,9 @@
         now = self._clock.monotonic()
         for part, suspicion in list(self._suspicions.items()):
             since = suspicion.sufficient_since
-            if since is not None and now - since >= EXONERATION_TIME:
+            if since is None or suspicion.quarantined_until is not None:
+                continue
+            if now - since >= EXONERATION_TIME:
                 until = now + QUARANTINE_LIFETIME
                 self._quarantine(part, suspicion, until, "evidence", NO_WAIT)
 
