Log why a paused stream was given up, and test the limit of the overlap

A paused stream that breaks while another target is asked was logged as only paused; the line names its error now.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -351,10 +351,10 @@
         entry, holds, watch = progress.entry, progress.holds, progress.watch
         outcome: SendOutcome | None = None
 
-        def give_up_paused() -> None:
+        def give_up_paused(reason: str) -> None:
             holds.close()
             self._record_outcome(
-                request, entry, progress, SendOutcome.HANDED_OVER, "stream paused"
+                request, entry, progress, SendOutcome.HANDED_OVER, reason
             )
 
         async def attempt() -> None:
--- a/chivespan/streamhandover.py
+++ b/chivespan/streamhandover.py
@@ -23,13 +23,13 @@
 
     :param paused: the response of the paused target.
     :param splitter: splits the stream into events.
-    :param on_accept: called when the paused target is given up.
+    :param on_accept: called with the reason when the paused target is given up.
     :ivar accepted: whether the paused target has been given up.
     :ivar events: whole events that the paused target has sent meanwhile.
     """
 
     def __init__(
-        self, paused: Reply, splitter: EventSplitter, on_accept: Callable[[], None]
+        self, paused: Reply, splitter: EventSplitter, on_accept: Callable[[str], None]
     ) -> None:
         self._paused = paused
         self._splitter = splitter
@@ -44,11 +44,11 @@
             await attempt()
             tasks.cancel_scope.cancel()
 
-    async def accept(self) -> None:
+    async def accept(self, reason: str = "stream paused") -> None:
         """Close the paused stream, as the other target continues it."""
         if not self.accepted:
             self.accepted = True
-            self._on_accept()
+            self._on_accept(reason)
             await self._paused.close()
 
     async def _watch_paused(self, attempt: TaskGroup) -> None:
@@ -56,13 +56,12 @@
         with anyio.move_on_after(OVERLAP_LIMIT.total_seconds()):
             try:
                 await self._receive_event()
-            except ChivespanError:
-                # The paused stream broke, so only the attempt is left.
-                pass
-            else:
-                if not self.accepted:
-                    attempt.cancel_scope.cancel()
+            except ChivespanError as error:
+                await self.accept(error.message)
                 return
+            if not self.accepted:
+                attempt.cancel_scope.cancel()
+            return
         await self.accept()
 
     async def _receive_event(self) -> None:
--- a/tests/test_stalledstreams.py
+++ b/tests/test_stalledstreams.py
@@ -1,9 +1,14 @@
 """Streams of targets that are slow, or stalled although they still send some bytes."""
 
 from pathlib import Path
+from typing import cast
 
+import anyio
 import pytest
 
+from chivespan.eventstream import EventSplitter
+from chivespan.exchange import Reply
+from chivespan.streamhandover import OVERLAP_LIMIT, Handover
 from standins.platformtarget import TargetFaults, TargetOptions, TargetStandIn
 from tests.fleet import STREAM_PREFIX, Fleet, fleet
 
@@ -88,3 +93,28 @@
         assert await stream(site, "a") == complete("a")
         assert slow.arrivals
         assert not paused.aborted
+
+
+class SilentReply:
+    """The response of a target that sends nothing; records when it is closed."""
+
+    def __init__(self) -> None:
+        self.closed = anyio.Event()
+
+    async def next_chunk(self) -> bytes:
+        await anyio.sleep_forever()
+        return b""
+
+    async def close(self) -> None:
+        self.closed.set()
+
+
+# Guards against: two targets hold the same request for as long as both are silent.
+async def test_paused_stream_is_given_up_after_the_overlap_limit() -> None:
+    paused = SilentReply()
+    reasons: list[str] = []
+    handover = Handover(cast(Reply, paused), EventSplitter(), reasons.append)
+    with anyio.fail_after(OVERLAP_LIMIT.total_seconds() + 2):
+        await handover.run(paused.closed.wait)
+    assert handover.accepted
+    assert reasons == ["stream paused"]
