End a stopping node at the margin, not at the next check after it

The trace: the end of the grace period was checked every 250 ms, which took up to half of the 600 ms that are kept for it; the rest went to the end of the process under load.

The node sleeps until that moment now.

--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -273,7 +273,8 @@
             if self._is_unused():
                 # An unfinished request may still keep it from ending.
                 self.server.stop()
-            await anyio.sleep(UPKEEP_INTERVAL_S)
+            time_left_s = self.node_status.time_to_end.total_seconds()
+            await anyio.sleep(min(UPKEEP_INTERVAL_S, max(0, time_left_s)))
         _log.warning("time_is_up", in_progress=self.server.in_progress)
         self.server.stop_now()
 
--- a/chivespan/nodestatus.py
+++ b/chivespan/nodestatus.py
@@ -71,8 +71,13 @@
     @property
     def must_end(self) -> bool:
         """Whether the grace period of the shutdown has nearly expired."""
+        return self.is_leaving and self.time_to_end <= timedelta(0)
+
+    @property
+    def time_to_end(self) -> timedelta:
+        """Time left until a shutdown that has started must end."""
         grace = timedelta(seconds=self._settings.grace_s) - END_MARGIN
-        return self.is_leaving and self._leaving_time() >= grace
+        return grace - self._leaving_time()
 
     def leave(self) -> None:
         """Start the graceful shutdown."""
