Keep events that arrive just as a paused stream is handed over

What callers would see: a stream with an event missing (ORDER). - The paused stream's event and the other target's head in one tick of the loop: the attempt was cancelled, but accepted all the same, and the event was dropped. An attempt that is being cancelled can't accept any more. - A pause that ended as its time limit expired, before a caller that is slow to read: the write was cut, and the other target went on after it. The event is written before the hand-over. - After a hand-over that wasn't accepted, the reads and times of the paused attempt were those of the other target.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 from contextlib import ExitStack
+from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 from http import HTTPStatus
@@ -322,11 +323,11 @@
         candidate = self._pick_within(self._time_left(progress), progress)
         if candidate is None or progress.entry is None:
             return False
-        entry, holds, watch = progress.entry, progress.holds, progress.watch
+        entry, before = progress.entry, replace(progress)
         outcome: SendOutcome | None = None
 
         def give_up_paused(reason: str) -> None:
-            holds.close()
+            before.holds.close()
             self._record_outcome(
                 request, entry, progress, SendOutcome.HANDED_OVER, reason
             )
@@ -357,8 +358,7 @@
         if outcome is SendOutcome.UNREACHED:
             progress.sends -= 1
             progress.unreached += 1
-        progress.entry, progress.holds, progress.watch = entry, holds, watch
-        progress.in_flight = True
+        progress.return_to(before)
         if handover.events:
             self._record_data(progress, True)
             await responder.write(handover.events)
--- a/chivespan/requestprogress.py
+++ b/chivespan/requestprogress.py
@@ -78,6 +78,17 @@
         if self.watch is not None:
             self.watch.record_data()
 
+    def return_to(self, before: "Progress") -> None:
+        """Return to the attempt of a paused target after another one was tried."""
+        self.entry = before.entry
+        self.holds = before.holds
+        self.watch = before.watch
+        self.reads = before.reads
+        self.response_started = before.response_started
+        self.expects_slot = before.expects_slot
+        self.may_have_ended = before.may_have_ended
+        self.in_flight = True
+
     @property
     def ran_or_may_run(self) -> bool:
         """Whether the request may have run, so that an error can't claim "not run"."""
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -42,6 +42,7 @@
     record_data: Callable[[], None]
     longest_gap: timedelta
     can_resume: Callable[[], bool]
+    _unwritten: bytes = b""
     _could_resume: bool = False
     _resume_checked: timedelta | None = None
 
@@ -80,6 +81,8 @@
                 await self._pass_events()
             if not until_pause.cancelled_caught:
                 break
+            # The pause may have ended while the caller was slow to read.
+            await self._write_events(self._unwritten)
             if await hand_over():
                 return False
         self.splitter.check_end(self.reply.is_delimited)
@@ -107,9 +110,16 @@
                 break
             if whole := self.splitter.feed(received):
                 self.record_data()
-                await self.responder.write(whole)
+                await self._write_events(whole)
                 last_event = self.clock.monotonic()
 
+    async def _write_events(self, events: bytes) -> None:
+        """Write events, which are kept in case a pause cuts the write."""
+        self._unwritten = events
+        if events:
+            await self.responder.write(events)
+        self._unwritten = b""
+
     def _event_timeout(self, last_event: timedelta) -> timedelta | None:
         """Return the time left for the next event; None if no target can take over.
 
--- a/chivespan/streamhandover.py
+++ b/chivespan/streamhandover.py
@@ -34,6 +34,7 @@
         self._paused = paused
         self._splitter = splitter
         self._on_accept = on_accept
+        self._paused_went_on = False
         self.accepted = False
         self.events = b""
 
@@ -46,6 +47,9 @@
 
     async def accept(self, reason: str = "stream paused") -> None:
         """Close the paused stream, as the other target continues it."""
+        if self._paused_went_on:
+            # The attempt has been cancelled, though its target has just responded.
+            await anyio.sleep_forever()
         if not self.accepted:
             self.accepted = True
             self._on_accept(reason)
@@ -60,6 +64,7 @@
                 await self.accept(error.message)
                 return
             if not self.accepted:
+                self._paused_went_on = True
                 attempt.cancel_scope.cancel()
             return
         await self.accept()
