Refuse parts at the same crashes only together, and bound the evidence

Of parts at the same crashes, a request is refused only if it has all. - A full table of suspects gave its places by name: new suspects of later crashes come first now. - The delay of an item that breaks off without end overflowed. - Each node sent back to its relay what the relay had told it; only evidence of its own is sent there now. Three tests failed before (test_promptquarantine, test_quarantineditems); the last point is by reading.

--- a/chivespan/itemquarantine.py
+++ b/chivespan/itemquarantine.py
@@ -5,7 +5,7 @@
 cause of it waits for other requests to settle that, but not for long: it may be sound.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from zlib import crc32
@@ -18,6 +18,7 @@
 
 # Doubles with each break of the item, so that one item alone ends few targets.
 SUSPECT_DELAY = timedelta(seconds=5)
+MAX_DOUBLINGS = 5
 
 
 @dataclass(slots=True)
@@ -43,7 +44,8 @@
             return NO_WAIT
         # Items with the same part come back one by one.
         spread = 1 + crc32(item_id.encode(errors="replace")) / 2**32
-        return self.last + SUSPECT_DELAY * (1 << (self.count - 1)) * spread
+        doublings = min(self.count - 1, MAX_DOUBLINGS)
+        return self.last + SUSPECT_DELAY * (1 << doublings) * spread
 
 
 class ItemQuarantine:
@@ -59,14 +61,16 @@
         return self._quarantine.suspects
 
     def blocking_part(
-        self, parts: Iterable[str], item_id: str, breaks: ItemBreaks
+        self, parts: Collection[str], item_id: str, breaks: ItemBreaks
     ) -> str | None:
         """Return a part because of which an item may not be sent now, if any."""
+        if (part := self._quarantine.quarantined_part(parts)) is not None:
+            return part
         is_delayed = self._clock.monotonic() < breaks.end_of_delay(item_id)
         return next((part for part in parts if self._blocks(part, is_delayed)), None)
 
     def find_blocking(
-        self, parts: Iterable[str], item_id: str, breaks: ItemBreaks
+        self, parts: Collection[str], item_id: str, breaks: ItemBreaks
     ) -> str | None:
         """Return the same for an item about to be sent; prolongs a quarantine."""
         part = self._quarantine.find_quarantined(parts)
@@ -89,8 +93,7 @@
         return self._quarantine.status(part) is PartStatus.ANSWERED
 
     def _blocks(self, part: str, is_delayed: bool) -> bool:
-        if self._quarantine.status(part) is PartStatus.QUARANTINED:
-            return True
         if self._quarantine.pending_time([part]) > NO_WAIT:
             return True
-        return is_delayed and not self._quarantine.may_resend([part])
+        is_suspect = self._quarantine.status(part) is PartStatus.SUSPECT
+        return is_delayed and is_suspect and not self._quarantine.may_resend([part])
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -273,7 +273,7 @@
         self._sent_loads[self._sequence] = report.loads
         if len(self._sent_loads) > MAX_KEPT_REPORTS:
             self._sent_loads.popitem(last=False)
-        evidence = self._evidence_for(REPORT_RECEIVERS)
+        evidence = self._evidence_for(REPORT_RECEIVERS, self._quarantine.own_version)
         self._send(self._report_receivers(), replace(report, prompt_parts=evidence))
 
     def _report_receivers(self) -> list[Peer]:
@@ -304,29 +304,28 @@
         """Return whether targets were seen to leave or crash since the last report."""
         if self._targets.leaving_runs != self._sent_leaving:
             return True
-        return self._sent_evidence.get(REPORT_RECEIVERS) != self._quarantine.version
+        return self._sent_evidence.get(REPORT_RECEIVERS) != self._quarantine.own_version
 
     def _send_sums(self) -> None:
         """Send the sums to all peers that don't have them yet."""
         centre_sum = self._data_centre_sum()
         for relay in self.remote_relays():
             vm = relay.node.vm
-            evidence = self._evidence_for(vm)
+            evidence = self._evidence_for(vm, self._quarantine.version)
             if evidence or self._sent_sums.get(vm) != centre_sum:
                 self._sent_sums[vm] = centre_sum
                 relay.send(replace(centre_sum, prompt_parts=evidence))
         if self._is_direct:
             return
         fleet_sum = self._fleet_sum()
-        evidence = self._evidence_for(WHOLE_FLEET)
+        evidence = self._evidence_for(WHOLE_FLEET, self._quarantine.version)
         if evidence or self._sent_sums.get(WHOLE_FLEET) != fleet_sum:
             self._sent_sums[WHOLE_FLEET] = fleet_sum
             report = replace(fleet_sum, prompt_parts=evidence)
             self._send(self._local_peers, FleetReport(reports=[report]))
 
-    def _evidence_for(self, receiver: str) -> list[PartEvidence]:
-        """Return the evidence on prompts that a receiver doesn't have yet."""
-        version = self._quarantine.version
+    def _evidence_for(self, receiver: str, version: int) -> list[PartEvidence]:
+        """Return the evidence on prompts, if a receiver has another version of it."""
         if self._sent_evidence.get(receiver) == version:
             return []
         self._sent_evidence[receiver] = version
--- a/chivespan/partsuspicion.py
+++ b/chivespan/partsuspicion.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from typing import TypeAlias
 
+from chivespan.clock import NO_WAIT
+
 Run: TypeAlias = tuple[str, int]
 
 # A target that ends as it begins to answer may still send one event.
@@ -64,6 +66,11 @@
         """Number of requests with the part that met a crash."""
         return len({crash.request_id for crash in self.crashes})
 
+    @property
+    def newest_crash(self) -> timedelta:
+        """Time of the last crash."""
+        return max(self.crashes.values(), default=NO_WAIT)
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing is known any more."""
@@ -81,6 +88,10 @@
         }
         return len(_groups(unexplained))
 
+    def explains(self, other: "PartSuspicion") -> bool:
+        """Return whether this part was there at each crash of another one."""
+        return self.crashes.keys() >= other.crashes.keys()
+
     def note_sufficient(
         self, now: timedelta, explained: Collection[Run], most: int
     ) -> None:
@@ -123,7 +134,7 @@
         Of too many, one of the largest group at about the same time is dropped, since
         crashes at different times say more.
         """
-        if crash in self.crashes or self.quarantined_until is not None:
+        if crash in self.crashes:
             return False
         self.crashes[crash] = at
         if len(self.crashes) > MAX_CRASHES:
--- a/chivespan/promptguard.py
+++ b/chivespan/promptguard.py
@@ -5,7 +5,7 @@
 be sent to another target only if it is unlikely to be the cause.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from datetime import timedelta
 
 import anyio
@@ -31,7 +31,7 @@
     def __init__(self, quarantine: PromptQuarantine) -> None:
         self._quarantine = quarantine
 
-    async def admit(self, request_id: str, parts: Iterable[str]) -> None:
+    async def admit(self, request_id: str, parts: Collection[str]) -> None:
         """Return when a request may be sent.
 
         A request that holds a part with enough evidence against it waits until other
--- a/chivespan/promptquarantine.py
+++ b/chivespan/promptquarantine.py
@@ -11,13 +11,15 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 from enum import StrEnum
+from typing import TypeAlias
 
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.logs import logger
-from chivespan.nodemessages import PartCrash, PartEvidence, TargetRun
+from chivespan.nodemessages import PartCrash, PartEvidence
+from chivespan.partevidence import NOT_ANSWERED, evidence_message
 from chivespan.partsuspicion import (
     EVIDENCE_LIFETIME,
     QUARANTINE_LIFETIME,
@@ -27,17 +29,22 @@
 
 # By then a node that knows the part to be harmless has told all others.
 EXONERATION_TIME = timedelta(seconds=1)
-# Evidence near its end isn't sent, or nodes would renew each other's copies forever.
-SENT_SHARE_OF_LIFETIME = 0.9
 # Differences of this size come from the way of a report to this node.
 REPORT_DELAY = timedelta(seconds=1)
 # A quarantine is prolonged, and peers are told, when this share of it has passed.
 PROLONGED_SHARE = 0.25
 MAX_ANSWERED_PARTS = 4096
 MAX_SUSPECTS = 64
-NOT_ANSWERED = -1
-# Source of evidence that this node met itself.
+# Sources of evidence that this node has found itself.
 OWN_CRASH = "crash"
+OWN_ANSWER = "response"
+OWN_VERDICT = "evidence"
+OWN_REQUEST = "request"
+OWN_SOURCES = frozenset({OWN_CRASH, OWN_ANSWER, OWN_VERDICT, OWN_REQUEST})
+
+# Whether a part is in quarantine, its ended runs, and the time of its last crash.
+Rank: TypeAlias = tuple[bool, int, timedelta]
+LEAST_RANK: Rank = (False, 0, NO_WAIT)
 
 _log = logger("quarantine")
 
@@ -66,12 +73,18 @@
         self._answered: OrderedDict[str, timedelta] = OrderedDict()
         self._suspicions: dict[str, PartSuspicion] = {}
         self._version = 0
+        self._own_version = 0
 
     @property
     def version(self) -> int:
-        """Changes whenever peers have to be told."""
+        """Changes with all evidence, for peers to which this node passes it on."""
         return self._version
 
+    @property
+    def own_version(self) -> int:
+        """Changes with evidence that this node has found itself."""
+        return self._own_version
+
     @property
     def quarantined(self) -> list[str]:
         """The parts in quarantine."""
@@ -96,7 +109,7 @@
             self._answered.move_to_end(part)
             suspicion = self._suspicions.get(part)
             if suspicion is not None and suspicion.crashes:
-                self._apply_answer(part, suspicion, now, "response")
+                self._apply_answer(part, suspicion, now, OWN_ANSWER)
         while len(self._answered) > MAX_ANSWERED_PARTS:
             self._answered.popitem(last=False)
 
@@ -132,13 +145,23 @@
         """
         return all(self._may_resend(part) for part in parts)
 
-    def find_quarantined(self, parts: Iterable[str]) -> str | None:
-        """Return the first part in quarantine; its quarantine is prolonged."""
+    def find_quarantined(self, parts: Collection[str]) -> str | None:
+        """Return a part because of which a request with these parts is refused.
+
+        Its quarantine is prolonged. Of parts that were at the same crashes, any may be
+        the cause, so a request is refused only if it has all of them.
+        """
+        part = self.quarantined_part(parts)
+        if part is not None:
+            self._prolong(part)
+        return part
+
+    def quarantined_part(self, parts: Collection[str]) -> str | None:
+        """Return the same without any effect on the quarantine."""
+        if not self._suspicions.keys().isdisjoint(parts):
+            self._convict_suspects()
         for part in parts:
-            if part in self._suspicions:
-                self._convict_suspects()
-            if self._is_quarantined(part):
-                self._prolong(part)
+            if self._is_quarantined(part) and self._is_to_blame(part, parts):
                 return part
         return None
 
@@ -178,7 +201,7 @@
         if entry.served_age_ms == NOT_ANSWERED:
             return
         answered = now - entry.served_age_ms * MILLISECOND
-        suspicion = self._suspicion(entry.part, runs=0)
+        suspicion = self._suspicion(entry.part)
         if suspicion is not None:
             self._apply_answer(entry.part, suspicion, answered, source)
 
@@ -189,7 +212,10 @@
         request = CrashedRequest(run.target_id, run.started_ms, crash.request_id)
         age = crash.age_ms * MILLISECOND
         if age < EVIDENCE_LIFETIME or entry.quarantine_ms:
-            self._add_crash(entry.part, request, now - age, source)
+            runs = len(
+                {(each.run.target_id, each.run.started_ms) for each in entry.crashes}
+            )
+            self._add_crash(entry.part, request, now - age, source, runs)
 
     def _apply_answer(
         self, part: str, suspicion: PartSuspicion, answered: timedelta, source: str
@@ -201,7 +227,7 @@
         is_newer = known is None or answered - known > REPORT_DELAY
         if not dropped and not is_newer:
             return
-        self._version += 1
+        self._note_change(source)
         _log.info(
             "part_exonerated",
             prompt_part=part,
@@ -212,15 +238,20 @@
         )
 
     def _add_crash(
-        self, part: str, crash: CrashedRequest, at: timedelta, source: str
+        self,
+        part: str,
+        crash: CrashedRequest,
+        at: timedelta,
+        source: str,
+        runs: int = 1,
     ) -> None:
         if self._voids_crash(part, at):
             self._answer_suspicion(part, at, source)
             return
-        suspicion = self._suspicion(part, runs=1)
+        suspicion = self._suspicion(part, (False, runs, at))
         if suspicion is None or not suspicion.add_crash(crash, at):
             return
-        self._version += 1
+        self._note_change(source)
         self._note_sufficient_evidence()
         _log.info(
             "part_suspected",
@@ -234,19 +265,20 @@
 
     def _answer_suspicion(self, part: str, at: timedelta, source: str) -> None:
         """Tell a peer that suspects a part that a target has answered it."""
-        suspicion = self._suspicion(part, runs=0)
+        suspicion = self._suspicion(part)
         own = self._answered.get(part)
         if source == OWN_CRASH or suspicion is None or own is None:
             return
         if suspicion.answered is None or not suspicion.voids_crash(at):
             suspicion.apply_answer(own)
-            self._version += 1
+            self._note_change(OWN_ANSWER)
 
     def _adopt_quarantine(self, part: str, until: timedelta, source: str) -> None:
         """Apply a peer's verdict, unless a later answer has voided it."""
         suspicion = self._suspicions.get(part)
+        least_gain = QUARANTINE_LIFETIME * PROLONGED_SHARE / 2
         if suspicion is not None and suspicion.crashes:
-            self._quarantine(part, suspicion, until, source, REPORT_DELAY)
+            self._quarantine(part, suspicion, until, source, least_gain)
 
     def _convict_suspects(self) -> None:
         """Quarantine parts against which the evidence suffices and no node objects."""
@@ -258,7 +290,7 @@
                 continue
             if now - since >= EXONERATION_TIME:
                 until = now + QUARANTINE_LIFETIME
-                self._quarantine(part, suspicion, until, "evidence", NO_WAIT)
+                self._quarantine(part, suspicion, until, OWN_VERDICT, NO_WAIT)
 
     def _note_sufficient_evidence(self) -> None:
         """Note since when the evidence against each part suffices.
@@ -300,7 +332,7 @@
         if known is not None and until - known <= least_gain:
             return
         suspicion.quarantined_until = until
-        self._version += 1
+        self._note_change(source)
         if known is None:
             _log.notice(
                 "part_quarantined",
@@ -313,40 +345,49 @@
     def _prolong(self, part: str) -> None:
         until = self._clock.monotonic() + QUARANTINE_LIFETIME
         least_gain = QUARANTINE_LIFETIME * PROLONGED_SHARE
-        self._quarantine(part, self._suspicions[part], until, "request", least_gain)
+        self._quarantine(part, self._suspicions[part], until, OWN_REQUEST, least_gain)
 
     def _evidence(self, now: timedelta) -> Iterator[PartEvidence]:
         for part, suspicion in sorted(self._suspicions.items()):
-            entry = PartEvidence(
-                part=part,
-                crashes=_crash_messages(suspicion, now),
-                served_age_ms=_answered_age_ms(suspicion, now),
-                quarantine_ms=_quarantine_ms(suspicion, now),
-            )
+            entry = evidence_message(part, suspicion, now)
             if entry.crashes or entry.served_age_ms != NOT_ANSWERED:
                 yield entry
 
-    def _suspicion(self, part: str, runs: int) -> PartSuspicion | None:
+    def _suspicion(self, part: str, rank: Rank = LEAST_RANK) -> PartSuspicion | None:
         """Return the entry of a part, new if needed; None if others matter more.
 
-        :param runs: ended runs that a new entry would have.
+        :param rank: rank of a new entry.
         """
         suspicion = self._suspicions.get(part)
         if suspicion is not None:
             return suspicion
         if len(self._suspicions) >= MAX_SUSPECTS:
-            least = min(self._suspicions, key=self._rank)
-            if self._rank(least) >= (False, runs, part):
+            least = min(self._suspicions, key=lambda each: (self._rank(each), each))
+            if (self._rank(least), least) >= (_rounded(rank), part):
                 return None
             del self._suspicions[least]
         suspicion = self._suspicions[part] = PartSuspicion()
         return suspicion
 
-    def _rank(self, part: str) -> tuple[bool, int, str]:
+    def _rank(self, part: str) -> Rank:
         """Return the sort key by which entries are kept when there are too many."""
         suspicion = self._suspicions[part]
         in_quarantine = suspicion.quarantined_until is not None
-        return (in_quarantine, suspicion.crashed_runs, part)
+        newest = suspicion.newest_crash
+        return _rounded((in_quarantine, suspicion.crashed_runs, newest))
+
+    def _is_to_blame(self, part: str, parts: Collection[str]) -> bool:
+        """Return whether a request has all parts that explain a part's crashes."""
+        suspicion = self._suspicions[part]
+        return all(
+            other in parts
+            for other, known in self._suspicions.items()
+            if known.quarantined_until is not None and known.explains(suspicion)
+        )
+
+    def _note_change(self, source: str) -> None:
+        self._version += 1
+        self._own_version += source in OWN_SOURCES
 
     def _pending_time(self, part: str) -> timedelta:
         suspicion = self._suspicions.get(part)
@@ -375,31 +416,7 @@
         return own is not None and PartSuspicion(answered=own).voids_crash(at)
 
 
-def _crash_messages(suspicion: PartSuspicion, now: timedelta) -> list[PartCrash]:
-    longest = EVIDENCE_LIFETIME * SENT_SHARE_OF_LIFETIME
-    return [
-        PartCrash(
-            run=TargetRun(target_id=crash.target_id, started_ms=crash.started_ms),
-            request_id=crash.request_id,
-            age_ms=(now - at) // MILLISECOND,
-        )
-        for crash, at in suspicion.crashes.items()
-        if suspicion.quarantined_until is not None or now - at < longest
-    ]
-
-
-def _answered_age_ms(suspicion: PartSuspicion, now: timedelta) -> int:
-    if suspicion.answered is None:
-        return NOT_ANSWERED
-    age = now - suspicion.answered
-    if age >= EVIDENCE_LIFETIME * SENT_SHARE_OF_LIFETIME:
-        return NOT_ANSWERED
-    return age // MILLISECOND
-
-
-def _quarantine_ms(suspicion: PartSuspicion, now: timedelta) -> int:
-    until = suspicion.quarantined_until
-    shortest = QUARANTINE_LIFETIME * (1 - SENT_SHARE_OF_LIFETIME)
-    if until is None or until - now < shortest:
-        return 0
-    return (until - now) // MILLISECOND
+def _rounded(rank: Rank) -> Rank:
+    """Return a rank that nodes agree on though reports take time."""
+    in_quarantine, runs, newest = rank
+    return (in_quarantine, runs, newest // REPORT_DELAY * REPORT_DELAY)
--- a/tests/test_promptquarantine.py
+++ b/tests/test_promptquarantine.py
@@ -533,3 +533,32 @@
         exchange(nodes)
         exchange(nodes)
         assert [node.refuses(RARE) for node in nodes] == [False] * 3
+
+
+# Guards against: a part that sound requests share is refused for good, since it was at
+# the same crashes as the harmful one and targets had last answered it a while ago.
+def test_shared_part_at_the_same_crashes_is_refused_with_the_harmful_one_only() -> None:
+    node = Node()
+    node.answer(SHARED)
+    node.clock.advance(ANSWER_VALIDITY + SECOND)
+    for number in range(MIN_CRASHES):
+        node.crash(number, number, SHARED, HARMFUL)
+        node.clock.advance(SECOND)
+    node.clock.advance(EXONERATION_TIME)
+    assert node.refuses(SHARED, HARMFUL)
+    assert not node.refuses(SHARED)
+    node.answer(SHARED)
+    assert node.refuses(HARMFUL)
+
+
+# Guards against: after many targets ended at once, a part that goes on to crash targets
+# finds no place among the suspects of that moment.
+def test_new_suspect_finds_a_place_among_many_of_one_moment() -> None:
+    node = Node()
+    for number in range(MAX_SUSPECTS):
+        node.crash(number, number, f"z-{number}")
+    for number in range(MIN_CRASHES):
+        node.clock.advance(2 * SECOND)
+        node.crash(100 + number, 100 + number, "a-harmful")
+    node.clock.advance(EXONERATION_TIME)
+    assert node.refuses("a-harmful")
--- a/tests/test_quarantineditems.py
+++ b/tests/test_quarantineditems.py
@@ -16,7 +16,7 @@
 from chivespan.batchowner import ABANDON_MARGIN, FAILED_RETRY_DELAY
 from chivespan.batchrecords import BatchHeader, BatchItem
 from chivespan.batchschedule import Placement
-from chivespan.itemquarantine import SUSPECT_DELAY
+from chivespan.itemquarantine import SUSPECT_DELAY, ItemBreaks
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import (
     ItemHeader,
@@ -28,8 +28,9 @@
     PartEvidence,
     TargetRun,
 )
+from chivespan.partevidence import NOT_ANSWERED
 from chivespan.partsuspicion import MIN_CRASHES, CrashedRequest
-from chivespan.promptquarantine import NOT_ANSWERED, PartStatus
+from chivespan.promptquarantine import PartStatus
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
@@ -358,3 +359,9 @@
     harness.owner.fail_abandoned_items()
     given_up = [(each.item_id, each.done) for each in harness.owner._finished]
     assert given_up == [("j-0", False), ("j-1", False)]
+
+
+# Guards against: an item that breaks very often ends its owner with an error.
+def test_item_that_breaks_without_end_has_a_bounded_delay() -> None:
+    breaks = ItemBreaks(count=1000)
+    assert breaks.end_of_delay("item") < timedelta(minutes=10)
