--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -348,10 +348,10 @@
             request=request.request_id,
             paused=entry.target_id,
             other=candidate.entry.target_id,
-            accepted=handover.accepted,
+            accepted=handover.paused_given_up,
             outcome=outcome.value if outcome else "paused_stream_went_on",
         )
-        if handover.accepted:
+        if handover.paused_given_up:
             if outcome and outcome is not SendOutcome.HANDED_OVER:
                 progress.handover_outcome = outcome
             return True
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -61,7 +61,7 @@
     Id of the part.
     """
     crashes: list[PartCrash]
-    served_age_ms: int
+    answered_age_ms: int
     """
     Time since a target answered a request with this part; -1 if unknown.
     """
--- a/chivespan/partevidence.py
+++ b/chivespan/partevidence.py
@@ -25,7 +25,7 @@
     return PartEvidence(
         part=part,
         crashes=_crash_messages(suspicion, now),
-        served_age_ms=_answered_age_ms(suspicion, now),
+        answered_age_ms=_answered_age_ms(suspicion, now),
         quarantine_ms=_quarantine_ms(suspicion, now),
     )
 
--- a/chivespan/promptquarantine.py
+++ b/chivespan/promptquarantine.py
@@ -198,9 +198,9 @@
                 del self._suspicions[part]
 
     def _merge_answer(self, entry: PartEvidence, now: timedelta, source: str) -> None:
-        if entry.served_age_ms == NOT_ANSWERED:
+        if entry.answered_age_ms == NOT_ANSWERED:
             return
-        answered = now - entry.served_age_ms * MILLISECOND
+        answered = now - entry.answered_age_ms * MILLISECOND
         suspicion = self._suspicion(entry.part)
         if suspicion is not None:
             self._apply_answer(entry.part, suspicion, answered, source)
@@ -246,7 +246,7 @@
         runs: int = 1,
     ) -> None:
         if self._voids_crash(part, at):
-            self._answer_suspicion(part, at, source)
+            self._object_to_suspicion(part, at, source)
             return
         suspicion = self._suspicion(part, (False, runs, at))
         if suspicion is None or not suspicion.add_crash(crash, at):
@@ -263,7 +263,7 @@
             crashed_requests=suspicion.crashed_requests,
         )
 
-    def _answer_suspicion(self, part: str, at: timedelta, source: str) -> None:
+    def _object_to_suspicion(self, part: str, at: timedelta, source: str) -> None:
         """Tell a peer that suspects a part that a target has answered it."""
         suspicion = self._suspicion(part)
         own = self._answered.get(part)
@@ -350,7 +350,7 @@
     def _evidence(self, now: timedelta) -> Iterator[PartEvidence]:
         for part, suspicion in sorted(self._suspicions.items()):
             entry = evidence_message(part, suspicion, now)
-            if entry.crashes or entry.served_age_ms != NOT_ANSWERED:
+            if entry.crashes or entry.answered_age_ms != NOT_ANSWERED:
                 yield entry
 
     def _suspicion(self, part: str, rank: Rank = LEAST_RANK) -> PartSuspicion | None:
--- a/chivespan/streamhandover.py
+++ b/chivespan/streamhandover.py
@@ -24,7 +24,7 @@
     :param paused: the response of the paused target.
     :param splitter: splits the stream into events.
     :param on_accept: called with the reason when the paused target is given up.
-    :ivar accepted: whether the paused target has been given up.
+    :ivar paused_given_up: whether the paused target has been given up.
     :ivar events: whole events that the paused target has sent meanwhile.
     """
 
@@ -35,7 +35,7 @@
         self._splitter = splitter
         self._on_accept = on_accept
         self._paused_went_on = False
-        self.accepted = False
+        self.paused_given_up = False
         self.events = b""
 
     async def run(self, attempt: Callable[[], Awaitable[None]]) -> None:
@@ -50,8 +50,8 @@
         if self._paused_went_on:
             # The attempt has been cancelled, though its target has just responded.
             await anyio.sleep_forever()
-        if not self.accepted:
-            self.accepted = True
+        if not self.paused_given_up:
+            self.paused_given_up = True
             self._on_accept(reason)
             await self._paused.close()
 
@@ -63,7 +63,7 @@
             except ChivespanError as error:
                 await self.accept(error.message)
                 return
-            if not self.accepted:
+            if not self.paused_given_up:
                 self._paused_went_on = True
                 attempt.cancel_scope.cancel()
             return
@@ -73,6 +73,6 @@
         """Wait for a whole event or the end of the paused stream."""
         while not self.events:
             chunk = await self._paused.next_chunk()
-            if chunk is None or self.accepted:
+            if chunk is None or self.paused_given_up:
                 return
             self.events = self._splitter.feed(chunk)
--- a/tests/test_quarantineditems.py
+++ b/tests/test_quarantineditems.py
@@ -58,7 +58,7 @@
     run=TargetRun(target_id="t9", started_ms=1), request_id="other", age_ms=0
 )
 QUARANTINED = PartEvidence(
-    part=HARMFUL, crashes=[CRASH], served_age_ms=NOT_ANSWERED, quarantine_ms=20_000
+    part=HARMFUL, crashes=[CRASH], answered_age_ms=NOT_ANSWERED, quarantine_ms=20_000
 )
 
 
--- a/tests/test_stalledstreams.py
+++ b/tests/test_stalledstreams.py
@@ -116,5 +116,5 @@
     handover = Handover(cast(Reply, paused), EventSplitter(), reasons.append)
     with anyio.fail_after(OVERLAP_LIMIT.total_seconds() + 2):
         await handover.run(paused.closed.wait)
-    assert handover.accepted
+    assert handover.paused_given_up
     assert reasons == ["stream paused"]
--- a/tests/test_streamhandover.py
+++ b/tests/test_streamhandover.py
@@ -59,7 +59,7 @@
         tasks.start_soon(send_both)
         await handover.run(attempt)
     assert handover.events == EVENT
-    assert not handover.accepted
+    assert not handover.paused_given_up
 
 
 class LateStream:
