Look for convictions only when evidence waits for objections

A shared part that was exonerated once stays known for ten minutes, and each request with it went over all suspects. By reading; the verdicts are the same (tests/test_promptquarantine, test_crashsimulation).

--- a/chivespan/promptquarantine.py
+++ b/chivespan/promptquarantine.py
@@ -158,7 +158,7 @@
 
     def quarantined_part(self, parts: Collection[str]) -> str | None:
         """Return the same without any effect on the quarantine."""
-        if not self._suspicions.keys().isdisjoint(parts):
+        if any(self._awaits_objections(part) for part in parts):
             self._convict_suspects()
         for part in parts:
             if self._is_quarantined(part) and self._is_to_blame(part, parts):
@@ -389,6 +389,13 @@
         self._version += 1
         self._own_version += source in OWN_SOURCES
 
+    def _awaits_objections(self, part: str) -> bool:
+        """Return whether the evidence against a part suffices for a quarantine."""
+        suspicion = self._suspicions.get(part)
+        if suspicion is None or suspicion.quarantined_until is not None:
+            return False
+        return suspicion.sufficient_since is not None
+
     def _pending_time(self, part: str) -> timedelta:
         suspicion = self._suspicions.get(part)
         if suspicion is None or suspicion.sufficient_since is None:
