Don't hand a request over whose prompt is quarantined meanwhile

A request that has got the head of its answer only may pause and then be handed over to one more target; the quarantine was asked before the first send and before a retry, but not there (BUDGET). test_pausingtargets fails without it.

--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -320,6 +320,8 @@
 
         If none accepts, the paused stream is to be read on.
         """
+        if not self._prompt_guard.may_send(progress.prompt_parts):
+            return False
         candidate = self._pick_within(self._time_left(progress), progress)
         if candidate is None or progress.entry is None:
             return False
--- a/chivespan/promptguard.py
+++ b/chivespan/promptguard.py
@@ -55,6 +55,12 @@
         if part is not None:
             raise self._refusal(request_id, part)
 
+    def may_send(self, parts: Collection[str]) -> bool:
+        """Return whether a request may be sent at once, without any wait."""
+        if self._quarantine.pending_time(parts) > NO_WAIT:
+            return False
+        return self._quarantine.find_quarantined(parts) is None
+
     def record_answered(self, parts: Iterable[str]) -> None:
         """Record that a target answers a request with these parts."""
         self._quarantine.record_answered(parts)
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -155,7 +155,7 @@
             timedelta,
         )
         self.statuses: list[ItemStatus] = []
-        quarantine = PromptQuarantine(self.clock)
+        self.quarantine = PromptQuarantine(self.clock)
         self.executor = BatchExecutor(
             self.target_set,
             self.picker,
@@ -164,7 +164,7 @@
             self.clock,
             self.metrics,
             self.statuses.append,
-            quarantine,
+            self.quarantine,
         )
         self.front = Address(_front_host, next(_front_ports))
         routing = RoutingState(decode_config)
@@ -180,7 +180,7 @@
                 self.silence,
                 self.clock,
                 self.metrics,
-                PromptGuard(quarantine),
+                PromptGuard(self.quarantine),
             ),
             cast(BatchFrontend, None),
             self.metrics,
--- a/tests/test_pausingtargets.py
+++ b/tests/test_pausingtargets.py
@@ -3,7 +3,13 @@
 import anyio
 import pytest
 
-from chivespan.nodemessages import ItemState
+from chivespan.nodemessages import (
+    ItemState,
+    PartCrash,
+    PartEvidence,
+    TargetRun,
+)
+from chivespan.partevidence import NOT_ANSWERED
 from chivespan.targethealth import EJECT_AFTER_FAILURES, INITIAL_EJECTION
 from tests.fleet import SERVICE
 from tests.rawtargets import (
@@ -73,3 +79,24 @@
 async def check_stream(site: RawSite) -> None:
     answer = await site.ask()
     assert (answer.body, answer.complete) == (WHOLE, True)
+
+
+# Guards against: a request whose prompt crashes targets is handed over to one more of
+# them, since its quarantine began when it had been sent.
+async def test_request_that_is_quarantined_meanwhile_is_not_handed_over() -> None:
+    rest = target(STREAM, chunk(events(1, 2, 3)), LAST_CHUNK)
+    async with raw_site(pausing(0), rest, maxAttempts=3) as site:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(site.ask, "X-Chivespan-Prompt-Prefix: 5a:200,bad0:50,c1:9")
+            await anyio.sleep(0.1)
+            crash = PartCrash(
+                run=TargetRun(target_id="i-9", started_ms=1), request_id="r", age_ms=0
+            )
+            evidence = PartEvidence(
+                part="bad0",
+                crashes=[crash],
+                answered_age_ms=NOT_ANSWERED,
+                quarantine_ms=600_000,
+            )
+            site.quarantine.merge([evidence], "peer")
+        assert not rest.requests
