Log the rate limits that targets state in their responses, and keep the latest

The adapter reads the header strictly; a malformed or contradictory one is logged and changes nothing. A response without it ends the limit only if the target generated it itself, to this request; 421 comes from another target. No decision uses the limits yet, and they are not told to peers yet; the message for that is in the schema.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -34,6 +34,7 @@
 from chivespan.partsuspicion import READS_OF_AN_ANSWER
 from chivespan.platform import wire
 from chivespan.promptquarantine import PromptQuarantine
+from chivespan.targetannouncements import record_announcements
 from chivespan.targetpick import TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector, StreamWatch
@@ -268,8 +269,7 @@
     async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
         watching = self._silence.watch_stream(entry.target_id)
         async with exchange(_request_for(held, entry)) as reply:
-            if wire.announces_leaving(reply):
-                self._picker.record_leaving(entry)
+            record_announcements(self._picker, entry, reply, held.start.item_id)
             if wire.reports_not_run(reply, held.start.item_id):
                 return ItemState.not_run
             if not wire.is_response_to(reply, held.start.item_id):
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -35,6 +35,7 @@
 )
 from chivespan.routes import Route
 from chivespan.streamhandover import Handover
+from chivespan.targetannouncements import record_announcements
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector
 
@@ -219,8 +220,7 @@
         try:
             call = self._call(request, route, entry, progress)
             async with exchange(call) as reply:
-                if wire.announces_leaving(reply):
-                    self._picker.record_leaving(entry)
+                record_announcements(self._picker, entry, reply, request.request_id)
                 outcome = await self._relay_response(
                     reply, request, route, progress, responder
                 )
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -71,6 +71,23 @@
     """
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLimit:
+    """
+    The latest statement of a run of a target on how many requests it accepts from all nodes together.
+    """
+
+    run: TargetRun
+    per_s: float
+    """
+    Requests per second; -1 for no limit.
+    """
+    age_ms: int
+    """
+    Time since a node received the statement.
+    """
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReport:
     """
@@ -111,6 +128,10 @@
     """
     Parts of prompts that are suspected of crashing targets; only with loads.
     """
+    target_limits: list[TargetLimit] = field(default_factory=list)
+    """
+    Rate limits that have changed since the last report; only with loads.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -153,6 +174,10 @@
     """
     Parts of prompts that are suspected of crashing targets.
     """
+    target_limits: list[TargetLimit] = field(default_factory=list)
+    """
+    Rate limits that have changed since the last report.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -21,6 +21,7 @@
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import TargetEntry, TargetRun
 from chivespan.overload import OverloadEpisodes
+from chivespan.ratelimits import StatedLimit
 from chivespan.registry import Registry
 from chivespan.targethealth import HealthState, TargetHealth
 from chivespan.targetset import TargetSet
@@ -280,6 +281,11 @@
         run = TargetRun(target_id=entry.target_id, started_ms=entry.started_ms)
         self._targets.record_leaving(run, "response", observed_here=True)
 
+    def record_limit(self, entry: TargetEntry, stated: StatedLimit | None) -> None:
+        """Record what a response to this node says of the target's rate limit."""
+        if stated is not None:
+            self._targets.limits.record(entry, stated)
+
     def record_service_time(self, took: timedelta) -> None:
         """Record how long an online request used its slot, without its wait for it."""
         change = (took - self._service_time) * SERVICE_TIME_SMOOTHING
--- a/chivespan/targetset.py
+++ b/chivespan/targetset.py
@@ -12,6 +12,7 @@
 from chivespan.clock import Clock
 from chivespan.logs import logger
 from chivespan.nodemessages import TargetEntry, TargetRun
+from chivespan.ratelimits import RateLimits
 from chivespan.targetdepartures import TargetDepartures
 
 # Time after an outage of the store in which targets may renew expired entries.
@@ -38,10 +39,14 @@
 
 
 class TargetSet:
-    """All targets by id, each with its newest entry."""
+    """All targets by id, each with its newest entry.
+
+    :ivar limits: the rate limits that targets have stated.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self.limits = RateLimits(clock)
         self._entries: dict[str, TargetEntry] = {}
         # Cache by service, cleared when the entries change.
         self._usable: dict[str, list[TargetEntry]] = {}
@@ -116,6 +121,7 @@
         if now >= self._removals_from:
             self._drop_missing(listed.keys(), now)
         self._departures.remove_outdated(self._entries.keys())
+        self.limits.remove_outdated(self._entries.keys())
         self._usable.clear()
 
     def _accepts_requests(self, entry: TargetEntry) -> bool:
