Keep the rate limits that targets state, summed over all nodes

Ruled out: that items, retries or resumed streams make it up.

Change: nodes report decaying counts of what they send to limited targets, and send only while the fleet's count is below the one at which requests come at the limit. A draw bounds what several nodes send before they hear of each other, and gets harsher while reports are held up. Limited targets count with the slots that their rate fills. Items prefer them.

Why it works: all sends are counted, the counts add up over relays, and whatever is sent beyond the limit delays the next one.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -223,6 +223,7 @@
         if self._is_held_back(held):
             return ItemState.not_run
         held.answered = False
+        self._picker.limiter.record_send(entry)
         with self._load_table.track_batch(entry.target_id):
             try:
                 return await self._exchange(held, entry)
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -23,6 +23,7 @@
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
+from chivespan.itempacing import ItemPacer
 from chivespan.itemrun import ItemRun
 from chivespan.keyedstore import KeyedStore, Partition
 from chivespan.ledgerstore import LedgerStore
@@ -79,6 +80,7 @@
         self._clock = clock
         self._backlog_log = BacklogLog(clock, capacity_policy)
         self._peaks: dict[str, OnlinePeak] = {}
+        self._item_pacer = ItemPacer(picker, clock)
         self._stores = [
             LedgerStore(
                 store,
@@ -247,6 +249,7 @@
         services = {service for owner in owned for service in owner.services()}
         running = [run for owner in owned for run in owner.running()]
         at_targets = Counter(run.target_id for run in running)
+        self._item_pacer.forget_unlimited()
         targets = list(self._target_capacities(services, at_targets))
         if self._backlog_log.is_due:
             now = self._clock.now()
@@ -267,6 +270,7 @@
             place_items(waiting, targets, nodes, now, self._capacity_policy)
         )
         for placement in placements:
+            self._item_pacer.record_start(placement.entry)
             self._owners[placement.item.partition].start(placement)
         self._backlog_log.started(len(placements))
 
@@ -275,17 +279,18 @@
     ) -> Iterator[TargetCapacity]:
         for service in services:
             candidates = self._picker.candidates(service)
-            slots = sum(candidate.slots for candidate in candidates)
             peak = self._online_peak(service)
             peak.record_sample(sum(candidate.online for candidate in candidates))
-            for candidate in candidates:
-                started = running[candidate.entry.target_id]
+            weights = [self._picker.online_slots(each) for each in candidates]
+            for candidate, weight in zip(candidates, weights, strict=True):
+                entry = candidate.entry
                 yield TargetCapacity(
-                    entry=candidate.entry,
+                    entry=entry,
                     slots=candidate.slots,
                     online=candidate.online,
-                    batch=max(candidate.batch, started),
-                    online_peak=peak.value * candidate.slots / slots,
+                    batch=max(candidate.batch, running[entry.target_id]),
+                    online_peak=peak.value * weight / sum(weights),
+                    rate_room=self._item_pacer.room(entry),
                 )
 
     def _online_peak(self, service: str) -> OnlinePeak:
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -75,6 +75,7 @@
 
     :ivar batch: items that run at the target or are being started.
     :ivar online_peak: slots that a burst of online requests takes at the target.
+    :ivar rate_room: items that the target's rate limit allows now; None without one.
     """
 
     entry: TargetEntry
@@ -82,6 +83,12 @@
     online: int
     batch: int
     online_peak: float = 0.0
+    rate_room: int | None = None
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the target has a rate limit."""
+        return self.rate_room is not None
 
     @property
     def free(self) -> int:
@@ -91,13 +98,20 @@
     @property
     def available(self) -> int:
         """Slots that batch may use now, without the reserved slot."""
-        return self.slots - self.online - self.batch - RESERVED_SLOTS_PER_TARGET
+        slots = self.slots - self.online - self.batch - RESERVED_SLOTS_PER_TARGET
+        return slots if self.rate_room is None else min(slots, self.rate_room)
 
     @property
     def available_at_peak(self) -> int:
         """Slots that batch may use now and during the next burst."""
         return min(self.available, floor(self.slots - self.online_peak - self.batch))
 
+    def add_item(self) -> None:
+        """Count an item that is started."""
+        self.batch += 1
+        if self.rate_room is not None:
+            self.rate_room -= 1
+
 
 @dataclass(slots=True)
 class NodeLoad:
@@ -131,7 +145,7 @@
 
     :param of_target: returns the number for one target.
     :param keeps_reserve: whether the targets of a service together keep as many slots
-        free as they reserve one by one.
+        free as they reserve one by one; those with a rate limit need no reserve.
     """
 
     of_target: CapacityFunction
@@ -142,8 +156,8 @@
         return self.of_target(target, behind_schedule)
 
     def of_all(self, targets: Iterable[TargetCapacity]) -> int:
-        """Return how many more items may start at all targets of one service."""
-        of_service = list(targets)
+        """Return how many more may start at all targets of a service without limit."""
+        of_service = [target for target in targets if not target.is_limited]
         free = sum(target.free for target in of_service)
         return (
             free - RESERVED_SLOTS_PER_TARGET * len(of_service)
@@ -199,11 +213,10 @@
 ) -> bool:
     """Return whether any item could start if items were behind schedule."""
     return any(
-        capacity_policy.of_all(of_service) > 0
-        and any(
-            capacity_policy(target, behind_schedule=True) > 0 for target in of_service
-        )
+        capacity_policy(target, behind_schedule=True) > 0
+        and (target.is_limited or capacity_policy.of_all(of_service) > 0)
         for of_service in by_service(targets).values()
+        for target in of_service
     )
 
 
@@ -248,19 +261,34 @@
     holders = {node.vm: node for node in nodes}
     for item in ordered if nodes and open_targets else ():
         candidates = open_targets.get(item.service, [])
-        if not candidates or left[item.service] <= 0:
+        usable = _usable(candidates, left.get(item.service, 0))
+        if not usable:
             continue
-        left[item.service] -= 1
         holder = holders.get(item.holder)
-        target = _best_target(candidates, holder, capacity_of)
+        target = _best_target(usable, holder, capacity_of)
         node = holder or _best_node(nodes, target)
-        target.batch += 1
+        left[item.service] -= not target.is_limited
+        target.add_item()
         node.items += 1
         if capacity_of(target) <= 0:
             candidates.remove(target)
         yield Placement(item, target.entry, node.vm)
 
 
+def _usable(
+    candidates: Sequence[TargetCapacity], left: int
+) -> Sequence[TargetCapacity]:
+    """Return the targets at which an item may start; limited ones, if there are any.
+
+    An item takes one request of a limited target's rate, but a slot for as long as many
+    online requests, which have no other use for the slots of limited targets.
+
+    :param left: how many more items may start at the other targets.
+    """
+    limited = [target for target in candidates if target.is_limited]
+    return limited or (candidates if left > 0 else [])
+
+
 def _best_target(
     candidates: Sequence[TargetCapacity],
     holder: NodeLoad | None,
--- a/chivespan/batchyield.py
+++ b/chivespan/batchyield.py
@@ -56,7 +56,7 @@
         now = self._clock.monotonic()
         checked = self._checked.get(service)
         if checked is None or now - checked >= SCARCITY_CHECK_INTERVAL:
-            candidates = self._picker.candidates(service)
+            candidates = self._picker.sendable(service)
             free = sum(max(0, each.free) for each in candidates)
             self._scarce[service] = free < len(candidates) * SCARCE_FREE_PER_TARGET
             self._checked[service] = now
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -157,6 +157,7 @@
         entry = progress.entry = candidate.entry
         progress.tried.add(entry.target_id)
         progress.expects_slot = candidate.free > 0
+        self._picker.limiter.record_send(entry)
         with ExitStack() as holds:
             progress.holds = holds
             holds.enter_context(self._load_table.track_online(entry.target_id))
@@ -173,6 +174,11 @@
             service=progress.service,
             tried=sorted(progress.tried),
             loads=[candidate.summary for candidate in candidates],
+            rate_limited=[
+                candidate.entry.target_id
+                for candidate in candidates
+                if (self._picker.limiter.room(candidate.entry) or 1) <= 0
+            ],
             oldest_count_ms=round(self._load_table.oldest_report_age() / MILLISECOND),
         )
 
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -26,10 +26,11 @@
     LoadReport,
     PartEvidence,
     SummedReport,
-    TargetLoad,
+    TargetLimit,
     TargetRun,
 )
 from chivespan.promptquarantine import PromptQuarantine
+from chivespan.recentsends import sum_sends
 from chivespan.relaytiming import RelayTiming
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
@@ -71,7 +72,7 @@
         self._quarantine = quarantine
         self._relay_timing = RelayTiming(targets, load_table)
         self._local_peers: list[Peer] = []
-        self._sent_loads: OrderedDict[int, list[TargetLoad]] = OrderedDict()
+        self._sent_reports: OrderedDict[int, LoadReport] = OrderedDict()
         self._sequence = 0
         self._relay: str | None = None
         self._sent_status = NO_REPORT
@@ -80,6 +81,8 @@
         self._sent_leaving: list[TargetRun] = []
         # Version of the evidence on prompts that each receiver has.
         self._sent_evidence: dict[str, int] = {}
+        # Version of the rate limits that each receiver has.
+        self._sent_limits: dict[str, int] = {}
         self._sent_sums: dict[str, DataCentreReport] = {}
         # The latest sum of each other data centre, for when this node becomes a relay.
         self._received_sums: dict[str, DataCentreReport] = {}
@@ -119,12 +122,14 @@
             self._apply_report(peer, message)
         elif isinstance(message, DataCentreReport):
             self._quarantine.merge(message.prompt_parts, message.data_centre)
+            self._targets.limits.merge(message.target_limits, message.data_centre)
             self._received_sums[message.data_centre] = message
             self._apply_sum(message)
             self._pass_on(message)
         elif isinstance(message, FleetReport):
             for report in message.reports:
                 self._quarantine.merge(report.prompt_parts, peer.node.vm)
+                self._targets.limits.merge(report.target_limits, peer.node.vm)
                 self._apply_sum(report)
 
     @property
@@ -170,8 +175,8 @@
     async def _report_changes(self) -> None:
         while True:
             # Counts may have changed during the last pause.
-            reported = self._sent_loads.get(self._sequence, [])
-            if self._load_table.own_loads() == reported:
+            sent = self._sent_reports.get(self._sequence)
+            if self._load_table.own_loads() == (sent.loads if sent else []):
                 await self._load_table.wait_own_changed()
             self._report_loads()
             await anyio.sleep(CHANGE_INTERVAL.total_seconds())
@@ -195,14 +200,17 @@
                 sequence=previous.sequence,
                 silent=previous.silent,
                 loads=previous.loads,
+                recent_sends=previous.recent_sends,
                 leaving_targets=previous.leaving_targets,
             )
         elif self._sums_locally:
             self._forget_sum(WHOLE_FLEET)
             self._load_table.report(peer.node.vm, report.loads)
+            self._targets.recent_sends.report(peer.node.vm, report.recent_sends)
             self._silence.update_peer(peer.node.vm, report.silent)
         self._record_leaving(report.leaving_targets, peer.node.vm)
         self._quarantine.merge(report.prompt_parts, peer.node.vm)
+        self._targets.limits.merge(report.target_limits, peer.node.vm)
         bandwidth_changed = report.link_mbps != peer.report.link_mbps
         peer.report = report
         if bandwidth_changed:
@@ -217,7 +225,10 @@
             return
         if is_whole_fleet:
             self._forget_counts_of_nodes()
-        self._load_table.report(name, report.loads, self._own_part(report))
+        own = self._own_part(report)
+        own_loads, own_sends = (own.loads, own.recent_sends) if own else ([], [])
+        self._load_table.report(name, report.loads, own_loads)
+        self._targets.recent_sends.report(name, report.recent_sends, own_sends)
         self._silence.update_peer(name, report.silent)
 
     def _forget_counts_of_nodes(self) -> None:
@@ -231,13 +242,13 @@
         for run in runs:
             self._targets.record_leaving(run, source)
 
-    def _own_part(self, report: DataCentreReport) -> list[TargetLoad]:
-        """Return this node's own counts that are included in a sum."""
+    def _own_part(self, report: DataCentreReport) -> LoadReport | None:
+        """Return this node's own report that is included in a sum."""
         own = self._links.own.vm
         for part in report.summed:
             if part.vm == own:
-                return self._sent_loads.get(part.sequence, [])
-        return []
+                return self._sent_reports.get(part.sequence)
+        return None
 
     def _is_lost(self, centre: str) -> bool:
         """Return whether this node is a gateway without a link to a data centre.
@@ -265,16 +276,19 @@
             silent=self._silence.local_silent(),
             loads=self._load_table.own_loads(),
             leaving_targets=self._targets.leaving_runs,
+            recent_sends=self._targets.recent_sends.own_sends(),
         )
         if self._relay is None:
             self._choose_relay(report)
         self._sent_silent = report.silent
         self._sent_leaving = report.leaving_targets
-        self._sent_loads[self._sequence] = report.loads
-        if len(self._sent_loads) > MAX_KEPT_REPORTS:
-            self._sent_loads.popitem(last=False)
+        self._sent_reports[self._sequence] = report
+        if len(self._sent_reports) > MAX_KEPT_REPORTS:
+            self._sent_reports.popitem(last=False)
         evidence = self._evidence_for(REPORT_RECEIVERS, self._quarantine.own_version)
-        self._send(self._report_receivers(), replace(report, prompt_parts=evidence))
+        limits = self._limits_for(REPORT_RECEIVERS, self._targets.limits.own_version)
+        report = replace(report, prompt_parts=evidence, target_limits=limits)
+        self._send(self._report_receivers(), report)
 
     def _report_receivers(self) -> list[Peer]:
         """Return the peers to which this node reports its counts directly."""
@@ -304,7 +318,16 @@
         """Return whether targets were seen to leave or crash since the last report."""
         if self._targets.leaving_runs != self._sent_leaving:
             return True
-        return self._sent_evidence.get(REPORT_RECEIVERS) != self._quarantine.own_version
+        if self._sent_evidence.get(REPORT_RECEIVERS) != self._quarantine.own_version:
+            return True
+        if (
+            self._sent_limits.get(REPORT_RECEIVERS, 0)
+            < self._targets.limits.own_version
+        ):
+            return True
+        sent = self._sent_reports.get(self._sequence)
+        sends = self._targets.recent_sends.own_sends()
+        return sends != (sent.recent_sends if sent else [])
 
     def _send_sums(self) -> None:
         """Send the sums to all peers that don't have them yet."""
@@ -312,16 +335,20 @@
         for relay in self.remote_relays():
             vm = relay.node.vm
             evidence = self._evidence_for(vm, self._quarantine.version)
-            if evidence or self._sent_sums.get(vm) != centre_sum:
+            limits = self._limits_for(vm, self._targets.limits.version)
+            if evidence or limits or self._sent_sums.get(vm) != centre_sum:
                 self._sent_sums[vm] = centre_sum
-                relay.send(replace(centre_sum, prompt_parts=evidence))
+                relay.send(
+                    replace(centre_sum, prompt_parts=evidence, target_limits=limits)
+                )
         if self._is_direct:
             return
         fleet_sum = self._fleet_sum()
         evidence = self._evidence_for(WHOLE_FLEET, self._quarantine.version)
-        if evidence or self._sent_sums.get(WHOLE_FLEET) != fleet_sum:
+        limits = self._limits_for(WHOLE_FLEET, self._targets.limits.version)
+        if evidence or limits or self._sent_sums.get(WHOLE_FLEET) != fleet_sum:
             self._sent_sums[WHOLE_FLEET] = fleet_sum
-            report = replace(fleet_sum, prompt_parts=evidence)
+            report = replace(fleet_sum, prompt_parts=evidence, target_limits=limits)
             self._send(self._local_peers, FleetReport(reports=[report]))
 
     def _evidence_for(self, receiver: str, version: int) -> list[PartEvidence]:
@@ -331,10 +358,19 @@
         self._sent_evidence[receiver] = version
         return self._quarantine.report
 
+    def _limits_for(self, receiver: str, version: int) -> list[TargetLimit]:
+        """Return the rate limits that a receiver doesn't have yet, if any is new."""
+        sent = self._sent_limits.get(receiver, 0)
+        if version <= sent:
+            return []
+        self._sent_limits[receiver] = self._targets.limits.version
+        return self._targets.limits.changes_since(sent)
+
     def _data_centre_sum(self) -> DataCentreReport:
         """Return the sum over the nodes of this data centre."""
         reporting = list(self._reporting_peers())
         loads = [peer.report.loads for peer in reporting]
+        sends = [peer.report.recent_sends for peer in reporting]
         silent = set(self._silence.local_silent()).union(
             *(peer.report.silent for peer in reporting)
         )
@@ -344,6 +380,7 @@
             silent=sorted(silent),
             loads=sum_loads([self._load_table.own_loads(), *loads]),
             leaving_targets=self._targets.known_leaving_runs,
+            recent_sends=sum_sends([self._targets.recent_sends.own_sends(), *sends]),
         )
 
     def _fleet_sum(self) -> DataCentreReport:
@@ -357,6 +394,7 @@
             silent=sorted(self._silence.all_silent()),
             loads=self._load_table.totals(),
             leaving_targets=self._targets.known_leaving_runs,
+            recent_sends=self._targets.recent_sends.totals(),
         )
 
     def _reporting_peers(self) -> Iterator[Peer]:
@@ -384,6 +422,7 @@
         """Have everything sent again, since some receivers are new."""
         self._sent_sums.clear()
         self._sent_evidence.clear()
+        self._sent_limits.clear()
 
     def _start_relaying(self) -> None:
         """Count by the sums of the data centres in place of that of another relay."""
@@ -401,6 +440,7 @@
     def _stop_counting(self, reporter: str) -> None:
         """Drop the counts and silent targets of one reporter: a node or a sum."""
         self._load_table.remove_peer(reporter)
+        self._targets.recent_sends.remove_peer(reporter)
         self._silence.remove_peer(reporter)
 
     @property
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -88,6 +88,16 @@
     """
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetSends:
+    """
+    Number of requests recently sent to one target that has a rate limit; decays with time.
+    """
+
+    target_id: str
+    count: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReport:
     """
@@ -132,6 +142,10 @@
     """
     Rate limits that have changed since the last report; only with loads.
     """
+    recent_sends: list[TargetSends] = field(default_factory=list)
+    """
+    Requests recently sent to targets that have a rate limit; only with loads.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -178,6 +192,10 @@
     """
     Rate limits that have changed since the last report.
     """
+    recent_sends: list[TargetSends] = field(default_factory=list)
+    """
+    Requests recently sent to targets that have a rate limit.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -6,7 +6,8 @@
 expected to arrive than slots are free until the counts are renewed, the rest of them is
 spread over all targets by their queues of online requests, since batch work there is
 preempted. Once the queues of all targets together make a new request late, it is
-refused, so that its caller can retry while others are served in time.
+refused, so that its caller can retry while others are served in time. A target whose
+rate limit leaves this node no request now is left out.
 """
 
 from collections.abc import Callable, Container, Iterator, Sequence
@@ -23,6 +24,7 @@
 from chivespan.overload import OverloadEpisodes
 from chivespan.ratelimits import StatedLimit
 from chivespan.registry import Registry
+from chivespan.sendlimiter import SendLimiter
 from chivespan.targethealth import HealthState, TargetHealth
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
@@ -44,6 +46,7 @@
 MIN_RETRY_AFTER = timedelta(milliseconds=100)
 MAX_RETRY_AFTER = timedelta(seconds=2)
 NO_TARGET_RETRY_AFTER = timedelta(milliseconds=500)
+SECOND = timedelta(seconds=1)
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -92,13 +95,15 @@
     staleness: timedelta
     random: Random
 
-    def expected_arrivals(self, candidates: Sequence[Candidate]) -> float:
+    def expected_arrivals(
+        self, candidates: Sequence[Candidate], margin: float = ARRIVALS_MARGIN
+    ) -> float:
         """Return how many requests for these targets may not be counted yet.
 
         By Little's law, as many arrive in a service time as are in progress.
         """
         running = sum(min(each.online, each.slots) for each in candidates)
-        return ARRIVALS_MARGIN * running * (self.staleness / self.service_time)
+        return margin * running * (self.staleness / self.service_time)
 
     def is_overloaded(self) -> bool:
         """Return whether the queues make one more request late, wherever it is sent."""
@@ -190,6 +195,8 @@
 
     :param choose: the target choice policy.
     :param staleness: returns the mean time until a request of another node is counted.
+    :ivar limits: the rate limits of targets.
+    :ivar limiter: keeps what is sent within the rate limits of targets.
     """
 
     def __init__(
@@ -211,6 +218,8 @@
         self._choose = choose
         self._staleness = staleness
         self._random = Random()
+        self.limits = targets.limits
+        self.limiter = SendLimiter(self.limits, targets.recent_sends, self._random)
         self._health: dict[str, TargetHealth] = {}
         self._service_time = INITIAL_SERVICE_TIME
 
@@ -224,17 +233,64 @@
         """
         candidates = [
             candidate
-            for candidate in self.candidates(service)
+            for candidate in self.sendable(service)
             if candidate.entry.target_id not in excluded
         ]
-        choice = ChoiceInput(
-            candidates,
-            objective * WAIT_SHARE_OF_OBJECTIVE,
-            self._service_time,
-            self._staleness(),
-            self._random,
+        while True:
+            choice = ChoiceInput(
+                candidates,
+                objective * WAIT_SHARE_OF_OBJECTIVE,
+                self._service_time,
+                self._staleness(),
+                self._random,
+            )
+            chosen = self._choose(choice)
+            if chosen is None or self._admits(chosen, choice):
+                return chosen
+            candidates.remove(chosen)
+
+    def _admits(self, chosen: Candidate, choice: ChoiceInput) -> bool:
+        """Return whether the rate limit of a chosen target allows the request."""
+        if self.limiter.room(chosen.entry) is None:
+            return True
+        alike = sum(each.free > 0 for each in choice.candidates) or 1
+        arrivals = choice.expected_arrivals(choice.candidates, margin=1)
+        expected = arrivals / alike
+        return self.limiter.admits(chosen.entry, expected, choice.staleness)
+
+    def sendable(self, service: str) -> list[Candidate]:
+        """Return the candidates, without those whose rate limits are used up.
+
+        Of the others with a limit, only as many slots are counted as it fills, and as
+        many of these are free as there is room for requests now.
+        """
+        candidates = self.candidates(service)
+        if not self.limits.in_force:
+            return candidates
+        return [each for each in map(self._limited, candidates) if each is not None]
+
+    def online_slots(self, candidate: Candidate) -> int:
+        """Return how many slots online requests may fill at a target.
+
+        Of one with a rate limit, as many as its rate fills, by Little's law.
+        """
+        if self.limits.limit(candidate.entry) is None:
+            return candidate.slots
+        rate = self.limiter.rate(candidate.entry)
+        filled = round(rate * self._service_time.total_seconds())
+        return max(1, min(candidate.slots, filled))
+
+    def _limited(self, candidate: Candidate) -> Candidate | None:
+        room = self.limiter.room(candidate.entry)
+        if room is None:
+            return candidate
+        if room <= 0:
+            return None
+        slots = self.online_slots(candidate)
+        free = min(candidate.free, max(1, int(room)))
+        return msgspec.structs.replace(
+            candidate, slots=slots, online=slots - free, batch=0
         )
-        return self._choose(choice)
 
     def candidates(self, service: str) -> list[Candidate]:
         """Return the targets of a service that may be sent requests.
@@ -260,18 +316,30 @@
         random spread keeps the callers from returning at the same time.
         """
         self._overload.record_refusal()
-        candidates = self.candidates(service)
-        slots = sum(candidate.slots for candidate in candidates)
-        if not slots:
-            return NO_TARGET_RETRY_AFTER * self._random.uniform(
-                1, 1 + RETRY_AFTER_SPREAD
-            )
-        waiting = sum(max(0, -candidate.free) for candidate in candidates)
-        wait = self._service_time * ((waiting + 1) / slots)
-        wait = max(wait, self._overload.expected_remaining(), MIN_RETRY_AFTER)
-        wait = min(wait, MAX_RETRY_AFTER)
+        wait = self._expected_wait(service)
+        if wait is None:
+            wait = NO_TARGET_RETRY_AFTER
+        else:
+            wait = max(wait, self._overload.expected_remaining(), MIN_RETRY_AFTER)
+            wait = min(wait, MAX_RETRY_AFTER)
         return wait * self._random.uniform(1, 1 + RETRY_AFTER_SPREAD)
 
+    def _expected_wait(self, service: str) -> timedelta | None:
+        """Return the time until a request gets a slot; None if there is no target."""
+        queues = self.sendable(service)
+        limited = self._wait_for_limits(service)
+        slots = sum(candidate.slots for candidate in queues)
+        if not slots:
+            return limited
+        waiting = sum(max(0, -candidate.free) for candidate in queues)
+        queued = self._service_time * ((waiting + 1) / slots)
+        return queued if limited is None else min(queued, limited)
+
+    def _wait_for_limits(self, service: str) -> timedelta | None:
+        """Return the mean time between requests that the limited targets accept."""
+        rate = sum(self.limiter.rate(each.entry) for each in self.candidates(service))
+        return SECOND / rate if rate else None
+
     def record_success(self, target_id: str) -> None:
         """Record a complete response of a target."""
         self._health_of(target_id).record_success()
--- a/chivespan/targetset.py
+++ b/chivespan/targetset.py
@@ -13,6 +13,7 @@
 from chivespan.logs import logger
 from chivespan.nodemessages import TargetEntry, TargetRun
 from chivespan.ratelimits import RateLimits
+from chivespan.recentsends import RecentSends
 from chivespan.targetdepartures import TargetDepartures
 
 # Time after an outage of the store in which targets may renew expired entries.
@@ -42,11 +43,13 @@
     """All targets by id, each with its newest entry.
 
     :ivar limits: the rate limits that targets have stated.
+    :ivar recent_sends: requests that all nodes have sent to targets with a limit.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.limits = RateLimits(clock)
+        self.recent_sends = RecentSends(clock)
         self._entries: dict[str, TargetEntry] = {}
         # Cache by service, cleared when the entries change.
         self._usable: dict[str, list[TargetEntry]] = {}
--- a/standins/platformtarget.py
+++ b/standins/platformtarget.py
@@ -26,6 +26,7 @@
 SEAL = "X-Chivespan-Server-Seal"
 NOT_RUN = {"X-Chivespan-Not-Executed": "1"}
 LEAVING = {"Server-Leaving": "1"}
+RATE_LIMIT = "Server-Limit"
 TRICKLE_INTERVAL_S = 0.1
 
 
@@ -67,6 +68,7 @@
     :param other_id: whether responses carry the id of another request.
     :param full: whether every request is refused as not run.
     :param leaving: whether every response announces that the target is shutting down.
+    :param limit: rate limit that every response states; empty for none.
     """
 
     break_after: int = 0
@@ -79,6 +81,7 @@
     other_id: bool = False
     full: bool = False
     leaving: bool = False
+    limit: str = ""
 
 
 @dataclass(frozen=True)
@@ -136,6 +139,8 @@
         response = await self._respond(request)
         if self.faults.leaving:
             response.headers.update(LEAVING)
+        if self.faults.limit:
+            response.headers[RATE_LIMIT] = self.faults.limit
         return response
 
     async def _respond(self, request: Request) -> Response:
--- a/tests/test_batchschedule.py
+++ b/tests/test_batchschedule.py
@@ -7,7 +7,9 @@
     NodeLoad,
     TargetCapacity,
     WaitingItem,
+    below_peaks,
     fixed_items,
+    has_capacity,
     place_items,
 )
 from tests.factories import target_entry
@@ -114,3 +116,31 @@
     nodes = [NodeLoad("n1", "a", 0)]
     placed = list(place_items(late + fresh, [target("t1", online=4)], nodes, START))
     assert [each.item.job_id for each in placed] == ["new"] * 3
+
+
+# Guards against: items take the slots of online requests while those that the rates of
+# limited targets leave are unused.
+def test_items_start_at_limited_targets_first() -> None:
+    limited = replace(target("t1", online=1), rate_room=2)
+    targets = [limited, target("t2", online=0)]
+    nodes = [NodeLoad("n1", "a", 0)]
+    placed = place_items([item("j", n, 18) for n in range(3)], targets, nodes, START)
+    assert [each.entry.target_id for each in placed] == ["t1", "t1", "t2"]
+
+
+# Guards against: no item runs while online requests fill all targets without a limit.
+def test_items_start_at_limited_targets_in_a_burst() -> None:
+    limited = replace(target("t1", online=1), rate_room=1)
+    targets = [limited, target("t2", online=9), target("t3", online=8)]
+    nodes = [NodeLoad("n1", "a", 0)]
+    items = [item("j", n, 18) for n in range(3)]
+    assert has_capacity(targets, below_peaks)
+    placed = list(place_items(items, targets, nodes, START))
+    assert [each.entry.target_id for each in placed] == ["t1"]
+
+
+def test_no_item_starts_at_a_limited_target_without_room() -> None:
+    targets = [replace(target("t1", online=0), rate_room=0)]
+    nodes = [NodeLoad("n1", "a", 0)]
+    assert not has_capacity(targets, below_peaks)
+    assert not list(place_items([item("j", 0, 18)], targets, nodes, START))
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -44,8 +44,10 @@
 # Guards against: a malformed limit is taken for one, or ends the request that reads it.
 @pytest.mark.parametrize(
     "value",
-    [b"", b"-1", b"+1", b"nan", b"inf", b"1e9", b"many", b"3, 4", b"0x3", b"3.", b".5"]
-    + [b"9" * 1_000_000, "٣".encode(), b"1.5.2"],
+    [
+        *(b"", b"-1", b"+1", b"nan", b"inf", b"1e9", b"many", b"3, 4", b"0x3", b"3."),
+        *(b".5", b"1.5.2", b"9" * 1_000_000, "٣".encode()),
+    ],
 )
 def test_malformed_limit_is_an_error(value: bytes) -> None:
     with pytest.raises(ValueError, match="limit"):
--- a/tests/test_targetpick.py
+++ b/tests/test_targetpick.py
@@ -7,6 +7,7 @@
 from chivespan.clock import ManualClock
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import TargetEntry, TargetLoad
+from chivespan.ratelimits import StatedLimit
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SILENCE_TIMEOUT, SilenceDetector
@@ -24,8 +25,9 @@
     *entries: TargetEntry,
     loads: dict[str, tuple[int, int]],
     staleness: timedelta = timedelta(0),
+    clock: ManualClock | None = None,
 ) -> tuple[TargetPicker, LoadTable]:
-    clock = ManualClock()
+    clock = clock or ManualClock()
     targets = TargetSet(clock)
     targets.replace(entries)
     load_table = LoadTable(clock)
@@ -173,3 +175,55 @@
     for _ in range(100):
         picker.record_service_time(timedelta(seconds=5))
     assert pick_target(picker) is None
+
+
+def limited_picker(
+    *entries: TargetEntry,
+    per_s: float,
+    loads: dict[str, tuple[int, int]],
+    clock: ManualClock | None = None,
+) -> TargetPicker:
+    """Return a picker whose first target has stated a rate limit."""
+    picker, _ = make_picker(*entries, loads=loads, clock=clock)
+    picker.record_limit(entries[0], StatedLimit(per_s))
+    return picker
+
+
+def send_all(picker: TargetPicker) -> int:
+    """Send requests until none is picked a target; return how many."""
+    sent = 0
+    while (found := picker.pick("s", OBJECTIVE)) is not None:
+        picker.limiter.record_send(found.entry)
+        sent += 1
+    return sent
+
+
+def test_target_whose_rate_limit_is_used_up_is_left_out() -> None:
+    one, two = entry("one"), entry("two")
+    picker = limited_picker(one, two, per_s=2.0, loads={})
+    for _ in range(4):
+        picker.limiter.record_send(one)
+    picks = Counter(pick_target(picker) for _ in range(50))
+    assert picks == {"two": 50}
+
+
+# Guards against: a limited target is taken for one that fails or is slow.
+def test_limited_target_is_used_again_as_its_room_comes_back() -> None:
+    clock = ManualClock()
+    picker = limited_picker(entry("one"), per_s=2.0, loads={}, clock=clock)
+    assert 1 <= send_all(picker) <= 4
+    clock.advance(timedelta(seconds=0.5))
+    assert send_all(picker) == 1
+    clock.advance(timedelta(minutes=1))
+    assert 1 <= send_all(picker) <= 4
+
+
+# Guards against: requests queue at the other targets until they are late, since the
+# slots that a limit leaves unused seem to serve them.
+def test_unused_slots_of_limited_targets_are_no_capacity_for_queues() -> None:
+    one, two = entry("one"), entry("two")
+    loads = {"one": (0, 0), "two": (12, 0)}
+    picker = limited_picker(one, two, per_s=1.0, loads=loads)
+    for _ in range(2):
+        picker.limiter.record_send(one)
+    assert pick_target(picker) is None
