--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -35,6 +35,7 @@
 )
 from chivespan.routes import Route
 from chivespan.streamhandover import Handover
+from chivespan.suspects import request_suspect
 from chivespan.targetannouncements import record_announcements
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector
@@ -73,6 +74,7 @@
             self._deadline(request, route),
             route.pick_service(self._random),
             wire.shared_prompt_parts(request.headers),
+            _fingerprint(request),
             splitter=splitter_for(route, request.header(wire.LAST_EVENT_ID)),
         )
         outcome = "cancelled"
@@ -471,9 +473,22 @@
             targets=sorted(progress.tried),
             last_event=progress.splitter.last_id,
             may_have_run=progress.ran_or_may_run,
+            fingerprint=progress.fingerprint,
         )
 
 
+def _fingerprint(request: CallerRequest) -> str:
+    return request_suspect(
+        [
+            request.method.encode(),
+            request.host.encode(),
+            request.target,
+            *wire.identifying_headers(request.headers),
+            request.body,
+        ]
+    )
+
+
 def _timed_out(progress: Progress) -> ChivespanError:
     if progress.ran_or_may_run:
         reason = "no target sent a complete response in time"
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -21,6 +21,9 @@
 # Parts of the prompt as ID:TOKENS, comma-separated; the last belongs to the request.
 PROMPT_PARTS = b"x-chivespan-prompt-prefix"
 RETRY_AFTER = b"retry-after"
+AUTHORIZATION = b"authorization"
+# Estimate of the number of output tokens.
+LENGTH_HINT = b"x-chivespan-length-hint"
 WAIT_MS = b"x-chivespan-wait-ms"
 # Id of the runner that a request is addressed to; any other responds with 421.
 EXPECT_TARGET = b"x-chivespan-expect-instance"
@@ -116,6 +119,10 @@
     return msgspec.json.encode({"frontAddrs": addresses, "ttlS": lifetime_s})
 
 
+_OWN_PREFIX = b"x-chivespan-"
+_HEADERS_OF_ATTEMPTS = frozenset(
+    {REQUEST_ID, DEADLINE_MS, WAIT_MS, LENGTH_HINT, EXPECT_TARGET}
+)
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -157,6 +164,23 @@
     return ()
 
 
+def identifying_headers(headers: Iterable[Header]) -> list[bytes]:
+    """Return the headers that stay the same when a client sends a request again.
+
+    They say who sends it and what it asks for; the others belong to one attempt, or to
+    the client's program.
+
+    >>> identifying_headers([(b"x-chivespan-model", b"m"), (REQUEST_ID, b"1")])
+    [b'x-chivespan-model:m']
+    """
+    return sorted(
+        b"%b:%b" % (name, value)
+        for name, value in headers
+        if name == AUTHORIZATION
+        or (name.startswith(_OWN_PREFIX) and name not in _HEADERS_OF_ATTEMPTS)
+    )
+
+
 def item_prompt_parts(headers: Iterable[tuple[str, str]]) -> tuple[str, ...]:
     """Return the ids of the parts of a batch item's prompt that others may share."""
     return shared_prompt_parts(
--- a/chivespan/requestprogress.py
+++ b/chivespan/requestprogress.py
@@ -42,6 +42,7 @@
     :ivar expects_slot: whether the target had a free slot when it was chosen.
     :ivar response_started: monotonic time at which the last target's response started.
     :ivar prompt_parts: parts of its prompt that other requests may share.
+    :ivar fingerprint: the same for all attempts of a caller to send this request.
     :ivar reads: how often the current target has sent whole events.
     :ivar may_have_ended: whether the last target may have ended during the attempt.
     :ivar can_continue: whether another target may continue the response passed on.
@@ -56,6 +57,7 @@
     deadline: timedelta
     service: str
     prompt_parts: tuple[str, ...] = ()
+    fingerprint: str = ""
     tried: set[str] = field(default_factory=set)
     may_have_run: bool = False
     in_flight: bool = False
