Name the quarantine's modules by suspects, which needn't be parts of prompts

No change of behaviour: promptquarantine, promptguard, partsuspicion and partevidence are quarantine, requestguard, suspicion and evidencemessages; log lines name the suspect.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -31,9 +31,9 @@
     TargetEntry,
 )
 from chivespan.nodemetrics import NodeMetrics
-from chivespan.partsuspicion import READS_OF_AN_ANSWER
 from chivespan.platform import wire
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
+from chivespan.suspicion import READS_OF_AN_ANSWER
 from chivespan.targetannouncements import record_announcements
 from chivespan.targetpick import TargetPicker
 from chivespan.targetset import TargetSet
@@ -121,7 +121,7 @@
         clock: Clock,
         metrics: NodeMetrics,
         send_status: Callable[[ItemStatus], None],
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
     ) -> None:
         self._targets = targets
         self._picker = picker
@@ -245,9 +245,7 @@
         part = self._quarantine.find_blocking(held.parts, start.item_id, held.breaks)
         if part is None:
             return False
-        _log.info(
-            "item_not_sent", job=start.job_id, item=start.item_id, prompt_part=part
-        )
+        _log.info("item_not_sent", job=start.job_id, item=start.item_id, suspect=part)
         return True
 
     async def _broken(
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -40,7 +40,7 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodesettings import FleetNodeSettings
 from chivespan.onlinepeak import OnlinePeak
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
 from chivespan.routingstate import RoutingState
 from chivespan.targetpick import TargetPicker
 
@@ -69,7 +69,7 @@
         clock: Clock,
         metrics: NodeMetrics,
         capacity_policy: CapacityPolicy,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
     ) -> None:
         self._links = links
         self._ownership = ownership
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -26,7 +26,7 @@
     ItemStop,
 )
 from chivespan.nodemetrics import NodeMetrics
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
 from chivespan.routes import Route, RouteKind
 from chivespan.routingstate import RoutingState
 
@@ -65,7 +65,7 @@
         job_status: timedelta,
         max_record_bytes: int,
         metrics: NodeMetrics,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
     ) -> None:
         self.partition = partition
         self._metrics = metrics
@@ -169,7 +169,7 @@
         )
         if run.held_back:
             part = run.held_back
-            _log.info("item_let_go", job=key[0], item=key[1], prompt_part=part)
+            _log.info("item_let_go", job=key[0], item=key[1], suspect=part)
         run.start(placement.vm, placement.entry.target_id, self._clock.monotonic())
         if not self._send(placement.vm, message):
             self._release_item(key, run)
@@ -278,9 +278,7 @@
             return False
         if run.held_back != part:
             run.held_back = part
-            _log.info(
-                "item_held_back", job=job.job_id, item=item.item_id, prompt_part=part
-            )
+            _log.info("item_held_back", job=job.job_id, item=item.item_id, suspect=part)
         return True
 
     def _is_abandoned(self, job: LedgerJob, now: datetime) -> bool:
--- a/chivespan/partevidence.py
+++ b/chivespan/evidencemessages.py
@@ -4,10 +4,10 @@
 
 from chivespan.clock import MILLISECOND
 from chivespan.nodemessages import PartCrash, PartEvidence, TargetRun
-from chivespan.partsuspicion import (
+from chivespan.suspicion import (
     EVIDENCE_LIFETIME,
     QUARANTINE_LIFETIME,
-    PartSuspicion,
+    Suspicion,
 )
 
 # Evidence near its end isn't sent, or nodes would renew each other's copies forever.
@@ -15,9 +15,7 @@
 NOT_ANSWERED = -1
 
 
-def evidence_message(
-    part: str, suspicion: PartSuspicion, now: timedelta
-) -> PartEvidence:
+def evidence_message(part: str, suspicion: Suspicion, now: timedelta) -> PartEvidence:
     """Return the message about one part.
 
     :param now: current time of the monotonic clock.
@@ -30,7 +28,7 @@
     )
 
 
-def _crash_messages(suspicion: PartSuspicion, now: timedelta) -> list[PartCrash]:
+def _crash_messages(suspicion: Suspicion, now: timedelta) -> list[PartCrash]:
     longest = EVIDENCE_LIFETIME * SENT_SHARE_OF_LIFETIME
     return [
         PartCrash(
@@ -43,7 +41,7 @@
     ]
 
 
-def _answered_age_ms(suspicion: PartSuspicion, now: timedelta) -> int:
+def _answered_age_ms(suspicion: Suspicion, now: timedelta) -> int:
     if suspicion.answered is None:
         return NOT_ANSWERED
     age = now - suspicion.answered
@@ -52,7 +50,7 @@
     return age // MILLISECOND
 
 
-def _quarantine_ms(suspicion: PartSuspicion, now: timedelta) -> int:
+def _quarantine_ms(suspicion: Suspicion, now: timedelta) -> int:
     until = suspicion.quarantined_until
     shortest = QUARANTINE_LIFETIME * (1 - SENT_SHARE_OF_LIFETIME)
     if until is None or until - now < shortest:
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -22,9 +22,8 @@
 from chivespan.logs import logger
 from chivespan.nodemessages import TargetEntry
 from chivespan.nodemetrics import NodeMetrics
-from chivespan.partsuspicion import READS_OF_AN_ANSWER
 from chivespan.platform import wire
-from chivespan.promptguard import PromptGuard
+from chivespan.requestguard import RequestGuard
 from chivespan.requestprogress import MAY_HAVE_RUN, Progress, SendOutcome
 from chivespan.responserelay import (
     ResponseRelay,
@@ -36,6 +35,7 @@
 from chivespan.routes import Route
 from chivespan.streamhandover import Handover
 from chivespan.suspects import request_suspect
+from chivespan.suspicion import READS_OF_AN_ANSWER
 from chivespan.targetannouncements import record_announcements
 from chivespan.targetpick import Candidate, TargetPicker
 from chivespan.targetsilence import SilenceDetector
@@ -56,14 +56,14 @@
         silence: SilenceDetector,
         clock: Clock,
         metrics: NodeMetrics,
-        prompt_guard: PromptGuard,
+        guard: RequestGuard,
     ) -> None:
         self._picker = picker
         self._load_table = load_table
         self._silence = silence
         self._clock = clock
         self._metrics = metrics
-        self._prompt_guard = prompt_guard
+        self._guard = guard
         self._random = Random()
 
     async def serve(
@@ -131,7 +131,7 @@
         :raises ChivespanError: when it is refused.
         """
         try:
-            await self._prompt_guard.admit(request.request_id, progress.prompt_parts)
+            await self._guard.admit(request.request_id, progress.prompt_parts)
         except ChivespanError as error:
             if not progress.ran_or_may_run:
                 raise
@@ -143,7 +143,7 @@
             return False
         if progress.entry is None:
             return False
-        return not await self._prompt_guard.may_resend(
+        return not await self._guard.may_resend(
             request.request_id, progress.prompt_parts, progress.entry
         )
 
@@ -313,7 +313,7 @@
         if not await relay.pass_body(is_stream, hand_over):
             return SendOutcome.HANDED_OVER
         if reply.status == HTTPStatus.OK and reply.is_delimited:
-            self._prompt_guard.record_answered(progress.prompt_parts)
+            self._guard.record_answered(progress.prompt_parts)
         return SendOutcome.DELIVERED
 
     async def _hand_over(
@@ -328,7 +328,7 @@
 
         If none accepts, the paused stream is to be read on.
         """
-        if not self._prompt_guard.may_send(progress.prompt_parts):
+        if not self._guard.may_send(progress.prompt_parts):
             return False
         candidate = self._pick_within(self._time_left(progress), progress)
         if candidate is None or progress.entry is None:
@@ -379,7 +379,7 @@
         progress.record_data()
         progress.reads += is_stream
         if progress.reads == READS_OF_AN_ANSWER:
-            self._prompt_guard.record_answered(progress.prompt_parts)
+            self._guard.record_answered(progress.prompt_parts)
 
     def _can_resume(
         self, route: Route, progress: Progress, in_time: bool = False
--- a/chivespan/itemquarantine.py
+++ b/chivespan/itemquarantine.py
@@ -12,8 +12,8 @@
 
 from chivespan.clock import NO_WAIT, Clock
 from chivespan.nodemessages import TargetEntry
-from chivespan.partsuspicion import CrashedRequest
-from chivespan.promptquarantine import PartStatus, PromptQuarantine
+from chivespan.quarantine import Quarantine, SuspectStatus
+from chivespan.suspicion import CrashedRequest
 from chivespan.targetliveness import has_ended
 
 # Doubles with each break of the item, so that one item alone ends few targets.
@@ -51,7 +51,7 @@
 class ItemQuarantine:
     """The evidence on parts of prompts, as far as it concerns batch items."""
 
-    def __init__(self, quarantine: PromptQuarantine, clock: Clock) -> None:
+    def __init__(self, quarantine: Quarantine, clock: Clock) -> None:
         self._quarantine = quarantine
         self._clock = clock
 
@@ -64,7 +64,7 @@
         self, parts: Collection[str], item_id: str, breaks: ItemBreaks
     ) -> str | None:
         """Return a part because of which an item may not be sent now, if any."""
-        if (part := self._quarantine.quarantined_part(parts)) is not None:
+        if (part := self._quarantine.quarantined_suspect(parts)) is not None:
             return part
         is_delayed = self._clock.monotonic() < breaks.end_of_delay(item_id)
         return next((part for part in parts if self._blocks(part, is_delayed)), None)
@@ -90,10 +90,10 @@
             self._quarantine.record_crash(suspects, crash)
 
     def _is_answered(self, part: str) -> bool:
-        return self._quarantine.status(part) is PartStatus.ANSWERED
+        return self._quarantine.status(part) is SuspectStatus.ANSWERED
 
     def _blocks(self, part: str, is_delayed: bool) -> bool:
         if self._quarantine.pending_time([part]) > NO_WAIT:
             return True
-        is_suspect = self._quarantine.status(part) is PartStatus.SUSPECT
+        is_suspect = self._quarantine.status(part) is SuspectStatus.SUSPECT
         return is_delayed and is_suspect and not self._quarantine.may_resend([part])
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -29,7 +29,7 @@
     TargetLimit,
     TargetRun,
 )
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
 from chivespan.recentsends import sum_sends
 from chivespan.relaytiming import RelayTiming
 from chivespan.targetset import TargetSet
@@ -62,7 +62,7 @@
         describe: Callable[[], LoadReport],
         silence: SilenceDetector,
         targets: TargetSet,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
     ) -> None:
         self._links = links
         self._load_table = load_table
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -47,9 +47,9 @@
 from chivespan.platform import documents
 from chivespan.platform.settingsfile import read_settings
 from chivespan.platform.store import PlatformStore
-from chivespan.promptguard import PromptGuard
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
 from chivespan.remotenodes import NodeAnnouncer, RemoteNodes
+from chivespan.requestguard import RequestGuard
 from chivespan.routes import CallerLimits
 from chivespan.routingstate import RoutingState
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
@@ -129,7 +129,7 @@
             silence_timeout_for=timing.silence_timeout,
         )
         self.silence = SilenceDetector(clock)
-        self.quarantine = PromptQuarantine(clock)
+        self.quarantine = Quarantine(clock)
         self.links = FleetLinks(settings, end, timing)
         platform = PlatformStore(settings.store.address)
         self.store = MeasuredStore(platform, clock, self.metrics)
@@ -206,7 +206,7 @@
             self.silence,
             clock,
             self.metrics,
-            PromptGuard(self.quarantine),
+            RequestGuard(self.quarantine),
         )
         listeners = _listeners(settings)
         app = CallerApp(
--- a/chivespan/promptquarantine.py
+++ b/chivespan/quarantine.py
@@ -1,10 +1,10 @@
-"""Finds parts of prompts that crash targets, and quarantines them.
+"""Finds what crashes targets, and quarantines it: parts of prompts, or whole requests.
 
 When a run of a target ends, each request that it had not begun to answer is a suspect,
-and so is each shared part of its prompt. A part that a target has answered shortly
-before or at any time since is exonerated. A part that was a suspect in several crashes
-at different times is quarantined: requests with it are refused, since each of them
-would crash one more target.
+and so is each part of its prompt that other requests may share. A suspect that a target
+has answered shortly before or at any time since is exonerated. One that was there at
+several crashes at different times is quarantined: requests with it are refused, since
+each of them would crash one more target.
 
 Nodes merge each other's evidence. A crash is identified by its run and request, so
 that repeats and reordering change nothing.
@@ -17,17 +17,17 @@
 from typing import TypeAlias
 
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
+from chivespan.evidencemessages import NOT_ANSWERED, evidence_message
 from chivespan.logs import logger
 from chivespan.nodemessages import PartCrash, PartEvidence
-from chivespan.partevidence import NOT_ANSWERED, evidence_message
-from chivespan.partsuspicion import (
+from chivespan.suspicion import (
     EVIDENCE_LIFETIME,
     QUARANTINE_LIFETIME,
     CrashedRequest,
-    PartSuspicion,
+    Suspicion,
 )
 
-# By then a node that knows the part to be harmless has told all others.
+# By then a node that knows the suspect to be harmless has told all others.
 EXONERATION_TIME = timedelta(seconds=1)
 # Differences of this size come from the way of a report to this node.
 REPORT_DELAY = timedelta(seconds=1)
@@ -42,15 +42,15 @@
 OWN_REQUEST = "request"
 OWN_SOURCES = frozenset({OWN_CRASH, OWN_ANSWER, OWN_VERDICT, OWN_REQUEST})
 
-# Whether a part is in quarantine, its ended runs, and the time of its last crash.
+# Whether a suspect is in quarantine, its ended runs, and the time of its last crash.
 Rank: TypeAlias = tuple[bool, int, timedelta]
 LEAST_RANK: Rank = (False, 0, NO_WAIT)
 
 _log = logger("quarantine")
 
 
-class PartStatus(StrEnum):
-    """What is known of a part of a prompt.
+class SuspectStatus(StrEnum):
+    """What is known of a suspect.
 
     - ``UNKNOWN``: no target has answered it recently, nor crashed under it.
     - ``ANSWERED``: a target has answered a request with it.
@@ -64,14 +64,14 @@
     QUARANTINED = "quarantined"
 
 
-class PromptQuarantine:
-    """Evidence on parts of prompts, from this node and its peers."""
+class Quarantine:
+    """Evidence on suspects, from this node and its peers."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        # When targets last answered each part to this node, oldest first.
+        # When targets last answered each suspect to this node, oldest first.
         self._answered: OrderedDict[str, timedelta] = OrderedDict()
-        self._suspicions: dict[str, PartSuspicion] = {}
+        self._suspicions: dict[str, Suspicion] = {}
         self._version = 0
         self._own_version = 0
 
@@ -87,87 +87,91 @@
 
     @property
     def quarantined(self) -> list[str]:
-        """The parts in quarantine."""
-        return [part for part in self._suspicions if self._is_quarantined(part)]
+        """The suspects in quarantine."""
+        return [
+            suspect for suspect in self._suspicions if self._is_quarantined(suspect)
+        ]
 
     @property
     def suspects(self) -> frozenset[str]:
-        """The parts in quarantine and those with evidence against them."""
+        """The suspects in quarantine and those with evidence against them."""
         known = self._suspicions.items()
-        return frozenset(part for part, suspicion in known if suspicion.crashes)
+        return frozenset(suspect for suspect, suspicion in known if suspicion.crashes)
 
     @property
     def report(self) -> list[PartEvidence]:
         """The evidence for peers, which need it once for each version."""
         return list(self._evidence(self._clock.monotonic()))
 
-    def record_answered(self, parts: Iterable[str]) -> None:
-        """Record that a target answers a request with these parts."""
+    def record_answered(self, suspects: Iterable[str]) -> None:
+        """Record that a target answers a request with these suspects."""
         now = self._clock.monotonic()
-        for part in parts:
-            self._answered[part] = now
-            self._answered.move_to_end(part)
-            suspicion = self._suspicions.get(part)
+        for suspect in suspects:
+            self._answered[suspect] = now
+            self._answered.move_to_end(suspect)
+            suspicion = self._suspicions.get(suspect)
             if suspicion is not None and suspicion.crashes:
-                self._apply_answer(part, suspicion, now, OWN_ANSWER)
+                self._apply_answer(suspect, suspicion, now, OWN_ANSWER)
         while len(self._answered) > MAX_ANSWERED_PARTS:
             self._answered.popitem(last=False)
 
-    def record_crash(self, parts: Iterable[str], crash: CrashedRequest) -> None:
-        """Record that a run ended before it answered a request with these parts."""
+    def record_crash(self, suspects: Iterable[str], crash: CrashedRequest) -> None:
+        """Record that a run ended before it answered a request with these suspects."""
         now = self._clock.monotonic()
-        for part in parts:
-            self._add_crash(part, crash, now, OWN_CRASH)
+        for suspect in suspects:
+            self._add_crash(suspect, crash, now, OWN_CRASH)
 
-    def status(self, part: str) -> PartStatus:
-        """Return what is known of a part."""
-        if self._is_quarantined(part):
-            return PartStatus.QUARANTINED
+    def status(self, suspect: str) -> SuspectStatus:
+        """Return what is known of a suspect."""
+        if self._is_quarantined(suspect):
+            return SuspectStatus.QUARANTINED
         now = self._clock.monotonic()
-        if self._voids_crash(part, now):
-            return PartStatus.ANSWERED
-        suspicion = self._suspicions.get(part)
+        if self._voids_crash(suspect, now):
+            return SuspectStatus.ANSWERED
+        suspicion = self._suspicions.get(suspect)
         if suspicion is None or not suspicion.crashes:
-            return PartStatus.UNKNOWN
-        return PartStatus.SUSPECT
+            return SuspectStatus.UNKNOWN
+        return SuspectStatus.SUSPECT
 
-    def pending_time(self, parts: Iterable[str]) -> timedelta:
-        """Return how long a request should wait for other nodes' word on its parts.
+    def pending_time(self, suspects: Iterable[str]) -> timedelta:
+        """Return how long a request should wait for other nodes' word on its suspects.
 
-        There is enough evidence against a part, but some node may exonerate it.
+        There is enough evidence against a suspect, but some node may exonerate it.
         """
-        return max((self._pending_time(part) for part in parts), default=NO_WAIT)
+        return max(
+            (self._pending_time(suspect) for suspect in suspects), default=NO_WAIT
+        )
 
-    def may_resend(self, parts: Iterable[str]) -> bool:
+    def may_resend(self, suspects: Iterable[str]) -> bool:
         """Return whether a request that met a crash may be sent to another target.
 
-        Only parts that a target has answered, or that met no other crash, may be.
+        Only suspects that a target has answered, or that met no other crash, may be.
         """
-        return all(self._may_resend(part) for part in parts)
+        return all(self._may_resend(suspect) for suspect in suspects)
 
-    def find_quarantined(self, parts: Collection[str]) -> str | None:
-        """Return a part because of which a request with these parts is refused.
+    def find_quarantined(self, suspects: Collection[str]) -> str | None:
+        """Return the suspect because of which a request with them is refused.
 
-        Its quarantine is prolonged. Of parts that were at the same crashes, any may be
+        Its quarantine is prolonged. Of suspects that were at the same crashes, any may be
         the cause, so a request is refused only if it has all of them.
         """
-        part = self.quarantined_part(parts)
-        if part is not None:
-            self._prolong(part)
-        return part
+        suspect = self.quarantined_suspect(suspects)
+        if suspect is not None:
+            self._prolong(suspect)
+        return suspect
 
-    def quarantined_part(self, parts: Collection[str]) -> str | None:
+    def quarantined_suspect(self, suspects: Collection[str]) -> str | None:
         """Return the same without any effect on the quarantine."""
-        if any(self._awaits_objections(part) for part in parts):
+        if any(self._awaits_objections(suspect) for suspect in suspects):
             self._convict_suspects()
-        for part in parts:
-            if self._is_quarantined(part) and self._is_to_blame(part, parts):
-                return part
+        for suspect in suspects:
+            if self._is_quarantined(suspect) and self._is_to_blame(suspect, suspects):
+                return suspect
         return None
 
-    def quarantine_time_left(self, part: str) -> timedelta:
-        """Return how long requests with a part are refused if no more of them come."""
-        suspicion = self._suspicions.get(part)
+    def quarantine_time_left(self, suspect: str) -> timedelta:
+        """Return how long requests with a suspect are refused if no more come."""
+        suspicion = self._suspicions.get(suspect)
         if suspicion is None or suspicion.quarantined_until is None:
             return NO_WAIT
         return max(NO_WAIT, suspicion.quarantined_until - self._clock.monotonic())
@@ -187,15 +191,15 @@
                 self._adopt_quarantine(entry.part, until, source)
 
     def update(self) -> None:
-        """Quarantine convicted parts and forget old evidence; called periodically."""
+        """Quarantine what is convicted and forget old evidence; called periodically."""
         now = self._clock.monotonic()
         self._convict_suspects()
-        for part, suspicion in list(self._suspicions.items()):
+        for suspect, suspicion in list(self._suspicions.items()):
             if suspicion.quarantine_has_ended(now):
-                _log.notice("quarantine_ended", prompt_part=part)
+                _log.notice("quarantine_ended", suspect=suspect)
             suspicion.drop_expired(now)
             if suspicion.is_empty:
-                del self._suspicions[part]
+                del self._suspicions[suspect]
 
     def _merge_answer(self, entry: PartEvidence, now: timedelta, source: str) -> None:
         if entry.answered_age_ms == NOT_ANSWERED:
@@ -218,9 +222,9 @@
             self._add_crash(entry.part, request, now - age, source, runs)
 
     def _apply_answer(
-        self, part: str, suspicion: PartSuspicion, answered: timedelta, source: str
+        self, suspect: str, suspicion: Suspicion, answered: timedelta, source: str
     ) -> None:
-        """Drop the evidence against a part from before a target answered it."""
+        """Drop the evidence against a suspect from before a target answered it."""
         was_quarantined = suspicion.quarantined_until is not None
         known = suspicion.answered
         dropped = suspicion.apply_answer(answered)
@@ -229,8 +233,8 @@
             return
         self._note_change(source)
         _log.info(
-            "part_exonerated",
-            prompt_part=part,
+            "suspect_exonerated",
+            suspect=suspect,
             source=source,
             answered_ms_ago=(self._clock.monotonic() - answered) // MILLISECOND,
             crashes=dropped,
@@ -239,23 +243,23 @@
 
     def _add_crash(
         self,
-        part: str,
+        suspect: str,
         crash: CrashedRequest,
         at: timedelta,
         source: str,
         runs: int = 1,
     ) -> None:
-        if self._voids_crash(part, at):
-            self._object_to_suspicion(part, at, source)
+        if self._voids_crash(suspect, at):
+            self._object_to_suspicion(suspect, at, source)
             return
-        suspicion = self._suspicion(part, (False, runs, at))
+        suspicion = self._suspicion(suspect, (False, runs, at))
         if suspicion is None or not suspicion.add_crash(crash, at):
             return
         self._note_change(source)
         self._note_sufficient_evidence()
         _log.info(
-            "part_suspected",
-            prompt_part=part,
+            "crash_suspected",
+            suspect=suspect,
             request=crash.request_id,
             target=crash.target_id,
             source=source,
@@ -263,45 +267,45 @@
             crashed_requests=suspicion.crashed_requests,
         )
 
-    def _object_to_suspicion(self, part: str, at: timedelta, source: str) -> None:
-        """Tell a peer that suspects a part that a target has answered it."""
-        suspicion = self._suspicion(part)
-        own = self._answered.get(part)
+    def _object_to_suspicion(self, suspect: str, at: timedelta, source: str) -> None:
+        """Tell a peer that suspects a suspect that a target has answered it."""
+        suspicion = self._suspicion(suspect)
+        own = self._answered.get(suspect)
         if source == OWN_CRASH or suspicion is None or own is None:
             return
         if suspicion.answered is None or not suspicion.voids_crash(at):
             suspicion.apply_answer(own)
             self._note_change(OWN_ANSWER)
 
-    def _adopt_quarantine(self, part: str, until: timedelta, source: str) -> None:
+    def _adopt_quarantine(self, suspect: str, until: timedelta, source: str) -> None:
         """Apply a peer's verdict, unless a later answer has voided it."""
-        suspicion = self._suspicions.get(part)
+        suspicion = self._suspicions.get(suspect)
         least_gain = QUARANTINE_LIFETIME * PROLONGED_SHARE / 2
         if suspicion is not None and suspicion.crashes:
-            self._quarantine(part, suspicion, until, source, least_gain)
+            self._quarantine(suspect, suspicion, until, source, least_gain)
 
     def _convict_suspects(self) -> None:
-        """Quarantine parts against which the evidence suffices and no node objects."""
+        """Quarantine suspects with enough evidence to which no node objects."""
         self._note_sufficient_evidence()
         now = self._clock.monotonic()
-        for part, suspicion in list(self._suspicions.items()):
+        for suspect, suspicion in list(self._suspicions.items()):
             since = suspicion.sufficient_since
             if since is None or suspicion.quarantined_until is not None:
                 continue
             if now - since >= EXONERATION_TIME:
                 until = now + QUARANTINE_LIFETIME
-                self._quarantine(part, suspicion, until, OWN_VERDICT, NO_WAIT)
+                self._quarantine(suspect, suspicion, until, OWN_VERDICT, NO_WAIT)
 
     def _note_sufficient_evidence(self) -> None:
-        """Note since when the evidence against each part suffices.
+        """Note since when the evidence against each suspect suffices.
 
         Of several suspects, those that explain the most crashes come first.
         """
         now = self._clock.monotonic()
         explained = self._explained_runs()
         open_cases = {
-            part: suspicion
-            for part, suspicion in self._suspicions.items()
+            suspect: suspicion
+            for suspect, suspicion in self._suspicions.items()
             if suspicion.quarantined_until is None
         }
         most = max(
@@ -312,7 +316,7 @@
             suspicion.note_sufficient(now, explained, most)
 
     def _explained_runs(self) -> set[tuple[str, int]]:
-        """Return the ended runs that are explained by parts in quarantine."""
+        """Return the ended runs that are explained by suspects in quarantine."""
         return {
             crash.run
             for suspicion in self._suspicions.values()
@@ -322,8 +326,8 @@
 
     def _quarantine(
         self,
-        part: str,
-        suspicion: PartSuspicion,
+        suspect: str,
+        suspicion: Suspicion,
         until: timedelta,
         source: str,
         least_gain: timedelta,
@@ -335,52 +339,54 @@
         self._note_change(source)
         if known is None:
             _log.notice(
-                "part_quarantined",
-                prompt_part=part,
+                "suspect_quarantined",
+                suspect=suspect,
                 source=source,
                 targets=sorted({crash.target_id for crash in suspicion.crashes}),
                 requests=sorted({crash.request_id for crash in suspicion.crashes}),
             )
 
-    def _prolong(self, part: str) -> None:
+    def _prolong(self, suspect: str) -> None:
         until = self._clock.monotonic() + QUARANTINE_LIFETIME
         least_gain = QUARANTINE_LIFETIME * PROLONGED_SHARE
-        self._quarantine(part, self._suspicions[part], until, OWN_REQUEST, least_gain)
+        self._quarantine(
+            suspect, self._suspicions[suspect], until, OWN_REQUEST, least_gain
+        )
 
     def _evidence(self, now: timedelta) -> Iterator[PartEvidence]:
-        for part, suspicion in sorted(self._suspicions.items()):
-            entry = evidence_message(part, suspicion, now)
+        for suspect, suspicion in sorted(self._suspicions.items()):
+            entry = evidence_message(suspect, suspicion, now)
             if entry.crashes or entry.answered_age_ms != NOT_ANSWERED:
                 yield entry
 
-    def _suspicion(self, part: str, rank: Rank = LEAST_RANK) -> PartSuspicion | None:
-        """Return the entry of a part, new if needed; None if others matter more.
+    def _suspicion(self, suspect: str, rank: Rank = LEAST_RANK) -> Suspicion | None:
+        """Return the entry of a suspect, new if needed; None if others matter more.
 
         :param rank: rank of a new entry.
         """
-        suspicion = self._suspicions.get(part)
+        suspicion = self._suspicions.get(suspect)
         if suspicion is not None:
             return suspicion
         if len(self._suspicions) >= MAX_SUSPECTS:
             least = min(self._suspicions, key=lambda each: (self._rank(each), each))
-            if (self._rank(least), least) >= (_rounded(rank), part):
+            if (self._rank(least), least) >= (_rounded(rank), suspect):
                 return None
             del self._suspicions[least]
-        suspicion = self._suspicions[part] = PartSuspicion()
+        suspicion = self._suspicions[suspect] = Suspicion()
         return suspicion
 
-    def _rank(self, part: str) -> Rank:
+    def _rank(self, suspect: str) -> Rank:
         """Return the sort key by which entries are kept when there are too many."""
-        suspicion = self._suspicions[part]
+        suspicion = self._suspicions[suspect]
         in_quarantine = suspicion.quarantined_until is not None
         newest = suspicion.newest_crash
         return _rounded((in_quarantine, suspicion.crashed_runs, newest))
 
-    def _is_to_blame(self, part: str, parts: Collection[str]) -> bool:
-        """Return whether a request has all parts that explain a part's crashes."""
-        suspicion = self._suspicions[part]
+    def _is_to_blame(self, suspect: str, suspects: Collection[str]) -> bool:
+        """Return whether a request has all that may explain a suspect's crashes."""
+        suspicion = self._suspicions[suspect]
         return all(
-            other in parts
+            other in suspects
             for other, known in self._suspicions.items()
             if known.quarantined_until is not None and known.explains(suspicion)
         )
@@ -389,15 +395,15 @@
         self._version += 1
         self._own_version += source in OWN_SOURCES
 
-    def _awaits_objections(self, part: str) -> bool:
-        """Return whether the evidence against a part suffices for a quarantine."""
-        suspicion = self._suspicions.get(part)
+    def _awaits_objections(self, suspect: str) -> bool:
+        """Return whether the evidence against a suspect suffices for a quarantine."""
+        suspicion = self._suspicions.get(suspect)
         if suspicion is None or suspicion.quarantined_until is not None:
             return False
         return suspicion.sufficient_since is not None
 
-    def _pending_time(self, part: str) -> timedelta:
-        suspicion = self._suspicions.get(part)
+    def _pending_time(self, suspect: str) -> timedelta:
+        suspicion = self._suspicions.get(suspect)
         if suspicion is None or suspicion.sufficient_since is None:
             return NO_WAIT
         if suspicion.quarantined_until is not None:
@@ -405,22 +411,22 @@
         end = suspicion.sufficient_since + EXONERATION_TIME
         return max(NO_WAIT, end - self._clock.monotonic())
 
-    def _may_resend(self, part: str) -> bool:
-        status = self.status(part)
-        if status is PartStatus.SUSPECT:
-            return self._suspicions[part].crashed_runs <= 1
-        return status is not PartStatus.QUARANTINED
+    def _may_resend(self, suspect: str) -> bool:
+        status = self.status(suspect)
+        if status is SuspectStatus.SUSPECT:
+            return self._suspicions[suspect].crashed_runs <= 1
+        return status is not SuspectStatus.QUARANTINED
 
-    def _is_quarantined(self, part: str) -> bool:
-        return self.quarantine_time_left(part) > NO_WAIT
+    def _is_quarantined(self, suspect: str) -> bool:
+        return self.quarantine_time_left(suspect) > NO_WAIT
 
-    def _voids_crash(self, part: str, at: timedelta) -> bool:
+    def _voids_crash(self, suspect: str, at: timedelta) -> bool:
         """Return whether a known answer voids a crash at some time as evidence."""
-        suspicion = self._suspicions.get(part)
+        suspicion = self._suspicions.get(suspect)
         if suspicion is not None and suspicion.voids_crash(at):
             return True
-        own = self._answered.get(part)
-        return own is not None and PartSuspicion(answered=own).voids_crash(at)
+        own = self._answered.get(suspect)
+        return own is not None and Suspicion(answered=own).voids_crash(at)
 
 
 def _rounded(rank: Rank) -> Rank:
--- a/chivespan/promptguard.py
+++ b/chivespan/requestguard.py
@@ -14,8 +14,8 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.logs import logger
 from chivespan.nodemessages import TargetEntry
-from chivespan.partsuspicion import CrashedRequest
-from chivespan.promptquarantine import PartStatus, PromptQuarantine
+from chivespan.quarantine import Quarantine, SuspectStatus
+from chivespan.suspicion import CrashedRequest
 from chivespan.targetliveness import has_ended
 
 RECHECK_INTERVAL = timedelta(milliseconds=50)
@@ -25,10 +25,10 @@
 _log = logger("quarantine")
 
 
-class PromptGuard:
+class RequestGuard:
     """Decides whether a request may be sent, and sent again, by its prompt's parts."""
 
-    def __init__(self, quarantine: PromptQuarantine) -> None:
+    def __init__(self, quarantine: Quarantine) -> None:
         self._quarantine = quarantine
 
     async def admit(self, request_id: str, parts: Collection[str]) -> None:
@@ -89,10 +89,10 @@
         return allowed
 
     def _is_answered(self, part: str) -> bool:
-        return self._quarantine.status(part) is PartStatus.ANSWERED
+        return self._quarantine.status(part) is SuspectStatus.ANSWERED
 
     def _refusal(self, request_id: str, part: str) -> ChivespanError:
-        _log.info("prompt_refused", request=request_id, prompt_part=part)
+        _log.info("suspect_refused", request=request_id, suspect=part)
         left = self._quarantine.quarantine_time_left(part)
         return ChivespanError(
             ErrorKind.PROMPT_QUARANTINED,
--- a/chivespan/partsuspicion.py
+++ b/chivespan/suspicion.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class PartSuspicion:
+class Suspicion:
     """What speaks for and against one part.
 
     :ivar crashes: when each crash happened, on the monotonic clock.
@@ -88,7 +88,7 @@
         }
         return len(_groups(unexplained))
 
-    def explains(self, other: "PartSuspicion") -> bool:
+    def explains(self, other: "Suspicion") -> bool:
         """Return whether this part was there at each crash of another one."""
         return self.crashes.keys() >= other.crashes.keys()
 
--- a/tests/crashsimulation.py
+++ b/tests/crashsimulation.py
@@ -15,9 +15,9 @@
 
 from chivespan.clock import NO_WAIT, ManualClock
 from chivespan.nodemessages import PartEvidence
-from chivespan.partsuspicion import CrashedRequest
-from chivespan.promptguard import RECHECK_INTERVAL
-from chivespan.promptquarantine import PartStatus, PromptQuarantine
+from chivespan.quarantine import Quarantine, SuspectStatus
+from chivespan.requestguard import RECHECK_INTERVAL
+from chivespan.suspicion import CrashedRequest
 
 Args = TypeVarTuple("Args")
 
@@ -55,7 +55,7 @@
     """A node's quarantine and the version of it that others know."""
 
     centre: int
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     is_sending: bool = False
     sent_version: int = 0
 
@@ -99,9 +99,7 @@
         self._numbers = count()
         self._targets = [Target(f"i-{n}", n % centres) for n in range(targets)]
         self._gap_s = STREAM_S / (targets * SLOTS * LOAD)
-        self.nodes = [
-            Node(n % centres, PromptQuarantine(self._clock)) for n in range(nodes)
-        ]
+        self.nodes = [Node(n % centres, Quarantine(self._clock)) for n in range(nodes)]
         self._relays = self.nodes[:centres]
         self.harmful_crashes: list[float] = []
         self.harmful_sends: list[float] = []
@@ -215,7 +213,7 @@
 
     def _record_crash(self, request: Request, crash: CrashedRequest) -> None:
         quarantine = request.node.quarantine
-        answered = PartStatus.ANSWERED
+        answered = SuspectStatus.ANSWERED
         parts = [p for p in request.parts if quarantine.status(p) is not answered]
         quarantine.record_crash(parts, crash)
         self._tell(request.node)
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -26,8 +26,8 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodestatus import NodeStatus
 from chivespan.platform.documents import decode_config
-from chivespan.promptguard import PromptGuard
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
+from chivespan.requestguard import RequestGuard
 from chivespan.responseparser import ResponseParser
 from chivespan.routes import CallerLimits
 from chivespan.routingstate import RoutingState
@@ -155,7 +155,7 @@
             timedelta,
         )
         self.statuses: list[ItemStatus] = []
-        self.quarantine = PromptQuarantine(self.clock)
+        self.quarantine = Quarantine(self.clock)
         self.executor = BatchExecutor(
             self.target_set,
             self.picker,
@@ -180,7 +180,7 @@
                 self.silence,
                 self.clock,
                 self.metrics,
-                PromptGuard(self.quarantine),
+                RequestGuard(self.quarantine),
             ),
             cast(BatchFrontend, None),
             self.metrics,
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -15,7 +15,7 @@
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform.documents import decode_config
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
 from chivespan.routingstate import RoutingState
 from tests.factories import target_entry
 from tests.fakestore import FakeStore
@@ -33,7 +33,7 @@
     def __init__(self) -> None:
         self.clock = ManualClock()
         self.metrics = NodeMetrics()
-        self.quarantine = PromptQuarantine(self.clock)
+        self.quarantine = Quarantine(self.clock)
         self.store = FakeStore()
         self.ledger = LedgerStore(self.store, PARTITION, self.clock, 2_000_000)
         routing = RoutingState(decode_config)
--- a/tests/test_endlessdata.py
+++ b/tests/test_endlessdata.py
@@ -47,8 +47,8 @@
 from chivespan.peerlink import PeerLink, dial_once, listen
 from chivespan.platform.documents import decode_config
 from chivespan.platform.store import PlatformStore
-from chivespan.promptguard import PromptGuard
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
+from chivespan.requestguard import RequestGuard
 from chivespan.routes import CallerLimits, Route
 from chivespan.routingstate import RoutingState
 from chivespan.targethttp import HttpRequest, TargetHttp
@@ -232,7 +232,7 @@
             self.clock,
             self.metrics,
             self.statuses.append,
-            PromptQuarantine(self.clock),
+            Quarantine(self.clock),
         )
 
     async def run_item(self, tasks: TaskGroup) -> ItemState:
@@ -355,7 +355,7 @@
             rig.silence,
             rig.clock,
             rig.metrics,
-            PromptGuard(PromptQuarantine(rig.clock)),
+            RequestGuard(Quarantine(rig.clock)),
         )
         request, found = online_request(rig, resumable=resumable)
         caller = Caller()
--- a/tests/test_harmfulprompts.py
+++ b/tests/test_harmfulprompts.py
@@ -107,5 +107,5 @@
         for node in site.processes:
             assert await send(site, node, f"d{node}", harmful=False) == 200
             assert await send(site, node, f"e{node}", harmful=True) == 503
-            events = site.events(node, "part_quarantined")
-            assert [each["prompt_part"] for each in events] == [HARMFUL_PART]
+            events = site.events(node, "suspect_quarantined")
+            assert [each["suspect"] for each in events] == [HARMFUL_PART]
--- a/tests/test_linkreplaced.py
+++ b/tests/test_linkreplaced.py
@@ -17,7 +17,7 @@
 from chivespan.loadreports import LoadReports
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import DataCentreNodes, LoadReport
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
 from chivespan.remotenodes import NodeAnnouncer, RemoteNodes
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
@@ -80,7 +80,7 @@
         lambda: owned,
         silence,
         TargetSet(clock),
-        PromptQuarantine(clock),
+        Quarantine(clock),
     )
     node_announcer = NodeAnnouncer(links, reports, RemoteNodes(links))
     other = hello(f"{links.own.vm}9", data_centre)
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -17,7 +17,7 @@
 from chivespan.loadreports import CHANGE_INTERVAL, LoadReports
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import LoadReport, NodeValue, TargetRun
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 from tests.factories import peers_in, target_entry
@@ -67,7 +67,7 @@
         clock = ManualClock()
         self.targets = TargetSet(clock)
         self.targets.replace([ENTRY])
-        self.quarantine = PromptQuarantine(clock)
+        self.quarantine = Quarantine(clock)
         self.reports = LoadReports(
             cast(FleetLinks, Links(self.value, self.peers)),
             self.load_table,
--- a/tests/test_pausingtargets.py
+++ b/tests/test_pausingtargets.py
@@ -3,13 +3,13 @@
 import anyio
 import pytest
 
+from chivespan.evidencemessages import NOT_ANSWERED
 from chivespan.nodemessages import (
     ItemState,
     PartCrash,
     PartEvidence,
     TargetRun,
 )
-from chivespan.partevidence import NOT_ANSWERED
 from chivespan.targethealth import EJECT_AFTER_FAILURES, INITIAL_EJECTION
 from tests.fleet import SERVICE
 from tests.rawtargets import (
--- a/tests/test_promptquarantine.py
+++ b/tests/test_quarantine.py
@@ -9,7 +9,14 @@
 
 from chivespan.clock import NO_WAIT, ManualClock
 from chivespan.nodemessages import PartEvidence
-from chivespan.partsuspicion import (
+from chivespan.quarantine import (
+    EXONERATION_TIME,
+    MAX_ANSWERED_PARTS,
+    MAX_SUSPECTS,
+    Quarantine,
+    SuspectStatus,
+)
+from chivespan.suspicion import (
     ANSWER_VALIDITY,
     EVIDENCE_LIFETIME,
     MAX_CRASHES,
@@ -18,13 +25,6 @@
     SEPARATION_TIME,
     CrashedRequest,
 )
-from chivespan.promptquarantine import (
-    EXONERATION_TIME,
-    MAX_ANSWERED_PARTS,
-    MAX_SUSPECTS,
-    PartStatus,
-    PromptQuarantine,
-)
 
 SHARED = "5c1e07a2"
 HARMFUL = "91bd3f06"
@@ -42,7 +42,7 @@
     def __init__(self, uptime: timedelta = timedelta(0)) -> None:
         self.clock = ManualClock()
         self.clock.advance(uptime)
-        self.quarantine = PromptQuarantine(self.clock)
+        self.quarantine = Quarantine(self.clock)
         self._sent: dict[Node, int] = {}
 
     def crash(self, run: int, request: int, *parts: str) -> None:
@@ -52,7 +52,7 @@
     def answer(self, *parts: str) -> None:
         self.quarantine.record_answered(parts)
 
-    def status(self, part: str) -> PartStatus:
+    def status(self, part: str) -> SuspectStatus:
         return self.quarantine.status(part)
 
     def refuses(self, *parts: str) -> bool:
@@ -120,7 +120,7 @@
         assert node.quarantine.pending_time([HARMFUL]) == NO_WAIT
         pass_time([node], SEPARATION_TIME)
         node.crash(run, request, HARMFUL)
-        assert node.status(HARMFUL) is PartStatus.SUSPECT
+        assert node.status(HARMFUL) is SuspectStatus.SUSPECT
     assert node.quarantine.pending_time([SHARED, HARMFUL]) == EXONERATION_TIME
     assert not node.refuses(HARMFUL)
     pass_time([node], EXONERATION_TIME)
@@ -143,7 +143,7 @@
         node.crash(crash % runs, crash % requests, RARE)
         pass_time([node], gap)
     pass_time([node], 2 * SECOND)
-    assert node.status(RARE) is PartStatus.SUSPECT
+    assert node.status(RARE) is SuspectStatus.SUSPECT
     assert not node.refuses(RARE)
 
 
@@ -354,7 +354,7 @@
     crash_often(nodes, HARMFUL)
     nodes[1].crash(1, 1, RARE)
     exchange_for(nodes, 1.25 * max(EVIDENCE_LIFETIME, QUARANTINE_LIFETIME))
-    assert [node.status(HARMFUL) for node in nodes] == [PartStatus.UNKNOWN] * 2
+    assert [node.status(HARMFUL) for node in nodes] == [SuspectStatus.UNKNOWN] * 2
     assert [node.quarantine.report for node in nodes] == [[], []]
 
 
@@ -379,7 +379,7 @@
     for _ in range(int(0.8 * QUARANTINE_LIFETIME / STEP)):
         pass_time(nodes, STEP)
         statuses = {node.status(HARMFUL) for node in nodes}
-        assert statuses == {PartStatus.QUARANTINED}
+        assert statuses == {SuspectStatus.QUARANTINED}
         exchange(nodes)
 
 
--- a/tests/test_quarantineditems.py
+++ b/tests/test_quarantineditems.py
@@ -16,6 +16,7 @@
 from chivespan.batchowner import ABANDON_MARGIN, FAILED_RETRY_DELAY
 from chivespan.batchrecords import BatchHeader, BatchItem
 from chivespan.batchschedule import Placement
+from chivespan.evidencemessages import NOT_ANSWERED
 from chivespan.itemquarantine import SUSPECT_DELAY, ItemBreaks
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import (
@@ -28,9 +29,8 @@
     PartEvidence,
     TargetRun,
 )
-from chivespan.partevidence import NOT_ANSWERED
-from chivespan.partsuspicion import MIN_CRASHES, CrashedRequest
-from chivespan.promptquarantine import PartStatus
+from chivespan.quarantine import SuspectStatus
+from chivespan.suspicion import MIN_CRASHES, CrashedRequest
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
@@ -265,16 +265,16 @@
     async with site(1) as running:
         assert await running.run_item(SOUND) is ItemState.done
         assert await running.run_item(SOUND, HARMFUL) is ItemState.broken
-        assert running.quarantine.status(HARMFUL) is PartStatus.SUSPECT
-        assert running.quarantine.status(SOUND) is PartStatus.ANSWERED
-        assert running.quarantine.status("1a57") is PartStatus.UNKNOWN, "not shared"
+        assert running.quarantine.status(HARMFUL) is SuspectStatus.SUSPECT
+        assert running.quarantine.status(SOUND) is SuspectStatus.ANSWERED
+        assert running.quarantine.status("1a57") is SuspectStatus.UNKNOWN, "not shared"
 
 
 # Guards against: an item whose connection alone was cut makes its parts suspect.
 async def test_broken_connection_to_a_running_target_is_no_evidence() -> None:
     async with site(1) as running:
         assert await running.run_item(CUT) is ItemState.broken
-        assert running.quarantine.status(CUT) is PartStatus.UNKNOWN
+        assert running.quarantine.status(CUT) is SuspectStatus.UNKNOWN
 
 
 # Guards against: an answer that ends with its connection, at a crash before the first
@@ -282,7 +282,7 @@
 async def test_unframed_answer_without_an_event_is_a_broken_one() -> None:
     async with site(1) as running:
         assert await running.run_item(UNFRAMED, HARMFUL) is ItemState.broken
-        assert running.quarantine.status(HARMFUL) is PartStatus.SUSPECT
+        assert running.quarantine.status(HARMFUL) is SuspectStatus.SUSPECT
 
 
 # Guards against: parts of items that targets answer stay suspect after a crash.
@@ -290,7 +290,7 @@
     async with site(1) as running:
         running.quarantine.record_crash([SOUND], CrashedRequest("t9", 1, "other"))
         assert await running.run_item(SOUND) is ItemState.done
-        assert running.quarantine.status(SOUND) is PartStatus.ANSWERED
+        assert running.quarantine.status(SOUND) is SuspectStatus.ANSWERED
 
 
 # Guards against: harmful items end one target after the other (issue 28), or sound
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -17,8 +17,8 @@
 from chivespan.forwarding import Forwarder
 from chivespan.nodestatus import NodeStatus
 from chivespan.platform.documents import decode_config
-from chivespan.promptguard import PromptGuard
-from chivespan.promptquarantine import PromptQuarantine
+from chivespan.quarantine import Quarantine
+from chivespan.requestguard import RequestGuard
 from chivespan.routes import CallerLimits
 from chivespan.routingstate import RoutingState
 from tests.addresses import own_block
@@ -73,7 +73,7 @@
             rig.silence,
             rig.clock,
             rig.metrics,
-            PromptGuard(PromptQuarantine(rig.clock)),
+            RequestGuard(Quarantine(rig.clock)),
         ),
         cast(BatchFrontend, None),
         rig.metrics,
