Quarantine a whole request that crashes targets, as parts of prompts are

Cause: suspicion knew only parts of prompts. Ruled out by the log: a late verdict (there was none), and overload (each end came with one send of this request).

Change: a suspect is now a part or the fingerprint of a request; evidence, objections, spread, expiry, logs and gauge are the same code. A part needs crashes of two different requests, by fingerprint; for a request its own do. Requests are convicted before parts, whose crashes they may explain. Evidence goes to peers as changes, not whole, and requests have bounds of their own, so that noise doesn't drive out parts. Items have no fingerprint: none can convict them.

Why it works: all copies have the same fingerprint at all nodes, and sound requests that are alike to the byte are exonerated by an answer, before or since.

A new peer is told all evidence also by a node that has only merged it.

--- a/chivespan/errors.py
+++ b/chivespan/errors.py
@@ -34,6 +34,7 @@
     OWNER_LIMIT = "owner_limit"
     NO_CAPACITY = "no_capacity"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     DEADLINE_PASSED = "deadline_passed"
     NO_DISPATCHER = "no_dispatcher"
     NO_TARGET = "no_target"
@@ -91,6 +92,7 @@
     ErrorKind.OWNER_LIMIT: ErrorProperties(429, False, SHORT_RETRY_AFTER),
     ErrorKind.NO_CAPACITY: ErrorProperties(503, False, SHORT_RETRY_AFTER),
     ErrorKind.PROMPT_QUARANTINED: ErrorProperties(503, False, LONG_RETRY_AFTER),
+    ErrorKind.REQUEST_QUARANTINED: ErrorProperties(503, False, LONG_RETRY_AFTER),
     ErrorKind.DEADLINE_PASSED: ErrorProperties(504, False, SHORT_RETRY_AFTER),
     ErrorKind.NO_DISPATCHER: ErrorProperties(503, False, SHORT_RETRY_AFTER),
     ErrorKind.NO_TARGET: ErrorProperties(503, False, LONG_RETRY_AFTER),
--- a/chivespan/evidencemessages.py
+++ b/chivespan/evidencemessages.py
@@ -1,12 +1,14 @@
-"""Conversion of the evidence on parts of prompts to messages for peers."""
+"""Conversion of the evidence on suspects to messages for peers, and back."""
 
 from datetime import timedelta
 
 from chivespan.clock import MILLISECOND
 from chivespan.nodemessages import PartCrash, PartEvidence, TargetRun
+from chivespan.suspects import is_request
 from chivespan.suspicion import (
     EVIDENCE_LIFETIME,
     QUARANTINE_LIFETIME,
+    CrashedRequest,
     Suspicion,
 )
 
@@ -15,25 +17,39 @@
 NOT_ANSWERED = -1
 
 
-def evidence_message(part: str, suspicion: Suspicion, now: timedelta) -> PartEvidence:
-    """Return the message about one part.
+def evidence_message(
+    suspect: str, suspicion: Suspicion, now: timedelta
+) -> PartEvidence:
+    """Return the message about one suspect.
 
     :param now: current time of the monotonic clock.
     """
     return PartEvidence(
-        part=part,
-        crashes=_crash_messages(suspicion, now),
+        part=suspect,
+        crashes=_crash_messages(suspect, suspicion, now),
         answered_age_ms=_answered_age_ms(suspicion, now),
         quarantine_ms=_quarantine_ms(suspicion, now),
     )
 
 
-def _crash_messages(suspicion: Suspicion, now: timedelta) -> list[PartCrash]:
+def crashed_request(suspect: str, crash: PartCrash) -> CrashedRequest:
+    """Return the crash that a message about a suspect describes."""
+    own = suspect if is_request(suspect) else ""
+    run = crash.run
+    return CrashedRequest(
+        run.target_id, run.started_ms, crash.request_id, crash.fingerprint or own
+    )
+
+
+def _crash_messages(
+    suspect: str, suspicion: Suspicion, now: timedelta
+) -> list[PartCrash]:
     longest = EVIDENCE_LIFETIME * SENT_SHARE_OF_LIFETIME
     return [
         PartCrash(
             run=TargetRun(target_id=crash.target_id, started_ms=crash.started_ms),
             request_id=crash.request_id,
+            fingerprint="" if crash.fingerprint == suspect else crash.fingerprint,
             age_ms=(now - at) // MILLISECOND,
         )
         for crash, at in suspicion.crashes.items()
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -126,12 +126,12 @@
                 raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
 
     async def _admit(self, request: CallerRequest, progress: Progress) -> None:
-        """Wait until the request may be sent to a target by what its prompt holds.
+        """Wait until the request may be sent to a target by what it is suspected of.
 
         :raises ChivespanError: when it is refused.
         """
         try:
-            await self._guard.admit(request.request_id, progress.prompt_parts)
+            await self._guard.admit(request.request_id, progress.suspects)
         except ChivespanError as error:
             if not progress.ran_or_may_run:
                 raise
@@ -144,7 +144,7 @@
         if progress.entry is None:
             return False
         return not await self._guard.may_resend(
-            request.request_id, progress.prompt_parts, progress.entry
+            request.request_id, progress.suspects, progress.entry
         )
 
     async def _attempt(
@@ -313,7 +313,7 @@
         if not await relay.pass_body(is_stream, hand_over):
             return SendOutcome.HANDED_OVER
         if reply.status == HTTPStatus.OK and reply.is_delimited:
-            self._guard.record_answered(progress.prompt_parts)
+            self._guard.record_answered(progress.suspects)
         return SendOutcome.DELIVERED
 
     async def _hand_over(
@@ -328,7 +328,7 @@
 
         If none accepts, the paused stream is to be read on.
         """
-        if not self._guard.may_send(progress.prompt_parts):
+        if not self._guard.may_send(progress.suspects):
             return False
         candidate = self._pick_within(self._time_left(progress), progress)
         if candidate is None or progress.entry is None:
@@ -379,7 +379,7 @@
         progress.record_data()
         progress.reads += is_stream
         if progress.reads == READS_OF_AN_ANSWER:
-            self._guard.record_answered(progress.prompt_parts)
+            self._guard.record_answered(progress.suspects)
 
     def _can_resume(
         self, route: Route, progress: Progress, in_time: bool = False
--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -9,7 +9,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import replace
 from datetime import timedelta
 
@@ -41,6 +41,8 @@
 STATUS_CHECK_INTERVAL = timedelta(milliseconds=150)
 # Own reports kept because a sum that includes them may still arrive.
 MAX_KEPT_REPORTS = 100
+# Version that a receiver has before anything was sent to it.
+NOTHING_SENT = -1
 # Name of the sum over the whole fleet.
 WHOLE_FLEET = ""
 # Name of the nodes to which this node reports its own counts.
@@ -315,19 +317,19 @@
             self._report_loads()
 
     def _has_news_of_targets(self) -> bool:
-        """Return whether targets were seen to leave or crash since the last report."""
-        if self._targets.leaving_runs != self._sent_leaving:
-            return True
-        if self._sent_evidence.get(REPORT_RECEIVERS) != self._quarantine.own_version:
-            return True
-        if (
-            self._sent_limits.get(REPORT_RECEIVERS, 0)
-            < self._targets.limits.own_version
-        ):
-            return True
+        """Return whether anything about targets has changed since the last report."""
         sent = self._sent_reports.get(self._sequence)
-        sends = self._targets.recent_sends.own_sends()
-        return sends != (sent.recent_sends if sent else [])
+        return (
+            self._targets.leaving_runs != self._sent_leaving
+            or self._sent_version(self._sent_evidence) < self._quarantine.own_version
+            or self._sent_limits.get(REPORT_RECEIVERS, 0)
+            < self._targets.limits.own_version
+            or self._targets.recent_sends.own_sends()
+            != (sent.recent_sends if sent else [])
+        )
+
+    def _sent_version(self, sent: Mapping[str, int]) -> int:
+        return sent.get(REPORT_RECEIVERS, NOTHING_SENT)
 
     def _send_sums(self) -> None:
         """Send the sums to all peers that don't have them yet."""
@@ -352,11 +354,12 @@
             self._send(self._local_peers, FleetReport(reports=[report]))
 
     def _evidence_for(self, receiver: str, version: int) -> list[PartEvidence]:
-        """Return the evidence on prompts, if a receiver has another version of it."""
-        if self._sent_evidence.get(receiver) == version:
+        """Return the evidence on suspects that a receiver doesn't have yet."""
+        sent = self._sent_evidence.get(receiver, NOTHING_SENT)
+        if version <= sent:
             return []
-        self._sent_evidence[receiver] = version
-        return self._quarantine.report
+        self._sent_evidence[receiver] = self._quarantine.version
+        return self._quarantine.changes_since(sent)
 
     def _limits_for(self, receiver: str, version: int) -> list[TargetLimit]:
         """Return the rate limits that a receiver doesn't have yet, if any is new."""
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -310,7 +310,7 @@
         self.metrics.gauge("requests_in_progress", self.server.in_progress)
         self.metrics.gauge("live_peers", len(self.links.peers))
         self.metrics.gauge("routing_version", self.routing.version)
-        self.metrics.gauge("quarantined_parts", len(self.quarantine.quarantined))
+        self.metrics.gauge("quarantined_suspects", len(self.quarantine.quarantined))
         self.metrics.gauge("limited_targets", len(self.targets.limits.in_force))
 
     def _settings_mtime_ns(self) -> int:
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -48,17 +48,21 @@
     """
     Time since the run ended.
     """
+    fingerprint: str = ''
+    """
+    The same for all attempts to send the request; empty for batch items and in evidence on a request itself.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PartEvidence:
     """
-    What is known of a part of prompts that may crash targets.
+    What is known of a part of prompts, or of a request, that may crash targets.
     """
 
     part: str
     """
-    Id of the part.
+    Id of the part; of a request, its fingerprint.
     """
     crashes: list[PartCrash]
     answered_age_ms: int
@@ -136,7 +140,7 @@
     """
     prompt_parts: list[PartEvidence] = field(default_factory=list)
     """
-    Parts of prompts that are suspected of crashing targets; only with loads.
+    Evidence that has changed since the last report on what is suspected of crashing targets; only with loads.
     """
     target_limits: list[TargetLimit] = field(default_factory=list)
     """
@@ -186,7 +190,7 @@
     """
     prompt_parts: list[PartEvidence] = field(default_factory=list)
     """
-    Parts of prompts that are suspected of crashing targets.
+    Evidence that has changed since the last report on what is suspected of crashing targets.
     """
     target_limits: list[TargetLimit] = field(default_factory=list)
     """
--- a/chivespan/quarantine.py
+++ b/chivespan/quarantine.py
@@ -10,20 +10,28 @@
 that repeats and reordering change nothing.
 """
 
-from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 from enum import StrEnum
 from typing import TypeAlias
 
+from chivespan.answeredsuspects import AnsweredSuspects
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
-from chivespan.evidencemessages import NOT_ANSWERED, evidence_message
+from chivespan.evidencemessages import (
+    NOT_ANSWERED,
+    crashed_request,
+    evidence_message,
+)
 from chivespan.logs import logger
 from chivespan.nodemessages import PartCrash, PartEvidence
+from chivespan.suspects import is_request
 from chivespan.suspicion import (
     EVIDENCE_LIFETIME,
+    MIN_CRASHES,
     QUARANTINE_LIFETIME,
     CrashedRequest,
+    ExplainedRuns,
+    Run,
     Suspicion,
 )
 
@@ -33,8 +41,9 @@
 REPORT_DELAY = timedelta(seconds=1)
 # A quarantine is prolonged, and peers are told, when this share of it has passed.
 PROLONGED_SHARE = 0.25
-MAX_ANSWERED_PARTS = 4096
-MAX_SUSPECTS = 64
+MAX_PARTS = 64
+# Nearly each request at a target that ends is another suspect.
+MAX_REQUESTS = 256
 # Sources of evidence that this node has found itself.
 OWN_CRASH = "crash"
 OWN_ANSWER = "response"
@@ -69,9 +78,10 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        # When targets last answered each suspect to this node, oldest first.
-        self._answered: OrderedDict[str, timedelta] = OrderedDict()
+        self._answered = AnsweredSuspects()
         self._suspicions: dict[str, Suspicion] = {}
+        # Version of all evidence that includes the last change of each suspect's.
+        self._versions: dict[str, int] = {}
         self._version = 0
         self._own_version = 0
 
@@ -100,20 +110,24 @@
 
     @property
     def report(self) -> list[PartEvidence]:
-        """The evidence for peers, which need it once for each version."""
-        return list(self._evidence(self._clock.monotonic()))
+        """All evidence, for a peer that has none of it."""
+        return self.changes_since(0)
+
+    def changes_since(self, version: int) -> list[PartEvidence]:
+        """Return the evidence for a peer that has all of it up to a version."""
+        now = self._clock.monotonic()
+        changed = (each for each in self._suspicions if self._versions[each] > version)
+        return list(self._evidence(sorted(changed), now))
 
     def record_answered(self, suspects: Iterable[str]) -> None:
         """Record that a target answers a request with these suspects."""
         now = self._clock.monotonic()
-        for suspect in suspects:
-            self._answered[suspect] = now
-            self._answered.move_to_end(suspect)
+        answered = list(suspects)
+        self._answered.record(answered, now)
+        for suspect in answered:
             suspicion = self._suspicions.get(suspect)
             if suspicion is not None and suspicion.crashes:
                 self._apply_answer(suspect, suspicion, now, OWN_ANSWER)
-        while len(self._answered) > MAX_ANSWERED_PARTS:
-            self._answered.popitem(last=False)
 
     def record_crash(self, suspects: Iterable[str], crash: CrashedRequest) -> None:
         """Record that a run ended before it answered a request with these suspects."""
@@ -152,8 +166,8 @@
     def find_quarantined(self, suspects: Collection[str]) -> str | None:
         """Return the suspect because of which a request with them is refused.
 
-        Its quarantine is prolonged. Of suspects that were at the same crashes, any may be
-        the cause, so a request is refused only if it has all of them.
+        Its quarantine is prolonged. Of suspects that were at the same crashes, any may
+        be the cause, so a request is refused only if it has all of them.
         """
         suspect = self.quarantined_suspect(suspects)
         if suspect is not None:
@@ -199,7 +213,7 @@
                 _log.notice("quarantine_ended", suspect=suspect)
             suspicion.drop_expired(now)
             if suspicion.is_empty:
-                del self._suspicions[suspect]
+                self._forget(suspect)
 
     def _merge_answer(self, entry: PartEvidence, now: timedelta, source: str) -> None:
         if entry.answered_age_ms == NOT_ANSWERED:
@@ -212,8 +226,7 @@
     def _merge_crash(
         self, entry: PartEvidence, crash: PartCrash, now: timedelta, source: str
     ) -> None:
-        run = crash.run
-        request = CrashedRequest(run.target_id, run.started_ms, crash.request_id)
+        request = crashed_request(entry.part, crash)
         age = crash.age_ms * MILLISECOND
         if age < EVIDENCE_LIFETIME or entry.quarantine_ms:
             runs = len(
@@ -231,7 +244,7 @@
         is_newer = known is None or answered - known > REPORT_DELAY
         if not dropped and not is_newer:
             return
-        self._note_change(source)
+        self._note_change(suspect, source)
         _log.info(
             "suspect_exonerated",
             suspect=suspect,
@@ -255,8 +268,9 @@
         suspicion = self._suspicion(suspect, (False, runs, at))
         if suspicion is None or not suspicion.add_crash(crash, at):
             return
-        self._note_change(source)
-        self._note_sufficient_evidence()
+        self._note_change(suspect, source)
+        if suspicion.crashed_runs >= MIN_CRASHES:
+            self._note_sufficient_evidence()
         _log.info(
             "crash_suspected",
             suspect=suspect,
@@ -270,12 +284,12 @@
     def _object_to_suspicion(self, suspect: str, at: timedelta, source: str) -> None:
         """Tell a peer that suspects a suspect that a target has answered it."""
         suspicion = self._suspicion(suspect)
-        own = self._answered.get(suspect)
+        own = self._answered.last_answer(suspect)
         if source == OWN_CRASH or suspicion is None or own is None:
             return
         if suspicion.answered is None or not suspicion.voids_crash(at):
             suspicion.apply_answer(own)
-            self._note_change(OWN_ANSWER)
+            self._note_change(suspect, OWN_ANSWER)
 
     def _adopt_quarantine(self, suspect: str, until: timedelta, source: str) -> None:
         """Apply a peer's verdict, unless a later answer has voided it."""
@@ -285,16 +299,25 @@
             self._quarantine(suspect, suspicion, until, source, least_gain)
 
     def _convict_suspects(self) -> None:
-        """Quarantine suspects with enough evidence to which no node objects."""
-        self._note_sufficient_evidence()
+        """Quarantine suspects with enough evidence to which no node objects.
+
+        Requests come before the parts of their prompts, whose crashes they may explain.
+        Several parts at the same crashes are quarantined together.
+        """
+        for requests in (True, False):
+            self._note_sufficient_evidence()
+            for suspect, suspicion in list(self._suspicions.items()):
+                if suspicion.is_request is requests:
+                    self._convict(suspect, suspicion)
+
+    def _convict(self, suspect: str, suspicion: Suspicion) -> None:
+        since = suspicion.sufficient_since
+        if since is None or suspicion.quarantined_until is not None:
+            return
         now = self._clock.monotonic()
-        for suspect, suspicion in list(self._suspicions.items()):
-            since = suspicion.sufficient_since
-            if since is None or suspicion.quarantined_until is not None:
-                continue
-            if now - since >= EXONERATION_TIME:
-                until = now + QUARANTINE_LIFETIME
-                self._quarantine(suspect, suspicion, until, OWN_VERDICT, NO_WAIT)
+        if now - since >= EXONERATION_TIME:
+            until = now + QUARANTINE_LIFETIME
+            self._quarantine(suspect, suspicion, until, OWN_VERDICT, NO_WAIT)
 
     def _note_sufficient_evidence(self) -> None:
         """Note since when the evidence against each suspect suffices.
@@ -302,25 +325,29 @@
         Of several suspects, those that explain the most crashes come first.
         """
         now = self._clock.monotonic()
-        explained = self._explained_runs()
+        explained = ExplainedRuns(
+            by_parts=self._runs_that_met(requests=False),
+            by_requests=self._runs_that_met(requests=True),
+        )
         open_cases = {
             suspect: suspicion
             for suspect, suspicion in self._suspicions.items()
             if suspicion.quarantined_until is None
         }
         most = max(
-            (each.separate_crashes(explained) for each in open_cases.values()),
+            (each.separate_crashes(explained.by_parts) for each in open_cases.values()),
             default=0,
         )
         for suspicion in open_cases.values():
             suspicion.note_sufficient(now, explained, most)
 
-    def _explained_runs(self) -> set[tuple[str, int]]:
-        """Return the ended runs that are explained by suspects in quarantine."""
+    def _runs_that_met(self, requests: bool) -> set[Run]:
+        """Return the ended runs that met requests, or parts, in quarantine."""
         return {
             crash.run
             for suspicion in self._suspicions.values()
             if suspicion.quarantined_until is not None
+            and suspicion.is_request is requests
             for crash in suspicion.crashes
         }
 
@@ -336,7 +363,7 @@
         if known is not None and until - known <= least_gain:
             return
         suspicion.quarantined_until = until
-        self._note_change(source)
+        self._note_change(suspect, source)
         if known is None:
             _log.notice(
                 "suspect_quarantined",
@@ -353,9 +380,11 @@
             suspect, self._suspicions[suspect], until, OWN_REQUEST, least_gain
         )
 
-    def _evidence(self, now: timedelta) -> Iterator[PartEvidence]:
-        for suspect, suspicion in sorted(self._suspicions.items()):
-            entry = evidence_message(suspect, suspicion, now)
+    def _evidence(
+        self, suspects: Iterable[str], now: timedelta
+    ) -> Iterator[PartEvidence]:
+        for suspect in suspects:
+            entry = evidence_message(suspect, self._suspicions[suspect], now)
             if entry.crashes or entry.answered_age_ms != NOT_ANSWERED:
                 yield entry
 
@@ -367,14 +396,31 @@
         suspicion = self._suspicions.get(suspect)
         if suspicion is not None:
             return suspicion
-        if len(self._suspicions) >= MAX_SUSPECTS:
-            least = min(self._suspicions, key=lambda each: (self._rank(each), each))
-            if (self._rank(least), least) >= (_rounded(rank), suspect):
-                return None
-            del self._suspicions[least]
-        suspicion = self._suspicions[suspect] = Suspicion()
+        if not self._make_room(suspect, rank):
+            return None
+        suspicion = self._suspicions[suspect] = Suspicion(is_request(suspect))
+        self._versions[suspect] = self._version
         return suspicion
 
+    def _make_room(self, suspect: str, rank: Rank) -> bool:
+        """Forget the least suspect of the same kind if there are too many.
+
+        :returns: False if a new entry of the given rank would be the least.
+        """
+        kind = is_request(suspect)
+        alike = [each for each in self._suspicions if is_request(each) is kind]
+        if len(alike) < (MAX_REQUESTS if kind else MAX_PARTS):
+            return True
+        least = min(alike, key=lambda each: (self._rank(each), each))
+        if (self._rank(least), least) >= (_rounded(rank), suspect):
+            return False
+        self._forget(least)
+        return True
+
+    def _forget(self, suspect: str) -> None:
+        del self._suspicions[suspect]
+        del self._versions[suspect]
+
     def _rank(self, suspect: str) -> Rank:
         """Return the sort key by which entries are kept when there are too many."""
         suspicion = self._suspicions[suspect]
@@ -391,9 +437,11 @@
             if known.quarantined_until is not None and known.explains(suspicion)
         )
 
-    def _note_change(self, source: str) -> None:
+    def _note_change(self, suspect: str, source: str) -> None:
         self._version += 1
-        self._own_version += source in OWN_SOURCES
+        self._versions[suspect] = self._version
+        if source in OWN_SOURCES:
+            self._own_version = self._version
 
     def _awaits_objections(self, suspect: str) -> bool:
         """Return whether the evidence against a suspect suffices for a quarantine."""
@@ -425,7 +473,7 @@
         suspicion = self._suspicions.get(suspect)
         if suspicion is not None and suspicion.voids_crash(at):
             return True
-        own = self._answered.get(suspect)
+        own = self._answered.last_answer(suspect)
         return own is not None and Suspicion(answered=own).voids_crash(at)
 
 
--- a/chivespan/requestprogress.py
+++ b/chivespan/requestprogress.py
@@ -75,6 +75,11 @@
     handover: Handover | None = None
     handover_outcome: SendOutcome = SendOutcome.BROKEN
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What may be the cause if the request's target ends."""
+        return (*self.prompt_parts, self.fingerprint)
+
     def record_data(self) -> None:
         """Record that the current target has sent data."""
         if self.watch is not None:
--- a/chivespan/suspicion.py
+++ b/chivespan/suspicion.py
@@ -1,4 +1,4 @@
-"""Evidence that one part of prompts crashes targets."""
+"""Evidence that a part of prompts, or a request, crashes targets."""
 
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
@@ -15,7 +15,10 @@
 # So many ended runs need fewer different times.
 MANY_RUNS = 5
 MIN_CRASHES_OF_MANY_RUNS = 2
+# A part is the cause only if different requests with it crash targets.
 MIN_CRASHED_REQUESTS = 2
+# A part that comes with a harmful request must have crashed so many other targets.
+MIN_CRASHES_WITHOUT_REQUEST = 2
 # Targets that end within this time may have ended together, whatever they did.
 SEPARATION_TIME = timedelta(milliseconds=150)
 # Long, since harmful requests may come rarely.
@@ -29,11 +32,15 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class CrashedRequest:
-    """A request that a run of a target had not begun to answer when the run ended."""
+    """A request that a run of a target had not begun to answer when the run ended.
+
+    :param fingerprint: the same for all attempts to send it; empty for batch items.
+    """
 
     target_id: str
     started_ms: int
     request_id: str
+    fingerprint: str = ""
 
     @property
     def run(self) -> Run:
@@ -41,16 +48,30 @@
         return (self.target_id, self.started_ms)
 
 
+@dataclass(frozen=True, slots=True)
+class ExplainedRuns:
+    """Ended runs whose cause is known.
+
+    :param by_parts: those that met a part in quarantine.
+    :param by_requests: those that met a request in quarantine.
+    """
+
+    by_parts: Collection[Run] = ()
+    by_requests: Collection[Run] = ()
+
+
 @dataclass(slots=True)
 class Suspicion:
-    """What speaks for and against one part.
+    """What speaks for and against one suspect.
 
+    :ivar is_request: whether the suspect is a whole request, not a part of a prompt.
     :ivar crashes: when each crash happened, on the monotonic clock.
-    :ivar answered: when a target last answered the part, as far as it was told.
+    :ivar answered: when a target last answered it, as far as this node was told.
     :ivar sufficient_since: since when the evidence suffices for a quarantine.
     :ivar quarantined_until: end of the quarantine; None while there is none.
     """
 
+    is_request: bool = False
     crashes: dict[CrashedRequest, timedelta] = field(default_factory=dict)
     answered: timedelta | None = None
     sufficient_since: timedelta | None = None
@@ -58,13 +79,13 @@
 
     @property
     def crashed_runs(self) -> int:
-        """Number of runs that ended while a request with the part waited there."""
+        """Number of runs that ended while a request with the suspect waited there."""
         return len({crash.run for crash in self.crashes})
 
     @property
     def crashed_requests(self) -> int:
-        """Number of requests with the part that met a crash."""
-        return len({crash.request_id for crash in self.crashes})
+        """Number of different requests with the suspect that met a crash."""
+        return len({crash.fingerprint or crash.request_id for crash in self.crashes})
 
     @property
     def newest_crash(self) -> timedelta:
@@ -76,10 +97,10 @@
         """Whether nothing is known any more."""
         return not self.crashes and self.answered is None
 
-    def separate_crashes(self, explained: Collection[Run]) -> int:
-        """Return how many crashes at different times the part may have caused.
+    def separate_crashes(self, explained: Collection[Run] = ()) -> int:
+        """Return how many crashes at different times the suspect may have caused.
 
-        :param explained: ended runs that another part is known to have caused.
+        :param explained: ended runs that have another cause.
         """
         unexplained = {
             crash: at
@@ -93,25 +114,33 @@
         return self.crashes.keys() >= other.crashes.keys()
 
     def note_sufficient(
-        self, now: timedelta, explained: Collection[Run], most: int
+        self, now: timedelta, explained: ExplainedRuns, most: int
     ) -> None:
         """Note whether the evidence suffices, and since when.
 
         :param most: crashes that the strongest suspect may have caused.
         """
-        crashes = self.separate_crashes(explained)
-        runs = self._unexplained_runs(explained)
-        needed = MIN_CRASHES_OF_MANY_RUNS if runs >= MANY_RUNS else MIN_CRASHES
-        suffices = (
-            crashes >= max(needed, most)
-            and runs >= MIN_CRASHES
-            and self.crashed_requests >= MIN_CRASHED_REQUESTS
-        )
-        if not suffices:
+        if not self._suffices(explained, most):
             self.sufficient_since = None
         elif self.sufficient_since is None:
             self.sufficient_since = now
 
+    def _suffices(self, explained: ExplainedRuns, most: int) -> bool:
+        crashes = self.separate_crashes(explained.by_parts)
+        runs = self._unexplained_runs(explained.by_parts)
+        needed = MIN_CRASHES_OF_MANY_RUNS if runs >= MANY_RUNS else MIN_CRASHES
+        if crashes < max(needed, most) or runs < MIN_CRASHES:
+            return False
+        if self.is_request:
+            return True
+        if self.crashed_requests < MIN_CRASHED_REQUESTS:
+            return False
+        is_shared = any(crash.run in explained.by_requests for crash in self.crashes)
+        known = {*explained.by_parts, *explained.by_requests}
+        return (
+            not is_shared or self.separate_crashes(known) >= MIN_CRASHES_WITHOUT_REQUEST
+        )
+
     def voids_crash(self, at: timedelta) -> bool:
         """Return whether the last answer voids a crash at some time as evidence."""
         return self.answered is not None and at < self.answered + ANSWER_VALIDITY
--- a/tests/test_harmfulprompts.py
+++ b/tests/test_harmfulprompts.py
@@ -100,9 +100,13 @@
 # another part crash targets.
 async def test_part_shared_with_sound_requests_is_not_refused(tmp_path: Path) -> None:
     async with fleet(tmp_path, NODES) as (site, _), targets_of(site):
-        for number in range(5):
+        # All targets may end in the first round and be left out for a second: whoever
+        # ends together is no evidence, and there are no other crashes until then.
+        for number in range(ROUNDS):
             await send_round(site, number, [])
             await anyio.sleep(ROUND_PAUSE_S)
+            if all(site.events(node, "suspect_quarantined") for node in site.processes):
+                break
         await anyio.sleep(1.0)
         for node in site.processes:
             assert await send(site, node, f"d{node}", harmful=False) == 200
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,12 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from chivespan.answeredsuspects import MAX_ANSWERED_PARTS
 from chivespan.clock import NO_WAIT, ManualClock
 from chivespan.nodemessages import PartEvidence
 from chivespan.quarantine import (
     EXONERATION_TIME,
-    MAX_ANSWERED_PARTS,
-    MAX_SUSPECTS,
+    MAX_PARTS,
     Quarantine,
     SuspectStatus,
 )
@@ -60,11 +60,9 @@
 
     def news_for(self, peer: "Node") -> list[PartEvidence]:
         """What a peer isn't told again until it changes."""
-        version = self.quarantine.version
-        if self._sent.get(peer) == version:
-            return []
-        self._sent[peer] = version
-        return self.quarantine.report
+        sent = self._sent.get(peer, 0)
+        self._sent[peer] = self.quarantine.version
+        return self.quarantine.changes_since(sent)
 
     def hear(self, evidence: Iterable[PartEvidence]) -> None:
         self.quarantine.merge(evidence, "peer")
@@ -401,7 +399,7 @@
 # without end.
 def test_exchange_of_more_suspects_than_are_kept_comes_to_rest() -> None:
     nodes = fleet(2)
-    for part in range(MAX_SUSPECTS):
+    for part in range(MAX_PARTS):
         nodes[0].crash(1, part, f"a{part}")
         nodes[1].crash(2, part, f"b{part}")
     exchange_for(nodes, 2 * SECOND)
@@ -444,7 +442,7 @@
         node.crash(run, run, HARMFUL)
         pass_time([node], SEPARATION_TIME)
         if run:
-            for part in range(2 * MAX_SUSPECTS):
+            for part in range(2 * MAX_PARTS):
                 node.crash(run, part, f"a{run}-{part}")
     pass_time([node], SECOND)
     assert node.refuses(HARMFUL)
@@ -461,7 +459,7 @@
         node.crash(run, 100 + run, HARMFUL)
     report = node.quarantine.report
     assert len(node.quarantine._answered) <= MAX_ANSWERED_PARTS
-    assert len(report) <= MAX_SUSPECTS
+    assert len(report) <= MAX_PARTS
     assert max(len(entry.crashes) for entry in report) <= MAX_CRASHES
 
 
@@ -555,7 +553,7 @@
 # finds no place among the suspects of that moment.
 def test_new_suspect_finds_a_place_among_many_of_one_moment() -> None:
     node = Node()
-    for number in range(MAX_SUSPECTS):
+    for number in range(MAX_PARTS):
         node.crash(number, number, f"z-{number}")
     for number in range(MIN_CRASHES):
         node.clock.advance(2 * SECOND)
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -1,7 +1,7 @@
 """Requests that have been read whole and must end with an answer or an error."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from itertools import count
 from types import SimpleNamespace
 from typing import cast
@@ -49,9 +49,11 @@
     routing.apply_if_newer(config(1, route("r", "/s/", timeoutMs=800)), "test")
 
     async def answer(stream: SocketStream) -> None:
+        # A connection without a request only tells whether the target has ended.
         async with stream:
-            await stream.receive()
-            await stream.send(left.pop(0))
+            with suppress(anyio.EndOfStream):
+                await stream.receive()
+                await stream.send(left.pop(0))
 
     listener = await anyio.create_tcp_listener(local_host=SERVER_HOST, local_port=0)
     port = listener.extra(SocketAttribute.local_port)
--- a/tools/pages.py
+++ b/tools/pages.py
@@ -36,6 +36,7 @@
     ErrorKind.OWNER_LIMIT: "The owner's own limit in the rules is reached.",
     ErrorKind.NO_CAPACITY: "All is in use; `shares` says whose work holds it.",
     ErrorKind.PROMPT_QUARANTINED: "A part of the prompt has crashed targets.",
+    ErrorKind.REQUEST_QUARANTINED: "The request has crashed targets.",
     ErrorKind.DEADLINE_PASSED: "It can't start before its deadline.",
     ErrorKind.NO_DISPATCHER: "No VM that grants slots could be reached.",
     ErrorKind.NO_TARGET: "No target of the service can take it.",
