Tell a new peer the limits also that a node only knows from others

Found by reading the change again: a node told a new or returned peer the limits that targets state only if it had seen one of them itself, as the version of what it had found itself is 0 until then. A node that started while all others but one knew a limit from that one alone learnt it a report later at best, and not at all if that one had left.

--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -322,8 +322,7 @@
         return (
             self._targets.leaving_runs != self._sent_leaving
             or self._sent_version(self._sent_evidence) < self._quarantine.own_version
-            or self._sent_limits.get(REPORT_RECEIVERS, 0)
-            < self._targets.limits.own_version
+            or self._sent_version(self._sent_limits) < self._targets.limits.own_version
             or self._targets.recent_sends.own_sends()
             != (sent.recent_sends if sent else [])
         )
@@ -363,7 +362,7 @@
 
     def _limits_for(self, receiver: str, version: int) -> list[TargetLimit]:
         """Return the rate limits that a receiver doesn't have yet, if any is new."""
-        sent = self._sent_limits.get(receiver, 0)
+        sent = self._sent_limits.get(receiver, NOTHING_SENT)
         if version <= sent:
             return []
         self._sent_limits[receiver] = self._targets.limits.version
