--- a/tests/crashsimulation.py
+++ b/tests/crashsimulation.py
@@ -17,6 +17,7 @@
 from chivespan.nodemessages import PartEvidence
 from chivespan.quarantine import Quarantine, SuspectStatus
 from chivespan.requestguard import RECHECK_INTERVAL
+from chivespan.suspects import is_request, request_suspect
 from chivespan.suspicion import CrashedRequest
 
 Args = TypeVarTuple("Args")
@@ -31,7 +32,8 @@
 RESET_SHARE = 0.005
 SINGLE_CRASH_INTERVAL_S = 4.0
 LOAD = 0.5
-HARMFUL = "harmful"
+HARMFUL_PART = "harmful"
+HARMFUL_REQUEST = request_suspect([b"harmful"])
 HARMFUL_SHARE = 0.05
 HARMFUL_START_S = 4.0
 CENTRE_LOSS_S = 9.0
@@ -48,6 +50,7 @@
 VERDICT_S = 3.0
 # The crash from which the rules count.
 DECISIVE_CRASH = 5
+DECISIVE_CRASH_OF_REQUEST = 3
 
 
 @dataclass(eq=False)
@@ -62,11 +65,14 @@
 
 @dataclass(eq=False)
 class Request:
-    """A request of a client at a node."""
+    """A request of a client at a node.
+
+    :ivar suspects: the parts of its prompt, and itself.
+    """
 
     id: str
     node: Node
-    parts: list[str]
+    suspects: list[str]
     arrived_s: float
     sends: int = 0
     has_answered: bool = False
@@ -92,7 +98,15 @@
         began at its first attempt.
     """
 
-    def __init__(self, nodes: int, targets: int, centres: int, seed: int) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        targets: int,
+        centres: int,
+        seed: int,
+        harmful: str = HARMFUL_PART,
+    ) -> None:
+        self._harmful = harmful
         self._random = Random(seed)
         self._clock = ManualClock()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -119,6 +133,12 @@
             self._clock.advance(timedelta(seconds=at_s) - self._clock.monotonic())
             event()
 
+    @property
+    def decisive_crash(self) -> int:
+        """Number of the crash from which the rules count."""
+        of_request = is_request(self._harmful)
+        return DECISIVE_CRASH_OF_REQUEST if of_request else DECISIVE_CRASH
+
     def served_share(self, start_s: float, end_s: float) -> float:
         """Return the share of sound requests that began at their first attempt."""
         began = [began for at_s, began in self.sound if start_s <= at_s < end_s]
@@ -141,19 +161,26 @@
         self._in(self._random.expovariate(1 / self._gap_s), self._arrive)
         group = self._random.choices(range(len(CLASS_WEIGHTS)), CLASS_WEIGHTS)[0]
         parts = [f"shared-{group}"]
+        is_harmful = False
         if group == AFFECTED and self._now_s >= HARMFUL_START_S:
-            parts += [HARMFUL] * (self._random.random() < HARMFUL_SHARE)
+            is_harmful = self._random.random() < HARMFUL_SHARE
         if self._random.random() < RARE_SHARE:
             recent = self._now_s * RARE_SHARE / (self._gap_s * RARE_USES)
             parts.append(f"rare-{int(recent + self._random.random() * 4)}")
         node = self._random.choice(self.nodes)
-        self._admit(Request(f"r-{next(self._numbers)}", node, parts, self._now_s))
+        request_id = f"r-{next(self._numbers)}"
+        own = request_suspect([request_id.encode()])
+        if is_harmful and is_request(self._harmful):
+            own = self._harmful
+        elif is_harmful:
+            parts.append(self._harmful)
+        self._admit(Request(request_id, node, [*parts, own], self._now_s))
 
     def _admit(self, request: Request) -> None:
         quarantine = request.node.quarantine
         free = [t for t in self._targets if t.is_up and len(t.requests) < SLOTS]
-        is_pending = quarantine.pending_time(request.parts) > NO_WAIT
-        if not is_pending and quarantine.find_quarantined(request.parts) is not None:
+        is_pending = quarantine.pending_time(request.suspects) > NO_WAIT
+        if not is_pending and quarantine.find_quarantined(request.suspects) is not None:
             self._end(request, False)
         elif free and not is_pending:
             self._send(request, self._random.choice(free))
@@ -167,7 +194,7 @@
         target.requests.add(request)
         prefill_s = self._random.uniform(*PREFILL_S)
         run = target.started_ms
-        if HARMFUL in request.parts:
+        if self._harmful in request.suspects:
             self.harmful_sends.append(self._now_s)
             self._in(prefill_s, self._begin_harmful, request, target, run)
         elif self._random.random() < RESET_SHARE:
@@ -179,14 +206,14 @@
         if request not in target.requests or target.started_ms != run:
             return
         self.harmful_crashes.append(self._now_s)
-        if len(self.harmful_crashes) == DECISIVE_CRASH:
+        if len(self.harmful_crashes) == self.decisive_crash:
             self._in(VERDICT_S, self._check_verdicts)
         self._crash(target)
 
     def _answer(self, request: Request, target: Target, run: int) -> None:
         if request in target.requests and target.started_ms == run:
             request.has_answered = True
-            request.node.quarantine.record_answered(request.parts)
+            request.node.quarantine.record_answered(request.suspects)
             self._tell(request.node)
             self._end(request, request.sends == 1)
             self._in(STREAM_S, target.requests.discard, request)
@@ -202,7 +229,9 @@
             target.is_up = False
             for request in sorted(target.requests, key=lambda each: each.id):
                 if not request.has_answered:
-                    crash = CrashedRequest(target.id, target.started_ms, request.id)
+                    crash = CrashedRequest(
+                        target.id, target.started_ms, request.id, request.suspects[-1]
+                    )
                     self._in(CLOSE_S, self._record_crash, request, crash)
             target.requests.clear()
             self._in(RESTART_S, self._restart, target)
@@ -214,19 +243,22 @@
     def _record_crash(self, request: Request, crash: CrashedRequest) -> None:
         quarantine = request.node.quarantine
         answered = SuspectStatus.ANSWERED
-        parts = [p for p in request.parts if quarantine.status(p) is not answered]
+        parts = [p for p in request.suspects if quarantine.status(p) is not answered]
         quarantine.record_crash(parts, crash)
         self._tell(request.node)
         self._resend(request)
 
     def _resend(self, request: Request) -> None:
-        if request.sends == 1 and request.node.quarantine.may_resend(request.parts):
+        if request.sends == 1 and request.node.quarantine.may_resend(request.suspects):
             self._admit(request)
         else:
             self._end(request, False)
 
     def _end(self, request: Request, has_begun: bool) -> None:
-        if f"shared-{AFFECTED}" in request.parts and HARMFUL not in request.parts:
+        if (
+            f"shared-{AFFECTED}" in request.suspects
+            and self._harmful not in request.suspects
+        ):
             self.sound.append((request.arrived_s, has_begun))
 
     def _crash_any(self) -> None:
@@ -240,12 +272,14 @@
                 self._crash(target)
 
     def _check_verdicts(self) -> None:
-        refusing = [HARMFUL in node.quarantine.quarantined for node in self.nodes]
+        refusing = [self._harmful in node.quarantine.quarantined for node in self.nodes]
         self.nodes_without_verdict = refusing.count(False)
 
     def _update(self, node: Node) -> None:
         node.quarantine.update()
-        self.wrongly_quarantined.update({*node.quarantine.quarantined} - {HARMFUL})
+        self.wrongly_quarantined.update(
+            {*node.quarantine.quarantined} - {self._harmful}
+        )
         self._tell(node)
         self._in(UPDATE_S, self._update, node)
 
@@ -260,12 +294,12 @@
     def _send_report(self, node: Node, delay_s: float) -> None:
         """Send a report to the relay, or from it to its nodes and other relays."""
         node.is_sending = False
+        report = node.quarantine.changes_since(node.sent_version)
         node.sent_version = node.quarantine.version
         receivers = self._relays[node.centre : node.centre + 1]
         if node in self._relays:
             own = [each for each in self.nodes if each.centre == node.centre]
             receivers = [*{*own, *self._relays} - {node}]
-        report = node.quarantine.report
         for receiver in sorted(receivers, key=self.nodes.index):
             self._in(delay_s, self._hear, receiver, report)
 
--- a/tests/test_crashsimulation.py
+++ b/tests/test_crashsimulation.py
@@ -1,4 +1,4 @@
-"""Users' rules on parts that crash targets, in a simulated fleet."""
+"""Users' rules on parts and requests that crash targets, in a simulated fleet."""
 
 from functools import cache
 from typing import TypeAlias
@@ -7,6 +7,8 @@
 
 from tests.crashsimulation import (
     DECISIVE_CRASH,
+    HARMFUL_PART,
+    HARMFUL_REQUEST,
     HARMFUL_START_S,
     VERDICT_S,
     CrashSimulation,
@@ -35,10 +37,13 @@
 )
 
 
+of_each_kind = pytest.mark.parametrize("harmful", [HARMFUL_PART, HARMFUL_REQUEST])
+
+
 @cache
-def played(fleet: Fleet) -> CrashSimulation:
+def played(fleet: Fleet, harmful: str = HARMFUL_PART) -> CrashSimulation:
     """The day of a fleet."""
-    simulation = CrashSimulation(*fleet)
+    simulation = CrashSimulation(*fleet, harmful)
     simulation.run(DURATION_S)
     return simulation
 
@@ -49,31 +54,43 @@
     assert sum(each >= DECISIVE_CRASH for each in crashes) >= 3
 
 
-# Guards against: requests with a harmful part go on to crash targets.
+# Guards against: requests with a harmful part, or one request, go on to crash targets.
+@of_each_kind
 @in_fleets
-def test_few_harmful_requests_are_sent_after_the_fifth_crash(fleet: Fleet) -> None:
-    simulation = played(fleet)
-    for decisive_s in simulation.harmful_crashes[DECISIVE_CRASH - 1 : DECISIVE_CRASH]:
+def test_few_harmful_requests_are_sent_after_the_decisive_crash(
+    fleet: Fleet, harmful: str
+) -> None:
+    simulation = played(fleet, harmful)
+    decisive = simulation.decisive_crash
+    for decisive_s in simulation.harmful_crashes[decisive - 1 : decisive]:
         late = [at for at in simulation.harmful_sends if at > decisive_s + VERDICT_S]
         assert len(late) <= MAX_LATE_SENDS
 
 
-# Guards against: some nodes don't learn that a part is harmful.
+# Guards against: some nodes don't learn what is harmful.
+@of_each_kind
 @in_fleets
-def test_all_nodes_refuse_the_part_soon_after_the_fifth_crash(fleet: Fleet) -> None:
-    assert played(fleet).nodes_without_verdict == 0
+def test_all_nodes_refuse_what_is_harmful_soon_after_the_decisive_crash(
+    fleet: Fleet, harmful: str
+) -> None:
+    assert played(fleet, harmful).nodes_without_verdict == 0
 
 
-# Guards against: parts of sound requests that met crashes by chance are refused.
+# Guards against: sound requests, and their parts, that met crashes by chance are
+# refused.
+@of_each_kind
 @in_fleets
-def test_no_sound_part_is_ever_quarantined(fleet: Fleet) -> None:
-    assert played(fleet).wrongly_quarantined == set()
+def test_nothing_sound_is_ever_quarantined(fleet: Fleet, harmful: str) -> None:
+    assert played(fleet, harmful).wrongly_quarantined == set()
 
 
 # Guards against: sound requests beside harmful ones are refused, or find no slot.
+@of_each_kind
 @in_fleets
-def test_sound_requests_of_the_class_are_served_as_before(fleet: Fleet) -> None:
-    simulation = played(fleet)
-    start = simulation.harmful_crashes[:DECISIVE_CRASH][-1] + 2 * VERDICT_S
+def test_sound_requests_of_the_class_are_served_as_before(
+    fleet: Fleet, harmful: str
+) -> None:
+    simulation = played(fleet, harmful)
+    start = simulation.harmful_crashes[: simulation.decisive_crash][-1] + 2 * VERDICT_S
     before = simulation.served_share(0, HARMFUL_START_S)
     assert simulation.served_share(start, DURATION_S) >= LEAST_SERVED_SHARE * before
