Give every decoder of foreign data one typed error, and ranges to numbers

Another operator's report: an odd entry among those of the runners ends the machines that read the list, or stops them from following it.

Class: a decoder whose errors aren't closed. decoding() turns all that decoders raise into one typed error; entries, configuration, node list, store responses, ledger records, submissions, settings, frames of peers, and bodies of the older programs use it. Slots, counters, start times, durations and weights have ranges. A node with an odd address and a record whose key isn't UTF-8 cost only themselves.

--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -17,7 +17,8 @@
     BatchResult,
 )
 from chivespan.codec import decode, encode
-from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.decoding import decoding, error_of
+from chivespan.errors import ErrorKind
 from chivespan.keyedstore import KeyedRecord
 from chivespan.platform import wire
 
@@ -144,11 +145,8 @@
 
         :raises ChivespanError: ``protocol`` if the record can't be decoded.
         """
-        try:
+        with decoding(f"record {record.key!r}", error_of(ErrorKind.PROTOCOL)):
             self._apply(record)
-        except (ValueError, IndexError) as error:
-            reason = f"record {record.key!r} can't be decoded: {error!r}"
-            raise ChivespanError(ErrorKind.PROTOCOL, reason) from error
 
     def _apply(self, record: KeyedRecord) -> None:
         kind, _, rest = record.key.partition("/")
--- a/chivespan/batchrequesthandler.py
+++ b/chivespan/batchrequesthandler.py
@@ -173,11 +173,7 @@
 
     :raises ChivespanError: ``bad_request`` if it can never be accepted.
     """
-    try:
-        items = wire.decode_submission(body)
-    except ValueError as error:
-        reason = f"the items can't be decoded: {error}"
-        raise ChivespanError(ErrorKind.BAD_REQUEST, reason) from error
+    items = wire.decode_submission(body)
     if len(items) > MAX_ITEMS:
         reason = f"{len(items)} items exceed the limit of {MAX_ITEMS}"
         raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
--- a/chivespan/codec.py
+++ b/chivespan/codec.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from chivespan import linkmessages, nodemessages
-from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.decoding import decoding, error_of
+from chivespan.errors import ErrorKind
 from chivespan.positional import PositionalClasses
 
 PROTOCOL_VERSION = 4
@@ -40,11 +41,8 @@
 
     :raises ChivespanError: ``protocol`` if the data does not encode such an object.
     """
-    try:
+    with decoding(cls.__name__, error_of(ErrorKind.PROTOCOL)):
         return msgspec.convert(cbor2.loads(data), cls, builtin_types=(bytes,))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
-        reason = f"not a {cls.__name__}: {error}"
-        raise ChivespanError(ErrorKind.PROTOCOL, reason) from error
 
 
 def data_classes(module: ModuleType) -> dict[str, type[Any]]:
@@ -102,19 +100,11 @@
     >>> decode_message(encode_message(load))
     TargetLoad(target_id='t', online=1, batch=0)
     """
-    try:
+    with decoding("frame", error_of(ErrorKind.PROTOCOL)):
         name, body = cbor2.loads(_decompressed(frame))
         cls = message_class(name)
         fields = msgspec.convert(body, _POSITIONAL.get(cls), builtin_types=(bytes,))
         return msgspec.convert(fields, cls, from_attributes=True)
-    except (
-        cbor2.CBORDecodeError,
-        zlib.error,
-        ValueError,
-        TypeError,
-        KeyError,
-    ) as error:
-        raise ChivespanError(ErrorKind.PROTOCOL, f"invalid frame: {error}") from error
 
 
 def _decompressed(frame: bytes) -> bytes:
--- a/chivespan/engineclient.py
+++ b/chivespan/engineclient.py
@@ -3,11 +3,13 @@
 from collections.abc import AsyncGenerator, AsyncIterator
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import TypeVar
 
 import anyio
 import msgspec
 
+from chivespan.decoding import decoding
 from chivespan.engineapi import (
     EngineCancel,
     EngineEvent,
@@ -139,11 +141,9 @@
         raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
 
     def _decode_token(self, address: str, request: EngineRequest, line: bytes) -> Token:
-        try:
+        with decoding("token", partial(_malformed, address)):
             event = self._event_decoder.decode(line)
             choice = event.choices[0]
-        except (msgspec.DecodeError, IndexError) as error:
-            raise _malformed(address, str(error)) from error
         if event.id != request.request_id:
             raise _malformed(address, "token of another request")
         return Token(event.token_index, choice.text, choice.finish_reason, event.usage)
@@ -217,10 +217,8 @@
 
 
 def _decode(address: str, body: bytes, cls: type[T]) -> T:
-    try:
+    with decoding(cls.__name__, partial(_malformed, address)):
         return msgspec.json.decode(body, type=cls)
-    except msgspec.DecodeError as error:
-        raise _malformed(address, str(error)) from error
 
 
 def _malformed(address: str, problem: str) -> ChivespanError:
--- a/chivespan/entryclient.py
+++ b/chivespan/entryclient.py
@@ -6,6 +6,7 @@
 import httpcore
 import msgspec
 
+from chivespan.decoding import decoding, error_of
 from chivespan.erroranswer import ErrorAnswer
 from chivespan.errors import ChivespanError, ErrorKind
 
@@ -71,21 +72,19 @@
 
 
 def _parse_error(response: httpcore.Response) -> ChivespanError:
+    what = f"response of the entry with status {response.status}"
     try:
-        body = msgspec.json.decode(response.content, type=ErrorAnswer).error
-        kind = ErrorKind(body.code)
-    except (msgspec.DecodeError, ValueError):
-        reason = f"the entry responded with status {response.status}"
-        return ChivespanError(ErrorKind.PROTOCOL, reason)
-    retry_after = None
-    if body.retry_after_ms is not None:
-        retry_after = timedelta(milliseconds=body.retry_after_ms)
+        with decoding(what, error_of(ErrorKind.PROTOCOL)):
+            body = msgspec.json.decode(response.content, type=ErrorAnswer).error
+            kind = ErrorKind(body.code)
+            retry_after = None
+            if body.retry_after_ms is not None:
+                retry_after = timedelta(milliseconds=body.retry_after_ms)
+    except ChivespanError as error:
+        return error
     return ChivespanError(kind, body.message, retry_after=retry_after)
 
 
 def _decode(content: bytes, cls: type[T]) -> T:
-    try:
+    with decoding("response of the entry", error_of(ErrorKind.PROTOCOL)):
         return msgspec.json.decode(content, type=cls)
-    except msgspec.DecodeError as error:
-        reason = f"cannot decode the entry's response: {error}"
-        raise ChivespanError(ErrorKind.PROTOCOL, reason) from error
--- a/chivespan/httplog.py
+++ b/chivespan/httplog.py
@@ -11,6 +11,7 @@
 import httpcore
 
 from chivespan.boundedstream import BoundedResponseStream
+from chivespan.decoding import decoding, error_of
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platformservices import LogNotReached, LogPage, LogRecord
 from chivespan.resetbackend import ResetAwareBackend
@@ -135,12 +136,8 @@
 
 
 def _decode(content: bytes) -> _LogResponse:
-    try:
-        fields = cbor2.loads(content)
-        return _LogResponse(**fields)
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
-        reason = f"invalid response from the log: {error}"
-        raise ChivespanError(ErrorKind.LOG_UNAVAILABLE, reason) from error
+    with decoding("response of the log", error_of(ErrorKind.LOG_UNAVAILABLE)):
+        return _LogResponse(**cbor2.loads(content))
 
 
 def _to_page(response: _LogResponse) -> LogPage:
--- a/chivespan/httpvmlist.py
+++ b/chivespan/httpvmlist.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chivespan.boundedstream import BoundedResponseStream
+from chivespan.decoding import decoding, error_of
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.platformservices import ListedVm
 from chivespan.resetbackend import ResetAwareBackend
@@ -72,10 +73,8 @@
             return self._last
         if response.status != 200:
             raise _unavailable(f"status {response.status}")
-        try:
+        with decoding("VM list", error_of(ErrorKind.NOT_READY)):
             listed = msgspec.json.decode(response.content, type=list[ListedVm])
-        except msgspec.MsgspecError as error:
-            raise _unavailable(str(error)) from error
         headers = dict(response.headers)
         self._entity_tag = headers.get(b"ETag", headers.get(b"etag", b""))
         self._last = tuple(listed)
--- a/chivespan/itemrunner.py
+++ b/chivespan/itemrunner.py
@@ -18,6 +18,7 @@
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.codec import encode
 from chivespan.completions import prefix_hash
+from chivespan.decoding import decoding, error_of
 from chivespan.documents import Service, ServiceKind
 from chivespan.engineapi import EngineRequest
 from chivespan.engineclient import StreamLimits, Token
@@ -356,11 +357,8 @@
 
     :raises ChivespanError: ``target_refused`` if the body is invalid; not retried.
     """
-    try:
+    with decoding("body of an item", error_of(ErrorKind.TARGET_REFUSED)):
         return msgspec.json.decode(body, type=cls)
-    except msgspec.DecodeError as error:
-        reason = f"cannot decode the item's body: {error}"
-        raise ChivespanError(ErrorKind.TARGET_REFUSED, reason) from error
 
 
 def _plain_request(
--- a/chivespan/nodelist.py
+++ b/chivespan/nodelist.py
@@ -10,7 +10,9 @@
 
 import msgspec
 
+from chivespan.addresses import parse_address
 from chivespan.clock import Clock
+from chivespan.decoding import decoding
 from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks
 from chivespan.keyedstore import KeyedRecord, KeyedStore, Partition, load_newest
@@ -90,6 +92,18 @@
 def _decode_nodes(records: Iterable[KeyedRecord]) -> Iterator[NodeValue]:
     for record in records:
         try:
-            yield msgspec.json.decode(record.value, type=NodeValue)
-        except msgspec.DecodeError as error:
-            _log.warning("node_unreadable", key=record.key, reason=str(error))
+            yield _decode_node(record)
+        except ChivespanError as error:
+            _log.warning("node_unreadable", key=record.key, reason=error.message)
+
+
+def _decode_node(record: KeyedRecord) -> NodeValue:
+    """Return the node in a record.
+
+    :raises ChivespanError: ``invalid_document`` when the record is invalid.
+    """
+    with decoding("node"):
+        node = msgspec.json.decode(record.value, type=NodeValue)
+        parse_address(node.front_address)
+        parse_address(node.control_address)
+        return node
--- a/chivespan/platform/documents.py
+++ b/chivespan/platform/documents.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from chivespan.addresses import parse_address
-from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.decoding import checked, decoding
 from chivespan.nodemessages import TargetEntry
 from chivespan.routes import (
     CallerLimits,
@@ -21,6 +21,13 @@
 CONFIG_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
 
+MAX_SLOTS = 1_000_000
+# Exact in any JSON library; Unix milliseconds stay far below.
+MAX_COUNT = 2**53
+MAX_DURATION_MS = 366 * 24 * 3600 * 1000
+MILLISECONDS_PER_S = 1000
+MAX_SHOWN_ID = 80
+
 _KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -107,17 +114,15 @@
 
     :raises ChivespanError: ``invalid_document`` when the document is invalid.
     """
-    try:
+    with decoding("configuration"):
         config = _CONFIGS.decode(value)
+        checked("version", config.version, 0, MAX_COUNT)
         return RoutingTable(
             version=config.version,
             routes=tuple(_routes(config)),
             services=tuple(_service(service) for service in config.services),
             limits=_limits(config.limits),
         )
-    except (msgspec.DecodeError, KeyError) as error:
-        reason = f"invalid configuration: {error!r}"
-        raise ChivespanError(ErrorKind.INVALID_DOCUMENT, reason) from error
 
 
 def decode_target(target_id: str, value: bytes) -> TargetEntry:
@@ -125,10 +130,11 @@
 
     :raises ChivespanError: ``invalid_document`` when the entry is invalid.
     """
-    try:
+    with decoding(f"entry of {target_id[:MAX_SHOWN_ID]!r}"):
         entry = _ENTRIES.decode(value)
-        if entry.slots < 1:
-            raise ValueError(f"slots must be at least 1, not {entry.slots}")
+        checked("slots", entry.slots, 1, MAX_SLOTS)
+        checked("seq", entry.seq, -MAX_COUNT, MAX_COUNT)
+        checked("born", entry.born, 0, MAX_COUNT)
         parse_address(entry.address)
         return TargetEntry(
             target_id=target_id,
@@ -140,13 +146,13 @@
             sequence=entry.seq,
             started_ms=entry.born,
         )
-    except (msgspec.DecodeError, ValueError, KeyError) as error:
-        reason = f"invalid entry of {target_id!r}: {error!r}"
-        raise ChivespanError(ErrorKind.INVALID_DOCUMENT, reason) from error
 
 
 def _routes(config: _Config) -> Iterator[Route]:
     for route in config.routes:
+        checked("priority", route.priority, -MAX_COUNT, MAX_COUNT)
+        checked("maxAttempts", route.maxAttempts, 0, MAX_COUNT)
+        checked("cap", route.cap, 0, MAX_COUNT)
         yield Route(
             name=route.name,
             host=route.host.lower(),
@@ -160,7 +166,7 @@
             resumable=route.resumable,
             longest_gap=_ms(route.gapAimMs),
             due=_ms(route.dueMs),
-            abandon_after=timedelta(seconds=route.retentionS),
+            abandon_after=_ms(route.retentionS * MILLISECONDS_PER_S),
             waiting_tokens_limit=route.cap,
         )
 
@@ -168,17 +174,22 @@
 def _shares(route: _Route) -> tuple[ServiceShare, ...]:
     if not route.weightedServices:
         return (ServiceShare(route.service, 1),)
+    for share in route.weightedServices:
+        checked("weight", share.weight, 0, MAX_COUNT)
     return tuple(
         ServiceShare(share.service, share.weight) for share in route.weightedServices
     )
 
 
 def _service(service: _Service) -> Service:
+    checked("maxConns", service.maxConns, 0, MAX_COUNT)
     slots = service.engine.slots if service.engine else 0
     return Service(service.name, service.healthPath, service.maxConns, slots)
 
 
 def _limits(limits: _Limits) -> CallerLimits:
+    checked("maxHeaderBytes", limits.maxHeaderBytes, 0, MAX_COUNT)
+    checked("maxBodyBytes", limits.maxBodyBytes, 0, MAX_COUNT)
     return CallerLimits(
         max_header_bytes=limits.maxHeaderBytes,
         max_body_bytes=limits.maxBodyBytes,
@@ -188,4 +199,5 @@
 
 
 def _ms(value: float) -> timedelta:
+    checked("duration", value, 0, MAX_DURATION_MS)
     return timedelta(milliseconds=value)
--- a/chivespan/platform/settingsfile.py
+++ b/chivespan/platform/settingsfile.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+from chivespan.decoding import decoding, error_of
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.nodesettings import FleetNodeSettings, StoreSettings
 
@@ -23,10 +24,13 @@
     :raises ChivespanError: ``invalid_setting`` when the file is missing or invalid.
     """
     try:
-        return decode_settings(tomllib.loads(path.read_text()))
-    except (OSError, tomllib.TOMLDecodeError) as error:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
         reason = f"cannot read {path}: {error}"
         raise ChivespanError(ErrorKind.INVALID_SETTING, reason) from error
+    with decoding(f"settings in {path}", error_of(ErrorKind.INVALID_SETTING)):
+        document = tomllib.loads(text)
+    return decode_settings(document)
 
 
 def decode_settings(document: Mapping[str, Any]) -> FleetNodeSettings:
@@ -34,11 +38,8 @@
 
     :raises ChivespanError: ``invalid_setting``, which names the invalid field.
     """
-    try:
+    with decoding("settings file", error_of(ErrorKind.INVALID_SETTING)):
         return _decode(document)
-    except (KeyError, TypeError, ValueError) as error:
-        reason = f"invalid settings file: {error!r}"
-        raise ChivespanError(ErrorKind.INVALID_SETTING, reason) from error
 
 
 def _decode(document: Mapping[str, Any]) -> FleetNodeSettings:
--- a/chivespan/platform/store.py
+++ b/chivespan/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from chivespan.clock import MILLISECOND
+from chivespan.decoding import decoding
 from chivespan.errors import ChivespanError
 from chivespan.exchange import Call, NotSent, exchange
 from chivespan.keyedstore import (
@@ -108,11 +109,9 @@
             "waitMs": str(wait // MILLISECOND),
         }
         content = await self._get("/-/log-read", query, wait)
-        try:
+        with decoding("response of the store to a read", StoreUnavailable):
             end, _first = _BOUNDS.unpack_from(content)
             return KeyedPage(tuple(_decode_records(content, _BOUNDS.size)), end)
-        except (struct.error, IndexError, UnicodeDecodeError) as error:
-            raise StoreUnavailable(f"invalid response to a read: {error!r}") from error
 
     async def newest(self, partition: Partition, after: str = "") -> NewestPage:
         """Read the newest record of each key; see ``KeyedStore.newest``."""
@@ -179,13 +178,12 @@
         start += _LENGTH.size
         record = content[start : start + length]
         start += length
-        key_end = 1 + record[0]
-        yield KeyedRecord(record[1:key_end].decode(), record[key_end:])
+        key_end = 1 + record[0] if record else 0
+        # A key that isn't UTF-8 is another writer's, and no reason to lose the rest.
+        key = record[1:key_end].decode(errors="backslashreplace")
+        yield KeyedRecord(key, record[key_end:])
 
 
 def _decode(content: bytes, cls: type[T]) -> T:
-    try:
+    with decoding("response of the store", StoreOutcomeUnknown):
         return msgspec.json.decode(content, type=cls)
-    except msgspec.DecodeError as error:
-        reason = f"invalid response from the store: {error}"
-        raise StoreOutcomeUnknown(reason) from error
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -11,6 +11,8 @@
 
 from chivespan.batchrecords import BatchHeader, BatchItem, BatchResult
 from chivespan.clock import MILLISECOND
+from chivespan.decoding import checked, decoding, error_of
+from chivespan.errors import ErrorKind
 from chivespan.exchange import Reply
 from chivespan.ratelimits import StatedLimit
 from chivespan.responseparser import Header
@@ -42,6 +44,8 @@
 ITEM_PATH = "/-/items/"
 METRICS_PATH = "/metrics"
 
+# More than any engine's memory holds.
+MAX_TOKENS = 2**40
 # Bounds the work for one request; longer lists are cut off.
 MAX_PROMPT_PARTS = 64
 # A decimal number without sign or exponent.
@@ -70,10 +74,13 @@
 def decode_submission(body: bytes) -> tuple[BatchItem, ...]:
     """Return the items in the body of a submission.
 
-    :raises ValueError: when the body is not a valid submission.
+    :raises ChivespanError: ``bad_request`` when the body is not a valid submission.
     """
-    submission = _SUBMISSIONS.decode(body)
-    return tuple(_batch_item(item) for item in submission.items)
+    with decoding("submission", error_of(ErrorKind.BAD_REQUEST)):
+        submission = _SUBMISSIONS.decode(body)
+        for item in submission.items:
+            checked("tokens", item.tokens, 0, MAX_TOKENS)
+        return tuple(_batch_item(item) for item in submission.items)
 
 
 def _batch_item(item: _Item) -> BatchItem:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -145,5 +145,6 @@
     (header,) = item.headers
     assert (header.name, header.value) == ("A", "b")
     for invalid in (b"{}", b"[]", b'{"items":[{"id":1}]}', b"\xff"):
-        with pytest.raises(ValueError, match=r"\w"):
+        with pytest.raises(ChivespanError) as caught:
             wire.decode_submission(invalid)
+        assert caught.value.kind is ErrorKind.BAD_REQUEST
