Convict a request by three crashes at two moments

A request that isn't the cause is rarely sent so often without an answer that exonerates it, so two moments suffice for it; parts keep three. 128 of 128 tests of whole requests pass, slow ones included; test_three_crashes_at_two_moments_convict_a_request failed before.

--- a/chivespan/suspicion.py
+++ b/chivespan/suspicion.py
@@ -15,6 +15,8 @@
 # So many ended runs need fewer different times.
 MANY_RUNS = 5
 MIN_CRASHES_OF_MANY_RUNS = 2
+# A sound request is rarely sent so often, and seldom without an answer.
+MIN_CRASHES_OF_REQUEST = 2
 # A part is the cause only if different requests with it crash targets.
 MIN_CRASHED_REQUESTS = 2
 # A part that comes with a harmful request must have crashed so many other targets.
@@ -129,6 +131,8 @@
         crashes = self.separate_crashes(explained.by_parts)
         runs = self._unexplained_runs(explained.by_parts)
         needed = MIN_CRASHES_OF_MANY_RUNS if runs >= MANY_RUNS else MIN_CRASHES
+        if self.is_request:
+            needed = MIN_CRASHES_OF_REQUEST
         if crashes < max(needed, most) or runs < MIN_CRASHES:
             return False
         if self.is_request:
--- a/tests/test_requestsuspects.py
+++ b/tests/test_requestsuspects.py
@@ -75,6 +75,17 @@
     assert fleet.refusing(SHARED, sound(1)) == 0
 
 
+# Guards against: copies that came at the same moment delay the verdict.
+def test_three_crashes_at_two_moments_convict_a_request() -> None:
+    fleet = Fleet(2)
+    fleet.crash(HARMFUL)
+    fleet.crash(HARMFUL, node=1)
+    fleet.wait(SEPARATION_TIME)
+    fleet.crash(HARMFUL)
+    fleet.wait(EXONERATION_TIME)
+    assert fleet.refusing(HARMFUL) == 2
+
+
 # Guards against: a part of the prompt is condemned for what the whole request does, as
 # each copy of that counts as another request with the part.
 def test_copies_of_one_request_dont_condemn_its_parts() -> None:
