Refuse late in the grace what a stopping node couldn't answer any more

Change: the node knows the longest recent time of each route, and refuses at once, as not run and with when to come back, what would not end in the time that is left; without such a time it goes by the request's deadline. Shorter requests are served as before.

Ruled out: to wait longer for such requests, as the platform kills the process at graceS.

--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -197,11 +197,7 @@
 
     async def _serve(self, request: CallerRequest, responder: Responder) -> None:
         if self._node_status.refuses_new:
-            raise ChivespanError(
-                ErrorKind.LEAVING,
-                "node is shutting down",
-                retry_after=DRAINING_RETRY_AFTER,
-            )
+            raise _leaving("node is shutting down")
         if request.path.startswith((wire.JOB_PATH, wire.ITEM_PATH)):
             await self._batch.serve_job(request, responder)
             return
@@ -209,8 +205,20 @@
         if route.kind is RouteKind.BATCH:
             await self._batch.submit(request, route, responder)
         else:
+            self._check_time_left(request, route)
             await self._forwarder.serve(request, route, responder)
 
+    def _check_time_left(self, request: CallerRequest, route: Route) -> None:
+        """Check that this node isn't likely to end before it has answered a request.
+
+        :raises ChivespanError: ``leaving`` when another node should take it.
+        """
+        status = self._node_status
+        if not status.is_leaving:
+            return
+        if self._forwarder.longest_time(request, route) > status.time_to_end:
+            raise _leaving("node is shutting down before the request can be answered")
+
     def _route(self, request: CallerRequest) -> Route:
         table = self._routing.table
         if table is None:
@@ -226,6 +234,10 @@
         return route
 
 
+def _leaving(reason: str) -> ChivespanError:
+    return ChivespanError(ErrorKind.LEAVING, reason, retry_after=DRAINING_RETRY_AFTER)
+
+
 async def _receive_body(receive: Receive, max_bytes: int) -> bytes | None:
     """Return a request's body; None when the caller has disconnected.
 
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -25,6 +25,7 @@
 from chivespan.platform import wire
 from chivespan.requestguard import RequestGuard
 from chivespan.requestprogress import MAY_HAVE_RUN, Progress, SendOutcome
+from chivespan.requesttimes import RequestTimes
 from chivespan.responserelay import (
     ResponseRelay,
     check_continues,
@@ -65,6 +66,13 @@
         self._metrics = metrics
         self._guard = guard
         self._random = Random()
+        self._times = RequestTimes()
+
+    def longest_time(self, request: CallerRequest, route: Route) -> timedelta:
+        """Return how long a request may take that has just arrived."""
+        allowed = self._deadline(request, route) - self._clock.monotonic()
+        longest = self._times.longest(route.name)
+        return allowed if longest is None else min(allowed, longest)
 
     async def serve(
         self, request: CallerRequest, route: Route, responder: Responder
@@ -463,6 +471,8 @@
     ) -> None:
         took = self._clock.monotonic() - request.arrived
         self._metrics.record_answer(route.kind.value, outcome, took)
+        if outcome == "delivered":
+            self._times.record(route.name, took)
         _log.info(
             "request_ended",
             request=request.request_id,
