Split the bookkeeping of suspicions and of what reports have sent into modules

No change of behaviour. quarantine.py and loadreports.py had grown; evidence and limits share the tracking of sent changes (sentchanges.py), and suspicions with their bounds and their weighing stand in suspicions.py. The version of a suspicion is part of it, so an evicted one leaves nothing behind.

--- a/chivespan/loadreports.py
+++ b/chivespan/loadreports.py
@@ -9,7 +9,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from datetime import timedelta
 
@@ -24,14 +24,13 @@
     DataCentreReport,
     FleetReport,
     LoadReport,
-    PartEvidence,
     SummedReport,
-    TargetLimit,
     TargetRun,
 )
 from chivespan.quarantine import Quarantine
 from chivespan.recentsends import sum_sends
 from chivespan.relaytiming import RelayTiming
+from chivespan.sentchanges import SentChanges
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 
@@ -41,8 +40,6 @@
 STATUS_CHECK_INTERVAL = timedelta(milliseconds=150)
 # Own reports kept because a sum that includes them may still arrive.
 MAX_KEPT_REPORTS = 100
-# Version that a receiver has before anything was sent to it.
-NOTHING_SENT = -1
 # Name of the sum over the whole fleet.
 WHOLE_FLEET = ""
 # Name of the nodes to which this node reports its own counts.
@@ -81,10 +78,8 @@
         self._reports_directly = True
         self._sent_silent: list[str] = []
         self._sent_leaving: list[TargetRun] = []
-        # Version of the evidence on prompts that each receiver has.
-        self._sent_evidence: dict[str, int] = {}
-        # Version of the rate limits that each receiver has.
-        self._sent_limits: dict[str, int] = {}
+        self._sent_evidence = SentChanges(quarantine)
+        self._sent_limits = SentChanges(targets.limits)
         self._sent_sums: dict[str, DataCentreReport] = {}
         # The latest sum of each other data centre, for when this node becomes a relay.
         self._received_sums: dict[str, DataCentreReport] = {}
@@ -287,8 +282,8 @@
         self._sent_reports[self._sequence] = report
         if len(self._sent_reports) > MAX_KEPT_REPORTS:
             self._sent_reports.popitem(last=False)
-        evidence = self._evidence_for(REPORT_RECEIVERS, self._quarantine.own_version)
-        limits = self._limits_for(REPORT_RECEIVERS, self._targets.limits.own_version)
+        evidence = self._sent_evidence.own_for(REPORT_RECEIVERS)
+        limits = self._sent_limits.own_for(REPORT_RECEIVERS)
         report = replace(report, prompt_parts=evidence, target_limits=limits)
         self._send(self._report_receivers(), report)
 
@@ -321,22 +316,19 @@
         sent = self._sent_reports.get(self._sequence)
         return (
             self._targets.leaving_runs != self._sent_leaving
-            or self._sent_version(self._sent_evidence) < self._quarantine.own_version
-            or self._sent_version(self._sent_limits) < self._targets.limits.own_version
+            or self._sent_evidence.has_own_for(REPORT_RECEIVERS)
+            or self._sent_limits.has_own_for(REPORT_RECEIVERS)
             or self._targets.recent_sends.own_sends()
             != (sent.recent_sends if sent else [])
         )
 
-    def _sent_version(self, sent: Mapping[str, int]) -> int:
-        return sent.get(REPORT_RECEIVERS, NOTHING_SENT)
-
     def _send_sums(self) -> None:
         """Send the sums to all peers that don't have them yet."""
         centre_sum = self._data_centre_sum()
         for relay in self.remote_relays():
             vm = relay.node.vm
-            evidence = self._evidence_for(vm, self._quarantine.version)
-            limits = self._limits_for(vm, self._targets.limits.version)
+            evidence = self._sent_evidence.all_for(vm)
+            limits = self._sent_limits.all_for(vm)
             if evidence or limits or self._sent_sums.get(vm) != centre_sum:
                 self._sent_sums[vm] = centre_sum
                 relay.send(
@@ -345,29 +337,13 @@
         if self._is_direct:
             return
         fleet_sum = self._fleet_sum()
-        evidence = self._evidence_for(WHOLE_FLEET, self._quarantine.version)
-        limits = self._limits_for(WHOLE_FLEET, self._targets.limits.version)
+        evidence = self._sent_evidence.all_for(WHOLE_FLEET)
+        limits = self._sent_limits.all_for(WHOLE_FLEET)
         if evidence or limits or self._sent_sums.get(WHOLE_FLEET) != fleet_sum:
             self._sent_sums[WHOLE_FLEET] = fleet_sum
             report = replace(fleet_sum, prompt_parts=evidence, target_limits=limits)
             self._send(self._local_peers, FleetReport(reports=[report]))
 
-    def _evidence_for(self, receiver: str, version: int) -> list[PartEvidence]:
-        """Return the evidence on suspects that a receiver doesn't have yet."""
-        sent = self._sent_evidence.get(receiver, NOTHING_SENT)
-        if version <= sent:
-            return []
-        self._sent_evidence[receiver] = self._quarantine.version
-        return self._quarantine.changes_since(sent)
-
-    def _limits_for(self, receiver: str, version: int) -> list[TargetLimit]:
-        """Return the rate limits that a receiver doesn't have yet, if any is new."""
-        sent = self._sent_limits.get(receiver, NOTHING_SENT)
-        if version <= sent:
-            return []
-        self._sent_limits[receiver] = self._targets.limits.version
-        return self._targets.limits.changes_since(sent)
-
     def _data_centre_sum(self) -> DataCentreReport:
         """Return the sum over the nodes of this data centre."""
         reporting = list(self._reporting_peers())
@@ -423,8 +399,8 @@
     def _forget_what_was_sent(self) -> None:
         """Have everything sent again, since some receivers are new."""
         self._sent_sums.clear()
-        self._sent_evidence.clear()
-        self._sent_limits.clear()
+        self._sent_evidence.forget()
+        self._sent_limits.forget()
 
     def _start_relaying(self) -> None:
         """Count by the sums of the data centres in place of that of another relay."""
--- a/chivespan/quarantine.py
+++ b/chivespan/quarantine.py
@@ -13,7 +13,6 @@
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 from enum import StrEnum
-from typing import TypeAlias
 
 from chivespan.answeredsuspects import AnsweredSuspects
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
@@ -24,26 +23,19 @@
 )
 from chivespan.logs import logger
 from chivespan.nodemessages import PartCrash, PartEvidence
-from chivespan.suspects import is_request
 from chivespan.suspicion import (
     EVIDENCE_LIFETIME,
     MIN_CRASHES,
     QUARANTINE_LIFETIME,
     CrashedRequest,
-    ExplainedRuns,
-    Run,
     Suspicion,
 )
+from chivespan.suspicions import REPORT_DELAY, Suspicions
 
 # By then a node that knows the suspect to be harmless has told all others.
 EXONERATION_TIME = timedelta(seconds=1)
-# Differences of this size come from the way of a report to this node.
-REPORT_DELAY = timedelta(seconds=1)
 # A quarantine is prolonged, and peers are told, when this share of it has passed.
 PROLONGED_SHARE = 0.25
-MAX_PARTS = 64
-# Nearly each request at a target that ends is another suspect.
-MAX_REQUESTS = 256
 # Sources of evidence that this node has found itself.
 OWN_CRASH = "crash"
 OWN_ANSWER = "response"
@@ -51,10 +43,6 @@
 OWN_REQUEST = "request"
 OWN_SOURCES = frozenset({OWN_CRASH, OWN_ANSWER, OWN_VERDICT, OWN_REQUEST})
 
-# Whether a suspect is in quarantine, its ended runs, and the time of its last crash.
-Rank: TypeAlias = tuple[bool, int, timedelta]
-LEAST_RANK: Rank = (False, 0, NO_WAIT)
-
 _log = logger("quarantine")
 
 
@@ -79,9 +67,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._answered = AnsweredSuspects()
-        self._suspicions: dict[str, Suspicion] = {}
-        # Version of all evidence that includes the last change of each suspect's.
-        self._versions: dict[str, int] = {}
+        self._suspicions = Suspicions()
         self._version = 0
         self._own_version = 0
 
@@ -116,8 +102,9 @@
     def changes_since(self, version: int) -> list[PartEvidence]:
         """Return the evidence for a peer that has all of it up to a version."""
         now = self._clock.monotonic()
-        changed = (each for each in self._suspicions if self._versions[each] > version)
-        return list(self._evidence(sorted(changed), now))
+        suspicions = self._suspicions.items()
+        changed = sorted(name for name, each in suspicions if each.version > version)
+        return list(self._evidence(changed, now))
 
     def record_answered(self, suspects: Iterable[str]) -> None:
         """Record that a target answers a request with these suspects."""
@@ -208,18 +195,18 @@
         """Quarantine what is convicted and forget old evidence; called periodically."""
         now = self._clock.monotonic()
         self._convict_suspects()
-        for suspect, suspicion in list(self._suspicions.items()):
+        for suspect, suspicion in self._suspicions.items():
             if suspicion.quarantine_has_ended(now):
                 _log.notice("quarantine_ended", suspect=suspect)
             suspicion.drop_expired(now)
             if suspicion.is_empty:
-                self._forget(suspect)
+                self._suspicions.forget(suspect)
 
     def _merge_answer(self, entry: PartEvidence, now: timedelta, source: str) -> None:
         if entry.answered_age_ms == NOT_ANSWERED:
             return
         answered = now - entry.answered_age_ms * MILLISECOND
-        suspicion = self._suspicion(entry.part)
+        suspicion = self._suspicions.get_or_add(entry.part)
         if suspicion is not None:
             self._apply_answer(entry.part, suspicion, answered, source)
 
@@ -265,12 +252,12 @@
         if self._voids_crash(suspect, at):
             self._object_to_suspicion(suspect, at, source)
             return
-        suspicion = self._suspicion(suspect, (False, runs, at))
+        suspicion = self._suspicions.get_or_add(suspect, (False, runs, at))
         if suspicion is None or not suspicion.add_crash(crash, at):
             return
         self._note_change(suspect, source)
         if suspicion.crashed_runs >= MIN_CRASHES:
-            self._note_sufficient_evidence()
+            self._suspicions.note_sufficient_evidence(self._clock.monotonic())
         _log.info(
             "crash_suspected",
             suspect=suspect,
@@ -283,7 +270,7 @@
 
     def _object_to_suspicion(self, suspect: str, at: timedelta, source: str) -> None:
         """Tell a peer that suspects a suspect that a target has answered it."""
-        suspicion = self._suspicion(suspect)
+        suspicion = self._suspicions.get_or_add(suspect)
         own = self._answered.last_answer(suspect)
         if source == OWN_CRASH or suspicion is None or own is None:
             return
@@ -305,8 +292,8 @@
         Several parts at the same crashes are quarantined together.
         """
         for requests in (True, False):
-            self._note_sufficient_evidence()
-            for suspect, suspicion in list(self._suspicions.items()):
+            self._suspicions.note_sufficient_evidence(self._clock.monotonic())
+            for suspect, suspicion in self._suspicions.items():
                 if suspicion.is_request is requests:
                     self._convict(suspect, suspicion)
 
@@ -319,38 +306,6 @@
             until = now + QUARANTINE_LIFETIME
             self._quarantine(suspect, suspicion, until, OWN_VERDICT, NO_WAIT)
 
-    def _note_sufficient_evidence(self) -> None:
-        """Note since when the evidence against each suspect suffices.
-
-        Of several suspects, those that explain the most crashes come first.
-        """
-        now = self._clock.monotonic()
-        explained = ExplainedRuns(
-            by_parts=self._runs_that_met(requests=False),
-            by_requests=self._runs_that_met(requests=True),
-        )
-        open_cases = {
-            suspect: suspicion
-            for suspect, suspicion in self._suspicions.items()
-            if suspicion.quarantined_until is None
-        }
-        most = max(
-            (each.separate_crashes(explained.by_parts) for each in open_cases.values()),
-            default=0,
-        )
-        for suspicion in open_cases.values():
-            suspicion.note_sufficient(now, explained, most)
-
-    def _runs_that_met(self, requests: bool) -> set[Run]:
-        """Return the ended runs that met requests, or parts, in quarantine."""
-        return {
-            crash.run
-            for suspicion in self._suspicions.values()
-            if suspicion.quarantined_until is not None
-            and suspicion.is_request is requests
-            for crash in suspicion.crashes
-        }
-
     def _quarantine(
         self,
         suspect: str,
@@ -388,46 +343,6 @@
             if entry.crashes or entry.answered_age_ms != NOT_ANSWERED:
                 yield entry
 
-    def _suspicion(self, suspect: str, rank: Rank = LEAST_RANK) -> Suspicion | None:
-        """Return the entry of a suspect, new if needed; None if others matter more.
-
-        :param rank: rank of a new entry.
-        """
-        suspicion = self._suspicions.get(suspect)
-        if suspicion is not None:
-            return suspicion
-        if not self._make_room(suspect, rank):
-            return None
-        suspicion = self._suspicions[suspect] = Suspicion(is_request(suspect))
-        self._versions[suspect] = self._version
-        return suspicion
-
-    def _make_room(self, suspect: str, rank: Rank) -> bool:
-        """Forget the least suspect of the same kind if there are too many.
-
-        :returns: False if a new entry of the given rank would be the least.
-        """
-        kind = is_request(suspect)
-        alike = [each for each in self._suspicions if is_request(each) is kind]
-        if len(alike) < (MAX_REQUESTS if kind else MAX_PARTS):
-            return True
-        least = min(alike, key=lambda each: (self._rank(each), each))
-        if (self._rank(least), least) >= (_rounded(rank), suspect):
-            return False
-        self._forget(least)
-        return True
-
-    def _forget(self, suspect: str) -> None:
-        del self._suspicions[suspect]
-        del self._versions[suspect]
-
-    def _rank(self, suspect: str) -> Rank:
-        """Return the sort key by which entries are kept when there are too many."""
-        suspicion = self._suspicions[suspect]
-        in_quarantine = suspicion.quarantined_until is not None
-        newest = suspicion.newest_crash
-        return _rounded((in_quarantine, suspicion.crashed_runs, newest))
-
     def _is_to_blame(self, suspect: str, suspects: Collection[str]) -> bool:
         """Return whether a request has all that may explain a suspect's crashes."""
         suspicion = self._suspicions[suspect]
@@ -439,7 +354,7 @@
 
     def _note_change(self, suspect: str, source: str) -> None:
         self._version += 1
-        self._versions[suspect] = self._version
+        self._suspicions[suspect].version = self._version
         if source in OWN_SOURCES:
             self._own_version = self._version
 
@@ -475,9 +390,3 @@
             return True
         own = self._answered.last_answer(suspect)
         return own is not None and Suspicion(answered=own).voids_crash(at)
-
-
-def _rounded(rank: Rank) -> Rank:
-    """Return a rank that nodes agree on though reports take time."""
-    in_quarantine, runs, newest = rank
-    return (in_quarantine, runs, newest // REPORT_DELAY * REPORT_DELAY)
--- a/chivespan/suspicion.py
+++ b/chivespan/suspicion.py
@@ -71,6 +71,7 @@
     :ivar answered: when a target last answered it, as far as this node was told.
     :ivar sufficient_since: since when the evidence suffices for a quarantine.
     :ivar quarantined_until: end of the quarantine; None while there is none.
+    :ivar version: version of all evidence that includes the last change of this one.
     """
 
     is_request: bool = False
@@ -78,6 +79,7 @@
     answered: timedelta | None = None
     sufficient_since: timedelta | None = None
     quarantined_until: timedelta | None = None
+    version: int = 0
 
     @property
     def crashed_runs(self) -> int:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,7 +12,6 @@
 from chivespan.nodemessages import PartEvidence
 from chivespan.quarantine import (
     EXONERATION_TIME,
-    MAX_PARTS,
     Quarantine,
     SuspectStatus,
 )
@@ -25,6 +24,7 @@
     SEPARATION_TIME,
     CrashedRequest,
 )
+from chivespan.suspicions import MAX_PARTS
 
 SHARED = "5c1e07a2"
 HARMFUL = "91bd3f06"
--- a/tests/test_requestsuspects.py
+++ b/tests/test_requestsuspects.py
@@ -6,9 +6,10 @@
 
 from chivespan.answeredsuspects import MAX_ANSWERED_REQUESTS
 from chivespan.clock import ManualClock
-from chivespan.quarantine import EXONERATION_TIME, MAX_PARTS, MAX_REQUESTS, Quarantine
+from chivespan.quarantine import EXONERATION_TIME, Quarantine
 from chivespan.suspects import request_suspect
 from chivespan.suspicion import MIN_CRASHES, SEPARATION_TIME, CrashedRequest
+from chivespan.suspicions import MAX_PARTS, MAX_REQUESTS
 
 SECOND = timedelta(seconds=1)
 SHARED = "5a"
