--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -187,7 +187,7 @@
             rate_limited=[
                 candidate.entry.target_id
                 for candidate in candidates
-                if (self._picker.limiter.room(candidate.entry) or 1) <= 0
+                if self._picker.limiter.is_used_up(candidate.entry)
             ],
             oldest_count_ms=round(self._load_table.oldest_report_age() / MILLISECOND),
         )
--- a/chivespan/ratelimits.py
+++ b/chivespan/ratelimits.py
@@ -5,7 +5,7 @@
 different statements, the latest counts; nodes tell each other the age of theirs.
 """
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -55,6 +55,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._known: dict[str, _KnownLimit] = {}
+        # The part of that which is in force, in requests per second.
+        self._in_force: dict[str, float] = {}
         self._version = 0
         self._own_version = 0
 
@@ -69,13 +71,9 @@
         return self._own_version
 
     @property
-    def in_force(self) -> dict[str, float]:
+    def in_force(self) -> Mapping[str, float]:
         """The limits in force in requests per second, by target id."""
-        return {
-            target_id: known.per_s
-            for target_id, known in self._known.items()
-            if known.per_s is not None
-        }
+        return self._in_force
 
     def limit(self, entry: TargetEntry) -> float | None:
         """Return the limit of a target in requests per second; None for no limit."""
@@ -114,6 +112,7 @@
                 known.last_listed = now
             elif now - known.last_listed >= KEPT_WITHOUT_ENTRY:
                 del self._known[target_id]
+                self._in_force.pop(target_id, None)
 
     def _apply(
         self, run: TargetRun, per_s: float | None, stated: timedelta, source: str
@@ -133,6 +132,10 @@
         if source == OWN_RESPONSE:
             self._own_version = self._version
         self._known[run.target_id] = _KnownLimit(run, per_s, stated, self._version, now)
+        if per_s is None:
+            self._in_force.pop(run.target_id, None)
+        else:
+            self._in_force[run.target_id] = per_s
         _log.info(
             "target_limit_changed",
             target=run.target_id,
--- a/chivespan/sendlimiter.py
+++ b/chivespan/sendlimiter.py
@@ -42,6 +42,11 @@
             return None
         return full_room(rate) - self._recent_sends.total(entry.target_id)
 
+    def is_used_up(self, entry: TargetEntry) -> bool:
+        """Return whether a target's limit leaves no room for a request now."""
+        room = self.room(entry)
+        return room is not None and room <= 0
+
     def room_for_items(self, entry: TargetEntry) -> float | None:
         """Return how many batch items all nodes together may start now."""
         rate = self._rate(entry)
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -267,7 +267,11 @@
         candidates = self.candidates(service)
         if not self.limits.in_force:
             return candidates
-        return [each for each in map(self._limited, candidates) if each is not None]
+        return [
+            self._limited(candidate)
+            for candidate in candidates
+            if not self.limiter.is_used_up(candidate.entry)
+        ]
 
     def online_slots(self, candidate: Candidate) -> int:
         """Return how many slots online requests may fill at a target.
@@ -280,12 +284,11 @@
         filled = round(rate * self._service_time.total_seconds())
         return max(1, min(candidate.slots, filled))
 
-    def _limited(self, candidate: Candidate) -> Candidate | None:
+    def _limited(self, candidate: Candidate) -> Candidate:
+        """Return a candidate; one with a limit with the slots that its rate fills."""
         room = self.limiter.room(candidate.entry)
         if room is None:
             return candidate
-        if room <= 0:
-            return None
         slots = self.online_slots(candidate)
         free = min(candidate.free, max(1, int(room)))
         return msgspec.structs.replace(
