--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -282,6 +282,7 @@
             peak = self._online_peak(service)
             peak.record_sample(sum(candidate.online for candidate in candidates))
             weights = [self._picker.online_slots(each) for each in candidates]
+            peak_share = peak.value / max(1, sum(weights))
             for candidate, weight in zip(candidates, weights, strict=True):
                 entry = candidate.entry
                 yield TargetCapacity(
@@ -289,7 +290,7 @@
                     slots=candidate.slots,
                     online=candidate.online,
                     batch=max(candidate.batch, running[entry.target_id]),
-                    online_peak=peak.value * weight / sum(weights),
+                    online_peak=peak_share * weight,
                     rate_room=self._item_pacer.room(entry),
                 )
 
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -213,10 +213,19 @@
 ) -> bool:
     """Return whether any item could start if items were behind schedule."""
     return any(
-        capacity_policy(target, behind_schedule=True) > 0
-        and (target.is_limited or capacity_policy.of_all(of_service) > 0)
+        _has_room(of_service, capacity_policy)
         for of_service in by_service(targets).values()
-        for target in of_service
+    )
+
+
+def _has_room(
+    of_service: Sequence[TargetCapacity], capacity_policy: CapacityPolicy
+) -> bool:
+    """Return whether any item could start at the targets of one service."""
+    if capacity_policy.of_all(of_service) <= 0:
+        of_service = [target for target in of_service if target.is_limited]
+    return any(
+        capacity_policy(target, behind_schedule=True) > 0 for target in of_service
     )
 
 
