--- a/chivespan/nodelist.py
+++ b/chivespan/nodelist.py
@@ -104,6 +104,6 @@
     """
     with decoding("node"):
         node = msgspec.json.decode(record.value, type=NodeValue)
-        parse_address(node.front_address)
-        parse_address(node.control_address)
+        for address in filter(None, (node.front_address, node.control_address)):
+            parse_address(address)
         return node
--- a/chivespan/strictjson.py
+++ b/chivespan/strictjson.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from chivespan.decoding import decoding, error_of
+from chivespan.decoding import DECODE_ERRORS
 from chivespan.errors import ChivespanError, ErrorKind
 
 T = TypeVar("T")
@@ -19,12 +19,18 @@
     :raises ChivespanError: ``bad_request`` or ``unknown_field``, with the path of the
         field.
     """
-    with decoding("JSON body", error_of(ErrorKind.BAD_REQUEST)):
+    try:
         value = msgspec.json.decode(data)
-        unknown = next(unknown_fields(value, cls), None)
-        if unknown:
-            raise ChivespanError(ErrorKind.UNKNOWN_FIELD, f"unknown field {unknown}")
+    except DECODE_ERRORS as error:
+        reason = f"the body is not JSON: {error}"
+        raise ChivespanError(ErrorKind.BAD_REQUEST, reason) from error
+    unknown = next(unknown_fields(value, cls), None)
+    if unknown:
+        raise ChivespanError(ErrorKind.UNKNOWN_FIELD, f"unknown field {unknown}")
+    try:
         return msgspec.convert(value, cls)
+    except DECODE_ERRORS as error:
+        raise ChivespanError(ErrorKind.BAD_REQUEST, str(error)) from error
 
 
 def unknown_fields(value: object, cls: Any, path: str = "$") -> Iterator[str]:
