Start items at targets that are returning, have one slot or state a limit of 0

Cause: a returning target has one usable slot and gets more with each success; the owner of a partition kept one usable slot of each target for online requests. So none was left for items, and only an online request could have raised it.

Change: slots that health withholds are the reserve; success of other nodes' items lets a target recover at the owner; items are paced by the lowest rate that online requests go by; targets with one slot don't count for scarcity, so items there don't yield to nobody.

Ruled out: no reserve at all (items would take the slot of the next online request at healthy targets); resetting the ejection time by others' successes (a node that can't reach a target would use it at full each second).

--- a/chivespan/batchbacklog.py
+++ b/chivespan/batchbacklog.py
@@ -65,6 +65,7 @@
             targets=len(targets),
             slots=sum(each.slots for each in targets),
             free=sum(each.free for each in targets),
+            reserved=sum(each.reserved for each in targets),
             online=sum(each.online for each in targets),
             online_peak=round(sum(each.online_peak for each in targets)),
             batch=sum(each.batch for each in targets),
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -161,12 +161,21 @@
         elif isinstance(message, ItemStop):
             self._executor.stop(message)
         elif isinstance(message, ItemStatus):
-            self._owners[message.partition].handle_status(vm, message)
+            self._handle_status(vm, message)
         elif isinstance(message, BatchQuestion) and self._tasks is not None:
             self._tasks.start_soon(self._handle_peer_request, peer, message)
         elif isinstance(message, LoadReport):
             self._report_items_to_new_owner(peer, message)
 
+    def _handle_status(self, vm: str, status: ItemStatus) -> None:
+        """Handle another node's status of an item, as the owner of its partition.
+
+        The owner itself may run none of the items that show that a target is well.
+        """
+        if status.state is ItemState.done and not status.repeated:
+            self._picker.record_remote_success(status.target_id)
+        self._owners[status.partition].handle_status(vm, status)
+
     def send_status_to_owner(self, status: ItemStatus) -> None:
         """Send the status of an item to the owner of its partition."""
         vm = self._ownership.owner_of(status.partition)
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -6,7 +6,8 @@
 items start only in those slots. Otherwise they start in every free slot except the one
 reserved on each target for the next online request. No item starts in a slot that is
 free only momentarily during a burst. Batch thus uses the capacity that online requests
-leave, and never queues at a target.
+leave, and never queues at a target. No slot is reserved where that would leave items
+none at all.
 """
 
 import sys
@@ -21,7 +22,7 @@
 from chivespan.nodemessages import TargetEntry
 from chivespan.registry import Registry
 
-# Slots kept free for the next online request.
+# Slots kept free for the next online request at a target of which all may be used.
 RESERVED_SLOTS_PER_TARGET = 1
 FIXED_ITEMS_PER_TARGET = 6
 # The rest of an item's time is kept for runs that yield or fail.
@@ -95,10 +96,20 @@
         """Slots in use by neither online requests nor batch items."""
         return max(0, self.slots - self.online - self.batch)
 
+    @property
+    def reserved(self) -> int:
+        """Slots kept free for the next online request.
+
+        None if the target has only one, or if its health withholds some: these stay
+        free anyway, and a target that gets no online request recovers through items.
+        """
+        is_reserved = self.slots >= self.entry.slots > 1
+        return RESERVED_SLOTS_PER_TARGET if is_reserved else 0
+
     @property
     def available(self) -> int:
         """Slots that batch may use now, without the reserved slot."""
-        slots = self.slots - self.online - self.batch - RESERVED_SLOTS_PER_TARGET
+        slots = self.slots - self.online - self.batch - self.reserved
         return slots if self.rate_room is None else min(slots, self.rate_room)
 
     @property
@@ -158,12 +169,8 @@
     def of_all(self, targets: Iterable[TargetCapacity]) -> int:
         """Return how many more may start at all targets of a service without limit."""
         of_service = [target for target in targets if not target.is_limited]
-        free = sum(target.free for target in of_service)
-        return (
-            free - RESERVED_SLOTS_PER_TARGET * len(of_service)
-            if self.keeps_reserve
-            else sys.maxsize
-        )
+        left = sum(target.free - target.reserved for target in of_service)
+        return left if self.keeps_reserve else sys.maxsize
 
 
 BATCH_CAPACITY_POLICIES: Registry[CapacityPolicy] = Registry("batch room")
--- a/chivespan/batchyield.py
+++ b/chivespan/batchyield.py
@@ -52,11 +52,16 @@
         return over + 1 if self._is_scarce(entry.service) else over
 
     def _is_scarce(self, service: str) -> bool:
-        """Return whether the targets of a service have almost no free slots left."""
+        """Return whether the targets of a service have almost no free slots left.
+
+        Targets with one slot don't count: none of their slots is kept for the next
+        online request, and an item there yields to a request that has come.
+        """
         now = self._clock.monotonic()
         checked = self._checked.get(service)
         if checked is None or now - checked >= SCARCITY_CHECK_INTERVAL:
-            candidates = self._picker.sendable(service)
+            sendable = self._picker.sendable(service)
+            candidates = [each for each in sendable if each.entry.slots > 1]
             free = sum(max(0, each.free) for each in candidates)
             self._scarce[service] = free < len(candidates) * SCARCE_FREE_PER_TARGET
             self._checked[service] = now
--- a/chivespan/itempacing.py
+++ b/chivespan/itempacing.py
@@ -20,17 +20,17 @@
 
     def room(self, entry: TargetEntry) -> int | None:
         """Return how many items may be started now; None if there is no limit."""
-        rate = self._picker.limits.limit(entry)
         room = self._picker.limiter.room_for_items(entry)
-        if rate is None or room is None:
+        if room is None:
             return None
+        rate = self._picker.limiter.rate(entry)
         has_token = self._buckets.bucket(entry, rate).has_token(self._clock.monotonic())
         return int(has_token and room > 0)
 
     def record_start(self, entry: TargetEntry) -> None:
         """Record that an item is started at a target."""
-        rate = self._picker.limits.limit(entry)
-        if rate is not None:
+        rate = self._picker.limiter.rate(entry)
+        if rate:
             self._buckets.bucket(entry, rate).take(self._clock.monotonic())
 
     def forget_unlimited(self) -> None:
--- a/chivespan/targethealth.py
+++ b/chivespan/targethealth.py
@@ -55,10 +55,19 @@
         if self.state is HealthState.RETURNING:
             self._recovery_successes += 1
             if self._recovery_successes >= RECOVERY_SUCCESSES:
-                self.state = HealthState.HEALTHY
-                self._failure_rate = 0.0
+                self._recover()
                 self._ejection_time = INITIAL_EJECTION
 
+    def record_remote_success(self) -> None:
+        """Record work of another node that succeeded; a returning target recovers.
+
+        This node may still not reach it, so the next ejection is no shorter for that.
+        """
+        if self.state is HealthState.RETURNING:
+            self._recovery_successes += 1
+            if self._recovery_successes >= RECOVERY_SUCCESSES:
+                self._recover()
+
     def record_failure(self, now: timedelta) -> None:
         """Record work that failed at the target or didn't reach it."""
         self._consecutive_failures += 1
@@ -72,6 +81,11 @@
         if self.state is not HealthState.EJECTED:
             self._eject(now)
 
+    def _recover(self) -> None:
+        self.state = HealthState.HEALTHY
+        self._consecutive_failures = 0
+        self._failure_rate = 0.0
+
     def _must_eject(self) -> bool:
         return (
             self._consecutive_failures >= EJECT_AFTER_FAILURES
--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -347,6 +347,12 @@
         """Record a complete response of a target."""
         self._health_of(target_id).record_success()
 
+    def record_remote_success(self, target_id: str) -> None:
+        """Record that a target completed an item that another node ran."""
+        health = self._health.get(target_id)
+        if health is not None:
+            health.record_remote_success()
+
     def record_leaving(self, entry: TargetEntry) -> None:
         """Record that a target announced its end in a response to this node."""
         run = TargetRun(target_id=entry.target_id, started_ms=entry.started_ms)
