Count each failed attempt of an item once, by its number

Cause: a node reports the items it holds to a peer that claims their partition again, with the failure of the last run; the same owner counted it once more.

Change: the owner numbers attempts, nodes report the numbers of all that failed, the owner keeps the union. Fields are appended; nodes of the last release are handled.

Ruled out: reporting failures as pauses only (a failure whose status was lost never counts); rules by times of arrival (a start under way at the time of the claim).

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -48,7 +48,7 @@
 
 _log = logger("executor")
 
-_REPEATED_STATES = frozenset({ItemState.running, ItemState.done, ItemState.impossible})
+_LASTING_STATES = frozenset({ItemState.running, ItemState.done, ItemState.impossible})
 
 
 class _Yielded(Exception):
@@ -62,6 +62,7 @@
     :ivar events: data of all events received so far.
     :ivar parts: ids of the parts of its prompt that other requests may share.
     :ivar state: state that is reported to the owner.
+    :ivar failed_attempts: numbers of the attempts that failed here.
     :ivar answered: whether a target has answered its prompt in the current run.
     :ivar breaks: the runs that broke off before that.
     :ivar scope: cancels the current run; None while the item doesn't run.
@@ -71,6 +72,7 @@
     events: list[str]
     parts: tuple[str, ...] = ()
     state: ItemState = ItemState.paused
+    failed_attempts: list[int] = field(default_factory=list)
     answered: bool = False
     breaks: ItemBreaks = field(default_factory=ItemBreaks)
     scope: anyio.CancelScope | None = field(default=None, repr=False)
@@ -81,16 +83,19 @@
         return (self.start.job_id, self.start.item_id)
 
     def status(self) -> ItemStatus:
-        """Return the status to report to the owner."""
+        """Return the status to report to the owner when the state changes."""
         return self._status(self.state, repeated=False)
 
-    def repeated_status(self) -> ItemStatus:
-        """Return the status to resend periodically, in case an earlier one was lost.
+    def held_status(self, repeated: bool) -> ItemStatus:
+        """Return the status to report while the state stays the same.
 
-        A failure is repeated as ``paused``, because the owner would count it twice.
+        How the last run ended was reported when it did, and would take effect twice:
+        only the numbers of failed attempts are reported again.
+
+        :param repeated: whether this is for the case that an earlier status was lost.
         """
-        state = self.state if self.state in _REPEATED_STATES else ItemState.paused
-        return self._status(state, repeated=True)
+        state = self.state if self.state in _LASTING_STATES else ItemState.paused
+        return self._status(state, repeated)
 
     def _status(self, state: ItemState, repeated: bool) -> ItemStatus:
         with_text = state in (ItemState.done, ItemState.returned)
@@ -103,6 +108,7 @@
             events=len(self.events),
             text=self.events if with_text else [],
             repeated=repeated,
+            failed_attempts=list(self.failed_attempts),
         )
 
 
@@ -142,7 +148,7 @@
             while True:
                 await anyio.sleep(REPEAT_INTERVAL.total_seconds())
                 for held in list(self._items.values()):
-                    self._send_status(held.repeated_status())
+                    self._send_status(held.held_status(repeated=True))
 
     def start(self, message: ItemStart) -> None:
         """Start an item, or resume one that is held."""
@@ -174,9 +180,9 @@
             held.scope.cancel()
 
     def statuses(self, partition: int) -> list[ItemStatus]:
-        """Return the statuses of all held items of a partition."""
+        """Return the statuses of all held items of a partition, for its owner."""
         return [
-            held.status()
+            held.held_status(repeated=False)
             for held in self._items.values()
             if held.start.partition == partition
         ]
@@ -201,6 +207,8 @@
         if scope.cancelled_caught or self._items.get(held.key) is not held:
             return
         held.state = state
+        if state is ItemState.failed and held.start.attempt:
+            held.failed_attempts.append(held.start.attempt)
         self._metrics.incr(f"item_{state.value}")
         _log.info(
             "item_run_ended",
@@ -208,6 +216,7 @@
             item=held.start.item_id,
             target=held.start.target_id,
             state=state.value,
+            attempt=held.start.attempt,
             events=len(held.events),
             gained=len(held.events) - events_before,
             took_ms=(self._clock.monotonic() - started_at) // MILLISECOND,
@@ -363,6 +372,7 @@
         headers=held_start.headers,
         body=held_start.body,
         events=[],
+        attempt=message.attempt,
     )
 
 
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -1,6 +1,6 @@
 """Tracks, at the owner of a batch partition, which nodes run its items, and results."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import replace
 from datetime import datetime, timedelta
 
@@ -166,6 +166,7 @@
             headers=[] if holds else _headers(item),
             body=b"" if holds else item.body,
             events=[] if holds else list(run.events),
+            attempt=run.attempt + 1,
         )
         if run.held_back:
             part = run.held_back
@@ -192,8 +193,10 @@
             self._send(vm, _stop(key))
             return
         run.record_report(self._clock.monotonic())
+        failed = _failed_attempts(run, vm, status)
         if not status.repeated or self._was_missed(run, vm, status):
             self._apply_status(key, run, vm, status)
+        self._count_failures(key, run, failed)
 
     def _was_missed(self, run: ItemRun, vm: str, status: ItemStatus) -> bool:
         """Return whether to apply a repeated status because the original was lost."""
@@ -306,8 +309,6 @@
             self._finish(key, done=True, text="\n".join(status.text))
         elif status.state is ItemState.impossible:
             self._finish(key, done=False, text="")
-        elif status.state is ItemState.failed:
-            self._count_failure(key, run)
         elif status.state is ItemState.returned:
             run.vm = ""
             run.events = tuple(status.text)
@@ -329,11 +330,14 @@
     def _remaining(self, run: ItemRun | None) -> timedelta:
         return self._durations.remaining(run.event_count if run else 0)
 
-    def _count_failure(self, key: tuple[str, str], run: ItemRun) -> None:
-        run.failures += 1
-        run.not_before = self._clock.monotonic() + FAILED_RETRY_DELAY
+    def _count_failures(
+        self, key: tuple[str, str], run: ItemRun, attempts: Collection[int]
+    ) -> None:
+        if not attempts:
+            return
+        run.record_failures(attempts)
         route = self._route_of(self._store.ledger.jobs[key[0]])
-        if route is not None and run.failures >= route.max_attempts:
+        if route is not None and len(run.failed_attempts) >= route.max_attempts:
             self._finish(key, done=False, text="")
 
     def _finish(self, key: tuple[str, str], done: bool, text: str) -> None:
@@ -423,6 +427,17 @@
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
 
+def _failed_attempts(run: ItemRun, vm: str, status: ItemStatus) -> list[int]:
+    """Return the attempts that a status says have failed.
+
+    A node of the last release doesn't number them. Its failure is that of the attempt
+    that was started there; once that has ended, it is one that was counted before.
+    """
+    if status.failed_attempts or status.state is not ItemState.failed:
+        return status.failed_attempts
+    return [run.attempt] if run.is_running_at(vm) else []
+
+
 def _headers(item: BatchItem) -> list[ItemHeader]:
     return [ItemHeader(name=each.name, value=each.value) for each in item.headers]
 
--- a/chivespan/itemrun.py
+++ b/chivespan/itemrun.py
@@ -1,5 +1,6 @@
 """The state that a partition's owner keeps for each batch item it has started."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -21,7 +22,8 @@
     :ivar times: time spent in each phase.
     :ivar vm: the node that the item is assigned to; empty for none.
     :ivar target_id: the target it runs on; empty while it is not running.
-    :ivar failures: number of failed attempts at targets.
+    :ivar attempt: number of the last attempt, of those that this owner knows of.
+    :ivar failed_attempts: numbers of the attempts that failed.
     :ivar not_before: earliest time of the next start.
     :ivar events: partial output returned by a node that was shut down.
     :ivar event_count: number of events produced so far, held by the owner or the node.
@@ -36,7 +38,8 @@
     times: ItemTimes
     vm: str = ""
     target_id: str = ""
-    failures: int = 0
+    attempt: int = 0
+    failed_attempts: set[int] = field(default_factory=set)
     not_before: timedelta = NO_WAIT
     events: tuple[str, ...] = ()
     event_count: int = 0
@@ -52,7 +55,8 @@
         self.times.record_node_loss(self.event_count - len(self.events), now)
         return ItemRun(
             self.times,
-            failures=self.failures,
+            attempt=self.attempt,
+            failed_attempts=self.failed_attempts,
             events=self.events,
             event_count=len(self.events),
             breaks=self.breaks,
@@ -63,11 +67,21 @@
         """Record that the item was sent to a node, to run on a target."""
         self.vm = vm
         self.target_id = target_id
+        self.attempt += 1
         self.started = now
         self.held_back = ""
         self.record_report(now)
         self.times.enter(ItemPhase.running, now)
 
+    def is_running_at(self, vm: str) -> bool:
+        """Return whether a node is expected to run the item now."""
+        return self.vm == vm and bool(self.target_id)
+
+    def record_failures(self, attempts: Iterable[int]) -> None:
+        """Record failed attempts; each counts once, however often it is reported."""
+        self.failed_attempts.update(attempts)
+        self.attempt = max(self.attempt, *self.failed_attempts, 0)
+
     def record_report(self, now: timedelta) -> None:
         """Record that the node holds the item and can report it."""
         self.last_heard = now
--- a/chivespan/nodemessages.py
+++ b/chivespan/nodemessages.py
@@ -419,6 +419,10 @@
     """
     Data of the events that were received before.
     """
+    attempt: int = 0
+    """
+    Number of this attempt at the item; 0 if its owner doesn't number them.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -472,3 +476,7 @@
     """
     Whether this repeats an earlier status in case that was lost.
     """
+    failed_attempts: list[int] = field(default_factory=list)
+    """
+    Numbers of all attempts that failed while the sender has held the item.
+    """
