Keep jobs that are open; let their retention time begin when they close

Cause: is_expired went by the age since the submission alone. A job that closed late was deleted before its caller could read the last page, too.

Ruled out: the owner's own time since it saw the job close (with owners that change often, jobs would never be deleted).

--- a/chivespan/batchchanges.py
+++ b/chivespan/batchchanges.py
@@ -10,6 +10,7 @@
     end_key,
     job_records,
     result_records,
+    to_milliseconds,
 )
 from chivespan.batchrecords import BatchEnd, BatchItem, BatchResult
 from chivespan.codec import encode
@@ -81,6 +82,7 @@
     done: bool
     text: str
     max_record_bytes: int
+    written: datetime
 
     def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
         """Return the result's records; empty if the item needs no result.
@@ -97,7 +99,12 @@
             raise AlreadyStaged
         position = len(job.results) + len(claimed)
         claimed.add(self.item_id)
-        result = BatchResult(item_id=self.item_id, done=self.done, text=self.text)
+        result = BatchResult(
+            item_id=self.item_id,
+            done=self.done,
+            text=self.text,
+            written_ms=to_milliseconds(self.written),
+        )
         return result_records(self.job_id, position, result, self.max_record_bytes)
 
 
@@ -118,7 +125,7 @@
             raise ChivespanError(ErrorKind.NOT_FOUND, f"no job {self.job_id}")
         if job.ended:
             return ()
-        end = BatchEnd(ended_ms=round(self.ended.timestamp() * 1000))
+        end = BatchEnd(ended_ms=to_milliseconds(self.ended))
         return (KeyedRecord(end_key(self.job_id), encode(end)),)
 
 
@@ -131,6 +138,6 @@
     def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
         """Return a tombstone, a record without value, for each of the job's keys."""
         job = ledger.jobs.get(self.job.job_id)
-        if job is None:
+        if job is None or job.is_open:
             return ()
         return [KeyedRecord(key, b"") for key in job.keys()]  # noqa: SIM118
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -62,6 +62,8 @@
     :ivar results: ordered by position.
     :ivar result_parts: number of records of each result.
     :ivar finished_ids: ids of the items that have a result.
+    :ivar changed_ms: when its last result was written or its caller ended it, in Unix
+        milliseconds; 0 for neither.
     :ivar prompt_parts: shared parts of the prompts of items, filled in when asked for.
     """
 
@@ -72,6 +74,7 @@
     result_parts: list[int] = field(default_factory=list)
     finished_ids: set[str] = field(default_factory=set)
     ended: bool = False
+    changed_ms: int = 0
     prompt_parts: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     @property
@@ -79,6 +82,14 @@
         """When the job was accepted."""
         return datetime.fromtimestamp(self.head.submitted_ms / 1000, UTC)
 
+    @property
+    def closed(self) -> datetime | None:
+        """When the job got its last result or was ended; None while it is open."""
+        if self.is_open:
+            return None
+        closed_ms = max(self.head.submitted_ms, self.changed_ms)
+        return datetime.fromtimestamp(closed_ms / 1000, UTC)
+
     @property
     def is_open(self) -> bool:
         """Whether the job has not ended and some items have no result yet."""
@@ -117,7 +128,7 @@
     head: BatchJob | None = None
     items: dict[int, bytes] = field(default_factory=dict)
     results: dict[int, dict[int, bytes]] = field(default_factory=dict)
-    ended: bool = False
+    ended_ms: int | None = None
 
 
 class Ledger:
@@ -163,8 +174,7 @@
             position, part = int(numbers[0]), int(numbers[1])
             parts.results.setdefault(position, {})[part] = record.value
         elif kind == _END:
-            decode(record.value, BatchEnd)
-            parts.ended = True
+            parts.ended_ms = decode(record.value, BatchEnd).ended_ms
         self._build(job_id, parts)
 
     def _delete(self, kind: str, job_id: str) -> None:
@@ -182,7 +192,9 @@
             items = {item.item_id: item for item in decode(joined, BatchItems).items}
             job = self._jobs[job_id] = LedgerJob(job_id, parts.head, items)
             parts.items.clear()
-        job.ended = job.ended or parts.ended
+        if parts.ended_ms is not None:
+            job.ended = True
+            job.changed_ms = max(job.changed_ms, parts.ended_ms)
         while (
             joined := _join_parts(parts.results.get(len(job.results), {}))
         ) is not None:
@@ -190,6 +202,7 @@
             result = decode(joined, BatchResult)
             job.results.append(result)
             job.finished_ids.add(result.item_id)
+            job.changed_ms = max(job.changed_ms, result.written_ms)
 
 
 def job_records(
@@ -206,7 +219,7 @@
         route=route,
         host=host,
         chunks=len(parts),
-        submitted_ms=round(submitted.timestamp() * 1000),
+        submitted_ms=to_milliseconds(submitted),
     )
     records = [
         KeyedRecord(items_key(job_id, number), part)
@@ -242,5 +255,10 @@
 
 
 def is_expired(job: LedgerJob, now: datetime, keep: timedelta) -> bool:
-    """Return whether a job's retention time is over."""
-    return now - job.submitted > keep
+    """Return whether a job's retention time is over, which begins when it closes."""
+    return job.closed is not None and now - job.closed > keep
+
+
+def to_milliseconds(time: datetime) -> int:
+    """Return a time as Unix milliseconds."""
+    return round(time.timestamp() * 1000)
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -52,7 +52,7 @@
     """Runs the items of one partition on nodes and writes their results.
 
     :param send: sends a message to a node; returns whether the node was reachable.
-    :param job_status: how long the status of a job stays readable.
+    :param job_status: how long the status of a job stays readable once it has closed.
     """
 
     def __init__(
@@ -352,6 +352,7 @@
             done=done,
             text=text,
             max_record_bytes=self._max_record_bytes,
+            written=self._clock.now(),
         )
         self._finished.append(result)
         self._result_added.set()
--- a/chivespan/batchrecords.py
+++ b/chivespan/batchrecords.py
@@ -79,6 +79,10 @@
     """
     Data of all events
     """
+    written_ms: int = 0
+    """
+    When it was written
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/nodesettings.py
+++ b/chivespan/nodesettings.py
@@ -92,7 +92,7 @@
     """
     job_status_s: float = 120.0
     """
-    Seconds for which a job stays readable after its submission.
+    Seconds for which a job stays readable once it has closed.
     """
     metrics_port: int = 9464
     """
--- a/tests/test_ledgerstore.py
+++ b/tests/test_ledgerstore.py
@@ -43,7 +43,8 @@
 
 
 def result(job_id: str, number: int, text: str = "t") -> WriteResult:
-    return WriteResult(job_id, f"{job_id}-{number}", True, text, 1000)
+    item_id = f"{job_id}-{number}"
+    return WriteResult(job_id, item_id, True, text, 1000, written=SUBMITTED)
 
 
 @asynccontextmanager
