Route each item of a job by its own path

Cause: BatchOwner looked up the first item's path and used that route for the job: service, due time, retention, attempts, giving up.

The tests of tests/test_itemroutes fail on the code before (the last by its call), all pass now.

Change: ItemRoutes looks each item up by host and directory, with a cache per table. A job keeps the version of the configuration that accepted it, appended with a default, so that an owner whose configuration lags gives nothing up.

--- a/chivespan/batchchanges.py
+++ b/chivespan/batchchanges.py
@@ -34,6 +34,7 @@
     """Accepts a job if its tokens fit the limit; idempotent.
 
     :param tokens_limit: maximum tokens that may wait on the route; 0 for no limit.
+    :param config_version: version of the configuration that has the route.
     """
 
     job_id: str
@@ -43,6 +44,7 @@
     submitted: datetime
     tokens_limit: int
     max_record_bytes: int
+    config_version: int = 0
 
     def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
         """Return the job's records; empty if it was accepted before.
@@ -69,6 +71,7 @@
             self.host,
             list(self.items),
             self.submitted,
+            self.config_version,
             self.max_record_bytes,
         )
 
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -21,6 +21,7 @@
 from chivespan.errors import ErrorKind
 from chivespan.keyedstore import KeyedRecord
 from chivespan.platform import wire
+from chivespan.routes import directory_of
 
 MAX_ID_CHARS = 100
 _JOB = "job"
@@ -59,6 +60,7 @@
 class LedgerJob:
     """One accepted job.
 
+    :ivar directories: the paths of its items up to their last slash.
     :ivar results: ordered by position.
     :ivar result_parts: number of records of each result.
     :ivar finished_ids: ids of the items that have a result.
@@ -70,6 +72,7 @@
     job_id: str
     head: BatchJob
     items: dict[str, BatchItem]
+    directories: frozenset[str]
     results: list[BatchResult] = field(default_factory=list)
     result_parts: list[int] = field(default_factory=list)
     finished_ids: set[str] = field(default_factory=set)
@@ -95,6 +98,11 @@
         """Whether the job has not ended and some items have no result yet."""
         return not self.ended and len(self.finished_ids) < len(self.items)
 
+    def is_unfinished(self, item_id: str) -> bool:
+        """Return whether an item of the job still is to get a result."""
+        is_finished = item_id in self.finished_ids
+        return item_id in self.items and not is_finished and not self.ended
+
     def waiting_items(self) -> Iterator[BatchItem]:
         """Yield the items that have no result yet."""
         for item_id, item in self.items.items():
@@ -190,7 +198,9 @@
             if parts.head is None or joined is None:
                 return
             items = {item.item_id: item for item in decode(joined, BatchItems).items}
-            job = self._jobs[job_id] = LedgerJob(job_id, parts.head, items)
+            directories = frozenset(directory_of(each.path) for each in items.values())
+            job = LedgerJob(job_id, parts.head, items, directories)
+            self._jobs[job_id] = job
             parts.items.clear()
         if parts.ended_ms is not None:
             job.ended = True
@@ -211,6 +221,7 @@
     host: str,
     items: list[BatchItem],
     submitted: datetime,
+    config_version: int,
     max_record_bytes: int,
 ) -> list[KeyedRecord]:
     """Return the records of a job; the last one, its head, accepts the job."""
@@ -220,6 +231,7 @@
         host=host,
         chunks=len(parts),
         submitted_ms=to_milliseconds(submitted),
+        config_version=config_version,
     )
     records = [
         KeyedRecord(items_key(job_id, number), part)
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -14,6 +14,7 @@
 from chivespan.errors import ChivespanError
 from chivespan.itemduration import ItemDurationEstimator
 from chivespan.itemquarantine import ItemQuarantine
+from chivespan.itemroutes import ItemRoutes
 from chivespan.itemrun import ItemRun
 from chivespan.itemtimes import ItemPhase, ItemTimes
 from chivespan.ledgerstore import LedgerStore
@@ -27,7 +28,7 @@
 )
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.quarantine import Quarantine
-from chivespan.routes import Route, RouteKind
+from chivespan.routes import Route
 from chivespan.routingstate import RoutingState
 
 # How stale the ledger may be before it is read again.
@@ -70,7 +71,7 @@
         self.partition = partition
         self._metrics = metrics
         self._store = store
-        self._routing = routing
+        self._routes = ItemRoutes(routing)
         self._clock = clock
         self._send = send
         self._retention = job_status + RETENTION_MARGIN
@@ -111,8 +112,7 @@
 
     def services(self) -> set[str]:
         """Return the services that the items of open jobs need."""
-        routes = map(self._route_of, self._store.ledger.open_jobs())
-        return {route.main_service for route in routes if route is not None}
+        return self._routes.services(self._store.ledger.open_jobs())
 
     def waiting(self) -> Iterator[WaitingItem]:
         """Yield the items that are ready to start."""
@@ -122,19 +122,17 @@
             return
         suspects = self._quarantine.suspects
         for job in self._store.ledger.open_jobs():
-            route = self._route_of(job)
-            if route is None:
-                continue
-            due = job.submitted + route.due
-            abandon_after = route.abandon_after
-            abandoned_at = job.submitted + abandon_after if abandon_after else None
             for order, item in enumerate(job.waiting_items()):
+                route = self._routes.route(job, item)
+                if route is None:
+                    continue
                 run = self._runs.get((job.job_id, item.item_id))
                 if run and not run.can_start(now):
                     continue
                 if suspects and self._is_held_back(job, item, suspects):
                     continue
                 remaining = self._remaining(run)
+                due = job.submitted + route.due
                 yield WaitingItem(
                     partition=self.partition,
                     job_id=job.job_id,
@@ -145,7 +143,7 @@
                     holder=run.vm if run else "",
                     will_be_late=wall_time + remaining > due,
                     remaining=remaining,
-                    abandoned_at=abandoned_at,
+                    abandoned_at=_end_of_retention(job, route),
                 )
 
     def start(self, placement: Placement) -> None:
@@ -182,7 +180,7 @@
             return
         key = (status.job_id, status.item_id)
         job = self._store.ledger.jobs.get(status.job_id)
-        if job is None or not job.is_open or status.item_id in job.finished_ids:
+        if job is None or not job.is_unfinished(status.item_id):
             if status.state is not ItemState.returned:
                 self._send(vm, _stop(key))
             self._runs.pop(key, None)
@@ -263,10 +261,9 @@
         """Fail items that are too old or whose route no longer exists."""
         now = self._clock.now()
         for job in self._store.ledger.open_jobs():
-            if not self._is_abandoned(job, now):
-                continue
             for item in job.waiting_items():
-                self._finish((job.job_id, item.item_id), done=False, text="")
+                if self._is_abandoned(job, item, now):
+                    self._finish((job.job_id, item.item_id), done=False, text="")
 
     def _is_held_back(
         self, job: LedgerJob, item: BatchItem, suspects: frozenset[str]
@@ -284,15 +281,13 @@
             _log.info("item_held_back", job=job.job_id, item=item.item_id, suspect=part)
         return True
 
-    def _is_abandoned(self, job: LedgerJob, now: datetime) -> bool:
-        """Return whether a job's remaining items are to be failed without a run."""
-        if self._routing.table is None:
-            return False
-        route = self._route_of(job)
+    def _is_abandoned(self, job: LedgerJob, item: BatchItem, now: datetime) -> bool:
+        """Return whether an item is to be failed without another run."""
+        route = self._routes.route(job, item)
         if route is None:
-            return True
-        age = now - job.submitted
-        return bool(route.abandon_after) and age > route.abandon_after + ABANDON_MARGIN
+            return self._routes.has_ended(job, item)
+        end = _end_of_retention(job, route)
+        return end is not None and now > end + ABANDON_MARGIN
 
     def _apply_status(
         self, key: tuple[str, str], run: ItemRun, vm: str, status: ItemStatus
@@ -336,7 +331,8 @@
         if not attempts:
             return
         run.record_failures(attempts)
-        route = self._route_of(self._store.ledger.jobs[key[0]])
+        job = self._store.ledger.jobs[key[0]]
+        route = self._routes.route(job, job.items[key[1]])
         if route is not None and len(run.failed_attempts) >= route.max_attempts:
             self._finish(key, done=False, text="")
 
@@ -418,14 +414,10 @@
                 if run.vm:
                     self._send(run.vm, _stop(key))
 
-    def _route_of(self, job: LedgerJob) -> Route | None:
-        """Return the batch route that matches a job now; None if there is none."""
-        table = self._routing.table
-        first = next(iter(job.items.values()), None)
-        if table is None or first is None:
-            return None
-        route = table.find(job.head.host, first.path)
-        return route if route is not None and route.kind is RouteKind.BATCH else None
+
+def _end_of_retention(job: LedgerJob, route: Route) -> datetime | None:
+    """Return when an item of the route may be abandoned; None for never."""
+    return job.submitted + route.abandon_after if route.abandon_after else None
 
 
 def _failed_attempts(run: ItemRun, vm: str, status: ItemStatus) -> list[int]:
--- a/chivespan/batchrecords.py
+++ b/chivespan/batchrecords.py
@@ -62,6 +62,10 @@
     """
     Time of the submission in Unix milliseconds.
     """
+    config_version: int = 0
+    """
+    Version of the configuration by which it was accepted; 0 by an earlier release.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/batchrequesthandler.py
+++ b/chivespan/batchrequesthandler.py
@@ -77,6 +77,7 @@
             submitted=self._clock.now(),
             tokens_limit=route.waiting_tokens_limit,
             max_record_bytes=self._max_record_bytes,
+            config_version=self._routing.version,
         )
         timeout = timedelta(milliseconds=question.patience_ms)
         try:
--- a/chivespan/routes.py
+++ b/chivespan/routes.py
@@ -154,6 +154,15 @@
         yield path[: end + 1]
 
 
+def directory_of(path: str) -> str:
+    """Return a path up to its last slash, which alone determines its route.
+
+    >>> directory_of("/a/b/c"), directory_of("/a/"), directory_of("a")
+    ('/a/b/', '/a/', '')
+    """
+    return path[: path.rfind("/") + 1]
+
+
 def example_route(path_prefix: str = "/a/") -> Route:
     """Return a route for doctests and tests."""
     second = timedelta(seconds=1)
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -1,6 +1,7 @@
 """Partition owner: recovery from lost nodes, lost start messages and lost statuses."""
 
 from datetime import timedelta
+from typing import Any
 
 import anyio
 import pytest
@@ -36,13 +37,13 @@
         self.quarantine = Quarantine(self.clock)
         self.store = FakeStore()
         self.ledger = LedgerStore(self.store, PARTITION, self.clock, 2_000_000)
-        routing = RoutingState(decode_config)
-        routing.apply_if_newer(config(1, batch_route(pathPrefix="/b/")), "test")
+        self.routing = RoutingState(decode_config)
+        self.configure(0, batch_route(pathPrefix="/b/"))
         self.sent: list[tuple[str, object]] = []
         self.owner = BatchOwner(
             1,
             self.ledger,
-            routing,
+            self.routing,
             self.clock,
             self._send,
             timedelta(seconds=120),
@@ -51,6 +52,10 @@
             self.quarantine,
         )
 
+    def configure(self, version: int, *routes: dict[str, Any]) -> None:
+        """Put a configuration with the given routes in force."""
+        self.routing.apply_if_newer(config(version, *routes), "test")
+
     async def accept(self, items: int) -> None:
         await self.accept_job(job("j", items=items))
 
--- /dev/null
+++ b/tests/test_itemroutes.py
@@ -0,0 +1,128 @@
+"""Items of one job have routes of their own, by the configuration in force."""
+
+from dataclasses import replace
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from chivespan.batchchanges import AcceptJob
+from chivespan.batchledger import Ledger
+from chivespan.batchowner import ABANDON_MARGIN
+from chivespan.batchrecords import BatchItem
+from chivespan.itemroutes import MAX_CACHED, ItemRoutes
+from chivespan.ledgerstore import Staged
+from chivespan.nodemessages import ItemState
+from chivespan.platform.documents import decode_config
+from chivespan.routingstate import RoutingState
+from tests.fleet import HOST, batch_route, config
+from tests.test_batchowner import OwnerHarness, status
+from tests.test_ledgerstore import SUBMITTED
+
+pytestmark = pytest.mark.anyio
+
+SPLIT = "/b/3/"
+WHOLE = batch_route(pathPrefix="/b/", retentionS=60, dueMs=18_000, maxAttempts=3)
+
+
+def split_route(**fields: Any) -> dict[str, Any]:
+    """Return a route that is split off from ``WHOLE``, with another service."""
+    fields = {"pathPrefix": SPLIT, "service": "other", "name": "r-split"} | fields
+    return batch_route() | fields
+
+
+def job(*paths: str, config_version: int = 0) -> AcceptJob:
+    """Return a job with one item for each path, named j-0 and so on."""
+    items = (
+        BatchItem(item_id=f"j-{n}", path=path, headers=[], body=b"x", tokens=1)
+        for n, path in enumerate(paths)
+    )
+    version = config_version
+    return AcceptJob("j", "r-batch", HOST, tuple(items), SUBMITTED, 0, 1000, version)
+
+
+async def owner_of(change: AcceptJob) -> OwnerHarness:
+    harness = OwnerHarness()
+    harness.configure(1, WHOLE)
+    harness.clock.advance(SUBMITTED - harness.clock.now())
+    await harness.accept_job(change)
+    return harness
+
+
+def services(harness: OwnerHarness) -> dict[str, str]:
+    return {each.item_id: each.service for each in harness.owner.waiting()}
+
+
+def given_up(harness: OwnerHarness) -> list[str]:
+    harness.owner.fail_abandoned_items()
+    return [each.item_id for each in harness.owner._finished]
+
+
+# Guards against: all items of a job go by the route of the first one, to a service that
+# no configuration allows the others (review case 4, ROUTE).
+async def test_each_item_goes_to_the_service_of_its_own_path() -> None:
+    harness = await owner_of(job("/b/3/1", "/b/1", "/b/4/1"))
+    old = set(services(harness).values())
+    harness.configure(2, WHOLE, split_route())
+    assert services(harness) == {"j-0": "other", "j-1": "svc", "j-2": "svc"}
+    assert old == {"svc"}
+    assert harness.owner.services() == {"svc", "other"}
+    harness.configure(3, WHOLE)
+    assert set(services(harness).values()) == {"svc"}
+
+
+# Guards against: a job ends as failed as a whole when its first item has no route.
+async def test_only_items_without_a_route_are_given_up() -> None:
+    harness = await owner_of(job("/b/3/1", "/b/1"))
+    harness.configure(2, split_route())
+    assert given_up(harness) == ["j-1"]
+    assert services(harness) == {"j-0": "other"}
+
+
+# Guards against: retention, due time and attempts of the first item's route are those
+# of all items.
+async def test_limits_are_those_of_the_route_of_each_item() -> None:
+    harness = await owner_of(job("/b/1", "/b/3/1"))
+    harness.configure(2, WHOLE, split_route(retentionS=0, dueMs=1000, maxAttempts=1))
+    whole, split = harness.owner.waiting()
+    assert whole.due - split.due == timedelta(seconds=17)
+    assert (whole.abandoned_at is None, split.abandoned_at is None) == (False, True)
+    harness.start("n1")
+    for item in ("j-0", "j-1"):
+        failed = replace(status(ItemState.failed), item_id=item)
+        harness.owner.handle_status("n1", failed)
+    assert [each.item_id for each in harness.owner._finished] == ["j-1"]
+    harness.clock.advance(timedelta(seconds=60) + 2 * ABANDON_MARGIN)
+    assert given_up(harness) == ["j-1", "j-0"]
+
+
+# Guards against: a node whose configuration lags behind gives up a job that was
+# accepted on a route which it doesn't know yet.
+async def test_owner_with_an_older_configuration_gives_nothing_up() -> None:
+    harness = await owner_of(job("/c/1", config_version=7))
+    harness.configure(6, WHOLE)
+    assert given_up(harness) == []
+    harness.configure(7, WHOLE, batch_route(pathPrefix="/c/"))
+    assert services(harness) == {"j-0": "svc"}
+    harness.configure(8, WHOLE)
+    assert given_up(harness) == ["j-0"]
+
+
+async def test_status_of_an_unknown_item_is_answered_with_a_stop() -> None:
+    harness = await owner_of(job("/b/1"))
+    unknown = replace(status(ItemState.failed), item_id="j-9")
+    harness.owner.handle_status("n1", unknown)
+    assert len(harness.sent) == 1
+    assert harness.waiting() == ["j-0"]
+
+
+def test_cached_routes_are_bounded() -> None:
+    routing = RoutingState(decode_config)
+    routing.apply_if_newer(config(1, WHOLE), "test")
+    routes = ItemRoutes(routing)
+    ledger = Ledger()
+    paths = [f"/b/{n}/x" for n in range(MAX_CACHED + 5)]
+    for record in job(*paths).records(ledger, Staged()):
+        ledger.apply(record)
+    assert routes.services(ledger.open_jobs()) == {"svc"}
+    assert len(routes._cache) <= MAX_CACHED
