--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -15,7 +15,7 @@
 from chivespan.itemduration import ItemDurationEstimator
 from chivespan.itemquarantine import ItemQuarantine
 from chivespan.itemroutes import ItemRoutes
-from chivespan.itemrun import ItemRun
+from chivespan.itemrun import ItemOutcome, ItemRun
 from chivespan.itemtimes import ItemPhase, ItemTimes
 from chivespan.ledgerstore import LedgerStore
 from chivespan.logs import logger
@@ -262,8 +262,9 @@
         now = self._clock.now()
         for job in self._store.ledger.open_jobs():
             for item in job.waiting_items():
-                if self._is_abandoned(job, item, now):
-                    self._finish((job.job_id, item.item_id), done=False, text="")
+                reason = self._reason_to_abandon(job, item, now)
+                if reason is not None:
+                    self._finish((job.job_id, item.item_id), reason)
 
     def _is_held_back(
         self, job: LedgerJob, item: BatchItem, suspects: frozenset[str]
@@ -281,13 +282,17 @@
             _log.info("item_held_back", job=job.job_id, item=item.item_id, suspect=part)
         return True
 
-    def _is_abandoned(self, job: LedgerJob, item: BatchItem, now: datetime) -> bool:
-        """Return whether an item is to be failed without another run."""
+    def _reason_to_abandon(
+        self, job: LedgerJob, item: BatchItem, now: datetime
+    ) -> ItemOutcome | None:
+        """Return why an item is to be failed without another run; None if it isn't."""
         route = self._routes.route(job, item)
         if route is None:
-            return self._routes.has_ended(job, item)
+            has_ended = self._routes.has_ended(job, item)
+            return ItemOutcome.no_route if has_ended else None
         end = _end_of_retention(job, route)
-        return end is not None and now > end + ABANDON_MARGIN
+        is_too_old = end is not None and now > end + ABANDON_MARGIN
+        return ItemOutcome.too_old if is_too_old else None
 
     def _apply_status(
         self, key: tuple[str, str], run: ItemRun, vm: str, status: ItemStatus
@@ -301,9 +306,9 @@
             return
         run.times.enter(ItemPhase.paused, self._clock.monotonic())
         if status.state is ItemState.done:
-            self._finish(key, done=True, text="\n".join(status.text))
+            self._finish(key, ItemOutcome.done, "\n".join(status.text))
         elif status.state is ItemState.impossible:
-            self._finish(key, done=False, text="")
+            self._finish(key, ItemOutcome.impossible)
         elif status.state is ItemState.returned:
             run.vm = ""
             run.events = tuple(status.text)
@@ -334,18 +339,20 @@
         job = self._store.ledger.jobs[key[0]]
         route = self._routes.route(job, job.items[key[1]])
         if route is not None and len(run.failed_attempts) >= route.max_attempts:
-            self._finish(key, done=False, text="")
+            self._finish(key, ItemOutcome.attempts_failed)
 
-    def _finish(self, key: tuple[str, str], done: bool, text: str) -> None:
+    def _finish(
+        self, key: tuple[str, str], outcome: ItemOutcome, text: str = ""
+    ) -> None:
         """Queue an item's final result to be written."""
         run = self._run_of(key)
         if run.settled:
             return
-        run.settle(self._clock.monotonic())
+        run.settle(outcome, self._clock.monotonic())
         result = WriteResult(
             job_id=key[0],
             item_id=key[1],
-            done=done,
+            done=outcome is ItemOutcome.done,
             text=text,
             max_record_bytes=self._max_record_bytes,
             written=self._clock.now(),
@@ -359,6 +366,8 @@
             await self._store.commit(result)
         except ChivespanError as error:
             _log.error("result_refused", item=result.item_id, reason=error.message)
+            if (run := self._runs.get(key)) is not None:
+                run.outcome = ItemOutcome.too_large
             await self._store.commit(replace(result, done=False, text=""))
         run = self._runs.pop(key, None)
         self._record_finished(result, run)
@@ -373,11 +382,14 @@
         for phase, spent in times.spent.items():
             self._metrics.record_item_phase(phase.value, spent)
         age = None if job is None else self._clock.now() - job.submitted
+        outcome = _outcome(result, run)
+        self._metrics.record_item_outcome(outcome)
         _log.info(
             "item_listed",
             job=result.job_id,
             item=result.item_id,
-            done=result.done,
+            outcome=outcome,
+            failed_attempts=0 if run is None else len(run.failed_attempts),
             age_ms=None if age is None else age // MILLISECOND,
             runs=times.runs,
             lost_events=times.lost_events,
@@ -431,6 +443,17 @@
     return [run.attempt] if run.is_running_at(vm) else []
 
 
+def _outcome(result: WriteResult, run: ItemRun | None) -> str:
+    """Return the outcome for log and metrics; of a run that was released, its result.
+
+    A run is released when the partition goes to another node while the result is being
+    written.
+    """
+    if run is not None and run.outcome is not None:
+        return run.outcome.value
+    return ItemOutcome.done.value if result.done else "given_up"
+
+
 def _headers(item: BatchItem) -> list[ItemHeader]:
     return [ItemHeader(name=each.name, value=each.value) for each in item.headers]
 
--- a/chivespan/itemrun.py
+++ b/chivespan/itemrun.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import StrEnum
 
 from chivespan.clock import NO_WAIT
 from chivespan.itemquarantine import ItemBreaks
@@ -13,6 +14,23 @@
 SILENCE_TIMEOUT = timedelta(seconds=3)
 
 
+class ItemOutcome(StrEnum):
+    """Why an item gets its final result; all but ``done`` mean that it is given up.
+
+    ``impossible``: a target answered that it can never be done. ``attempts_failed``:
+    its route allows no more attempts. ``too_old``: its route keeps it no longer.
+    ``no_route``: there is no batch route for it any more. ``too_large``: the store can't
+    hold its output.
+    """
+
+    done = "done"
+    impossible = "impossible"
+    attempts_failed = "attempts_failed"
+    too_old = "too_old"
+    no_route = "no_route"
+    too_large = "too_large"
+
+
 @dataclass(slots=True)
 class ItemRun:
     """The execution state of a started item, as its partition's owner sees it.
@@ -32,7 +50,7 @@
     :ivar link_lost: when the link with the node broke; None if it has reported since.
     :ivar breaks: the runs that its targets broke off.
     :ivar held_back: part of its prompt because of which it waits; empty for none.
-    :ivar settled: whether the final result is known.
+    :ivar outcome: why it gets its final result; None until that is known.
     """
 
     times: ItemTimes
@@ -48,7 +66,12 @@
     link_lost: timedelta | None = None
     breaks: ItemBreaks = field(default_factory=ItemBreaks)
     held_back: str = ""
-    settled: bool = False
+    outcome: ItemOutcome | None = None
+
+    @property
+    def settled(self) -> bool:
+        """Whether the final result is known."""
+        return self.outcome is not None
 
     def after_node_loss(self, now: timedelta) -> "ItemRun":
         """Return the state without the lost node; failures and returned events stay."""
@@ -104,8 +127,8 @@
             return False
         return self.not_before <= now
 
-    def settle(self, now: timedelta) -> None:
+    def settle(self, outcome: ItemOutcome, now: timedelta) -> None:
         """Record that the final result is known and must be written to the store."""
-        self.settled = True
+        self.outcome = outcome
         self.target_id = ""
         self.times.enter(ItemPhase.listing, now)
--- a/chivespan/nodemetrics.py
+++ b/chivespan/nodemetrics.py
@@ -56,6 +56,12 @@
             buckets=DURATION_BUCKETS_S,
             registry=self._registry,
         )
+        self._item_outcomes = Counter(
+            "chivespan_items",
+            "Listed batch items by why they got their result.",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._gauges = Gauge(
             "chivespan_state", "Levels by name.", ["name"], registry=self._registry
         )
@@ -85,6 +91,10 @@
         """Record the time that a listed batch item spent in a phase."""
         self._item_phases.labels(phase).observe(spent.total_seconds())
 
+    def record_item_outcome(self, outcome: str) -> None:
+        """Record why a batch item got its result."""
+        self._item_outcomes.labels(outcome).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
