Count only answers of 500 as failed attempts of items

Cause: BatchExecutor took any status but 200 and 422 for a failed attempt.

Evidence: five of seven cases of the new test fail before.

Change: other statuses end the run as broken, with the status as reason. They say nothing of the target's health, since the item may be at fault: one item must not have targets ejected.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -262,12 +262,7 @@
     ) -> ItemState:
         """Record that a target failed during a run."""
         self._picker.record_failure(entry.target_id)
-        _log.info(
-            "item_broken",
-            item=held.start.item_id,
-            target=entry.target_id,
-            reason=reason,
-        )
+        _log_broken(held, entry, reason)
         if not held.answered:
             held.breaks.record(self._clock.monotonic())
             item_id = held.start.item_id
@@ -285,8 +280,12 @@
                 raise ChivespanError(ErrorKind.TARGET_FAILED, reason)
             if reply.status == HTTPStatus.UNPROCESSABLE_ENTITY:
                 return ItemState.impossible
-            if reply.status != HTTPStatus.OK:
+            if reply.status == HTTPStatus.INTERNAL_SERVER_ERROR:
                 return ItemState.failed
+            if reply.status != HTTPStatus.OK:
+                # It may be the item's fault, so it says nothing of the target's health.
+                _log_broken(held, entry, f"response with status {reply.status}")
+                return ItemState.broken
             with watching as watch:
                 await self._receive_events(held, entry, reply, watch)
         self._picker.record_success(entry.target_id)
@@ -334,6 +333,11 @@
         return self._load_table.total(entry.target_id) >= entry.slots
 
 
+def _log_broken(held: HeldItem, entry: TargetEntry, reason: str) -> None:
+    item_id = held.start.item_id
+    _log.info("item_broken", item=item_id, target=entry.target_id, reason=reason)
+
+
 def _request_for(held: HeldItem, entry: TargetEntry) -> Call:
     start = held.start
     headers = wire.item_headers(
--- a/chivespan/itemrun.py
+++ b/chivespan/itemrun.py
@@ -19,7 +19,7 @@
 
     ``impossible``: a target answered that it can never be done. ``attempts_failed``:
     its route allows no more attempts. ``too_old``: its route keeps it no longer.
-    ``no_route``: there is no batch route for it any more. ``too_large``: the store can't
+    ``no_route``: it has no batch route any more. ``too_large``: the store can't
     hold its output.
     """
 
--- a/tests/test_brokenresponses.py
+++ b/tests/test_brokenresponses.py
@@ -188,3 +188,26 @@
     async with raw_site(first, whole(2, 3, 4, 5)) as site:
         answer = await site.ask()
         assert (answer.body, answer.complete) == (events(1, 2, 3, 4, 5), True)
+
+
+# Guards against: an item is given up after responses that don't say that its attempt has
+# failed, such as that of a target whose time is up (issue 37, MIXED).
+@pytest.mark.parametrize(
+    ("status", "state"),
+    [
+        ("500 no", ItemState.failed),
+        ("422 never", ItemState.impossible),
+        ("504 late", ItemState.broken),
+        ("503 busy", ItemState.broken),
+        ("502 gone", ItemState.broken),
+        ("404 none", ItemState.broken),
+        ("204 nothing", ItemState.broken),
+    ],
+)
+async def test_only_an_error_of_the_target_itself_is_a_failed_attempt(
+    status: str, state: ItemState
+) -> None:
+    async with raw_site(target(head(status, EMPTY))) as site:
+        for _ in range(5):
+            assert (await site.run_item()).state is state
+        assert [each.slots for each in site.picker.candidates("svc")] == [8]
