--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -41,7 +41,8 @@
 # A repeated status that arrives this soon after a start may have been sent before the
 # node received the start.
 IN_FLIGHT_TIME = timedelta(milliseconds=700)
-ABANDON_MARGIN = timedelta(seconds=3)
+# An item's age is told by two clocks: of the node that accepted its job, and the owner.
+ABANDON_MARGIN = timedelta(seconds=10)
 RETENTION_MARGIN = timedelta(seconds=20)
 
 _log = logger("batch")
@@ -71,7 +72,7 @@
         self.partition = partition
         self._metrics = metrics
         self._store = store
-        self._routes = ItemRoutes(routing)
+        self._routes = ItemRoutes(routing, clock)
         self._clock = clock
         self._send = send
         self._retention = job_status + RETENTION_MARGIN
--- a/tests/test_brokenresponses.py
+++ b/tests/test_brokenresponses.py
@@ -190,8 +190,8 @@
         assert (answer.body, answer.complete) == (events(1, 2, 3, 4, 5), True)
 
 
-# Guards against: an item is given up after responses that don't say that its attempt has
-# failed, such as that of a target whose time is up (issue 37, MIXED).
+# Guards against: an item is given up after responses that don't say that its attempt
+# has failed, such as that of a target whose time is up (issue 37, MIXED).
 @pytest.mark.parametrize(
     ("status", "state"),
     [
--- a/tests/test_itemoutcomes.py
+++ b/tests/test_itemoutcomes.py
@@ -9,6 +9,7 @@
 
 from chivespan.batchowner import ABANDON_MARGIN
 from chivespan.batchrecords import BatchResult
+from chivespan.itemroutes import ROUTE_END_DELAY
 from chivespan.itemrun import ItemOutcome
 from chivespan.nodemessages import ItemState
 from tests.fleet import batch_route
@@ -27,6 +28,8 @@
         harness.clock.advance(timedelta(seconds=60) + 2 * ABANDON_MARGIN)
     elif outcome is ItemOutcome.no_route:
         harness.configure(2, batch_route(pathPrefix="/c/"))
+        harness.owner.fail_abandoned_items()
+        harness.clock.advance(ROUTE_END_DELAY)
     else:
         harness.start("n1")
     states = {
--- a/tests/test_itemroutes.py
+++ b/tests/test_itemroutes.py
@@ -10,7 +10,8 @@
 from chivespan.batchledger import Ledger
 from chivespan.batchowner import ABANDON_MARGIN
 from chivespan.batchrecords import BatchItem
-from chivespan.itemroutes import MAX_CACHED, ItemRoutes
+from chivespan.clock import ManualClock
+from chivespan.itemroutes import MAX_CACHED, ROUTE_END_DELAY, ItemRoutes
 from chivespan.ledgerstore import Staged
 from chivespan.nodemessages import ItemState
 from chivespan.platform.documents import decode_config
@@ -54,6 +55,8 @@
 
 
 def given_up(harness: OwnerHarness) -> list[str]:
+    harness.owner.fail_abandoned_items()
+    harness.clock.advance(ROUTE_END_DELAY)
     harness.owner.fail_abandoned_items()
     return [each.item_id for each in harness.owner._finished]
 
@@ -108,6 +111,35 @@
     assert given_up(harness) == ["j-0"]
 
 
+# Guards against: an item is given up as its route has ended, when the operator doesn't
+# know yet that this configuration is in force, or the next one has the route again.
+async def test_item_is_given_up_only_when_its_route_stays_away() -> None:
+    harness = await owner_of(job("/b/1"))
+    for version in (2, 4, 6):
+        harness.configure(version, split_route())
+        harness.owner.fail_abandoned_items()
+        harness.clock.advance(ROUTE_END_DELAY * 0.9)
+        harness.owner.fail_abandoned_items()
+        assert services(harness) == {}
+        harness.configure(version + 1, WHOLE)
+        assert services(harness) == {"j-0": "svc"}
+    assert given_up(harness) == []
+    harness.configure(8, split_route())
+    assert given_up(harness) == ["j-0"]
+
+
+# Guards against: an item is given up before its route's retention is over, by a clock
+# that is ahead, when its job was accepted by one that is behind (issue 37, MIXED).
+async def test_item_is_kept_however_the_two_clocks_differ() -> None:
+    harness = await owner_of(job("/b/1"))
+    ahead, behind = timedelta(seconds=2.5), timedelta(seconds=2.5)
+    harness.clock.advance(timedelta(seconds=60) + ahead + behind)
+    harness.owner.fail_abandoned_items()
+    assert not harness.owner._finished
+    harness.clock.advance(2 * ABANDON_MARGIN)
+    assert given_up(harness) == ["j-0"]
+
+
 async def test_status_of_an_unknown_item_is_answered_with_a_stop() -> None:
     harness = await owner_of(job("/b/1"))
     unknown = replace(status(ItemState.failed), item_id="j-9")
@@ -119,7 +151,7 @@
 def test_cached_routes_are_bounded() -> None:
     routing = RoutingState(decode_config)
     routing.apply_if_newer(config(1, WHOLE), "test")
-    routes = ItemRoutes(routing)
+    routes = ItemRoutes(routing, ManualClock())
     ledger = Ledger()
     paths = [f"/b/{n}/x" for n in range(MAX_CACHED + 5)]
     for record in job(*paths).records(ledger, Staged()):
