Bound what a node keeps of output that a request can't have

Online, such a stream went on until its deadline and was then resumed elsewhere behind false events.

Cause: the limits were by run (16 MB, 30 s), not by item or node; none knew how much output a request can have. Also unbounded: headers in a head, statuses that come again each second at an owner that can't read its ledger.

What an excessive run added is dropped; it counts as a failure of its target.

Ruled out: keeping what was received before the limit (it is no output of the request); a limit by the number of items (they differ by a thousandfold).

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -6,7 +6,7 @@
 owner is lost, this node reports all held items to the next owner.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 from http import HTTPStatus
@@ -18,8 +18,14 @@
 from chivespan.batchyield import YieldRule
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.eventstream import EventOrder, EventSplitter, parse_events
+from chivespan.eventstream import (
+    EventOrder,
+    EventSplitter,
+    OutputExceeded,
+    parse_events,
+)
 from chivespan.exchange import Call, NotSent, Reply, exchange
+from chivespan.itemoutput import ItemOutput, NoMemoryForOutput, OutputBudget
 from chivespan.itemquarantine import ItemBreaks, ItemQuarantine
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
@@ -33,6 +39,7 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
 from chivespan.quarantine import Quarantine
+from chivespan.responseparser import Header
 from chivespan.suspicion import READS_OF_AN_ANSWER
 from chivespan.targetannouncements import record_announcements
 from chivespan.targetpick import TargetPicker
@@ -59,7 +66,7 @@
 class HeldItem:
     """An item that this node holds.
 
-    :ivar events: data of all events received so far.
+    :ivar output: all events received so far.
     :ivar parts: ids of the parts of its prompt that other requests may share.
     :ivar state: state that is reported to the owner.
     :ivar failed_attempts: numbers of the attempts that failed here.
@@ -69,7 +76,7 @@
     """
 
     start: ItemStart
-    events: list[str]
+    output: ItemOutput
     parts: tuple[str, ...] = ()
     state: ItemState = ItemState.paused
     failed_attempts: list[int] = field(default_factory=list)
@@ -77,6 +84,11 @@
     breaks: ItemBreaks = field(default_factory=ItemBreaks)
     scope: anyio.CancelScope | None = field(default=None, repr=False)
 
+    @property
+    def events(self) -> list[str]:
+        """Data of all events received so far."""
+        return self.output.events
+
     @property
     def key(self) -> tuple[str, str]:
         """Unique key: job id and item id."""
@@ -116,6 +128,7 @@
     """Runs and holds the items of this node.
 
     :param send_status: sends a status to the owner of its partition.
+    :param max_output_bytes: limit of the partial output of all items, in memory.
     """
 
     def __init__(
@@ -128,6 +141,7 @@
         metrics: NodeMetrics,
         send_status: Callable[[ItemStatus], None],
         quarantine: Quarantine,
+        max_output_bytes: int,
     ) -> None:
         self._targets = targets
         self._picker = picker
@@ -138,6 +152,7 @@
         self._send_status = send_status
         self._quarantine = ItemQuarantine(quarantine, clock)
         self._yield_rule = YieldRule(picker, load_table, clock, Random())
+        self._budget = OutputBudget(max_output_bytes)
         self._items: dict[tuple[str, str], HeldItem] = {}
         self._tasks: TaskGroup | None = None
 
@@ -163,7 +178,8 @@
             return
         if held is None:
             parts = wire.item_prompt_parts(_headers(message))
-            held = self._items[key] = HeldItem(message, list(message.events), parts)
+            output = ItemOutput(self._budget, message.events)
+            held = self._items[key] = HeldItem(message, output, parts)
         else:
             held.start = _retargeted(held.start, message)
         if held.state is ItemState.done:
@@ -176,8 +192,11 @@
     def stop(self, message: ItemStop) -> None:
         """Cancel an item and discard its output."""
         held = self._items.pop((message.job_id, message.item_id), None)
-        if held is not None and held.scope is not None:
+        if held is None:
+            return
+        if held.scope is not None:
             held.scope.cancel()
+        held.output.release()
 
     def statuses(self, partition: int) -> list[ItemStatus]:
         """Return the statuses of all held items of a partition, for its owner."""
@@ -195,6 +214,7 @@
                     held.scope.cancel()
                 held.state = ItemState.returned
             self._send_status(held.status())
+            held.output.release()
         self._items.clear()
 
     async def _run_item(self, held: HeldItem) -> None:
@@ -232,12 +252,20 @@
         if self._is_held_back(held):
             return ItemState.not_run
         held.answered = False
+        events_before = len(held.events)
         self._picker.limiter.record_send(entry)
         with self._load_table.track_batch(entry.target_id):
             try:
                 return await self._exchange(held, entry)
             except _Yielded:
                 return ItemState.paused
+            except NoMemoryForOutput:
+                held.output.truncate(events_before)
+                _log_broken(held, entry, "no memory for more output")
+                return ItemState.broken
+            except OutputExceeded as error:
+                held.output.truncate(events_before)
+                return await self._broken(held, entry, error.message)
             except NotSent:
                 self._picker.record_unreachable(entry.target_id)
                 return ItemState.not_run
@@ -299,7 +327,9 @@
         :raises _Yielded: if the item yields its slot.
         :raises ChivespanError: ``stream_broken`` if the stream is incomplete.
         """
-        splitter = EventSplitter(EventOrder.CONSECUTIVE, len(held.events))
+        events_before = len(held.events)
+        max_events = wire.max_events(_encoded_headers(held.start))
+        splitter = EventSplitter(EventOrder.CONSECUTIVE, events_before, max_events)
         reads = 0
         checked = last_event = self._clock.monotonic()
         while True:
@@ -312,7 +342,7 @@
             if whole:
                 watch.record_data()
                 last_event = self._clock.monotonic()
-            held.events += [event.data for event in parse_events(whole)]
+            self._add_output(held, [event.data for event in parse_events(whole)])
             reads += bool(whole)
             if reads >= READS_OF_AN_ANSWER:
                 self._record_answered(held)
@@ -324,6 +354,34 @@
         if reads and reply.is_delimited:
             self._record_answered(held)
 
+    def _add_output(self, held: HeldItem, events: list[str]) -> None:
+        """Add events to a held item.
+
+        When the output of all items takes too much memory, that of the item with the
+        largest is dropped; one that runs at another target drops its own.
+
+        :raises OutputExceeded: when this item has too much.
+        :raises NoMemoryForOutput: when all items have, and this one the most of it.
+        """
+        held.output.extend(events)
+        if not self._budget.is_exceeded:
+            return
+        paused = [
+            each
+            for each in self._items.values()
+            if each.scope is None and each.state is not ItemState.done
+        ]
+        largest = max(paused, key=lambda each: each.output.size, default=held)
+        if largest.output.size <= held.output.size:
+            raise NoMemoryForOutput
+        _log.warning(
+            "item_output_dropped",
+            item=largest.start.item_id,
+            job=largest.start.job_id,
+            size=largest.output.size,
+        )
+        largest.output.truncate(0)
+
     def _record_answered(self, held: HeldItem) -> None:
         if not held.answered:
             held.answered = True
@@ -360,6 +418,11 @@
     )
 
 
+def _encoded_headers(start: ItemStart) -> Iterator[Header]:
+    for header in start.headers:
+        yield header.name.lower().encode(), header.value.encode(errors="replace")
+
+
 def _headers(start: ItemStart) -> list[tuple[str, str]]:
     return [(header.name, header.value) for header in start.headers]
 
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -83,7 +83,8 @@
         self._caught_up = False
         self._quarantine = ItemQuarantine(quarantine, clock)
         self._durations = ItemDurationEstimator()
-        self._early_statuses: list[tuple[str, ItemStatus]] = []
+        # The last one of each node for each item, as they come again each second.
+        self._early_statuses: dict[tuple[str, str, str], ItemStatus] = {}
         self._finished: list[WriteResult] = []
         self._result_added = anyio.Event()
 
@@ -103,8 +104,8 @@
         """Read the records of earlier owners, then apply the early statuses."""
         await self._store.refresh(NO_WAIT)
         self._caught_up = True
-        early, self._early_statuses = self._early_statuses, []
-        for vm, status in early:
+        early, self._early_statuses = self._early_statuses, {}
+        for (vm, _, _), status in early.items():
             self.handle_status(vm, status)
 
     def running(self) -> Iterator[ItemRun]:
@@ -177,7 +178,7 @@
     def handle_status(self, vm: str, status: ItemStatus) -> None:
         """Process the status of an item, reported by the node that holds it."""
         if not self._caught_up:
-            self._early_statuses.append((vm, status))
+            self._early_statuses[vm, status.job_id, status.item_id] = status
             return
         key = (status.job_id, status.item_id)
         job = self._store.ledger.jobs.get(status.job_id)
--- a/chivespan/eventstream.py
+++ b/chivespan/eventstream.py
@@ -10,6 +10,8 @@
 MAX_EVENT_BYTES = 256 * 1024
 # Ids number the events of one stream.
 MAX_ID_DIGITS = 18
+# Of a stream, beside those that hold its output.
+MAX_OTHER_EVENTS = 16
 _END = b"\n\n"
 _ID_LINE = re.compile(rb"^id:(.*)$", re.MULTILINE)
 
@@ -27,6 +29,13 @@
     CONSECUTIVE = "consecutive"
 
 
+class OutputExceeded(ChivespanError):
+    """A target sent more than the request can produce, so that none of it is output."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(ErrorKind.STREAM_BROKEN, f"excessive output: {reason}")
+
+
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
     """One complete event.
@@ -44,6 +53,8 @@
 
     :param order: what the ids of the events must satisfy.
     :param last_id: id after which the stream starts.
+    :param max_events: limit of the number of events from the start of the output, as
+        far as it is known.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
@@ -52,10 +63,18 @@
     (1, b'id: 2\ndata: b\n\n', 2)
     """
 
-    def __init__(self, order: EventOrder = EventOrder.ANY, last_id: int = 0) -> None:
+    def __init__(
+        self,
+        order: EventOrder = EventOrder.ANY,
+        last_id: int = 0,
+        max_events: int | None = None,
+    ) -> None:
         self._buffer = bytearray()
         self._order = order
         self._has_event = False
+        self._max_events = max_events
+        # The events before the start are known by the last id if ids are consecutive.
+        self._events = last_id if order is EventOrder.CONSECUTIVE else 0
         self.last_id = last_id
 
     def feed(self, chunk: bytes) -> bytes:
@@ -63,6 +82,7 @@
 
         :raises ChivespanError: ``stream_broken`` if an event is too large, or if the
             ids of the complete events are out of order; these events are dropped.
+        :raises OutputExceeded: if there are more events than the limit allows.
         """
         searched = max(0, len(self._buffer) - len(_END) + 1)
         self._buffer += chunk
@@ -109,9 +129,16 @@
                 reason = f"event {event_id} follows event {last_id}"
                 raise ChivespanError(ErrorKind.STREAM_BROKEN, reason)
             last_id = last_id if event_id is None else event_id
+            self._events += 1
+        self._check_count()
         self.last_id = last_id
         self._has_event = True
 
+    def _check_count(self) -> None:
+        limit = self._max_events
+        if limit is not None and self._events > limit + MAX_OTHER_EVENTS:
+            raise OutputExceeded(f"{self._events} events of at most {limit}")
+
     def _may_follow(self, event_id: int | None, last_id: int) -> bool:
         if self._order is EventOrder.ANY:
             return True
--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -109,6 +109,10 @@
                 return value
         return None
 
+    def limit_body(self, max_bytes: int) -> None:
+        """Lower the limit for what is still to be read of the body."""
+        self._reader.limit_body(max_bytes)
+
     async def next_chunk(self, timeout: timedelta | None = None) -> bytes | None:
         """Return the next bytes of the body; None at its end.
 
@@ -234,6 +238,10 @@
                 raise self._error("connection closed in the middle of the response")
         return chunk
 
+    def limit_body(self, max_bytes: int) -> None:
+        """Lower the limit for what is still to be read of the body."""
+        self._bytes_left = min(self._bytes_left, max_bytes)
+
     async def close(self) -> None:
         """Close the connection."""
         await self._stream.aclose()
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -17,6 +17,7 @@
 from chivespan.callerrequest import CallerRequest, Responder, parse_milliseconds
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.eventstream import OutputExceeded
 from chivespan.exchange import Call, NotSent, Reply, exchange
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
@@ -33,7 +34,7 @@
     is_event_stream,
     splitter_for,
 )
-from chivespan.routes import Route
+from chivespan.routes import Route, RouteKind
 from chivespan.streamhandover import Handover
 from chivespan.suspects import request_suspect
 from chivespan.suspicion import READS_OF_AN_ANSWER
@@ -43,6 +44,8 @@
 
 MAX_UNREACHED = 4
 HEAD_TIMEOUT_OBJECTIVES = 1.5
+# Of a response on a route for streams that isn't one, such as an error.
+MAX_PLAIN_BODY_BYTES = 4 * 1024 * 1024
 
 _log = logger("online")
 
@@ -83,7 +86,11 @@
             route.pick_service(self._random),
             wire.shared_prompt_parts(request.headers),
             _fingerprint(request),
-            splitter=splitter_for(route, request.header(wire.LAST_EVENT_ID)),
+            splitter=splitter_for(
+                route,
+                request.header(wire.LAST_EVENT_ID),
+                wire.max_events(request.headers),
+            ),
         )
         outcome = "cancelled"
         try:
@@ -247,6 +254,9 @@
             outcome = SendOutcome.BROKEN
             reason = error.message
             progress.may_have_ended = error.kind is not ErrorKind.TARGET_TIMEOUT
+            if isinstance(error, OutputExceeded):
+                # No other target can continue what isn't the request's output.
+                progress.can_continue = False
         else:
             reason = str(reply.status)
         progress.in_flight = False
@@ -297,6 +307,8 @@
         is_stream = is_event_stream(reply, route, request.method)
         if responder.started:
             check_continues(reply, is_stream)
+        if route.kind is RouteKind.STREAM and not is_stream:
+            reply.limit_body(MAX_PLAIN_BODY_BYTES)
         failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if failed and self._can_resume(route, progress):
             return SendOutcome.BROKEN
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -31,6 +31,7 @@
     SMALL_FLEET_SILENCE,
     HeartbeatTiming,
 )
+from chivespan.itemoutput import max_output_bytes
 from chivespan.jsonlog import LineWriter
 from chivespan.keyedstore import Partition
 from chivespan.linkmessages import Hello, Program
@@ -183,6 +184,7 @@
             self.metrics,
             self._notify_owner,
             self.quarantine,
+            max_output_bytes(settings.memory_mb),
         )
         self.batch = BatchNode(
             settings,
--- a/chivespan/nodesettings.py
+++ b/chivespan/nodesettings.py
@@ -78,6 +78,10 @@
     """
     Bandwidth of the VM's link.
     """
+    memory_mb: float = 256.0
+    """
+    Memory in MB above which the platform ends the process.
+    """
     grace_s: float = 8.0
     """
     Seconds from SIGTERM until the process is killed.
--- a/chivespan/platform/settingsfile.py
+++ b/chivespan/platform/settingsfile.py
@@ -64,6 +64,7 @@
         seeds=[str(seed) for seed in document.get("seeds", ())],
         store=store,
         link_mbps=float(limits.get("linkMbps", 1000.0)),
+        memory_mb=float(limits.get("memoryMb", 256.0)),
         grace_s=float(bounds.get("graceS", 8.0)),
         drain_ms=int(bounds.get("drainMs", 2000)),
         address_lifetime_limit_s=float(bounds.get("ttl_max_s", 5.0)),
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -22,6 +22,8 @@
 LAST_EVENT_ID = b"last-event-id"
 # Parts of the prompt as ID:TOKENS, comma-separated; the last belongs to the request.
 PROMPT_PARTS = b"x-chivespan-prompt-prefix"
+# The number of prompt tokens and the maximum number of output tokens.
+TOKEN_COUNT = b"x-chivespan-token-count"
 RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 # Estimate of the number of output tokens.
@@ -48,6 +50,8 @@
 MAX_TOKENS = 2**40
 # Bounds the work for one request; longer lists are cut off.
 MAX_PROMPT_PARTS = 64
+# The number of tokens of the prompt, and of the longest output.
+_TOKEN_COUNTS = re.compile(rb"\s*\d{1,13}\s*,\s*(\d{1,13})\s*")
 # A decimal number without sign or exponent.
 _RATE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
@@ -171,6 +175,20 @@
     return ()
 
 
+def max_events(headers: Iterable[Header]) -> int | None:
+    """Return how many events of a stream can hold output; None if that isn't known.
+
+    Each holds one token or more.
+
+    >>> max_events([(TOKEN_COUNT, b"1460,80")]), max_events([(TOKEN_COUNT, b"80")])
+    (80, None)
+    """
+    for name, value in headers:
+        if name.lower() == TOKEN_COUNT and (counts := _TOKEN_COUNTS.fullmatch(value)):
+            return int(counts[1])
+    return None
+
+
 def identifying_headers(headers: Iterable[Header]) -> list[bytes]:
     """Return the headers that stay the same when a client sends a request again.
 
--- a/chivespan/responseparser.py
+++ b/chivespan/responseparser.py
@@ -11,6 +11,8 @@
 
 Header: TypeAlias = tuple[bytes, bytes]
 
+# Each takes far more memory than its bytes.
+MAX_HEADERS = 256
 # A higher status can't be passed on.
 MAX_STATUS = 599
 _CONTENT_LENGTH = b"content-length"
@@ -79,9 +81,15 @@
             self._headers.clear()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers are ignored."""
-        if not self.head_complete:
-            self._headers.append((name, value))
+        """Store a header; trailers are ignored.
+
+        :raises ValueError: when there are too many; :meth:`feed` handles it.
+        """
+        if self.head_complete:
+            return
+        if len(self._headers) >= MAX_HEADERS:
+            raise ValueError(f"response has more than {MAX_HEADERS} headers")
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Complete the head, unless the response is an interim one.
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -6,6 +6,8 @@
 from chivespan.fleetlinks import Peer
 from chivespan.nodemessages import NodeValue, TargetEntry
 
+# Limit for the output of all items of a node.
+MAX_OUTPUT_BYTES = 32_000_000
 _ENTRY = TargetEntry(
     target_id="t",
     service="s",
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -35,7 +35,7 @@
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 from tests.addresses import own_block
-from tests.factories import target_entry
+from tests.factories import MAX_OUTPUT_BYTES, target_entry
 from tests.fleet import HOST, SERVICE, config, route
 
 REQUEST_ID = "r"
@@ -165,6 +165,7 @@
             self.metrics,
             self.statuses.append,
             self.quarantine,
+            MAX_OUTPUT_BYTES,
         )
         self.front = Address(_front_host, next(_front_ports))
         routing = RoutingState(decode_config)
--- a/tests/test_endlessdata.py
+++ b/tests/test_endlessdata.py
@@ -56,7 +56,7 @@
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 from tests.addresses import own_block
-from tests.factories import target_entry
+from tests.factories import MAX_OUTPUT_BYTES, target_entry
 from tests.fleet import HOST, config, route
 from tests.test_peerlink import end_of
 
@@ -233,6 +233,7 @@
             self.metrics,
             self.statuses.append,
             Quarantine(self.clock),
+            MAX_OUTPUT_BYTES,
         )
 
     async def run_item(self, tasks: TaskGroup) -> ItemState:
--- a/tests/test_itemattempts.py
+++ b/tests/test_itemattempts.py
@@ -18,6 +18,7 @@
 from chivespan.targetpick import TARGET_CHOICES, TargetPicker
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
+from tests.factories import MAX_OUTPUT_BYTES
 from tests.test_batchowner import TARGET, OwnerHarness, status
 
 pytestmark = pytest.mark.anyio
@@ -53,6 +54,7 @@
             owner.metrics,
             send_status,
             owner.quarantine,
+            MAX_OUTPUT_BYTES,
         )
 
     async def _attempt(self, held: HeldItem) -> ItemState:
--- a/tests/test_quarantineditems.py
+++ b/tests/test_quarantineditems.py
@@ -35,7 +35,7 @@
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 from tests.addresses import own_block
-from tests.factories import target_entry
+from tests.factories import MAX_OUTPUT_BYTES, target_entry
 from tests.fleet import HOST
 from tests.test_batchowner import OwnerHarness
 
@@ -149,6 +149,7 @@
             self.metrics,
             self.receive,
             self.quarantine,
+            MAX_OUTPUT_BYTES,
         )
 
     def receive(self, status: ItemStatus) -> None:
