Ignore SIGHUP while a node's process starts, and read the settings again then

Cause: the handler was set once all modules were imported and the node was built.

Change: node_main ignores SIGHUP before it imports anything; the rest of it moves to nodeprocess. The settings are read again when signals are handled, as a change may have come meanwhile. The test of what a start imports names the module that imports now.

--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -268,6 +268,8 @@
 
     async def _handle_signals(self, tasks: TaskGroup) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
+            # The settings may have changed since they were read; SIGHUP was ignored.
+            self._reload()
             async for number in received:
                 if number == signal.SIGHUP:
                     self._reload()
--- a/chivespan/node_main.py
+++ b/chivespan/node_main.py
@@ -1,35 +1,19 @@
-"""Entry point of chivespan-node, which runs as one process on every VM of a fleet."""
+"""Entry point of chivespan-node, which runs as one process on every VM of a fleet.
 
-import logging
-import os
+SIGHUP, which says that the settings have changed, may come at any time, and ends a
+process by default. It is therefore ignored before the modules of the node are imported,
+which takes most of the start. The node reads the settings again once it handles it.
+"""
 
-import anyio
-
-from chivespan.clock import SystemClock
-from chivespan.jsonlog import JsonLineHandler, stdout_writer
-from chivespan.node import Node, NodePolicies
-from chivespan.platform.settingsfile import read_settings, settings_path
+import signal
 
 
 def main() -> None:
-    """Run a node with the settings file named by the environment."""
-    path = settings_path(os.environ)
-    settings = read_settings(path)
-    clock = SystemClock()
-    writer = stdout_writer()
-    JsonLineHandler(settings.name, writer, clock).push_application()
-    _silence_libraries()
-    policies = NodePolicies.from_environment(os.environ)
-    node = Node(settings, path, clock, writer, policies)
-    anyio.run(node.run, backend_options={"use_uvloop": True})
-
+    """Run a node."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from chivespan.nodeprocess import run
 
-def _silence_libraries() -> None:
-    """Discard log records of libraries, which would be plain text on stderr."""
-    for name in ("uvicorn", "uvicorn.error", "websockets", "asyncio"):
-        library_logger = logging.getLogger(name)
-        library_logger.addHandler(logging.NullHandler())
-        library_logger.propagate = False
+    run()
 
 
 if __name__ == "__main__":
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -49,7 +49,7 @@
 # Guards against: each of hundreds of nodes that start together spends a tenth of its
 # startup on message classes that it never uses.
 def test_node_starts_without_the_messages_of_other_programs() -> None:
-    code = "import sys, chivespan.node_main; print(*sys.modules)"
+    code = "import sys, chivespan.nodeprocess; print(*sys.modules)"
     result = subprocess.run(
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
     )
