Skip records that can't be read; refuse job ids that would make such ones

Cause: the id is a part of keys separated by slashes; an error on one record ended each read of the partition, at every node.

Change: such ids are refused with 400 at once. A record that can't be read is skipped and logged; its job answers 503 until it can be read.

Ruled out: escaping ids in keys (a key has 255 bytes, and paths hold the same ids).

--- a/chivespan/batchfront.py
+++ b/chivespan/batchfront.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from urllib.parse import parse_qs
 
-from chivespan.batchledger import MAX_ID_CHARS
+from chivespan.batchledger import is_valid_job_id
 from chivespan.batchownerclient import BatchOwnerClient
 from chivespan.batchownership import partition_of
 from chivespan.callerrequest import CallerRequest, Responder, parse_milliseconds
@@ -131,10 +131,11 @@
 def _check_job_id(request: CallerRequest) -> None:
     """Check that the request id can serve as a job id.
 
-    :raises ChivespanError: ``bad_request`` if it is empty or too long.
+    :raises ChivespanError: ``bad_request`` if it can't.
     """
-    if not request.request_id or len(request.request_id) > MAX_ID_CHARS:
-        raise ChivespanError(ErrorKind.BAD_REQUEST, "request id missing or too long")
+    if not is_valid_job_id(request.request_id):
+        reason = "request id is missing, too long or has a character like a slash"
+        raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
 
 
 def _path_suffix(request: CallerRequest, path: str) -> str:
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -5,6 +5,7 @@
 results unique and ensures that each job is accepted only once.
 """
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
@@ -18,17 +19,22 @@
 )
 from chivespan.codec import decode, encode
 from chivespan.decoding import decoding, error_of
-from chivespan.errors import ErrorKind
+from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.keyedstore import KeyedRecord
 from chivespan.platform import wire
 from chivespan.routes import directory_of
 
 MAX_ID_CHARS = 100
+# Visible characters without those that separate the parts of paths and keys.
+_JOB_ID = re.compile(rf"(?:(?![/?#%])[!-~]){{1,{MAX_ID_CHARS}}}")
 _JOB = "job"
 _ITEMS = "items"
 _RESULT = "result"
 _END = "end"
 _POSITION_DIGITS = 6
+# By kind of record, how many numbers follow the job's id in its key.
+_NUMBERS_IN_KEY = {_JOB: 0, _ITEMS: 1, _RESULT: 2, _END: 0}
+MAX_UNREADABLE = 1000
 # Space left in each record for its key and framing.
 RECORD_OVERHEAD_BYTES = 300
 # First byte of a record's value: whether more parts follow.
@@ -36,6 +42,15 @@
 _LAST = b"."
 
 
+def is_valid_job_id(job_id: str) -> bool:
+    """Return whether an id can be that of a job, whose keys and paths it is part of.
+
+    >>> [is_valid_job_id(each) for each in ("7c41e0", "a/b", "a?", "", "x" * 101)]
+    [True, False, False, False, False]
+    """
+    return _JOB_ID.fullmatch(job_id) is not None
+
+
 def job_key(job_id: str) -> str:
     """Return the key of a job's head record."""
     return f"{_JOB}/{job_id}"
@@ -139,6 +154,35 @@
     ended_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Key:
+    """The parts of a record's key."""
+
+    kind: str
+    job_id: str
+    numbers: tuple[int, ...]
+
+
+def _parse_key(key: str) -> _Key | None:
+    """Parse the key of a record; None if this release knows no such kind of record.
+
+    :raises ValueError: if the key is invalid.
+    """
+    kind, _, rest = key.partition("/")
+    if kind not in _NUMBERS_IN_KEY:
+        return None
+    job_id, *numbers = rest.split("/")
+    if len(numbers) != _NUMBERS_IN_KEY[kind]:
+        raise ValueError(f"{len(numbers)} numbers in the key")
+    return _Key(kind, job_id, tuple(_parse_number(each) for each in numbers))
+
+
+def _parse_number(digits: str) -> int:
+    if not digits.isdecimal() or len(digits) > _POSITION_DIGITS:
+        raise ValueError(f"{digits!r} is not a number of a part")
+    return int(digits)
+
+
 class Ledger:
     """The jobs of one partition at an offset of its log.
 
@@ -149,12 +193,20 @@
         self.end = 0
         self._jobs: dict[str, LedgerJob] = {}
         self._partial: dict[str, _PartialJob] = {}
+        self._unreadable: set[str] = set()
 
     @property
     def jobs(self) -> dict[str, LedgerJob]:
         """All accepted jobs that have not been deleted."""
         return self._jobs
 
+    def may_have(self, job_id: str) -> bool:
+        """Return whether a job may have been accepted that isn't among the jobs.
+
+        Some of its records can't be read.
+        """
+        return job_id in self._unreadable
+
     def open_jobs(self) -> Iterator[LedgerJob]:
         """Yield the jobs that still have items without a result."""
         return (job for job in self._jobs.values() if job.is_open)
@@ -162,33 +214,48 @@
     def apply(self, record: KeyedRecord) -> None:
         """Apply a record; order matters only among records of the same key.
 
-        :raises ChivespanError: ``protocol`` if the record can't be decoded.
+        A record that can't be read changes nothing.
+
+        :raises ChivespanError: ``protocol`` if the record can't be read.
         """
-        with decoding(f"record {record.key!r}", error_of(ErrorKind.PROTOCOL)):
-            self._apply(record)
-
-    def _apply(self, record: KeyedRecord) -> None:
-        kind, _, rest = record.key.partition("/")
-        job_id, *numbers = rest.split("/")
-        if not record.value:
-            self._delete(kind, job_id)
+        try:
+            with decoding(f"record {record.key!r}", error_of(ErrorKind.PROTOCOL)):
+                key = _parse_key(record.key)
+                if key is not None:
+                    self._apply(key, record.value)
+        except ChivespanError:
+            self._record_unreadable(record.key)
+            raise
+
+    def _apply(self, key: _Key, value: bytes) -> None:
+        if not value:
+            self._delete(key.kind, key.job_id)
             return
-        parts = self._partial.setdefault(job_id, _PartialJob())
-        if kind == _JOB:
-            parts.head = decode(record.value, BatchJob)
-        elif kind == _ITEMS:
-            parts.items[int(numbers[0])] = record.value
-        elif kind == _RESULT:
-            position, part = int(numbers[0]), int(numbers[1])
-            parts.results.setdefault(position, {})[part] = record.value
-        elif kind == _END:
-            parts.ended_ms = decode(record.value, BatchEnd).ended_ms
-        self._build(job_id, parts)
+        parts = self._partial.setdefault(key.job_id, _PartialJob())
+        if key.kind == _JOB:
+            parts.head = decode(value, BatchJob)
+        elif key.kind == _ITEMS:
+            (part,) = key.numbers
+            parts.items[part] = value
+        elif key.kind == _RESULT:
+            position, part = key.numbers
+            parts.results.setdefault(position, {})[part] = value
+        elif key.kind == _END:
+            parts.ended_ms = decode(value, BatchEnd).ended_ms
+        self._build(key.job_id, parts)
+
+    def _record_unreadable(self, key: str) -> None:
+        """Remember that a job may exist of which a record can't be read."""
+        _, _, rest = key.partition("/")
+        job_id, _, _ = rest.partition("/")
+        if job_id not in self._jobs and len(self._unreadable) < MAX_UNREADABLE:
+            self._unreadable.add(job_id)
 
     def _delete(self, kind: str, job_id: str) -> None:
         if kind == _JOB:
             self._jobs.pop(job_id, None)
             self._partial.pop(job_id, None)
+            self._unreadable.discard(job_id)
 
     def _build(self, job_id: str, parts: _PartialJob) -> None:
         """Build or extend a job from the records whose parts are all present."""
@@ -201,6 +268,7 @@
             directories = frozenset(directory_of(each.path) for each in items.values())
             job = LedgerJob(job_id, parts.head, items, directories)
             self._jobs[job_id] = job
+            self._unreadable.discard(job_id)
             parts.items.clear()
         if parts.ended_ms is not None:
             job.ended = True
--- a/chivespan/batchrequesthandler.py
+++ b/chivespan/batchrequesthandler.py
@@ -139,6 +139,8 @@
         job = self._store.ledger.jobs.get(job_id)
         await self._store.refresh(MAX_AGE_OF_PAGE if job else NO_WAIT)
         job = self._store.ledger.jobs.get(job_id)
+        if job is None and self._store.ledger.may_have(job_id):
+            raise ChivespanError(ErrorKind.NOT_READY, f"job {job_id} can't be read")
         if job is None:
             raise ChivespanError(ErrorKind.NOT_FOUND, f"no job {job_id}")
         return job
--- a/chivespan/ledgerstore.py
+++ b/chivespan/ledgerstore.py
@@ -285,7 +285,7 @@
         page = await load_newest(self._store, self._partition)
         ledger = Ledger()
         for record in page.records:
-            ledger.apply(record)
+            self._apply_record(ledger, record)
         ledger.end = page.end
         self._ledger = ledger
         _log.info(
@@ -306,10 +306,23 @@
 
     def _apply(self, records: Iterable[KeyedRecord], end: int) -> None:
         for record in records:
-            self._ledger.apply(record)
+            self._apply_record(self._ledger, record)
         self._ledger.end = end
         self._notify_changed()
 
+    def _apply_record(self, ledger: Ledger, record: KeyedRecord) -> None:
+        """Apply a record; one that can't be read must not stop its partition."""
+        try:
+            ledger.apply(record)
+        except ChivespanError as error:
+            _log.error(
+                "record_unreadable",
+                partition=self._partition.number,
+                key=record.key,
+                size=len(record.value),
+                reason=error.message,
+            )
+
     def _notify_changed(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
