Keep look-ups of items' routes by job, and former tables in place of missing routes

The route of each item was looked up by directory at each round, and since when a route was missing was kept by directory: items of one job may each have a directory of their own, so that the round's cost grew with the items, and beyond 10,000 directories nothing would have been given up. Services are kept by job now, and whether a route has been away for 5 s is told by the tables that were in force since.

Same tests; test_itemroutes passes.

--- a/chivespan/itemroutes.py
+++ b/chivespan/itemroutes.py
@@ -4,8 +4,11 @@
 job may therefore have different routes, with different services and limits.
 """
 
-from collections.abc import Iterable, Iterator
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
 from datetime import timedelta
+from typing import TypeVar
 
 from chivespan.batchledger import LedgerJob
 from chivespan.batchrecords import BatchItem
@@ -14,80 +17,109 @@
 from chivespan.routingstate import RoutingState
 
 MAX_CACHED = 10_000
+K = TypeVar("K")
+V = TypeVar("V")
 # A node may learn of a configuration before the operator knows that it is in force, and
 # the next one may bring a route back.
 ROUTE_END_DELAY = timedelta(seconds=5)
 
 
+@dataclass(frozen=True, slots=True)
+class _FormerTable:
+    """A routing table that was in force.
+
+    :param table: None for the time before the first one.
+    :param until: when it was seen to be replaced, on the monotonic clock.
+    """
+
+    table: RoutingTable | None
+    until: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class _JobServices:
+    """The services at which the items of a job may run."""
+
+    job: LedgerJob
+    services: frozenset[str]
+
+
 class ItemRoutes:
     """The batch routes of items by the routing table in force; caches look-ups."""
 
     def __init__(self, routing: RoutingState, clock: Clock) -> None:
         self._routing = routing
         self._clock = clock
-        self._table = routing.table
-        self._cache: dict[tuple[str, str], Route | None] = {}
-        # Since when there is no route, on the monotonic clock.
-        self._missing_since: dict[tuple[str, str], timedelta] = {}
+        self._table: RoutingTable | None = None
+        self._former: deque[_FormerTable] = deque()
+        self._routes: dict[tuple[str, str], Route | None] = {}
+        self._services: dict[str, _JobServices] = {}
 
     def route(self, job: LedgerJob, item: BatchItem) -> Route | None:
         """Return the batch route that matches an item now; None if there is none."""
+        self._follow_table()
         return self._find(job.head.host, directory_of(item.path))
 
     def services(self, jobs: Iterable[LedgerJob]) -> set[str]:
         """Return the services at which items of the given jobs may run."""
-        return {route.main_service for route in self._routes(jobs)}
+        self._follow_table()
+        return set().union(*map(self._services_of, jobs))
 
     def has_ended(self, job: LedgerJob, item: BatchItem) -> bool:
         """Return whether an item has no route any more, for ``ROUTE_END_DELAY``.
 
         A routing table older than the one by which its job was accepted doesn't tell.
         """
-        table = self._routing.table
+        self._follow_table()
+        table = self._table
         if table is None or table.version < job.head.config_version:
             return False
-        if self.route(job, item) is not None:
-            return False
-        since = self._missing_since[job.head.host, directory_of(item.path)]
-        return self._clock.monotonic() - since >= ROUTE_END_DELAY
-
-    def _routes(self, jobs: Iterable[LedgerJob]) -> Iterator[Route]:
-        for job in jobs:
-            for directory in job.directories:
-                route = self._find(job.head.host, directory)
-                if route is not None:
-                    yield route
+        key = (job.head.host, directory_of(item.path))
+        now = self._clock.monotonic()
+        return self._find(*key) is None and not any(
+            each.table is None or _batch_route(each.table, *key) is not None
+            for each in self._former
+            if now - each.until < ROUTE_END_DELAY
+        )
+
+    def _follow_table(self) -> None:
+        """Forget all look-ups when another routing table is in force."""
+        table = self._routing.table
+        if table is self._table:
+            return
+        now = self._clock.monotonic()
+        while self._former and now - self._former[0].until >= ROUTE_END_DELAY:
+            self._former.popleft()
+        self._former.append(_FormerTable(self._table, now))
+        self._table = table
+        self._routes.clear()
+        self._services.clear()
+
+    def _services_of(self, job: LedgerJob) -> frozenset[str]:
+        known = self._services.get(job.job_id)
+        if known is None or known.job is not job:
+            routes = (self._find(job.head.host, each) for each in job.directories)
+            services = frozenset(each.main_service for each in routes if each)
+            known = _JobServices(job, services)
+            _make_room(self._services)
+            self._services[job.job_id] = known
+        return known.services
 
     def _find(self, host: str, directory: str) -> Route | None:
-        table = self._routing.table
-        if table is None:
+        if self._table is None:
             return None
-        if table is not self._table:
-            self._table = table
-            self._forget_found(table)
         key = (host, directory)
-        if key not in self._cache:
-            self._make_room()
-            route = self._cache[key] = _batch_route(table, host, directory)
-            if route is None:
-                self._missing_since.setdefault(key, self._clock.monotonic())
-        return self._cache[key]
-
-    def _forget_found(self, table: RoutingTable) -> None:
-        """Forget the look-ups, and which routes were missing that are there again."""
-        self._cache.clear()
-        self._missing_since = {
-            key: since
-            for key, since in self._missing_since.items()
-            if _batch_route(table, *key) is None
-        }
-
-    def _make_room(self) -> None:
-        if len(self._cache) >= MAX_CACHED:
-            self._cache.clear()
-            self._missing_since.clear()
+        if key not in self._routes:
+            _make_room(self._routes)
+            self._routes[key] = _batch_route(self._table, host, directory)
+        return self._routes[key]
 
 
 def _batch_route(table: RoutingTable, host: str, directory: str) -> Route | None:
     route = table.find(host, directory)
     return route if route is not None and route.kind is RouteKind.BATCH else None
+
+
+def _make_room(cache: dict[K, V]) -> None:
+    if len(cache) >= MAX_CACHED:
+        cache.clear()
--- a/tests/test_itemroutes.py
+++ b/tests/test_itemroutes.py
@@ -157,4 +157,4 @@
     for record in job(*paths).records(ledger, Staged()):
         ledger.apply(record)
     assert routes.services(ledger.open_jobs()) == {"svc"}
-    assert len(routes._cache) <= MAX_CACHED
+    assert len(routes._routes) <= MAX_CACHED
