Copy the output into a status; read a result before it changes the job

A status held the item's own list of events, which is emptied when the item is given back: an owner on the same node that couldn't read its ledger yet would have listed an item as done with an empty text. A result that couldn't be read left its key counted twice. A test for each fails before.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -118,7 +118,7 @@
             target_id=self.start.target_id,
             state=state,
             events=len(self.events),
-            text=self.events if with_text else [],
+            text=list(self.events) if with_text else [],
             repeated=repeated,
             failed_attempts=list(self.failed_attempts),
         )
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -276,8 +276,8 @@
         while (
             joined := _join_parts(parts.results.get(len(job.results), {}))
         ) is not None:
-            job.result_parts.append(len(parts.results.pop(len(job.results))))
             result = decode(joined, BatchResult)
+            job.result_parts.append(len(parts.results.pop(len(job.results))))
             job.results.append(result)
             job.finished_ids.add(result.item_id)
             job.changed_ms = max(job.changed_ms, result.written_ms)
--- a/tests/test_endlessoutput.py
+++ b/tests/test_endlessoutput.py
@@ -151,6 +151,17 @@
         assert held_events(site.executor) == ["a"]
 
 
+# Guards against: the output in a status that its receiver keeps goes with the item.
+async def test_status_keeps_its_text_when_the_item_is_given_back() -> None:
+    sound = target(head("200 OK", CHUNKED), chunk(b"id: 1\ndata: a\n\n"))
+    async with raw_site(sound) as site:
+        await run_item(site, MAX_TOKENS)
+        site.executor.return_items()
+        assert site.statuses[-1].state is ItemState.returned
+        assert site.statuses[-1].text == ["a"]
+        assert site.executor._budget.used == 0
+
+
 async def test_item_with_all_the_tokens_it_may_have_is_done() -> None:
     numbers = range(1, MAX_TOKENS + 1)
     body = b"".join(b"id: %d\ndata: x\n\n" % n for n in numbers)
--- a/tests/test_unreadablerecords.py
+++ b/tests/test_unreadablerecords.py
@@ -8,7 +8,7 @@
 import pytest
 
 from chivespan.batchfront import BatchFrontend
-from chivespan.batchledger import MAX_UNREADABLE, Ledger
+from chivespan.batchledger import MAX_UNREADABLE, Ledger, result_key
 from chivespan.batchrequesthandler import BatchRequestHandler
 from chivespan.callerrequest import CallerRequest, Responder
 from chivespan.clock import NO_WAIT, SystemClock
@@ -101,6 +101,22 @@
     assert not ledger.ledger.may_have("bad")
 
 
+# Guards against: a result that can't be read leaves the job half changed, with a key too
+# many for the result that is written at its position.
+async def test_unreadable_result_is_replaced_at_its_position() -> None:
+    store = FakeStore()
+    ledger = new_ledger(store)
+    async with running(ledger):
+        await ledger.commit(job("a", items=1))
+        await put(store, KeyedRecord(result_key("a", 0), b".\xff"))
+        await ledger.commit(result("a", 0))
+    (found,) = ledger.ledger.jobs.values()
+    assert [each.text for each in found.results] == ["t"]
+    keys = list(found.keys())
+    assert keys.count(result_key("a", 0)) == 1
+    assert result_key("a", 1) not in keys
+
+
 def test_unreadable_records_take_bounded_memory() -> None:
     ledger = Ledger()
     for number in range(MAX_UNREADABLE + 10):
