--- a/tests/test_unreadablerecords.py
+++ b/tests/test_unreadablerecords.py
@@ -101,8 +101,8 @@
     assert not ledger.ledger.may_have("bad")
 
 
-# Guards against: a result that can't be read leaves the job half changed, with a key too
-# many for the result that is written at its position.
+# Guards against: a result that can't be read leaves the job half changed, with a key
+# too many for the result that is written at its position.
 async def test_unreadable_result_is_replaced_at_its_position() -> None:
     store = FakeStore()
     ledger = new_ledger(store)
