Leave the slot of a returning target to online requests beside an item

Since items may start at returning targets, one there took the only slot that health allows, so that online requests, which show within a second whether a target is well, kept away until the item ended. Batch items now use up the slots that health withholds first. The test fails before.

--- a/chivespan/targetpick.py
+++ b/chivespan/targetpick.py
@@ -66,8 +66,13 @@
 
     @property
     def free(self) -> int:
-        """The number of free slots; negative if requests are queued."""
-        return self.slots - self.online - self.batch
+        """The number of free slots; negative if requests are queued.
+
+        Batch items first use the slots that the target's health withholds: it is to get
+        online requests beside them, which show sooner whether it is well.
+        """
+        withheld = self.entry.slots - self.slots
+        return self.slots - self.online - max(0, self.batch - withheld)
 
     @property
     def summary(self) -> str:
--- a/tests/test_batchprogress.py
+++ b/tests/test_batchprogress.py
@@ -148,6 +148,23 @@
     assert placed.entry.target_id == "t1"
 
 
+# Guards against: an item in the only slot of a returning target keeps online requests
+# away, so that the target returns as late as its items end.
+def test_an_item_at_a_returning_target_leaves_its_slot_to_online_requests() -> None:
+    node = Scheduler([TargetHistory(ejections=1)])
+    (placed,) = node.place(waiting_items(3, timedelta(seconds=18)))
+    load = TargetLoad(target_id="t0", online=0, batch=1)
+    node.load_table.report("peer", [load])
+    assert node.place(waiting_items(3, timedelta(seconds=18))) == []
+    (candidate,) = node.picker.candidates(SERVICE)
+    assert (candidate.slots, candidate.free) == (1, 1)
+    full = TargetLoad(target_id="t0", online=0, batch=SLOTS)
+    node.load_table.report("other", [full])
+    (candidate,) = node.picker.candidates(SERVICE)
+    assert candidate.free <= 0
+    assert placed.entry.target_id == "t0"
+
+
 # Guards against: the same, as the owner runs none of the items itself and so never sees
 # that its targets are well again; each then runs one item at a time for good.
 @pytest.mark.anyio
