End all nodes of a test's fleet, also when one has ended by itself or none starts

Cause: killing a process that had ended by itself raises ProcessLookupError, and the others of the fleet weren't killed; nor were those of a fleet that didn't become ready.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -288,14 +288,16 @@
         site.publish(config(1))
         for number in range(len(targets)):
             site.list_target(number)
-        async with anyio.create_task_group() as starting:
-            for number in range(1, nodes + 1):
-                starting.start_soon(site.start, number, tasks)
         try:
+            async with anyio.create_task_group() as starting:
+                for number in range(1, nodes + 1):
+                    starting.start_soon(site.start, number, tasks)
             yield site, tasks
         finally:
             with anyio.CancelScope(shield=True):
                 for process in site.processes.values():
-                    process.kill()
+                    # One may have ended by itself; the others must not be left behind.
+                    with suppress(ProcessLookupError):
+                        process.kill()
                     await process.wait()
             tasks.cancel_scope.cancel()
