--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -170,11 +170,13 @@
     def _handle_status(self, vm: str, status: ItemStatus) -> None:
         """Handle another node's status of an item, as the owner of its partition.
 
-        The owner itself may run none of the items that show that a target is well.
+        The owner itself may run none of the items that show that a target is well. An
+        item is reported as done again and again until its result is written.
         """
-        if status.state is ItemState.done and not status.repeated:
+        owner = self._owners[status.partition]
+        if status.state is ItemState.done and owner.is_running_at(vm, status):
             self._picker.record_remote_success(status.target_id)
-        self._owners[status.partition].handle_status(vm, status)
+        owner.handle_status(vm, status)
 
     def send_status_to_owner(self, status: ItemStatus) -> None:
         """Send the status of an item to the owner of its partition."""
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -198,6 +198,11 @@
             self._apply_status(key, run, vm, status)
         self._count_failures(key, run, failed)
 
+    def is_running_at(self, vm: str, status: ItemStatus) -> bool:
+        """Return whether a node is expected to run the item of a status now."""
+        run = self._runs.get((status.job_id, status.item_id))
+        return run is not None and run.is_running_at(vm)
+
     def _was_missed(self, run: ItemRun, vm: str, status: ItemStatus) -> bool:
         """Return whether to apply a repeated status because the original was lost."""
         if status.state not in (ItemState.running, ItemState.paused):
--- a/tests/test_batchprogress.py
+++ b/tests/test_batchprogress.py
@@ -23,7 +23,7 @@
 from chivespan.clock import ManualClock
 from chivespan.itempacing import ItemPacer
 from chivespan.loadtable import LoadTable
-from chivespan.nodemessages import ItemState, TargetLoad
+from chivespan.nodemessages import ItemState, ItemStatus, TargetLoad
 from chivespan.ratelimits import StatedLimit
 from chivespan.sendlimiter import MIN_RATE_PER_S
 from chivespan.targethealth import (
@@ -81,7 +81,11 @@
         )
         self._item_pacer = ItemPacer(self.picker, self.clock)
         self._peaks = {}
-        self._owners = cast(Any, [SimpleNamespace(handle_status=lambda *_: None)])
+        self.running = True
+        owner = SimpleNamespace(
+            handle_status=self.end_run, is_running_at=lambda *_: self.running
+        )
+        self._owners = cast(Any, [owner])
         for entry, each in zip(entries, histories, strict=True):
             if each.per_s is not None:
                 targets.limits.record(entry, StatedLimit(each.per_s))
@@ -90,6 +94,10 @@
             for _ in range(each.successes):
                 self.picker.record_success(entry.target_id)
 
+    def end_run(self, vm: str, ended: ItemStatus) -> None:
+        """Handle the status of an item that a node has run."""
+        self.running = False
+
     def fail(self, target_id: str) -> None:
         """Eject a target, and let it return."""
         for _ in range(EJECT_AFTER_FAILURES):
@@ -171,14 +179,28 @@
 async def test_items_of_other_nodes_show_the_owner_that_a_target_is_well() -> None:
     node = Scheduler([TargetHistory(ejections=1)])
     peer = cast(Any, SimpleNamespace(node=SimpleNamespace(vm="n2")))
+    done = replace(status(ItemState.done), partition=0, target_id="t0")
     for _ in range(RECOVERY_SUCCESSES):
-        done = replace(status(ItemState.done), partition=0, target_id="t0")
-        await node.handle_message(peer, replace(done, repeated=True))
+        node.running = True
         await node.handle_message(peer, done)
     (candidate,) = node.picker.candidates(SERVICE)
     assert candidate.slots == SLOTS
 
 
+# Guards against: an item that is reported as done again, after a lost link or in case
+# the status was lost, counts as another success of its target.
+@pytest.mark.anyio
+async def test_item_that_is_reported_as_done_again_is_one_success() -> None:
+    node = Scheduler([TargetHistory(ejections=1)])
+    peer = cast(Any, SimpleNamespace(node=SimpleNamespace(vm="n2")))
+    done = replace(status(ItemState.done), partition=0, target_id="t0")
+    for _ in range(RECOVERY_SUCCESSES):
+        await node.handle_message(peer, done)
+        await node.handle_message(peer, replace(done, repeated=True))
+    (candidate,) = node.picker.candidates(SERVICE)
+    assert candidate.slots == 2
+
+
 # Guards against: a node that can't reach a target uses it at full again and again,
 # since the items of other nodes succeed there.
 def test_success_of_other_nodes_makes_the_next_ejection_no_shorter() -> None:
