Let a long output of many small events be done

An item's output was limited by its size in memory, 64 bytes for each event beside its text: more than some 64,000 small events were dropped at each run, so that a sound item with a long output was never done. The limit is now by characters, as the store's; the number of events is limited by the tokens of the request, or a default where it doesn't say.

wire tells the tokens; that an event holds one or more is for its caller to conclude.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -25,7 +25,12 @@
     parse_events,
 )
 from chivespan.exchange import Call, NotSent, Reply, exchange
-from chivespan.itemoutput import ItemOutput, NoMemoryForOutput, OutputBudget
+from chivespan.itemoutput import (
+    DEFAULT_MAX_EVENTS,
+    ItemOutput,
+    NoMemoryForOutput,
+    OutputBudget,
+)
 from chivespan.itemquarantine import ItemBreaks, ItemQuarantine
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
@@ -327,9 +332,9 @@
         :raises _Yielded: if the item yields its slot.
         :raises ChivespanError: ``stream_broken`` if the stream is incomplete.
         """
-        events_before = len(held.events)
-        max_events = wire.max_events(_encoded_headers(held.start))
-        splitter = EventSplitter(EventOrder.CONSECUTIVE, events_before, max_events)
+        max_tokens = wire.max_output_tokens(_encoded_headers(held.start))
+        max_events = DEFAULT_MAX_EVENTS if max_tokens is None else max_tokens
+        splitter = EventSplitter(EventOrder.CONSECUTIVE, len(held.events), max_events)
         reads = 0
         checked = last_event = self._clock.monotonic()
         while True:
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -89,7 +89,7 @@
             splitter=splitter_for(
                 route,
                 request.header(wire.LAST_EVENT_ID),
-                wire.max_events(request.headers),
+                wire.max_output_tokens(request.headers),
             ),
         )
         outcome = "cancelled"
--- a/chivespan/itemoutput.py
+++ b/chivespan/itemoutput.py
@@ -1,8 +1,8 @@
 """Bounds the partial output of batch items that a node keeps in memory.
 
 A faulty target may send well-formed events without end. The output of one item has a
-limit in bytes, besides that by what its request can produce. That of all items of a
-node together is limited to a share of the memory of the process.
+limit in characters, besides that by what its request can produce. That of all items of
+a node together is limited to a share of the memory of the process.
 """
 
 from collections.abc import Collection, Iterable
@@ -10,7 +10,9 @@
 from chivespan.eventstream import OutputExceeded
 
 # Of one item; the store can't hold a larger result.
-MAX_ITEM_OUTPUT_BYTES = 4 * 1024 * 1024
+MAX_ITEM_CHARS = 4 * 1024 * 1024
+# Of an item whose request doesn't say how much output it may have.
+DEFAULT_MAX_EVENTS = 65536
 # Size of an event in memory besides its text.
 EVENT_OVERHEAD_BYTES = 64
 # Of the memory of a process, for the output of all items.
@@ -44,6 +46,7 @@
     def __init__(self, budget: OutputBudget, events: Iterable[str]) -> None:
         self._budget = budget
         self._events = list(events)
+        self._chars = sum(map(len, self._events))
         self._size = 0
         self._resize(_size_of(self._events))
 
@@ -63,12 +66,14 @@
         :raises OutputExceeded: when it is more than an item may have.
         """
         self._events.extend(events)
+        self._chars += sum(map(len, events))
         self._resize(_size_of(events))
-        if self._size > MAX_ITEM_OUTPUT_BYTES:
-            raise OutputExceeded(f"more than {MAX_ITEM_OUTPUT_BYTES} bytes")
+        if self._chars > MAX_ITEM_CHARS:
+            raise OutputExceeded(f"more than {MAX_ITEM_CHARS} characters")
 
     def truncate(self, count: int) -> None:
         """Keep only the first events."""
+        self._chars -= sum(map(len, self._events[count:]))
         self._resize(-_size_of(self._events[count:]))
         del self._events[count:]
 
--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -175,13 +175,13 @@
     return ()
 
 
-def max_events(headers: Iterable[Header]) -> int | None:
-    """Return how many events of a stream can hold output; None if that isn't known.
+def max_output_tokens(headers: Iterable[Header]) -> int | None:
+    """Return how many tokens a request's output may have; None if it doesn't say.
 
-    Each holds one token or more.
-
-    >>> max_events([(TOKEN_COUNT, b"1460,80")]), max_events([(TOKEN_COUNT, b"80")])
-    (80, None)
+    >>> max_output_tokens([(TOKEN_COUNT, b"1460,80")])
+    80
+    >>> max_output_tokens([(TOKEN_COUNT, b"80")]) is None
+    True
     """
     for name, value in headers:
         if name.lower() == TOKEN_COUNT and (counts := _TOKEN_COUNTS.fullmatch(value)):
--- a/chivespan/responserelay.py
+++ b/chivespan/responserelay.py
@@ -142,19 +142,20 @@
 
 
 def splitter_for(
-    route: Route, last_event: str, max_events: int | None
+    route: Route, last_event: str, max_tokens: int | None
 ) -> EventSplitter:
     """Return the splitter for the caller's stream.
 
     :param last_event: the last event that the caller has received, as it states it.
-    :param max_events: how many events can hold output, as far as that is known.
+    :param max_tokens: how many tokens the output may have, as far as that is known; an
+        event holds one or more.
     """
     last_id = parse_event_id(last_event or "0")
     if route.kind is not RouteKind.STREAM:
         return EventSplitter()
     if last_id is None or not route.resumable:
-        return EventSplitter(EventOrder.INCREASING, max_events=max_events)
-    return EventSplitter(EventOrder.CONSECUTIVE, last_id, max_events)
+        return EventSplitter(EventOrder.INCREASING, max_events=max_tokens)
+    return EventSplitter(EventOrder.CONSECUTIVE, last_id, max_tokens)
 
 
 def check_response(reply: Reply, request_id: str) -> None:
