Count output as what it takes in memory

The budget for the output of all items counted a character as one byte; outside of Latin-1 one takes two or four, so that a node could have kept four times the share of its memory. Found by reading the diff again. The new test fails before.

--- a/chivespan/itemoutput.py
+++ b/chivespan/itemoutput.py
@@ -5,6 +5,7 @@
 a node together is limited to a share of the memory of the process.
 """
 
+import sys
 from collections.abc import Collection, Iterable
 
 from chivespan.eventstream import OutputExceeded
@@ -13,8 +14,8 @@
 MAX_ITEM_CHARS = 4 * 1024 * 1024
 # Of an item whose request doesn't say how much output it may have.
 DEFAULT_MAX_EVENTS = 65536
-# Size of an event in memory besides its text.
-EVENT_OVERHEAD_BYTES = 64
+# Size of a list's reference to an event.
+REFERENCE_BYTES = 8
 # Of the memory of a process, for the output of all items.
 SHARE_OF_MEMORY = 1 / 8
 
@@ -92,4 +93,4 @@
 
 
 def _size_of(events: Iterable[str]) -> int:
-    return sum(len(event) + EVENT_OVERHEAD_BYTES for event in events)
+    return sum(sys.getsizeof(event) + REFERENCE_BYTES for event in events)
--- a/tests/test_endlessoutput.py
+++ b/tests/test_endlessoutput.py
@@ -201,6 +201,13 @@
     assert max_output_bytes(128) == 16 * MEGABYTE
 
 
+# Guards against: characters that take four bytes each count as one.
+def test_output_counts_as_what_it_takes_in_memory() -> None:
+    budget = OutputBudget(MEGABYTE)
+    text = "\U0001f600" * 10_000
+    assert ItemOutput(budget, [text]).size > 4 * len(text)
+
+
 # Guards against: a long sound output of many small events is dropped at each run, so
 # that its item is never done.
 async def test_long_output_of_small_events_is_done() -> None:
