--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 from datetime import timedelta
 from http import HTTPStatus
 from random import Random
@@ -25,13 +24,14 @@
     parse_events,
 )
 from chivespan.exchange import Call, NotSent, Reply, exchange
+from chivespan.helditem import HeldItem, retargeted, status_without_run
 from chivespan.itemoutput import (
     DEFAULT_MAX_EVENTS,
     ItemOutput,
     NoMemoryForOutput,
     OutputBudget,
 )
-from chivespan.itemquarantine import ItemBreaks, ItemQuarantine
+from chivespan.itemquarantine import ItemQuarantine
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -60,75 +60,11 @@
 
 _log = logger("executor")
 
-_LASTING_STATES = frozenset({ItemState.running, ItemState.done, ItemState.impossible})
-
 
 class _Yielded(Exception):
     """The item yields its slot to an online request."""
 
 
-@dataclass(slots=True)
-class HeldItem:
-    """An item that this node holds.
-
-    :ivar output: all events received so far.
-    :ivar parts: ids of the parts of its prompt that other requests may share.
-    :ivar state: state that is reported to the owner.
-    :ivar failed_attempts: numbers of the attempts that failed here.
-    :ivar answered: whether a target has answered its prompt in the current run.
-    :ivar breaks: the runs that broke off before that.
-    :ivar scope: cancels the current run; None while the item doesn't run.
-    """
-
-    start: ItemStart
-    output: ItemOutput
-    parts: tuple[str, ...] = ()
-    state: ItemState = ItemState.paused
-    failed_attempts: list[int] = field(default_factory=list)
-    answered: bool = False
-    breaks: ItemBreaks = field(default_factory=ItemBreaks)
-    scope: anyio.CancelScope | None = field(default=None, repr=False)
-
-    @property
-    def events(self) -> list[str]:
-        """Data of all events received so far."""
-        return self.output.events
-
-    @property
-    def key(self) -> tuple[str, str]:
-        """Unique key: job id and item id."""
-        return (self.start.job_id, self.start.item_id)
-
-    def status(self) -> ItemStatus:
-        """Return the status to report to the owner when the state changes."""
-        return self._status(self.state, repeated=False)
-
-    def held_status(self, repeated: bool) -> ItemStatus:
-        """Return the status to report while the state stays the same.
-
-        How the last run ended was reported when it did, and would take effect twice:
-        only the numbers of failed attempts are reported again.
-
-        :param repeated: whether this is for the case that an earlier status was lost.
-        """
-        state = self.state if self.state in _LASTING_STATES else ItemState.paused
-        return self._status(state, repeated)
-
-    def _status(self, state: ItemState, repeated: bool) -> ItemStatus:
-        with_text = state in (ItemState.done, ItemState.returned)
-        return ItemStatus(
-            partition=self.start.partition,
-            job_id=self.start.job_id,
-            item_id=self.start.item_id,
-            target_id=self.start.target_id,
-            state=state,
-            events=len(self.events),
-            text=list(self.events) if with_text else [],
-            repeated=repeated,
-            failed_attempts=list(self.failed_attempts),
-        )
-
-
 class BatchExecutor:
     """Runs and holds the items of this node.
 
@@ -186,7 +122,7 @@
             output = ItemOutput(self._budget, message.events)
             held = self._items[key] = HeldItem(message, output, parts)
         else:
-            held.start = _retargeted(held.start, message)
+            held.start = retargeted(held.start, message)
         if held.state is ItemState.done:
             self._send_status(held.status())
             return
@@ -430,33 +366,3 @@
 
 def _headers(start: ItemStart) -> list[tuple[str, str]]:
     return [(header.name, header.value) for header in start.headers]
-
-
-def _retargeted(held_start: ItemStart, message: ItemStart) -> ItemStart:
-    """Return a held item's start message with the target of a new start message."""
-    return ItemStart(
-        partition=message.partition,
-        job_id=held_start.job_id,
-        item_id=held_start.item_id,
-        target_id=message.target_id,
-        host=held_start.host,
-        path=held_start.path,
-        headers=held_start.headers,
-        body=held_start.body,
-        events=[],
-        attempt=message.attempt,
-    )
-
-
-def status_without_run(message: ItemStart, state: ItemState) -> ItemStatus:
-    """Return the status of an item that was not started."""
-    return ItemStatus(
-        partition=message.partition,
-        job_id=message.job_id,
-        item_id=message.item_id,
-        target_id=message.target_id,
-        state=state,
-        events=0,
-        text=[],
-        repeated=False,
-    )
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from chivespan.batchbacklog import BacklogLog
-from chivespan.batchexecutor import BatchExecutor, status_without_run
+from chivespan.batchexecutor import BatchExecutor
 from chivespan.batchowner import BatchOwner
 from chivespan.batchownership import PARTITIONS, OwnershipChange, PartitionOwnership
 from chivespan.batchrequesthandler import BatchRequestHandler
@@ -23,6 +23,7 @@
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
+from chivespan.helditem import status_without_run
 from chivespan.itempacing import ItemPacer
 from chivespan.itemrun import ItemRun
 from chivespan.keyedstore import KeyedStore, Partition
--- a/tests/test_itemattempts.py
+++ b/tests/test_itemattempts.py
@@ -9,9 +9,10 @@
 import anyio
 import pytest
 
-from chivespan.batchexecutor import BatchExecutor, HeldItem
+from chivespan.batchexecutor import BatchExecutor
 from chivespan.batchowner import TAKEOVER_DELAY
 from chivespan.batchschedule import Placement
+from chivespan.helditem import HeldItem
 from chivespan.itemrun import SILENCE_TIMEOUT
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
