Move the record of listed items out of the owner

How a result is logged and counted stands in itemresult.py, which attempts a status says have failed in itemrun.py; no change of logic.

--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -14,7 +14,8 @@
 from chivespan.errors import ChivespanError
 from chivespan.itemduration import ItemDurationEstimator
 from chivespan.itemquarantine import ItemQuarantine
-from chivespan.itemroutes import ItemRoutes
+from chivespan.itemresult import record_listed
+from chivespan.itemroutes import ItemRoutes, end_of_retention
 from chivespan.itemrun import ItemOutcome, ItemRun
 from chivespan.itemtimes import ItemPhase, ItemTimes
 from chivespan.ledgerstore import LedgerStore
@@ -28,7 +29,6 @@
 )
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.quarantine import Quarantine
-from chivespan.routes import Route
 from chivespan.routingstate import RoutingState
 
 # How stale the ledger may be before it is read again.
@@ -145,7 +145,7 @@
                     holder=run.vm if run else "",
                     will_be_late=wall_time + remaining > due,
                     remaining=remaining,
-                    abandoned_at=_end_of_retention(job, route),
+                    abandoned_at=end_of_retention(job, route),
                 )
 
     def start(self, placement: Placement) -> None:
@@ -193,7 +193,7 @@
             self._send(vm, _stop(key))
             return
         run.record_report(self._clock.monotonic())
-        failed = _failed_attempts(run, vm, status)
+        failed = run.reported_failures(vm, status)
         if not status.repeated or self._was_missed(run, vm, status):
             self._apply_status(key, run, vm, status)
         self._count_failures(key, run, failed)
@@ -297,7 +297,7 @@
         if route is None:
             has_ended = self._routes.has_ended(job, item)
             return ItemOutcome.no_route if has_ended else None
-        end = _end_of_retention(job, route)
+        end = end_of_retention(job, route)
         is_too_old = end is not None and now > end + ABANDON_MARGIN
         return ItemOutcome.too_old if is_too_old else None
 
@@ -377,33 +377,11 @@
                 run.outcome = ItemOutcome.too_large
             await self._store.commit(replace(result, done=False, text=""))
         run = self._runs.pop(key, None)
-        self._record_finished(result, run)
+        job = self._store.ledger.jobs.get(result.job_id)
+        record_listed(result, run, job, self._owner_since, self._clock, self._metrics)
         if run is not None and run.vm:
             self._send(run.vm, _stop(key))
 
-    def _record_finished(self, result: WriteResult, run: ItemRun | None) -> None:
-        """Log and count the time that a finished item spent in each phase."""
-        job = self._store.ledger.jobs.get(result.job_id)
-        times = ItemTimes(self._clock.monotonic()) if run is None else run.times
-        times.enter(ItemPhase.listing, self._clock.monotonic())
-        for phase, spent in times.spent.items():
-            self._metrics.record_item_phase(phase.value, spent)
-        age = None if job is None else self._clock.now() - job.submitted
-        outcome = _outcome(result, run)
-        self._metrics.record_item_outcome(outcome)
-        _log.info(
-            "item_listed",
-            job=result.job_id,
-            item=result.item_id,
-            outcome=outcome,
-            failed_attempts=0 if run is None else len(run.failed_attempts),
-            age_ms=None if age is None else age // MILLISECOND,
-            runs=times.runs,
-            lost_events=times.lost_events,
-            taken_over=job is not None and job.submitted < self._owner_since,
-            **times.milliseconds(),
-        )
-
     def _run_of(self, key: tuple[str, str]) -> ItemRun:
         """Return the run of an item; creates one in the waiting phase if needed."""
         run = self._runs.get(key)
@@ -434,33 +412,6 @@
                     self._send(run.vm, _stop(key))
 
 
-def _end_of_retention(job: LedgerJob, route: Route) -> datetime | None:
-    """Return when an item of the route may be abandoned; None for never."""
-    return job.submitted + route.abandon_after if route.abandon_after else None
-
-
-def _failed_attempts(run: ItemRun, vm: str, status: ItemStatus) -> list[int]:
-    """Return the attempts that a status says have failed.
-
-    A node of the last release doesn't number them. Its failure is that of the attempt
-    that was started there; once that has ended, it is one that was counted before.
-    """
-    if status.failed_attempts or status.state is not ItemState.failed:
-        return status.failed_attempts
-    return [run.attempt] if run.is_running_at(vm) else []
-
-
-def _outcome(result: WriteResult, run: ItemRun | None) -> str:
-    """Return the outcome for log and metrics; of a run that was released, its result.
-
-    A run is released when the partition goes to another node while the result is being
-    written.
-    """
-    if run is not None and run.outcome is not None:
-        return run.outcome.value
-    return ItemOutcome.done.value if result.done else "given_up"
-
-
 def _headers(item: BatchItem) -> list[ItemHeader]:
     return [ItemHeader(name=each.name, value=each.value) for each in item.headers]
 
--- a/chivespan/itemroutes.py
+++ b/chivespan/itemroutes.py
@@ -7,7 +7,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import TypeVar
 
 from chivespan.batchledger import LedgerJob
@@ -115,6 +115,11 @@
         return self._routes[key]
 
 
+def end_of_retention(job: LedgerJob, route: Route) -> datetime | None:
+    """Return when an item of the route may be abandoned; None for never."""
+    return job.submitted + route.abandon_after if route.abandon_after else None
+
+
 def _batch_route(table: RoutingTable, host: str, directory: str) -> Route | None:
     route = table.find(host, directory)
     return route if route is not None and route.kind is RouteKind.BATCH else None
--- a/chivespan/itemrun.py
+++ b/chivespan/itemrun.py
@@ -8,6 +8,7 @@
 from chivespan.clock import NO_WAIT
 from chivespan.itemquarantine import ItemBreaks
 from chivespan.itemtimes import ItemPhase, ItemTimes
+from chivespan.nodemessages import ItemState, ItemStatus
 
 # A node whose link has broken has this long to come back and report its items.
 RECONNECT_TIMEOUT = timedelta(milliseconds=500)
@@ -100,6 +101,17 @@
         """Return whether a node is expected to run the item now."""
         return self.vm == vm and bool(self.target_id)
 
+    def reported_failures(self, vm: str, status: ItemStatus) -> list[int]:
+        """Return the attempts that a node's status says have failed.
+
+        A node of the last release doesn't number them. Its failure is that of the
+        attempt that was started there; once that has ended, it is one that was counted
+        before.
+        """
+        if status.failed_attempts or status.state is not ItemState.failed:
+            return status.failed_attempts
+        return [self.attempt] if self.is_running_at(vm) else []
+
     def record_failures(self, attempts: Iterable[int]) -> None:
         """Record failed attempts; each counts once, however often it is reported."""
         self.failed_attempts.update(attempts)
