--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from pathlib import Path
+from zlib import crc32
 
 from review.harness_2.site import BOUNDS, Site, items, run_case
 
@@ -21,7 +22,7 @@
 async def play(site: Site) -> list[str]:
     """End a job shortly after the store began to turn one node away."""
     for runner in site.runners:
-        runner.events = 60
+        runner.events_of = events_of
     await asyncio.sleep(STABLE_S + 1)
     answer = await site.submit(
         2, "/digest/j", "job-1", items("it", "/digest/i/", ITEMS)
@@ -57,6 +58,11 @@
     ]
 
 
+def events_of(item_id: str) -> int:
+    """Return the number of events of an item, 30 to 89."""
+    return 30 + crc32(item_id.encode()) % 60
+
+
 def prepare(site: Site) -> None:
     """Put one node into a zone without runners; give it the fastest link."""
     site.runner_zone = "hr-east-vukovar"
--- a/review/harness_2/runner.py
+++ b/review/harness_2/runner.py
@@ -1,7 +1,6 @@
 """Stand-in of a model runner that streams events."""
 
 import asyncio
-import contextlib
 import json
 import time
 from collections.abc import Awaitable, Callable
@@ -47,6 +46,7 @@
     :ivar before_event: awaited before each event, with its number.
     :ivar admit: awaited before a request is admitted; returns a status to refuse it
         with as not run, or 0.
+    :ivar events_of: returns the number of events of a request; ``events`` for None.
     :ivar is_up: whether it accepts connections.
     """
 
@@ -55,6 +55,7 @@
     slots: int = 8
     queue: int = 24
     events: int = 34
+    events_of: Callable[[str], int] | None = None
     first_s: float = 0.03
     gap_s: float = 0.02
     arrivals: list[Arrival] = field(default_factory=list)
@@ -144,18 +145,23 @@
         finally:
             self._waiting -= 1
         try:
-            await self._stream(arrival, writer)
+            await self._stream(arrival, request, writer)
         finally:
             arrival.ended = arrival.ended or "cut"
             self._running.release()
 
-    async def _stream(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
-        await self._pause(self.first_s, writer)
+    async def _stream(
+        self, arrival: Arrival, request: Request, writer: asyncio.StreamWriter
+    ) -> None:
+        await _pause(self.first_s, request)
         arrival.ran = True
         last = arrival.last_event
-        for number in range(last + 1, self.events + 1):
+        total = self.events
+        if self.events_of is not None:
+            total = self.events_of(arrival.request_id)
+        for number in range(last + 1, total + 1):
             if number > last + 1:
-                await self._pause(self.gap_s, writer)
+                await _pause(self.gap_s, request)
             if self.before_event is not None:
                 await self.before_event(self, arrival, number)
             if number == last + 1:
@@ -172,8 +178,10 @@
         write_chunk(writer, b"")
         arrival.ended = "whole"
 
-    async def _pause(self, time_s: float, writer: asyncio.StreamWriter) -> None:
-        """Wait; a runner drops a request when its connection closes."""
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(writer.wait_closed(), time_s)
-            raise ConnectionResetError
+
+async def _pause(time_s: float, request: Request) -> None:
+    """Wait; a runner drops a request when its connection closes."""
+    assert request.gone is not None
+    done, _ = await asyncio.wait([request.gone], timeout=time_s)
+    if done:
+        raise ConnectionResetError
--- a/review/harness_2/wire.py
+++ b/review/harness_2/wire.py
@@ -11,12 +11,16 @@
 
 @dataclass
 class Request:
-    """A request that was read as a whole."""
+    """A request that was read as a whole.
+
+    :ivar gone: done once the caller has closed the connection.
+    """
 
     method: str
     target: str
     headers: list[tuple[str, str]]
     body: bytes = b""
+    gone: "asyncio.Future[None] | None" = None
 
     @property
     def path(self) -> str:
@@ -79,19 +83,29 @@
     return request
 
 
+async def _wait_end(reader: asyncio.StreamReader) -> None:
+    with suppress(OSError):
+        while await reader.read(1024):
+            pass
+
+
 async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
     """Serve one request on each connection; errors of a connection end only it."""
 
     async def connected(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        gone: asyncio.Future[None] | None = None
         try:
             request = await read_request(reader)
+            request.gone = gone = asyncio.ensure_future(_wait_end(reader))
             await handler(request, writer)
             await writer.drain()
-        except (OSError, EOFError, ValueError, asyncio.CancelledError):
+        except (OSError, EOFError, ValueError):
             pass
         finally:
+            if gone is not None:
+                gone.cancel()
             with suppress(OSError, RuntimeError):
                 writer.close()
 
