--- a/review/harness_2/site.py
+++ b/review/harness_2/site.py
@@ -50,6 +50,19 @@
 }
 
 
+CONTRACTS = [
+    "base",
+    "drain",
+    "config",
+    "cost",
+    "recover",
+    "batch",
+    "stream",
+    "engine",
+    "platform",
+]
+
+
 def items(prefix: str, path: str, count: int) -> list[dict[str, Any]]:
     """Return the items of a batch job.
 
@@ -155,9 +168,7 @@
         document = {
             "version": self.version,
             "routes": self.routes,
-            "services": [
-                {"name": SERVICE, "healthPath": "/healthz", "maxConns": 310}
-            ],
+            "services": [{"name": SERVICE, "healthPath": "/healthz", "maxConns": 310}],
             "limits": {
                 "maxHeaderBytes": 16384,
                 "maxBodyBytes": 4194304,
@@ -191,7 +202,9 @@
         path.write_text(self._settings(node))
         log = (self._folder / f"{node}.log").open("ab")
         self._logs.append(log)
-        env = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
+        env = {
+            name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
+        }
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         env["CHIVESPAN_SETTINGS"] = str(path)
@@ -205,7 +218,9 @@
         limit = time.time() + within_s
         for node in nodes:
             address = (self.vm(node), READY)
-            while (await call(address, "GET", "/-/readiness", {"Host": "x"})).status != 200:
+            while (
+                await call(address, "GET", "/-/readiness", {"Host": "x"})
+            ).status != 200:
                 if time.time() > limit:
                     raise TimeoutError(f"node {node} isn't ready")
                 await asyncio.sleep(0.05)
@@ -300,6 +315,12 @@
                 )
         path.write_text("\n".join(sorted(self._lines)) + "\n")
 
+    def keep_logs(self) -> None:
+        """Copy the nodes' logs to the folder named by ``KEEP_LOGS``, if any."""
+        if keep := os.environ.get("KEEP_LOGS"):
+            for log in self._folder.glob("*.log"):
+                (Path(keep) / log.name).write_bytes(log.read_bytes())
+
     async def close(self) -> None:
         """End all processes that were started."""
         for process in self._processes.values():
@@ -330,7 +351,7 @@
 discovery = "platform"
 entry = "directory"
 heartbeatMs = 1200
-contracts = ["base","drain","config","cost","recover","batch","stream","engine","platform"]
+contracts = {json.dumps(CONTRACTS)}
 [zones]
 {zones}
 [listenAddrs]
@@ -396,9 +417,7 @@
             verdict = "could not run" if broken is None else "; ".join(broken)
             site.note(f"verdict: {verdict or 'the rule held'}")
             site.write_record(folder / "record.txt")
-            if keep := os.environ.get("KEEP_LOGS"):
-                for log in Path(temporary).glob("*.log"):
-                    (Path(keep) / log.name).write_bytes(log.read_bytes())
+            site.keep_logs()
             print(verdict or "the rule held")
             return 2 if broken is None else int(bool(broken))
 
