--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,9 @@
-"""Requests with a part that crashes runners come several at a time."""
+"""All nodes are killed after a part of prompts was found to crash runners."""
 
 import asyncio
 import os
 import random
+import signal
 import sys
 from pathlib import Path
 
@@ -14,17 +15,16 @@
 STABLE_S = BOUNDS["stableWindowMs"] / 1000
 RUNNER_DOWN_S = 3.0
 SOUND_PER_S = 8
-GROUPS = 4
-# Requests of a group, which come within ``GROUP_TIME_S``, at the nodes in turn.
-GROUP_SIZE = 9
-GROUP_TIME_S = 0.03
-GROUP_GAP_S = 8.0
+GROUPS = 3
+# Requests, at the nodes in turn, two at a time.
+GROUP_SIZE = 6
+PAIR_GAP_S = 0.4
+GROUP_GAP_S = 9.0
 ALLOWED = 3
 
 
 async def play(site: Site) -> list[str]:
-    """Send groups of harmful requests beside sound ones."""
-    loop = asyncio.get_running_loop()
+    """Send groups of harmful requests; kill all nodes after the first group."""
     crashes: list[float] = []
     revived: set[asyncio.Task[None]] = set()
 
@@ -33,10 +33,10 @@
         await site.start_runner(runner)
 
     async def crash_if_harmful(runner: Runner, arrival: Arrival, number: int) -> None:
-        if not TROUBLE or not has_part(arrival):
+        if not is_harmful(arrival):
             return
         if runner.is_up:
-            crashes.append(loop.time())
+            crashes.append(asyncio.get_running_loop().time())
             site.note(f"runner {runner.runner_id} crashes")
             runner.crash()
             revived.add(asyncio.create_task(revive(runner)))
@@ -44,44 +44,60 @@
 
     for runner in site.runners:
         runner.before_event = crash_if_harmful
+    loop = asyncio.get_running_loop()
+    in_touch_from = loop.time() + STABLE_S
     sound = asyncio.create_task(send_sound(site))
-    await asyncio.sleep(STABLE_S + 1)
+    await asyncio.sleep(2)
+    fifth = 0.0
     counted = 0
     for group in range(GROUPS):
-        before = sends(site)
-        is_counted = len(crashes) >= 5 and loop.time() > crashes[4] + STABLE_S
-        site.note(f"group {group} of requests with the part")
+        before = harmful_arrivals(site)
+        began = loop.time()
+        site.note(f"group {group} of harmful requests")
         async with asyncio.TaskGroup() as tasks:
             for number in range(GROUP_SIZE):
                 node = 1 + number % len(site.nodes)
+                request_id = f"bad-{group}-{number}"
                 parts = f"a1:100,{HARMFUL}:100,{group}{number}:250"
                 tasks.create_task(
-                    site.request(
-                        node, "/confirm/x", f"part-{group}-{number}", parts=parts
-                    )
+                    site.request(node, "/confirm/x", request_id, parts=parts)
                 )
-                await asyncio.sleep(random.uniform(0, 2 * GROUP_TIME_S / GROUP_SIZE))
-        reached = sends(site) - before
-        site.note(f"{reached} sends reached runners, counted: {is_counted}")
-        counted += reached if is_counted else 0
-        await asyncio.sleep(GROUP_GAP_S)
+                await asyncio.sleep(PAIR_GAP_S * (number % 2))
+        reached = harmful_arrivals(site) - before
+        is_counted = fifth and began > max(fifth + STABLE_S, in_touch_from)
+        site.note(f"{reached} sends reached runners, counted: {bool(is_counted)}")
+        if is_counted:
+            counted += reached
+        if not fifth and len(crashes) >= 5:
+            fifth = crashes[4]
+        await asyncio.sleep(1)
+        if TROUBLE and group == 0:
+            for node in site.nodes:
+                site.send_signal(node, signal.SIGKILL)
+            for node in site.nodes:
+                await site.wait_end(node)
+                await site.launch(node)
+            in_touch_from = loop.time() + STABLE_S
+            await site.wait_ready(*site.nodes)
+        await asyncio.sleep(max(0.0, began + GROUP_GAP_S - loop.time()))
     sound.cancel()
+    assert fifth, "no fifth crash"
     if counted > ALLOWED:
         return [f"BUDGET: {counted} sends with the part reached runners"]
     return []
 
 
-def has_part(arrival: Arrival) -> bool:
-    """Return whether a request holds the part."""
+def is_harmful(arrival: Arrival) -> bool:
+    """Return whether a request holds the harmful part."""
     return any(
         name == "x-chivespan-prompt-prefix" and HARMFUL in value
         for name, value in arrival.headers
     )
 
 
-def sends(site: Site) -> int:
+def harmful_arrivals(site: Site) -> int:
     """Return how many requests with the part have reached runners."""
-    return sum(has_part(each) for runner in site.runners for each in runner.arrivals)
+    return sum(is_harmful(each) for runner in site.runners for each in runner.arrivals)
 
 
 async def send_sound(site: Site) -> None:
@@ -97,4 +113,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, nodes=3, runners=15, play=play))
+    sys.exit(run_case(Path(__file__).parent, nodes=3, runners=12, play=play))
