--- a/review/harness_2/site.py
+++ b/review/harness_2/site.py
@@ -386,7 +386,7 @@
 
 
 def run_case(
-    folder: Path,
+    record: Path,
     nodes: int,
     runners: int,
     play: Any,
@@ -395,12 +395,18 @@
 ) -> int:
     """Play a case and return the exit status of its script.
 
-    :param folder: of the case, for its record.
+    On SIGTERM or SIGINT the processes are ended, and the case could not run.
+
+    :param record: file to which the record is written.
     :param play: plays the case on a site; returns what was broken, empty for nothing.
     :param prepare: changes the site before it is started.
     """
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             site = Site(Path(temporary), nodes, runners)
             broken: list[str] | None = None
@@ -410,13 +416,13 @@
                 async with asyncio.timeout(within_s):
                     await site.open()
                     broken = await play(site)
-            except (TimeoutError, OSError, AssertionError) as error:
+            except (Exception, asyncio.CancelledError) as error:
                 site.note(f"the case could not run: {error!r}")
             finally:
                 await site.close()
             verdict = "could not run" if broken is None else "; ".join(broken)
             site.note(f"verdict: {verdict or 'the rule held'}")
-            site.write_record(folder / "record.txt")
+            site.write_record(record)
             site.keep_logs()
             print(verdict or "the rule held")
             return 2 if broken is None else int(bool(broken))
