--- a/review/6/case.py
+++ b/review/6/case.py
@@ -73,5 +73,6 @@
 
 
 if __name__ == "__main__":
-    folder = Path(__file__).parent
-    sys.exit(run_case(folder, nodes=3, runners=3, play=play, prepare=prepare))
+    sys.exit(
+        run_case(Path(sys.argv[1]), nodes=3, runners=3, play=play, prepare=prepare)
+    )
