--- a/bench/skiploop.py
+++ b/bench/skiploop.py
@@ -55,6 +55,10 @@
         """Return the time of the loop."""
         return timedelta(seconds=anyio.current_time())
 
+    def boottime(self) -> timedelta:
+        """Return the time of the loop."""
+        return self.monotonic()
+
 
 def backend_options(skip_waits: bool) -> dict[str, Any]:
     """Return the ``anyio.run`` backend options for virtual or real time."""
--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -1,7 +1,7 @@
 """Runs the batch work of one node: the partitions it owns and the items it holds."""
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from datetime import timedelta
 
 import anyio
@@ -22,6 +22,7 @@
 from chivespan.itempacing import ItemPacer
 from chivespan.itemrun import ItemRun
 from chivespan.keyedstore import KeyedStore, Partition
+from chivespan.ledgerage import CHECK_INTERVAL, LedgerAgeLimit
 from chivespan.ledgerstore import LedgerStore
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -42,7 +43,7 @@
 
 TOPIC = "keyed.batch"
 TICK = timedelta(milliseconds=25)
-UPKEEP_INTERVAL = timedelta(milliseconds=500)
+UPKEEP_INTERVAL = CHECK_INTERVAL
 
 _log = logger("batch")
 
@@ -51,6 +52,7 @@
     """Connects partition owners, request handlers and the executor of this node.
 
     :param capacity_policy: determines how many items may start at a target.
+    :param store_failed: called when the ledger of an owned partition can't be read.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         metrics: NodeMetrics,
         capacity_policy: CapacityPolicy,
         quarantine: Quarantine,
+        store_failed: Callable[[], None],
     ) -> None:
         self._links = links
         self._ownership = ownership
@@ -77,6 +80,11 @@
         self._backlog_log = BacklogLog(clock, capacity_policy)
         self._peaks: dict[str, OnlinePeak] = {}
         self._demand = ServiceDemand(clock)
+        self._store_failed = store_failed
+        age_limit = LedgerAgeLimit(
+            timedelta(milliseconds=settings.cancel_ms),
+            lambda: ownership.others_reach_store,
+        )
         self._item_pacer = ItemPacer(picker, clock)
         self._stores = [
             LedgerStore(
@@ -98,6 +106,7 @@
                 settings.store.max_record_bytes,
                 metrics,
                 quarantine,
+                age_limit,
             )
             for number, ledger in enumerate(self._stores)
         ]
@@ -107,6 +116,7 @@
                 routing,
                 clock,
                 settings.store.max_record_bytes,
+                owner.end_requested,
                 owner.stop_runs_of_ended_jobs,
             )
             for ledger, owner in zip(self._stores, self._owners, strict=True)
@@ -139,6 +149,11 @@
         if change.taken:
             self._partition_taken.set()
 
+    @property
+    def stale_partitions(self) -> int:
+        """Number of owned partitions whose ledger is too old to start items."""
+        return sum(self._owners[number].is_stale for number in self._ownership.owned)
+
     def leave(self) -> None:
         """Return all held items to the owners of their partitions."""
         self._executor.return_items()
@@ -343,17 +358,34 @@
             yield NodeLoad(node.vm, node.data_centre, running[node.vm])
 
     async def _maintain(self) -> None:
-        """Refresh and clean up the owned partitions until cancelled."""
-        while True:
-            owns_any = bool(self._ownership.owned)
-            timeout_s = UPKEEP_INTERVAL.total_seconds() if owns_any else None
-            with anyio.move_on_after(timeout_s):
-                await self._partition_taken.wait()
-            # The scheduler waits for the same event: it is replaced only once set.
-            if self._partition_taken.is_set():
-                self._partition_taken = anyio.Event()
-            for number in self._ownership.owned:
+        """Refresh and clean up the owned partitions until cancelled.
+
+        A slow read of one partition doesn't let the others become stale.
+        """
+        in_progress: set[int] = set()
+
+        async def maintain(number: int) -> None:
+            in_progress.add(number)
+            try:
                 await self._maintain_partition(self._owners[number])
+            finally:
+                in_progress.discard(number)
+
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._wait_for_upkeep()
+                for number in self._ownership.owned - in_progress:
+                    tasks.start_soon(maintain, number)
+
+    async def _wait_for_upkeep(self) -> None:
+        """Wait until the owned partitions are due, or until one is taken over."""
+        owns_any = bool(self._ownership.owned)
+        timeout_s = UPKEEP_INTERVAL.total_seconds() if owns_any else None
+        with anyio.move_on_after(timeout_s):
+            await self._partition_taken.wait()
+        # The scheduler waits for the same event: it is replaced only once set.
+        if self._partition_taken.is_set():
+            self._partition_taken = anyio.Event()
 
     async def _maintain_partition(self, owner: BatchOwner) -> None:
         owner.release_silent_items()
@@ -362,10 +394,12 @@
             owner.fail_abandoned_items()
             await owner.delete_expired_jobs()
         except ChivespanError as error:
+            self._store_failed()
             _log.warning(
                 "partition_not_current",
                 partition=owner.partition,
                 reason=error.message,
+                age_ms=owner.ledger_age // MILLISECOND,
             )
 
 
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -19,6 +19,8 @@
 from chivespan.itemroutes import ItemRoutes, end_of_retention
 from chivespan.itemrun import ItemOutcome, ItemRun
 from chivespan.itemtimes import ItemPhase, ItemTimes
+from chivespan.jobends import RequestedEnds
+from chivespan.ledgerage import LedgerAgeLimit
 from chivespan.ledgerstore import LedgerStore
 from chivespan.logs import logger
 from chivespan.nodemessages import ItemState, ItemStatus
@@ -26,9 +28,10 @@
 from chivespan.quarantine import Quarantine
 from chivespan.routingstate import RoutingState
 
-# How stale the ledger may be before it is read again.
-MAX_AGE_WITH_OPEN_JOBS = timedelta(seconds=1)
+# How stale the ledger may be before it is read again while no job is open.
 MAX_AGE_IDLE = timedelta(seconds=1.5)
+# How long to retry the deletion of a job.
+DELETE_TIMEOUT = timedelta(seconds=1)
 # A new owner waits this long for nodes to report the items that they hold.
 TAKEOVER_DELAY = timedelta(milliseconds=300)
 FAILED_RETRY_DELAY = timedelta(milliseconds=200)
@@ -50,6 +53,7 @@
 
     :param send: sends a message to a node; returns whether the node was reachable.
     :param job_status: how long the status of a job stays readable once it has closed.
+    :param age_limit: of the ledger from which items are started.
     """
 
     def __init__(
@@ -63,6 +67,7 @@
         max_record_bytes: int,
         metrics: NodeMetrics,
         quarantine: Quarantine,
+        age_limit: LedgerAgeLimit,
     ) -> None:
         self.partition = partition
         self._metrics = metrics
@@ -77,6 +82,9 @@
         self._owner_since = clock.now()
         self._caught_up = False
         self._quarantine = ItemQuarantine(quarantine, clock)
+        self._age_limit = age_limit
+        self._is_stale = False
+        self._requested_ends = RequestedEnds(store, clock)
         self._durations = ItemDurationEstimator()
         # The last one of each node for each item, as they come again each second.
         self._early_statuses: dict[tuple[str, str, str], ItemStatus] = {}
@@ -92,7 +100,9 @@
             await self._catch_up()
             return
         busy = any(True for _ in self._store.ledger.open_jobs())
-        await self._store.refresh(MAX_AGE_WITH_OPEN_JOBS if busy else MAX_AGE_IDLE)
+        max_age = self._age_limit.max_age_before_read
+        await self._store.refresh(max_age if busy else MAX_AGE_IDLE)
+        self._requested_ends.forget_settled()
         self.stop_runs_of_ended_jobs()
 
     async def _catch_up(self) -> None:
@@ -103,6 +113,16 @@
         for (vm, _, _), status in early.items():
             self.handle_status(vm, status)
 
+    @property
+    def is_stale(self) -> bool:
+        """Whether no items are started, as the ledger was too old at the last check."""
+        return self._is_stale
+
+    @property
+    def ledger_age(self) -> timedelta:
+        """Time for which other nodes may have changed the ledger unnoticed."""
+        return self._store.age
+
     def running(self) -> Iterator[ItemRun]:
         """Yield the runs that are executing at a target."""
         return (run for run in self._runs.values() if run.target_id)
@@ -117,8 +137,13 @@
         wall_time = self._clock.now()
         if now < self._start_not_before or not self._caught_up:
             return
+        jobs = list(self._store.ledger.open_jobs())
+        if not jobs or not self._may_start():
+            return
         suspects = self._quarantine.suspects
-        for job in self._store.ledger.open_jobs():
+        for job in jobs:
+            if self._requested_ends.may_have_ended(job.job_id):
+                continue
             for order, item in enumerate(job.waiting_items()):
                 route = self._routes.route(job, item)
                 if route is None:
@@ -230,7 +255,16 @@
         """Discard the state of all runs, as another node owns the partition now."""
         self._runs.clear()
         self._early_statuses.clear()
+        self._requested_ends.clear()
         self._caught_up = False
+        self._is_stale = False
+
+    def end_requested(self, job_id: str) -> None:
+        """Start no more items of a job whose end a caller has requested.
+
+        If this node fails to commit the end, another node may do so.
+        """
+        self._requested_ends.record(job_id)
 
     async def write_results(self) -> None:
         """Write results to the store until cancelled; retries them during outages."""
@@ -246,7 +280,7 @@
         now = self._clock.now()
         for job in list(self._store.ledger.jobs.values()):
             if is_expired(job, now, self._retention):
-                await self._store.commit(DeleteJob(job), MAX_AGE_WITH_OPEN_JOBS)
+                await self._store.commit(DeleteJob(job), DELETE_TIMEOUT)
 
     def fail_abandoned_items(self) -> None:
         """Fail items that are too old or whose route no longer exists."""
@@ -257,6 +291,19 @@
                 if reason is not None:
                     self._finish((job.job_id, item.item_id), reason)
 
+    def _may_start(self) -> bool:
+        """Return whether the ledger is recent enough to start items; log changes."""
+        is_stale = not self._age_limit.allows_start(self._store)
+        if is_stale != self._is_stale:
+            self._is_stale = is_stale
+            _log.notice(
+                "ledger_stale" if is_stale else "ledger_current",
+                partition=self.partition,
+                age_ms=self._store.age // MILLISECOND,
+                ledger_end=self._store.ledger.end,
+            )
+        return not is_stale
+
     def _is_held_back(
         self, job: LedgerJob, item: BatchItem, suspects: frozenset[str]
     ) -> bool:
--- a/chivespan/batchownership.py
+++ b/chivespan/batchownership.py
@@ -93,6 +93,11 @@
         """The partitions that this node owns."""
         return self._owned
 
+    @property
+    def others_reach_store(self) -> bool:
+        """Whether the store serves another node that this node is linked to."""
+        return any(peer.report.store_reached for peer in self._links.peers.values())
+
     @property
     def _must_hand_over(self) -> bool:
         """Whether peers have reached the store for long enough without this node."""
--- a/chivespan/batchrequesthandler.py
+++ b/chivespan/batchrequesthandler.py
@@ -36,6 +36,8 @@
 class BatchRequestHandler:
     """Handles the requests of one partition.
 
+    :param end_requested: called with the id of a job that a caller wants to end, and
+        again when that has failed.
     :param job_ended: called after a caller has ended a job.
     """
 
@@ -45,6 +47,7 @@
         routing: RoutingState,
         clock: Clock,
         max_record_bytes: int,
+        end_requested: Callable[[str], None],
         job_ended: Callable[[], None],
         random: Random | None = None,
     ) -> None:
@@ -52,6 +55,7 @@
         self._routing = routing
         self._clock = clock
         self._max_record_bytes = max_record_bytes
+        self._end_requested = end_requested
         self._job_ended = job_ended
         self._random = random or Random()
 
@@ -129,12 +133,16 @@
         return item.body
 
     async def _end(self, question: BatchQuestion) -> bytes:
-        job = await self._job(question)
-        timeout = timedelta(milliseconds=question.patience_ms)
-        change = EndJob(job.job_id, self._clock.now())
+        known = self._find(question)
+        if known is not None:
+            self._end_requested(known.job_id)
         try:
-            await self._store.commit(change, timeout)
+            job = await self._job(question)
+            timeout = timedelta(milliseconds=question.patience_ms)
+            await self._store.commit(EndJob(job.job_id, self._clock.now()), timeout)
         except ChivespanError as error:
+            if known is not None:
+                self._end_requested(known.job_id)
             raise self._caller_error(error) from error
         _log.info("job_ended", job=job.job_id, ledger_end=self._store.ledger.end)
         self._job_ended()
--- a/chivespan/fleetwatch.py
+++ b/chivespan/fleetwatch.py
@@ -34,6 +34,7 @@
 from chivespan.routingstate import NO_VERSION, RoutingState
 from chivespan.startcheck import StartCheck
 from chivespan.storefeed import StoreFeed
+from chivespan.storereachability import StoreReachability
 from chivespan.targetset import TargetSet
 
 CONFIG_READ_WAIT = timedelta(milliseconds=1500)
@@ -53,7 +54,6 @@
 # The store may briefly return the same newest document, whose position has expired.
 EXPIRED_RETRY_INTERVAL = timedelta(milliseconds=100)
 PEER_QUERY_INTERVAL = timedelta(milliseconds=250)
-STORE_FAILURE_GRACE = timedelta(seconds=1.2)
 MAX_TARGETS_AGE = timedelta(seconds=1.5)
 
 _log = logger("fleet")
@@ -114,25 +114,27 @@
         self._targets_read: timedelta | None = None
         self._last_query = timedelta(0)
         self._unreadable: dict[str, bytes] = {}
-        self._was_reached = False
-        self._failing_since: timedelta | None = None
+        self._reachability = StoreReachability(clock)
+        self._check_requested = anyio.Event()
         links.add_listener(self)
 
     @property
     def store_reached(self) -> bool:
         """Whether the store is reachable, ignoring failures within a grace period."""
-        since = self._failing_since
-        if since is None:
-            return self._was_reached
-        return (
-            self._was_reached and self._clock.monotonic() - since < STORE_FAILURE_GRACE
-        )
+        return self._reachability.is_reached
 
     @property
     def targets_known(self) -> bool:
         """Whether the targets have been read, by this node or a peer."""
         return self._targets.is_loaded
 
+    def check_store(self) -> None:
+        """Find out soon whether the store serves this node, as another read failed.
+
+        A node that is fed by its relay rarely reads the store by itself.
+        """
+        self._check_requested.set()
+
     async def run(self) -> None:
         """Watch routing table, targets and nodes; never returns."""
         async with anyio.create_task_group() as tasks:
@@ -185,26 +187,28 @@
         asked = self._clock.monotonic()
         newest = await load_newest(self._store, self._sources.routing)
         await self._start_check.wait()
-        self._apply_config(newest.records, asked)
+        self._apply_config(newest.records, asked, asked)
         end = newest.end
         for _ in range(MAX_CONFIG_READS):
             asked = self._clock.monotonic()
             wait = self._config_read_wait
             page = await self._store.read(self._sources.routing, end, wait)
             # The store has waited for a newer document in vain.
-            self._apply_config(page.records, asked if page.records else asked + wait)
+            confirmed = asked if page.records else asked + wait
+            self._apply_config(page.records, asked, confirmed)
             end += len(page.records)
 
     def _apply_config(
-        self, records: Iterable[KeyedRecord], confirmed: timedelta
+        self, records: Iterable[KeyedRecord], asked: timedelta, confirmed: timedelta
     ) -> None:
         """Apply what was read from the store.
 
+        :param asked: when the call was sent.
         :param confirmed: earliest time at which the store may have answered. A process
             that was suspended meanwhile may receive the answer much later.
         """
         self._offer_documents(records)
-        self._record_store_success()
+        self._reachability.record_success(asked)
         self.confirmation.record(confirmed)
 
     def _offer_documents(self, records: Iterable[KeyedRecord]) -> None:
@@ -215,6 +219,7 @@
     async def _watch_targets(self) -> None:
         while True:
             await self._feed.wait_until_stale()
+            asked = self._clock.monotonic()
             try:
                 page = await load_newest(self._store, self._sources.targets)
             except ChivespanError as error:
@@ -224,7 +229,7 @@
             await self._start_check.wait()
             self._targets.replace(self._decode_targets(page.records))
             self._targets_read = self._clock.monotonic()
-            self._record_store_success()
+            self._reachability.record_success(asked)
             self._feed.send(self._targets_feed())
             await self._sleep_with_jitter(self._targets_interval)
 
@@ -250,28 +255,33 @@
 
     async def _watch_nodes(self) -> None:
         while True:
+            asked = self._clock.monotonic()
             try:
                 await self._node_list.read()
             except ChivespanError as error:
                 self._record_store_failure("nodes", error)
-            started_ago = self._clock.monotonic() - self._started
-            if started_ago >= STARTUP_TIME:
-                await self._sleep_with_jitter(NODES_INTERVAL)
-            elif self._links.is_large:
-                await self._sleep_with_jitter(LARGE_FLEET_STARTUP_NODES_INTERVAL)
             else:
-                await self._sleep_with_jitter(STARTUP_NODES_INTERVAL)
-
-    def _record_store_success(self) -> None:
-        if not self._was_reached or self._failing_since is not None:
-            _log.notice("store_reached")
-        self._was_reached = True
-        self._failing_since = None
+                if self._feed.is_fresh:
+                    # Nothing else that this node reads tells of the store.
+                    self._reachability.record_success(asked)
+            await self._wait_to_read_nodes()
+
+    async def _wait_to_read_nodes(self) -> None:
+        """Wait until the list of nodes is due, or until the store is to be checked."""
+        started_ago = self._clock.monotonic() - self._started
+        interval = NODES_INTERVAL
+        if started_ago < STARTUP_TIME:
+            interval = STARTUP_NODES_INTERVAL
+            if self._links.is_large:
+                interval = LARGE_FLEET_STARTUP_NODES_INTERVAL
+        least = min(interval, RETRY_INTERVAL)
+        await self._sleep_with_jitter(least)
+        self._check_requested = anyio.Event()
+        with anyio.move_on_after(self._with_jitter(interval - least)):
+            await self._check_requested.wait()
 
     def _record_store_failure(self, what: str, error: ChivespanError) -> None:
-        if self._failing_since is None:
-            self._failing_since = self._clock.monotonic()
-            _log.warning("store_lost", reading=what, reason=error.message)
+        self._reachability.record_failure(what, error)
         peers = [peer for peer in self._links.peers.values()]
         if peers:
             self._query_peer(self._random.choice(peers))
@@ -305,9 +315,13 @@
         if is_feed:
             self._targets.replace(answer.targets)
             self._targets_read = self._clock.monotonic()
-        elif answer.targets_known and self._failing_since is not None:
+        elif answer.targets_known and self._reachability.is_failing:
             self._targets.replace(answer.targets)
         self._links.add_nodes(answer.nodes)
 
     async def _sleep_with_jitter(self, interval: timedelta) -> None:
-        await anyio.sleep(interval.total_seconds() * self._random.uniform(0.85, 1.15))
+        await anyio.sleep(self._with_jitter(interval))
+
+    def _with_jitter(self, interval: timedelta) -> float:
+        """Return a random time around an interval, in seconds."""
+        return interval.total_seconds() * self._random.uniform(0.85, 1.15)
--- a/chivespan/ledgerstore.py
+++ b/chivespan/ledgerstore.py
@@ -131,6 +131,23 @@
         """Whether the ledger has been read from the store."""
         return self._current_as_of is not None
 
+    @property
+    def age(self) -> timedelta:
+        """Time since the last successful read or append began.
+
+        Other nodes may have written in that time; the time of suspensions counts.
+        """
+        if self._current_as_of is None:
+            return timedelta.max
+        return self._clock.boottime() - self._current_as_of
+
+    def is_current_as_of(self, time: timedelta) -> bool:
+        """Return whether the ledger has been read as it was at a time or later.
+
+        :param time: as told by ``Clock.boottime``.
+        """
+        return self._current_as_of is not None and self._current_as_of >= time
+
     async def wait_changed(self) -> None:
         """Wait until the ledger changes."""
         await self._changed.wait()
@@ -141,11 +158,11 @@
         :param max_age: maximum staleness of the ledger.
         :raises StoreUnavailable: if the store cannot be read.
         """
-        min_as_of = self._clock.monotonic() - max_age
-        if self._is_current(min_as_of):
+        min_as_of = self._clock.boottime() - max_age
+        if self.is_current_as_of(min_as_of):
             return
         async with self._lock:
-            if not self._is_current(min_as_of):
+            if not self.is_current_as_of(min_as_of):
                 await self._read_new_records()
 
     async def commit(
@@ -173,9 +190,6 @@
                 await self._wake.wait()
             await self._write()
 
-    def _is_current(self, min_as_of: timedelta) -> bool:
-        return self._current_as_of is not None and self._current_as_of >= min_as_of
-
     async def _write(self) -> None:
         """Append pending changes, retrying until one append succeeds or none is left.
 
@@ -213,7 +227,7 @@
             chosen, records = self._stage()
             if not records:
                 return
-            began = self._clock.monotonic()
+            began = self._clock.boottime()
             expected_end = self._ledger.end
             try:
                 end = await self._store.append(self._partition, records, expected_end)
@@ -271,7 +285,7 @@
 
     async def _read_new_records(self) -> None:
         """Apply all records of the store that are not in the ledger yet."""
-        began = self._clock.monotonic()
+        began = self._clock.boottime()
         if not self.is_loaded:
             await self._load()
         try:
--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -191,6 +191,7 @@
             self.metrics,
             BATCH_CAPACITY_POLICIES[policies.batch_room],
             self.quarantine,
+            self.watch.check_store,
         )
         questions = BatchOwnerClient(
             self.links, self.watch, self.placement, clock, self.batch.handle_request
@@ -332,6 +333,7 @@
         self.metrics.gauge("routing_version", self.routing.version)
         self.metrics.gauge("config_age_s", self.watch.confirmation.age.total_seconds())
         self.metrics.gauge("quarantined_suspects", len(self.quarantine.quarantined))
+        self.metrics.gauge("stale_partitions", self.batch.stale_partitions)
         self.metrics.gauge("limited_targets", len(self.targets.limits.in_force))
         self.metrics.gauge("unusual_targets", self.targets.speeds.unusual_targets)
         self.customers.update_gauges(self.metrics)
--- a/chivespan/nodesettings.py
+++ b/chivespan/nodesettings.py
@@ -98,6 +98,10 @@
     """
     Seconds for which a job stays readable once it has closed.
     """
+    cancel_ms: int = 3000
+    """
+    Milliseconds after the acknowledged end of a job from which none of its items may reach a target.
+    """
     strict_revocation: bool = False
     """
     Whether a VM that can't confirm the configuration refuses requests that need a key.
--- a/chivespan/platform/settingsfile.py
+++ b/chivespan/platform/settingsfile.py
@@ -71,6 +71,7 @@
         drain_ms=int(bounds.get("drainMs", 2000)),
         address_lifetime_limit_s=float(bounds.get("ttl_max_s", 5.0)),
         job_status_s=float(bounds.get("statusS", 120.0)),
+        cancel_ms=int(bounds.get("cancelMs", 3000)),
         strict_revocation=bool(bounds.get("strictRevoke", False)),
         revocation_ms=int(bounds.get("revokeMs", 5000)),
         quota_window_s=float(bounds.get("quotaWindowS", 5.0)),
--- a/chivespan/storefeed.py
+++ b/chivespan/storefeed.py
@@ -51,6 +51,11 @@
         self._last_feed = self._clock.monotonic()
         return True
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether this node is fed and need not read the store itself."""
+        return self._time_left() > NO_WAIT
+
     async def wait_until_stale(self) -> None:
         """Wait until this node must read the store itself.
 
--- a/tests/batchcalls.py
+++ b/tests/batchcalls.py
@@ -81,7 +81,12 @@
         self.routing = RoutingState(self._decode)
         self.routing.apply_if_newer(config(1, batch_route(cap=cap)), "test")
         self.handler = BatchRequestHandler(
-            self.ledger, self.routing, self.clock, 100_000, lambda: None
+            self.ledger,
+            self.routing,
+            self.clock,
+            100_000,
+            lambda _: None,
+            lambda: None,
         )
         links = SimpleNamespace(own=node("n1"), peers={}, add_listener=lambda _: None)
         owners = BatchOwnerClient(
--- a/tests/test_batchnode.py
+++ b/tests/test_batchnode.py
@@ -1,6 +1,7 @@
 """Scheduling of batch items at a node whose partitions come and go."""
 
 from dataclasses import replace
+from datetime import timedelta
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -116,12 +117,42 @@
 # Guards against: items of a lost node wait for the end of a store outage.
 async def test_items_of_a_lost_node_are_released_without_the_store() -> None:
     released: list[str] = []
+    checks: list[str] = []
 
     async def load() -> None:
         raise ChivespanError(ErrorKind.NOT_READY, "the store is down")
 
     owner = SimpleNamespace(
-        partition=0, load=load, release_silent_items=lambda: released.append("items")
+        partition=0,
+        load=load,
+        release_silent_items=lambda: released.append("items"),
+        ledger_age=timedelta(0),
     )
-    await BatchNode._maintain_partition(cast(Any, None), cast(Any, owner))
+    itself = SimpleNamespace(_store_failed=lambda: checks.append("store"))
+    await BatchNode._maintain_partition(cast(Any, itself), cast(Any, owner))
     assert released == ["items"]
+    assert checks == ["store"]
+
+
+# Guards against: one partition of the store that doesn't answer lets the ledgers of all
+# others become too old to start items.
+async def test_slow_read_of_a_partition_delays_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(batchnode, "UPKEEP_INTERVAL", 20 * MILLISECOND)
+    reads: list[int] = []
+
+    class SlowNode(Node):
+        async def _maintain_partition(self, owner: object) -> None:
+            number = cast(int, owner)
+            reads.append(number)
+            if number == 0:
+                await anyio.sleep_forever()
+
+    node = SlowNode()
+    node._owners = cast(Any, [0, 1])
+    node.own(0, 1)
+    with anyio.move_on_after(0.3):
+        await node._maintain()
+    assert reads.count(0) == 1
+    assert reads.count(1) > 3
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -13,6 +13,7 @@
 from chivespan.itemduration import ItemDurationEstimator
 from chivespan.itemrun import RECONNECT_TIMEOUT, SILENCE_TIMEOUT
 from chivespan.keyedstore import Partition
+from chivespan.ledgerage import LedgerAgeLimit
 from chivespan.ledgerstore import LedgerStore
 from chivespan.nodemessages import ItemStart, ItemState, ItemStatus, ItemStop
 from chivespan.nodemetrics import NodeMetrics
@@ -27,6 +28,7 @@
 pytestmark = pytest.mark.anyio
 PARTITION = Partition("keyed.batch", 1)
 TARGET = target_entry("t", service="svc")
+CANCEL_TIME = timedelta(seconds=3)
 
 
 class OwnerHarness:
@@ -41,6 +43,7 @@
         self.routing = RoutingState(decode_config)
         self.configure(0, batch_route(pathPrefix="/b/"))
         self.sent: list[tuple[str, object]] = []
+        self.others_reach_store = False
         self.owner = BatchOwner(
             1,
             self.ledger,
@@ -51,6 +54,7 @@
             100_000,
             self.metrics,
             self.quarantine,
+            LedgerAgeLimit(CANCEL_TIME, lambda: self.others_reach_store),
         )
 
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
--- a/tests/test_unreadablerecords.py
+++ b/tests/test_unreadablerecords.py
@@ -45,7 +45,9 @@
 async def page(ledger: LedgerStore, job_id: str) -> bytes:
     """Read a job from its start."""
     routing = RoutingState(decode_config)
-    handler = BatchRequestHandler(ledger, routing, SystemClock(), 1000, lambda: None)
+    handler = BatchRequestHandler(
+        ledger, routing, SystemClock(), 1000, lambda _: None, lambda: None
+    )
     question = BatchQuestion(
         question=1,
         verb=BatchVerb.page,
