--- a/chivespan/node.py
+++ b/chivespan/node.py
@@ -24,6 +24,8 @@
 from chivespan.codec import PROTOCOL_VERSION
 from chivespan.configconfirmation import ConfirmationQueries
 from chivespan.errors import ChivespanError
+from chivespan.evidencestore import EvidenceStore
+from chivespan.evidencewriter import EvidenceWriter
 from chivespan.fleetlinks import FleetLinks
 from chivespan.fleetwatch import FleetSources, FleetWatch
 from chivespan.forwarding import Forwarder
@@ -71,6 +73,8 @@
     silence_timeout=SMALL_FLEET_SILENCE,
 )
 UPKEEP_INTERVAL_S = 0.25
+# The owner of this batch partition also writes the evidence on suspects.
+EVIDENCE_PARTITION = 0
 OWNERSHIP_INTERVAL_S = 0.1
 # Nodes that are no gateways don't take partitions over.
 IDLE_OWNERSHIP_INTERVAL_S = 1
@@ -137,6 +141,17 @@
             self.customers.revocation.longest_age,
         )
         self.placement = PartitionOwnership(self.links, clock)
+        self.evidence = EvidenceWriter(
+            EvidenceStore(
+                self.store,
+                clock,
+                settings.store.max_record_bytes,
+                settings.store.max_call_bytes,
+            ),
+            self.quarantine,
+            clock,
+            lambda: EVIDENCE_PARTITION in self.placement.owned,
+        )
         self.node_status = NodeStatus(
             settings,
             self.links,
@@ -234,6 +249,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.links.run)
             tasks.start_soon(self.watch.run)
+            tasks.start_soon(self.evidence.run)
             if self._settings.strict_revocation:
                 tasks.start_soon(self.confirmations.run)
             tasks.start_soon(self.reports.run)
@@ -322,6 +338,7 @@
             await anyio.sleep(UPKEEP_INTERVAL_S)
             self._writer.flush()
             self.quarantine.update()
+            self.evidence.update()
             self._update_gauges()
             if (now := self._settings_mtime_ns()) != modified:
                 modified = now
--- a/chivespan/quarantine.py
+++ b/chivespan/quarantine.py
@@ -99,6 +99,18 @@
         """All evidence, for a peer that has none of it."""
         return self.changes_since(0)
 
+    @property
+    def lasting_evidence(self) -> list[PartEvidence]:
+        """The evidence that must outlast all processes of the fleet.
+
+        Of requests, only those that met several crashes: nearly each request at a
+        target that ends is another suspect.
+        """
+        now = self._clock.monotonic()
+        known = self._suspicions.items()
+        lasting = sorted(suspect for suspect, each in known if each.must_last)
+        return list(self._evidence(lasting, now))
+
     def changes_since(self, version: int) -> list[PartEvidence]:
         """Return the evidence for a peer that has all of it up to a version."""
         now = self._clock.monotonic()
--- a/chivespan/suspicion.py
+++ b/chivespan/suspicion.py
@@ -17,6 +17,8 @@
 MIN_CRASHES_OF_MANY_RUNS = 2
 # A sound request is rarely sent so often, and seldom without an answer.
 MIN_CRASHES_OF_REQUEST = 2
+# A request that met fewer is most likely sound.
+MIN_LASTING_RUNS = 2
 # A part is the cause only if different requests with it crash targets.
 MIN_CRASHED_REQUESTS = 2
 # A part that comes with a harmful request must have crashed so many other targets.
@@ -96,6 +98,13 @@
         """Time of the last crash."""
         return max(self.crashes.values(), default=NO_WAIT)
 
+    @property
+    def must_last(self) -> bool:
+        """Whether the evidence is kept beyond the life of all processes."""
+        if self.quarantined_until is not None:
+            return True
+        return self.crashed_runs >= (MIN_LASTING_RUNS if self.is_request else 1)
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing is known any more."""
--- a/tests/test_harmfulprompts.py
+++ b/tests/test_harmfulprompts.py
@@ -96,6 +96,29 @@
         assert sum(len(target.harmful) for target in targets) == count
 
 
+# Guards against: when all nodes are killed at once, the next ones learn from the
+# beginning which part crashes targets, and more targets are lost (review/9).
+async def test_harmful_part_is_still_refused_after_all_nodes_were_killed(
+    tmp_path: Path,
+) -> None:
+    async with fleet(tmp_path, NODES) as (site, tasks), targets_of(site) as targets:
+        for number in range(ROUNDS):
+            await send_round(site, number, [])
+            await anyio.sleep(ROUND_PAUSE_S)
+            if all(site.events(node, "suspect_quarantined") for node in site.processes):
+                break
+        await anyio.sleep(1.0)
+        nodes = list(site.processes)
+        for node in nodes:
+            await site.kill(node)
+        for node in nodes:
+            await site.start(node, tasks)
+        count = sum(len(target.harmful) for target in targets)
+        for node in nodes:
+            assert await send(site, node, f"f{node}", harmful=True) == 503
+        assert sum(len(target.harmful) for target in targets) == count
+
+
 # Guards against: a part that sound requests share is refused, because requests with
 # another part crash targets.
 async def test_part_shared_with_sound_requests_is_not_refused(tmp_path: Path) -> None:
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -21,6 +21,7 @@
     "nodesettings",
     "nodemessages",
     "batchrecords",
+    "evidencerecords",
     "callerapi",
     "erroranswer",
     "engineapi",
