--- a/chivespan/responseparser.py
+++ b/chivespan/responseparser.py
@@ -13,7 +13,8 @@
 
 # Each takes far more memory than its bytes.
 MAX_HEADERS = 256
-# A higher status can't be passed on.
+# Another status can't be passed on, and is no interim one.
+MIN_STATUS = 100
 MAX_STATUS = 599
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
@@ -99,10 +100,10 @@
         if self.head_complete:
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise ValueError(f"status {status} is invalid")
         if status < HTTPStatus.OK:
             return
-        if status > MAX_STATUS:
-            raise ValueError(f"status {status} is invalid")
         self.status = status
         self.head_complete = True
         self.is_complete = not self._has_body
