--- a/chivespan/entryclient.py
+++ b/chivespan/entryclient.py
@@ -6,9 +6,11 @@
 import httpcore
 import msgspec
 
+from chivespan.boundedstream import BoundedResponseStream
 from chivespan.decoding import decoding, error_of
 from chivespan.erroranswer import ErrorAnswer
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.resetbackend import ResetAwareBackend
 
 T = TypeVar("T")
 
@@ -52,7 +54,8 @@
             "read": RESPONSE_TIMEOUT.total_seconds(),
         }
         try:
-            async with httpcore.AsyncConnectionPool() as pool:
+            backend = ResetAwareBackend(BoundedResponseStream)
+            async with httpcore.AsyncConnectionPool(network_backend=backend) as pool:
                 response = await pool.request(
                     method,
                     url,
--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -20,6 +20,7 @@
 from chivespan.clock import MILLISECOND, NO_WAIT
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.responseparser import Header, ResponseParser
+from chivespan.sendqueue import is_all_taken
 
 # A few round trips; leaves time to try another target before the deadline.
 CONNECT_TIMEOUT = timedelta(milliseconds=150)
@@ -259,10 +260,26 @@
         while not (chunk := self.response.pop_body()):
             if self.response.is_complete:
                 return None
-            if not await self._read(timeout) and not self.response.end():
-                raise self._error("connection closed in the middle of the response")
+            if not await self._read(timeout):
+                await self._end_with_connection()
         return chunk
 
+    async def _end_with_connection(self) -> None:
+        """Complete a response that ends with its connection.
+
+        :raises ChivespanError: when it was cut, or the server broke off.
+        """
+        if not self.response.end():
+            raise self._error("connection closed in the middle of the response")
+        self._scope.deadline = self._deadline
+        try:
+            connection = self._stream.extra(SocketAttribute.raw_socket, None)
+            is_whole = await is_all_taken(connection)
+        finally:
+            self._scope.deadline = inf
+        if not is_whole:
+            raise self._error("connection closed before the request was taken")
+
     def limit_body(self, max_bytes: int) -> None:
         """Lower the limit for what is still to be read of the body."""
         self._bytes_left = min(self._bytes_left, max_bytes)
--- a/chivespan/resetbackend.py
+++ b/chivespan/resetbackend.py
@@ -1,8 +1,9 @@
-"""Handling of connections of httpcore that are reset while they are opened.
+"""Handling of connections of httpcore that are reset or closed too soon.
 
 uvloop drops the socket of a connection that the peer resets immediately, and httpcore
 then raises ``AttributeError`` before it has sent anything. The classes report this like
-any other failure to connect.
+any other failure to connect, and the end of a connection whose server hasn't taken the
+whole request like a reset.
 """
 
 from collections.abc import Callable, Iterable
@@ -10,6 +11,8 @@
 
 import httpcore
 
+from chivespan.sendqueue import is_all_taken
+
 
 class ResetAwareStream(httpcore.AsyncNetworkStream):
     """A connection whose socket may be gone when httpcore inspects it."""
@@ -18,11 +21,16 @@
         self._stream = stream
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return the next bytes.
+        """Return the next bytes; none at the end of the connection.
 
         :raises httpcore.ReadTimeout: when none arrive in time.
+        :raises httpcore.ReadError: when the server has closed the connection before it
+            had taken all that was written.
         """
-        return await self._stream.read(max_bytes, timeout)
+        received = await self._stream.read(max_bytes, timeout)
+        if not received and not await is_all_taken(self.get_extra_info("socket")):
+            raise httpcore.ReadError("connection closed before the request was taken")
+        return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write all bytes."""
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -196,14 +196,21 @@
         self.server = CallerServer(app, [self.front], CallerLimits)
 
     async def ask(
-        self, *lines: str, method: str = "POST", version: str = "1.1"
+        self,
+        *lines: str,
+        method: str = "POST",
+        version: str = "1.1",
+        content: bytes = b"",
     ) -> Answer:
         """Send a request and return what arrived until the connection ended."""
         parser = ResponseParser(method)
         body = b""
         with anyio.fail_after(8):
             async with await anyio.connect_tcp(*self.front_address) as stream:
-                await stream.send(self.request(*lines, method=method, version=version))
+                request = self.request(
+                    *lines, method=method, version=version, content=content
+                )
+                await stream.send(request)
                 with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
                     while not parser.is_complete:
                         parser.feed(await stream.receive())
@@ -212,17 +219,26 @@
         headers = {n.decode().lower(): v.decode() for n, v in parser.headers}
         return Answer(parser.status, body, parser.is_complete, headers)
 
-    def request(self, *lines: str, method: str = "POST", version: str = "1.1") -> bytes:
+    def request(
+        self,
+        *lines: str,
+        method: str = "POST",
+        version: str = "1.1",
+        content: bytes = b"",
+    ) -> bytes:
         """Return the bytes of a request."""
-        sent = [f"{method} /s/1 HTTP/{version}", f"Host: {HOST}", "Content-Length: 0"]
+        sent = [f"{method} /s/1 HTTP/{version}", f"Host: {HOST}"]
+        sent += [f"Content-Length: {len(content)}"]
         sent += [f"X-Chivespan-Request-Id: {REQUEST_ID}", *lines, "", ""]
-        return "\r\n".join(sent).encode()
+        return "\r\n".join(sent).encode() + content
 
     @property
     def front_address(self) -> tuple[str, int]:
         return (self.front.host, self.front.port)
 
-    async def run_item(self, events_before: Sequence[str] = ()) -> ItemStatus:
+    async def run_item(
+        self, events_before: Sequence[str] = (), body: bytes = b"x"
+    ) -> ItemStatus:
         """Run a batch item at the first target; return the status of its end.
 
         On a busy machine, the connection may not be made in time. The run then says
@@ -231,12 +247,14 @@
         with anyio.fail_after(8):
             while True:
                 received = len(self.targets[0].requests)
-                ended = await self._run_item_once(events_before)
+                ended = await self._run_item_once(events_before, body)
                 is_reached = len(self.targets[0].requests) > received
                 if is_reached or ended.state is not ItemState.not_run:
                     return ended
 
-    async def _run_item_once(self, events_before: Sequence[str]) -> ItemStatus:
+    async def _run_item_once(
+        self, events_before: Sequence[str], body: bytes
+    ) -> ItemStatus:
         self.executor.return_items()
         self.statuses.clear()
         self.executor.start(
@@ -248,7 +266,7 @@
                 host=HOST,
                 path="/batch/1",
                 headers=[],
-                body=b"x",
+                body=body,
                 events=list(events_before),
             )
         )
