Split batch targets from the batch node; number changes in one place

The numbering of changes that reports carry stood in three classes; it is one base class beside SentChanges now. No change of behaviour but for evidence_loaded and evidence_written, which name 20 suspects at the most.

--- a/chivespan/batchnode.py
+++ b/chivespan/batchnode.py
@@ -14,12 +14,11 @@
 from chivespan.batchownership import PARTITIONS, OwnershipChange, PartitionOwnership
 from chivespan.batchrequesthandler import BatchRequestHandler
 from chivespan.batchschedule import NodeLoad, WaitingItem, has_capacity, place_items
+from chivespan.batchtargets import BatchTargets
 from chivespan.clock import MILLISECOND, Clock
-from chivespan.demandsteps import ServiceDemand
 from chivespan.errors import ChivespanError
 from chivespan.fleetlinks import FleetLinks, FleetListener, Peer
 from chivespan.helditem import status_without_run
-from chivespan.itempacing import ItemPacer
 from chivespan.itemrun import ItemRun
 from chivespan.keyedstore import KeyedStore, Partition
 from chivespan.ledgerage import CHECK_INTERVAL, LedgerAgeLimit
@@ -36,7 +35,6 @@
 )
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodesettings import FleetNodeSettings
-from chivespan.onlinepeak import OnlinePeak
 from chivespan.quarantine import Quarantine
 from chivespan.routingstate import RoutingState
 from chivespan.targetpick import TargetPicker
@@ -78,14 +76,9 @@
         self._capacity_policy = capacity_policy
         self._clock = clock
         self._backlog_log = BacklogLog(clock, capacity_policy)
-        self._peaks: dict[str, OnlinePeak] = {}
-        self._demand = ServiceDemand(clock)
+        self._targets = BatchTargets(picker, clock)
         self._store_failed = store_failed
-        age_limit = LedgerAgeLimit(
-            timedelta(milliseconds=settings.cancel_ms),
-            lambda: ownership.others_reach_store,
-        )
-        self._item_pacer = ItemPacer(picker, clock)
+        cancel_time = timedelta(milliseconds=settings.cancel_ms)
         self._stores = [
             LedgerStore(
                 store,
@@ -106,7 +99,12 @@
                 settings.store.max_record_bytes,
                 metrics,
                 quarantine,
-                age_limit,
+                LedgerAgeLimit(
+                    number,
+                    ledger,
+                    cancel_time,
+                    lambda: ownership.others_reach_store,
+                ),
             )
             for number, ledger in enumerate(self._stores)
         ]
@@ -272,12 +270,10 @@
         services = {service for owner in owned for service in owner.services()}
         running = [run for owner in owned for run in owner.running()]
         at_targets = Counter(run.target_id for run in running)
-        self._item_pacer.forget_unlimited()
-        targets = list(self._target_capacities(services, at_targets))
-        self._sample_demand(services, targets)
+        targets = self._targets.capacities(services, at_targets)
         if self._backlog_log.is_due:
             now = self._clock.now()
-            rises = self._demand.rises()
+            rises = self._targets.rises()
             self._backlog_log.write(_waiting(owned), len(running), targets, now, rises)
         if has_capacity(targets, self._capacity_policy):
             self._fill(targets, _waiting(owned), running)
@@ -298,59 +294,14 @@
                 nodes,
                 now,
                 self._capacity_policy,
-                self._demand.rises(),
+                self._targets.rises(),
             )
         )
         for placement in placements:
-            self._item_pacer.record_start(placement.entry)
+            self._targets.record_start(placement.entry)
             self._owners[placement.item.partition].start(placement)
         self._backlog_log.started(len(placements))
 
-    def _sample_demand(
-        self, services: set[str], targets: Iterable[TargetCapacity]
-    ) -> None:
-        """Sample the online demand of services, also for a while without open items.
-
-        :param services: those with open items.
-        :param targets: their targets.
-        """
-        self._demand.record_open(services)
-        due = self._demand.due()
-        online: Counter[str] = Counter()
-        for target in targets if due else ():
-            online[target.entry.service] += target.online
-        for service in due:
-            if service not in services:
-                candidates = self._picker.candidates(service)
-                online[service] = sum(each.online for each in candidates)
-            self._demand.record_sample(service, online[service])
-
-    def _target_capacities(
-        self, services: set[str], running: Counter[str]
-    ) -> Iterator[TargetCapacity]:
-        for service in services:
-            candidates = self._picker.candidates(service)
-            peak = self._online_peak(service)
-            peak.record_sample(sum(candidate.online for candidate in candidates))
-            weights = [self._picker.online_slots(each) for each in candidates]
-            peak_share = peak.value / max(1, sum(weights))
-            for candidate, weight in zip(candidates, weights, strict=True):
-                entry = candidate.entry
-                yield TargetCapacity(
-                    entry=entry,
-                    slots=candidate.slots,
-                    online=candidate.online,
-                    batch=max(candidate.batch, running[entry.target_id]),
-                    online_peak=peak_share * weight,
-                    rate_room=self._item_pacer.room(entry),
-                    speed=candidate.speed,
-                )
-
-    def _online_peak(self, service: str) -> OnlinePeak:
-        if service not in self._peaks:
-            self._peaks[service] = OnlinePeak(self._clock)
-        return self._peaks[service]
-
     def _node_loads(self, running: Counter[str]) -> Iterator[NodeLoad]:
         peers = self._links.peers.values()
         staying = (peer.node for peer in peers if not peer.report.leaving)
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -83,7 +83,6 @@
         self._caught_up = False
         self._quarantine = ItemQuarantine(quarantine, clock)
         self._age_limit = age_limit
-        self._is_stale = False
         self._requested_ends = RequestedEnds(store, clock)
         self._durations = ItemDurationEstimator()
         # The last one of each node for each item, as they come again each second.
@@ -116,7 +115,7 @@
     @property
     def is_stale(self) -> bool:
         """Whether no items are started, as the ledger was too old at the last check."""
-        return self._is_stale
+        return self._age_limit.is_exceeded
 
     @property
     def ledger_age(self) -> timedelta:
@@ -138,7 +137,7 @@
         if now < self._start_not_before or not self._caught_up:
             return
         jobs = list(self._store.ledger.open_jobs())
-        if not jobs or not self._may_start():
+        if not jobs or not self._age_limit.allows_start():
             return
         suspects = self._quarantine.suspects
         for job in jobs:
@@ -257,7 +256,7 @@
         self._early_statuses.clear()
         self._requested_ends.clear()
         self._caught_up = False
-        self._is_stale = False
+        self._age_limit.reset()
 
     def end_requested(self, job_id: str) -> None:
         """Start no more items of a job whose end a caller has requested.
@@ -291,19 +290,6 @@
                 if reason is not None:
                     self._finish((job.job_id, item.item_id), reason)
 
-    def _may_start(self) -> bool:
-        """Return whether the ledger is recent enough to start items; log changes."""
-        is_stale = not self._age_limit.allows_start(self._store)
-        if is_stale != self._is_stale:
-            self._is_stale = is_stale
-            _log.notice(
-                "ledger_stale" if is_stale else "ledger_current",
-                partition=self.partition,
-                age_ms=self._store.age // MILLISECOND,
-                ledger_end=self._store.ledger.end,
-            )
-        return not is_stale
-
     def _is_held_back(
         self, job: LedgerJob, item: BatchItem, suspects: frozenset[str]
     ) -> bool:
--- a/chivespan/evidencewriter.py
+++ b/chivespan/evidencewriter.py
@@ -23,7 +23,9 @@
 RECHECK_INTERVAL = timedelta(seconds=30)
 # A quarantine that was prolonged by less isn't written again.
 MIN_PROLONGED = timedelta(minutes=1)
-OWN_STORE = "store"
+# Suspects in a line of the log.
+MAX_LOGGED = 20
+SOURCE = "store"
 
 _log = logger("quarantine")
 
@@ -107,12 +109,13 @@
 
     async def _load(self) -> None:
         evidence = await self._store.load()
-        self._quarantine.merge(evidence, OWN_STORE)
+        self._quarantine.merge(evidence, SOURCE)
         self._written = {
             evidence_key(each.part): self._state(each) for each in evidence
         }
         self._is_loaded = True
-        _log.info("evidence_loaded", suspects=[each.part for each in evidence])
+        suspects = [each.part for each in evidence]
+        _log.info("evidence_loaded", suspects=suspects[:MAX_LOGGED], all=len(suspects))
 
     async def _write(self) -> None:
         self._seen_version = self._quarantine.version
@@ -125,9 +128,11 @@
             return
         await self._store.write([current[key] for key in changed], sorted(dropped))
         self._written = dict(states)
+        suspects = [current[key].part for key in changed]
         _log.info(
             "evidence_written",
-            suspects=[current[key].part for key in changed],
+            suspects=suspects[:MAX_LOGGED],
+            all=len(suspects),
             dropped=len(dropped),
         )
 
--- a/chivespan/quarantine.py
+++ b/chivespan/quarantine.py
@@ -23,6 +23,7 @@
 )
 from chivespan.logs import logger
 from chivespan.nodemessages import PartCrash, PartEvidence
+from chivespan.sentchanges import NumberedChanges
 from chivespan.suspicion import (
     EVIDENCE_LIFETIME,
     MIN_CRASHES,
@@ -61,25 +62,14 @@
     QUARANTINED = "quarantined"
 
 
-class Quarantine:
+class Quarantine(NumberedChanges):
     """Evidence on suspects, from this node and its peers."""
 
     def __init__(self, clock: Clock) -> None:
+        super().__init__()
         self._clock = clock
         self._answered = AnsweredSuspects()
         self._suspicions = Suspicions()
-        self._version = 0
-        self._own_version = 0
-
-    @property
-    def version(self) -> int:
-        """Changes with all evidence, for peers to which this node passes it on."""
-        return self._version
-
-    @property
-    def own_version(self) -> int:
-        """Changes with evidence that this node has found itself."""
-        return self._own_version
 
     @property
     def quarantined(self) -> list[str]:
@@ -365,10 +355,7 @@
         )
 
     def _note_change(self, suspect: str, source: str) -> None:
-        self._version += 1
-        self._suspicions[suspect].version = self._version
-        if source in OWN_SOURCES:
-            self._own_version = self._version
+        self._suspicions[suspect].version = self._number_change(source in OWN_SOURCES)
 
     def _awaits_objections(self, suspect: str) -> bool:
         """Return whether the evidence against a suspect suffices for a quarantine."""
--- a/chivespan/ratelimits.py
+++ b/chivespan/ratelimits.py
@@ -12,6 +12,7 @@
 from chivespan.clock import MILLISECOND, Clock
 from chivespan.logs import logger
 from chivespan.nodemessages import TargetEntry, TargetLimit, TargetRun
+from chivespan.sentchanges import NumberedChanges
 
 NO_LIMIT = -1.0
 # Smaller changes of a limit are ignored, as each one is told to all nodes.
@@ -49,26 +50,15 @@
     last_listed: timedelta
 
 
-class RateLimits:
+class RateLimits(NumberedChanges):
     """The rate limits of targets, from responses to this node and from its peers."""
 
     def __init__(self, clock: Clock) -> None:
+        super().__init__()
         self._clock = clock
         self._known: dict[str, _KnownLimit] = {}
         # The part of that which is in force, in requests per second.
         self._in_force: dict[str, float] = {}
-        self._version = 0
-        self._own_version = 0
-
-    @property
-    def version(self) -> int:
-        """Changes with all limits, for peers to which this node passes them on."""
-        return self._version
-
-    @property
-    def own_version(self) -> int:
-        """Changes with statements that this node has received itself."""
-        return self._own_version
 
     @property
     def in_force(self) -> Mapping[str, float]:
@@ -128,10 +118,8 @@
             if not _differs(known.per_s, per_s):
                 known.stated = stated
                 return
-        self._version += 1
-        if source == OWN_RESPONSE:
-            self._own_version = self._version
-        self._known[run.target_id] = _KnownLimit(run, per_s, stated, self._version, now)
+        version = self._number_change(source == OWN_RESPONSE)
+        self._known[run.target_id] = _KnownLimit(run, per_s, stated, version, now)
         if per_s is None:
             self._in_force.pop(run.target_id, None)
         else:
--- a/chivespan/sentchanges.py
+++ b/chivespan/sentchanges.py
@@ -26,6 +26,34 @@
         ...
 
 
+class NumberedChanges:
+    """Numbers the changes of some state, for a ``ChangeSource``."""
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._own_version = 0
+
+    @property
+    def version(self) -> int:
+        """Number of the last change."""
+        return self._version
+
+    @property
+    def own_version(self) -> int:
+        """Number of the last change that this node has found itself."""
+        return self._own_version
+
+    def _number_change(self, is_own: bool) -> int:
+        """Return the number of a new change.
+
+        :param is_own: whether this node has found it itself.
+        """
+        self._version += 1
+        if is_own:
+            self._own_version = self._version
+        return self._version
+
+
 class SentChanges(Generic[T]):
     """What receivers have of one source; links are reliable, so a change goes once."""
 
--- a/chivespan/targetspeeds.py
+++ b/chivespan/targetspeeds.py
@@ -14,6 +14,7 @@
 from chivespan.clock import MICROSECOND, MILLISECOND, Clock
 from chivespan.logs import logger
 from chivespan.nodemessages import TargetEntry, TargetRun, TargetSpeed
+from chivespan.sentchanges import NumberedChanges
 
 USUAL_SPEED = 1.0
 # Smaller differences from the median are within the variation of equal targets.
@@ -118,25 +119,14 @@
         return abs(speed - before) > LOGGED_CHANGE * before
 
 
-class TargetSpeeds:
+class TargetSpeeds(NumberedChanges):
     """The speeds of targets, from responses to this node and from its peers."""
 
     def __init__(self, clock: Clock) -> None:
+        super().__init__()
         self._clock = clock
         self._known: dict[str, _Estimate] = {}
         self._services: dict[str, _ServiceSpeeds] = {}
-        self._version = 0
-        self._own_version = 0
-
-    @property
-    def version(self) -> int:
-        """Number of the last change of any estimate."""
-        return self._version
-
-    @property
-    def own_version(self) -> int:
-        """Number of the last change of an estimate that this node itself made."""
-        return self._own_version
 
     @property
     def unusual_targets(self) -> int:
@@ -180,7 +170,7 @@
         else:
             known.add(event_time, now)
         if self._must_report(known, entry, now):
-            self._own_version = self._set_reported(known, now)
+            self._set_reported(known, now, is_own=True)
             known.is_own = True
 
     def merge(self, speeds: Iterable[TargetSpeed]) -> None:
@@ -260,14 +250,14 @@
         is_unusual = entry.target_id in service.unusual
         return since >= (REPEAT_UNUSUAL if is_unusual else REPEAT_USUAL)
 
-    def _set_reported(self, known: _Estimate, now: timedelta) -> int:
-        """Have an estimate reported to other nodes; return its version."""
-        self._version += 1
-        known.version = self._version
+    def _set_reported(
+        self, known: _Estimate, now: timedelta, *, is_own: bool = False
+    ) -> None:
+        """Have an estimate reported to other nodes."""
+        known.version = self._number_change(is_own)
         known.reported = known.event_time
         known.reported_at = now
         known.reported_samples = known.samples
-        return self._version
 
     def _changes_since(self, version: int, own_only: bool) -> Iterator[TargetSpeed]:
         """Yield messages; none of estimates that have expired at other nodes."""
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -54,7 +54,9 @@
             100_000,
             self.metrics,
             self.quarantine,
-            LedgerAgeLimit(CANCEL_TIME, lambda: self.others_reach_store),
+            LedgerAgeLimit(
+                1, self.ledger, CANCEL_TIME, lambda: self.others_reach_store
+            ),
         )
 
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
--- a/tests/test_batchprogress.py
+++ b/tests/test_batchprogress.py
@@ -19,9 +19,9 @@
     has_capacity,
     place_items,
 )
+from chivespan.batchtargets import BatchTargets
 from chivespan.batchyield import YIELD_WINDOW, YieldRule
 from chivespan.clock import ManualClock
-from chivespan.itempacing import ItemPacer
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import ItemState, ItemStatus, TargetLoad
 from chivespan.ratelimits import StatedLimit
@@ -80,8 +80,7 @@
             TARGET_CHOICES["shared_counts"],
             timedelta,
         )
-        self._item_pacer = ItemPacer(self.picker, self.clock)
-        self._peaks = {}
+        self._targets = BatchTargets(self.picker, self.clock)
         self.running = True
         owner = SimpleNamespace(
             handle_status=self.end_run, is_running_at=lambda *_: self.running
@@ -108,8 +107,7 @@
 
     def place(self, items: list[WaitingItem]) -> list[Placement]:
         """Return what one round of scheduling starts."""
-        self._item_pacer.forget_unlimited()
-        targets = list(self._target_capacities({SERVICE}, Counter()))
+        targets = self._targets.capacities({SERVICE}, Counter())
         if not has_capacity(targets, below_peaks):
             return []
         now = START + self.clock.monotonic()
--- a/tests/test_demandsteps.py
+++ b/tests/test_demandsteps.py
@@ -14,7 +14,6 @@
     RISE_MARGIN,
     WINDOW,
     DemandSteps,
-    ServiceDemand,
 )
 from chivespan.nodemessages import TargetLoad
 from tests.test_batchprogress import SERVICE, Scheduler, TargetHistory
@@ -185,7 +184,7 @@
 
     def __init__(self) -> None:
         super().__init__([TargetHistory() for _ in range(12)])
-        self.demand = self._demand = ServiceDemand(self.clock)
+        self.demand = self._targets
 
     def play(self, services: set[str], time: timedelta) -> None:
         """Sample the demand for some time while items of services are open."""
@@ -196,9 +195,7 @@
                 TargetLoad(target_id=f"t{n}", online=online, batch=0) for n in range(12)
             ]
             self.load_table.report("all", loads)
-            running: Counter[str] = Counter()
-            targets = list(self._target_capacities(services, running))
-            self._sample_demand(services, targets)
+            self._targets.capacities(services, Counter())
             self.clock.advance(TICK)
 
 
@@ -213,4 +210,4 @@
     assert abs(rise - timedelta(seconds=LOW_S - 1)) <= RISE_MARGIN
     node.play(set(), WINDOW)
     assert not node.demand.rises()
-    assert not node.demand.due()
+    assert not node.demand._demand.due()
--- a/tests/test_endedjobs.py
+++ b/tests/test_endedjobs.py
@@ -99,12 +99,12 @@
 # Guards against: the ledger is read so rarely that a short time limit stops all items.
 @pytest.mark.parametrize("limit_s", [1.0, 1.5, 3.0, 10.0])
 async def test_ledger_is_read_well_before_it_is_too_old(limit_s: float) -> None:
-    limit = LedgerAgeLimit(timedelta(seconds=limit_s), lambda: True)
-    oldest = max(limit.max_age_before_read, CHECK_INTERVAL) + CHECK_INTERVAL / 4
     ledger = LedgerStore(FakeStore(), PARTITION, clock := ManualClock(), 1000)
+    limit = LedgerAgeLimit(1, ledger, timedelta(seconds=limit_s), lambda: True)
+    oldest = max(limit.max_age_before_read, CHECK_INTERVAL) + CHECK_INTERVAL / 4
     await ledger.refresh(NO_WAIT)
     clock.advance(oldest)
-    assert limit.allows_start(ledger)
+    assert limit.allows_start()
 
 
 # Guards against: an owner that has failed to end a job goes on to start its items,
--- a/tests/test_harmfulprompts.py
+++ b/tests/test_harmfulprompts.py
@@ -57,6 +57,16 @@
             tasks.start_soon(send_harmful, node)
 
 
+async def send_until_quarantined(site: Fleet) -> None:
+    """Send rounds until all nodes have found the harmful part, and a little longer."""
+    for number in range(ROUNDS):
+        await send_round(site, number, [])
+        await anyio.sleep(ROUND_PAUSE_S)
+        if all(site.events(node, "suspect_quarantined") for node in site.processes):
+            break
+    await anyio.sleep(1.0)
+
+
 @asynccontextmanager
 async def targets_of(site: Fleet) -> AsyncIterator[list[CrashingTarget]]:
     """Run targets that list each of their runs, until the nodes know them."""
@@ -102,12 +112,7 @@
     tmp_path: Path,
 ) -> None:
     async with fleet(tmp_path, NODES) as (site, tasks), targets_of(site) as targets:
-        for number in range(ROUNDS):
-            await send_round(site, number, [])
-            await anyio.sleep(ROUND_PAUSE_S)
-            if all(site.events(node, "suspect_quarantined") for node in site.processes):
-                break
-        await anyio.sleep(1.0)
+        await send_until_quarantined(site)
         nodes = list(site.processes)
         for node in nodes:
             await site.kill(node)
@@ -125,12 +130,7 @@
     async with fleet(tmp_path, NODES) as (site, _), targets_of(site):
         # All targets may end in the first round and be left out for a second: whoever
         # ends together is no evidence, and there are no other crashes until then.
-        for number in range(ROUNDS):
-            await send_round(site, number, [])
-            await anyio.sleep(ROUND_PAUSE_S)
-            if all(site.events(node, "suspect_quarantined") for node in site.processes):
-                break
-        await anyio.sleep(1.0)
+        await send_until_quarantined(site)
         for node in site.processes:
             assert await send(site, node, f"d{node}", harmful=False) == 200
             assert await send(site, node, f"e{node}", harmful=True) == 503
