Read a partition anew whenever it is taken over

A read that began under an earlier ownership could end after the partition was released, and mark the ledger as read for the next ownership of the same node, which then began with a ledger up to 1.5 s old.

--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -247,6 +247,8 @@
 
     def take_over(self) -> None:
         """Become the owner; starts nothing until nodes have reported their items."""
+        # A read that began under an earlier ownership may have ended since.
+        self._caught_up = False
         self._owner_since = self._clock.now()
         self._start_not_before = self._clock.monotonic() + TAKEOVER_DELAY
 
--- a/chivespan/sendqueue.py
+++ b/chivespan/sendqueue.py
@@ -45,7 +45,8 @@
     while not _is_lost(connection):
         count = _unacknowledged_bytes(connection)
         if count == 0:
-            return True
+            # It may have been reset since.
+            return not _is_lost(connection)
         now = anyio.current_time()
         if count != last_count:
             last_count, stalled_since = count, now
--- a/tests/test_endedjobs.py
+++ b/tests/test_endedjobs.py
@@ -13,7 +13,7 @@
 import pytest
 
 from chivespan.batchchanges import EndJob
-from chivespan.batchowner import BatchOwner
+from chivespan.batchowner import TAKEOVER_DELAY, BatchOwner
 from chivespan.batchrequesthandler import BatchRequestHandler
 from chivespan.clock import MILLISECOND, NO_WAIT, ManualClock
 from chivespan.errors import ChivespanError
@@ -107,6 +107,22 @@
     assert limit.allows_start()
 
 
+# Guards against: a node that takes a partition over again starts items from the ledger
+# that a read of its earlier ownership left, which ended after the release.
+async def test_partition_that_is_taken_again_is_read_again() -> None:
+    harness = OwnerHarness()
+    await harness.accept(1)
+    harness.owner.release()
+    await harness.owner.load()
+    other = LedgerStore(harness.store, PARTITION, harness.clock, 2_000_000)
+    async with running(other):
+        await other.commit(EndJob(JOB_ID, harness.clock.now()))
+    harness.owner.take_over()
+    harness.clock.advance(TAKEOVER_DELAY)
+    await harness.owner.load()
+    assert harness.waiting() == []
+
+
 # Guards against: an owner that has failed to end a job goes on to start its items,
 # though the node that asked it commits the end in its place.
 async def test_failed_end_holds_the_items_back_until_the_ledger_tells() -> None:
