--- a/chivespan/evidencestore.py
+++ b/chivespan/evidencestore.py
@@ -82,11 +82,12 @@
         for record in records:
             try:
                 with decoding(f"evidence {record.key!r}", error_of(ErrorKind.PROTOCOL)):
-                    yield _restored(decode(record.value, StoredEvidence), now_ms)
+                    entry = _restored(decode(record.value, StoredEvidence), now_ms)
             except ChivespanError as error:
-                _log.warning(
-                    "evidence_unreadable", key=record.key, reason=error.message
-                )
+                reason = error.message
+                _log.warning("evidence_unreadable", key=record.key, reason=reason)
+                continue
+            yield entry
 
     def _split(self, records: Iterable[KeyedRecord]) -> Iterator[list[KeyedRecord]]:
         """Split records into the calls that the store accepts."""
