--- a/review/harness_3/runner.py
+++ b/review/harness_3/runner.py
@@ -19,6 +19,8 @@
 
     :ivar first_ms: time until the first event of a run.
     :ivar gap_ms: time between two events.
+    :ivar line_end: what ends the lines of events.
+    :ivar comment: line that follows the first event; empty for none.
     """
 
     service: str
@@ -28,6 +30,8 @@
     events: int = 20
     first_ms: float = 60.0
     gap_ms: float = 10.0
+    line_end: str = "\n"
+    comment: str = ""
 
 
 @dataclass
@@ -159,7 +163,10 @@
         ]
         writer.write("\r\n".join([*head, "", ""]).encode())
         for number in range(run.last_event + 1, self.options.events + 1):
-            event = f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode()
+            lines = [f"id: {number}", f"data: {run.request_id}-{number}", "", ""]
+            if self.options.comment and number == run.last_event + 1:
+                lines += [self.options.comment, "", ""]
+            event = self.options.line_end.join(lines).encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.options.gap_ms / 1000)
--- a/review/harness_3/site.py
+++ b/review/harness_3/site.py
@@ -257,7 +257,11 @@
         self._temporary.cleanup()
 
     async def submit(
-        self, number: int, job: str, items: list[dict[str, Any]]
+        self,
+        number: int,
+        job: str,
+        items: list[dict[str, Any]],
+        prefix: str = "/batch/",
     ) -> Answer:
         """Submit a batch job at a node."""
         body = json.dumps({"items": items}).encode()
@@ -267,7 +271,7 @@
             "Content-Type": "application/json",
             "X-Chivespan-Deadline-Ms": "4000",
         }
-        answer = await call(self.front(number), "POST", f"/batch/{job}", headers, body)
+        answer = await call(self.front(number), "POST", f"{prefix}{job}", headers, body)
         self.note(f"job {job} of {len(items)} items at node {number}: {answer.status}")
         return answer
 
