--- a/review/harness_3/runner.py
+++ b/review/harness_3/runner.py
@@ -20,6 +20,7 @@
     :ivar first_ms: time until the first event of a run.
     :ivar gap_ms: time between two events.
     :ivar line_end: what ends the lines of events.
+    :ivar tokens: tokens in each event, whose id is the number of the last one.
     :ivar comment: line that follows the first event; empty for none.
     """
 
@@ -32,6 +33,7 @@
     gap_ms: float = 10.0
     line_end: str = "\n"
     comment: str = ""
+    tokens: int = 1
 
 
 @dataclass
@@ -162,9 +164,11 @@
             "Transfer-Encoding: chunked",
         ]
         writer.write("\r\n".join([*head, "", ""]).encode())
-        for number in range(run.last_event + 1, self.options.events + 1):
-            lines = [f"id: {number}", f"data: {run.request_id}-{number}", "", ""]
-            if self.options.comment and number == run.last_event + 1:
+        first = run.last_event // self.options.tokens + 1
+        for number in range(first, self.options.events + 1):
+            event_id = number * self.options.tokens
+            lines = [f"id: {event_id}", f"data: {run.request_id}-{number}", "", ""]
+            if self.options.comment and number == first:
                 lines += [self.options.comment, "", ""]
             event = self.options.line_end.join(lines).encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
