--- a/review/harness_3/site.py
+++ b/review/harness_3/site.py
@@ -119,6 +119,7 @@
         nodes: int = 3,
         zones: int = 3,
         contracts: tuple[str, ...] = (),
+        memory_mb: int = 330,
     ) -> None:
         self.block = free_block()
         self.began = time.monotonic()
@@ -131,6 +132,7 @@
         self.runners: list[Runner] = []
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
         self.contracts = [*CONTRACTS, *contracts]
+        self.memory_mb = memory_mb
         self.services = [{"name": "lm", "maxConns": 300, "engine": {"slots": 8}}]
 
     def note(self, text: str) -> None:
@@ -324,7 +326,7 @@
 [limits]
 cpuShare = 0.717
 cpuSpeedup = 3
-memoryMb = 330
+memoryMb = {self.memory_mb}
 maxFds = 8200
 linkMbps = 1000.0
 diskMb = 0
