--- a/review/harness_3/site.py
+++ b/review/harness_3/site.py
@@ -252,12 +252,22 @@
                 process.kill()
             process.wait()
         for runner in self.runners:
+            self._note_runs(runner)
             if runner.is_up:
                 await runner.crash()
         await self.store.server.down()
         self._record.close()
         self._temporary.cleanup()
 
+    def _note_runs(self, runner: Runner) -> None:
+        """Write all requests that reached a runner into the record."""
+        for run in runner.runs:
+            arrived, ended = run.arrived - self.began, run.ended - self.began
+            self.note(
+                f"{runner.id} had {run.request_id} {run.path} from {arrived:.3f} to "
+                f"{ended:.3f}: {run.outcome}"
+            )
+
     async def submit(
         self,
         number: int,
@@ -376,12 +386,17 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def guarded() -> int:
-        async with asyncio.timeout(115):
+        task = asyncio.current_task()
+        if task is not None:
+            # So that the processes are ended as well.
+            for signum in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(signum, task.cancel)
+        async with asyncio.timeout(110):
             return await main(folder, trouble)
 
     try:
         code = asyncio.run(guarded())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}", file=sys.stderr)
         code = 2
     print({0: "held", 1: "BROKEN", 2: "not run"}[code])
