--- a/review/12/case.py
+++ b/review/12/case.py
@@ -28,9 +28,9 @@
     return rows
 
 
-async def main(folder: Path, trouble: bool) -> int:
+async def main(record: Path, trouble: bool) -> int:
     """Return 1 if an item is a dead letter without any of the reasons for that."""
-    site = Site(folder)
+    site = Site(record)
     for number in range(3):
         site.add_runner(f"i-{number}", events=60, gap_ms=25.0)
     routes = [route("r-stream", "/stream/"), batch_route(retentionS=RETENTION_S)]
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -45,9 +45,9 @@
         await asyncio.sleep(0.1)
 
 
-async def main(folder: Path, trouble: bool) -> int:
+async def main(record: Path, trouble: bool) -> int:
     """Return 1 if an accepted item is neither listed nor at a runner at the end."""
-    site = Site(folder)
+    site = Site(record)
     for number in range(3):
         site.add_runner(f"i-{number}")
     site.publish(1, route("r-stream", "/stream/"), batch_route())
--- a/review/harness_3/httpio.py
+++ b/review/harness_3/httpio.py
@@ -89,6 +89,7 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def up(self) -> None:
         """Accept connections."""
@@ -103,11 +104,19 @@
             self._server = None
         for writer in list(self.writers):
             reset(writer)
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.writers.add(writer)
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
         try:
             while head := await read_head(reader):
                 first, headers = head
--- a/review/harness_3/runner.py
+++ b/review/harness_3/runner.py
@@ -10,6 +10,8 @@
 from review.harness_3.store import Store
 
 REQUEST_ID = "x-chivespan-request-id"
+# A step of an engine.
+STEP_S = 0.004
 NOT_RUN = {"X-Chivespan-Not-Executed": "1"}
 
 
@@ -17,7 +19,9 @@
 class RunnerOptions:
     """How a runner behaves.
 
-    :ivar first_ms: time until the first event of a run.
+    :ivar first_ms: time until the first event of a run, besides that for its prompt.
+    :ivar tokens_per_ms: prompt tokens that are read in a ms, of all requests
+        together; 0 for no time.
     :ivar gap_ms: time between two events.
     :ivar line_end: what ends the lines of events.
     :ivar tokens: tokens in each event, whose id is the number of the last one.
@@ -30,6 +34,7 @@
     queue: int = 24
     events: int = 20
     first_ms: float = 60.0
+    tokens_per_ms: float = 0.0
     gap_ms: float = 10.0
     line_end: str = "\n"
     comment: str = ""
@@ -53,6 +58,38 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
+class Prompts:
+    """Reads the prompts of all requests at once, in equal shares of the rate.
+
+    A part that was read is kept for requests with the same parts before it.
+    """
+
+    def __init__(self, tokens_per_ms: float) -> None:
+        self._rate = tokens_per_ms
+        self._active = 0
+        self._kept: set[tuple[str, ...]] = set()
+
+    async def read(self, prefix: str) -> None:
+        """Return when the prompt with some parts, as ID:TOKENS, has been read."""
+        if not self._rate or not prefix:
+            return
+        chain: tuple[str, ...] = ()
+        self._active += 1
+        try:
+            for part in prefix.split(","):
+                name, _, tokens = part.partition(":")
+                chain = (*chain, name)
+                left = 0.0 if chain in self._kept else float(tokens)
+                while left > 0 and chain not in self._kept:
+                    before = time.monotonic()
+                    await asyncio.sleep(STEP_S)
+                    passed_ms = (time.monotonic() - before) * 1000
+                    left -= passed_ms * self._rate / self._active
+                self._kept.add(chain)
+        finally:
+            self._active -= 1
+
+
 class Runner:
     """A runner at one address; each start is a new incarnation."""
 
@@ -69,11 +106,13 @@
         self._slots = asyncio.Semaphore(options.slots)
         self._waiting = 0
         self._beats: asyncio.Task[Any] | None = None
+        self._prompts = Prompts(options.tokens_per_ms)
 
     async def start(self) -> None:
         """Start a new incarnation, which lists itself."""
         self._slots = asyncio.Semaphore(self.options.slots)
         self._waiting = 0
+        self._prompts = Prompts(self.options.tokens_per_ms)
         self._seq = 0
         self.born = int(time.time() * 1000)
         await self.server.up()
@@ -151,6 +190,7 @@
     async def _run(
         self, run: Run, writer: asyncio.StreamWriter, echo: dict[str, str]
     ) -> bool:
+        await self._prompts.read(run.headers.get("x-chivespan-prompt-prefix", ""))
         await asyncio.sleep(self.options.first_ms / 1000)
         if writer.is_closing():
             return False
--- a/review/harness_3/site.py
+++ b/review/harness_3/site.py
@@ -21,6 +21,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "caller.example"
 FRONT, READY, CONTROL, DIRECTORY = 8161, 8167, 8166, 8164
+# Those, the metrics of nodes, the store and the runners.
+USED_PORTS = (FRONT, READY, CONTROL, DIRECTORY, 9464, 8169, 9000)
 CONTRACTS = (
     "base",
     "drain",
@@ -61,9 +63,10 @@
     while True:
         block = f"127.{random.randint(201, 250)}.{random.randint(1, 250)}"
         try:
-            for last in (1, 2, 3, 100, 101):
-                with socket.socket() as probe:
-                    probe.bind((f"{block}.{last}", FRONT))
+            for last in (*range(1, 4), *range(100, 115)):
+                for port in USED_PORTS:
+                    with socket.socket() as probe:
+                        probe.bind((f"{block}.{last}", port))
         except OSError:
             continue
         return block
@@ -115,7 +118,7 @@
 
     def __init__(
         self,
-        folder: Path,
+        record: Path,
         nodes: int = 3,
         zones: int = 3,
         contracts: tuple[str, ...] = (),
@@ -123,7 +126,7 @@
     ) -> None:
         self.block = free_block()
         self.began = time.monotonic()
-        self._record = (folder / "record.txt").open("w")
+        self._record = record.open("w")
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self._temporary.name)
         self.nodes = list(range(1, nodes + 1))
@@ -381,8 +384,11 @@
 
 
 def run_case(main: Any) -> None:
-    """Run a case and exit with its result: 0 held, 1 broken, 2 not run."""
-    folder = Path(sys.argv[1]).resolve()
+    """Run a case and exit with its result: 0 held, 1 broken, 2 not run.
+
+    The first argument of the program is the path of the record to write.
+    """
+    record = Path(sys.argv[1]).resolve()
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def guarded() -> int:
@@ -392,7 +398,7 @@
             for signum in (signal.SIGTERM, signal.SIGINT):
                 asyncio.get_running_loop().add_signal_handler(signum, task.cancel)
         async with asyncio.timeout(110):
-            return await main(folder, trouble)
+            return await main(record, trouble)
 
     try:
         code = asyncio.run(guarded())
