Items under an online route go by the route of their job

Cause: ItemRoutes took "the longest match of the item's path isn't a batch route" for "the route has ended". By which route an item goes now is a question about its path; whether its route has ended is one about what the 202 promised, and is answered by the job's route alone. Evidence: item_listed with outcome no_route and runs 0, while routing_in_force still has the batch route; the same without a change for paths under an online route or under none.

Change: an item without a batch route of its own path goes by its job's route, whose prefix the job now stores beside the name: the batch route at that place, or else the one of that name. It has no route only when both are gone. A route that is renamed, or moves to another prefix or host, takes its jobs along.

An owner's handler that knows the route only as an online one now answers 503; it accepted.

--- a/chivespan/batchchanges.py
+++ b/chivespan/batchchanges.py
@@ -40,6 +40,7 @@
         for no limit. Jobs without a customer count together.
     :param config_version: version of the configuration that has the route.
     :param customer: name of the customer that submits it; empty for none.
+    :param path_prefix: that of the route.
     """
 
     job_id: str
@@ -51,6 +52,7 @@
     max_record_bytes: int
     config_version: int = 0
     customer: str = ""
+    path_prefix: str = ""
 
     def records(self, ledger: Ledger, staged: Staged) -> Sequence[KeyedRecord]:
         """Return the job's records; empty if it was accepted before.
@@ -81,6 +83,7 @@
             self.config_version,
             self.max_record_bytes,
             self.customer,
+            self.path_prefix,
         )
 
 
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -292,8 +292,13 @@
     config_version: int,
     max_record_bytes: int,
     customer: str = "",
+    path_prefix: str = "",
 ) -> list[KeyedRecord]:
-    """Return the records of a job; the last one, its head, accepts the job."""
+    """Return the records of a job; the last one, its head, accepts the job.
+
+    :param route: name of the route by which it is accepted.
+    :param path_prefix: that of the route.
+    """
     parts = list(_split(encode(BatchItems(items=items)), max_record_bytes))
     head = BatchJob(
         route=route,
@@ -302,6 +307,7 @@
         submitted_ms=to_milliseconds(submitted),
         config_version=config_version,
         customer=customer,
+        path_prefix=path_prefix,
     )
     records = [
         KeyedRecord(items_key(job_id, number), part)
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -158,6 +158,7 @@
                     partition=self.partition,
                     job_id=job.job_id,
                     item_id=item.item_id,
+                    host=route.host,
                     service=route.main_service,
                     due=due,
                     order=order,
--- a/chivespan/batchrecords.py
+++ b/chivespan/batchrecords.py
@@ -70,6 +70,10 @@
     """
     Name of the customer that submitted it; empty if that isn't known.
     """
+    path_prefix: str = ''
+    """
+    Path prefix of the route at the time of the submission; empty by an earlier release.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/chivespan/batchrequesthandler.py
+++ b/chivespan/batchrequesthandler.py
@@ -20,6 +20,7 @@
 from chivespan.logs import logger
 from chivespan.nodemessages import BatchQuestion, BatchVerb
 from chivespan.platform import bodies, wire
+from chivespan.routes import RouteKind
 from chivespan.routingstate import RoutingState
 
 MAX_AGE_OF_PAGE = timedelta(milliseconds=500)
@@ -75,7 +76,7 @@
     async def _submit(self, question: BatchQuestion) -> bytes:
         table = self._routing.table
         route = None if table is None else table.route_named(question.route)
-        if route is None:
+        if route is None or route.kind is not RouteKind.BATCH:
             reason = f"route {question.route} is unknown on this node"
             raise ChivespanError(ErrorKind.NOT_READY, reason)
         if not self._store.is_loaded:
@@ -90,6 +91,7 @@
             max_record_bytes=self._max_record_bytes,
             config_version=self._routing.version,
             customer=question.customer,
+            path_prefix=route.path_prefix,
         )
         timeout = timedelta(milliseconds=question.patience_ms)
         try:
--- a/chivespan/batchschedule.py
+++ b/chivespan/batchschedule.py
@@ -34,6 +34,7 @@
 class WaitingItem:
     """An item that is ready to run.
 
+    :param host: that of its route.
     :param due: deadline for the results of its job.
     :param abandoned_at: when the item is abandoned; None for never.
     :param holder: VM of the node that holds its partial output; empty for none.
@@ -45,6 +46,7 @@
     partition: int
     job_id: str
     item_id: str
+    host: str
     service: str
     due: datetime
     order: int
--- a/chivespan/helditem.py
+++ b/chivespan/helditem.py
@@ -90,7 +90,7 @@
         job_id=held_start.job_id,
         item_id=held_start.item_id,
         target_id=message.target_id,
-        host=held_start.host,
+        host=message.host,
         path=held_start.path,
         headers=held_start.headers,
         body=held_start.body,
--- a/chivespan/itemmessages.py
+++ b/chivespan/itemmessages.py
@@ -22,7 +22,7 @@
         job_id=waiting.job_id,
         item_id=waiting.item_id,
         target_id=placement.entry.target_id,
-        host=job.head.host,
+        host=waiting.host,
         path="" if holds else item.path,
         headers=[] if holds else _headers(item),
         body=b"" if holds else item.body,
--- a/chivespan/itemroutes.py
+++ b/chivespan/itemroutes.py
@@ -1,7 +1,10 @@
 """Finds the batch route of each item, as a configuration may split the route of a job.
 
-An item is routed like any other request: by its host and its own path. Items of one
-job may therefore have different routes, with different services and limits.
+An item goes by the batch route of its own path, so that items of one job may have
+different routes, with different services and limits. One whose path has none, because
+it belongs to an online route or to no route, goes by the route of its job: the job was
+accepted by that route, which says nothing of the paths of items. An item has no route
+any more only when both are gone.
 """
 
 from collections import deque
@@ -11,8 +14,9 @@
 from typing import TypeVar
 
 from chivespan.batchledger import LedgerJob
-from chivespan.batchrecords import BatchItem
+from chivespan.batchrecords import BatchItem, BatchJob
 from chivespan.clock import Clock
+from chivespan.jobroutes import job_route
 from chivespan.routes import Route, RouteKind, RoutingTable, directory_of
 from chivespan.routingstate import RoutingState
 
@@ -53,12 +57,13 @@
         self._table: RoutingTable | None = None
         self._former: deque[_FormerTable] = deque()
         self._routes: dict[tuple[str, str], Route | None] = {}
+        self._job_routes: dict[tuple[str, str, str], Route | None] = {}
         self._services: dict[str, _JobServices] = {}
 
     def route(self, job: LedgerJob, item: BatchItem) -> Route | None:
-        """Return the batch route that matches an item now; None if there is none."""
+        """Return the batch route by which an item goes now; None if there is none."""
         self._follow_table()
-        return self._find(job.head.host, directory_of(item.path))
+        return self._find(job.head, directory_of(item.path))
 
     def services(self, jobs: Iterable[LedgerJob]) -> set[str]:
         """Return the services at which items of the given jobs may run."""
@@ -74,10 +79,12 @@
         table = self._table
         if table is None or table.version < job.head.config_version:
             return False
-        key = (job.head.host, directory_of(item.path))
+        directory = directory_of(item.path)
         now = self._clock.monotonic()
-        return self._find(*key) is None and not any(
-            each.table is None or _batch_route(each.table, *key) is not None
+        return self._find(job.head, directory) is None and not any(
+            each.table is None
+            or _batch_route(each.table, job.head.host, directory) is not None
+            or job_route(each.table, job.head) is not None
             for each in self._former
             if now - each.until < ROUTE_END_DELAY
         )
@@ -93,26 +100,34 @@
         self._former.append(_FormerTable(self._table, now))
         self._table = table
         self._routes.clear()
+        self._job_routes.clear()
         self._services.clear()
 
     def _services_of(self, job: LedgerJob) -> frozenset[str]:
         known = self._services.get(job.job_id)
         if known is None or known.job is not job:
-            routes = (self._find(job.head.host, each) for each in job.directories)
+            routes = (self._find(job.head, each) for each in job.directories)
             services = frozenset(each.main_service for each in routes if each)
             known = _JobServices(job, services)
             _make_room(self._services)
             self._services[job.job_id] = known
         return known.services
 
-    def _find(self, host: str, directory: str) -> Route | None:
+    def _find(self, head: BatchJob, directory: str) -> Route | None:
         if self._table is None:
             return None
-        key = (host, directory)
+        key = (head.host, directory)
         if key not in self._routes:
             _make_room(self._routes)
-            self._routes[key] = _batch_route(self._table, host, directory)
-        return self._routes[key]
+            self._routes[key] = _batch_route(self._table, head.host, directory)
+        return self._routes[key] or self._find_job_route(self._table, head)
+
+    def _find_job_route(self, table: RoutingTable, head: BatchJob) -> Route | None:
+        key = (head.host, head.route, head.path_prefix)
+        if key not in self._job_routes:
+            _make_room(self._job_routes)
+            self._job_routes[key] = job_route(table, head)
+        return self._job_routes[key]
 
 
 def end_of_retention(job: LedgerJob, route: Route) -> datetime | None:
--- a/chivespan/itemrun.py
+++ b/chivespan/itemrun.py
@@ -20,8 +20,8 @@
 
     ``impossible``: a target answered that it can never be done. ``attempts_failed``:
     its route allows no more attempts. ``too_old``: its route keeps it no longer.
-    ``no_route``: it has no batch route any more. ``too_large``: the store can't
-    hold its output.
+    ``no_route``: neither its own path nor its job has a batch route any more.
+    ``too_large``: the store can't hold its output.
     """
 
     done = "done"
--- a/chivespan/routes.py
+++ b/chivespan/routes.py
@@ -141,6 +141,10 @@
                 return prefixes[candidate]
         return None
 
+    def route_at(self, host: str, path_prefix: str) -> Route | None:
+        """Return the route of a host with exactly this prefix."""
+        return self._by_host.get(host, {}).get(path_prefix)
+
     def route_named(self, name: str) -> Route | None:
         """Return the route with a given name."""
         return self._by_name.get(name)
--- a/tests/test_batchprogress.py
+++ b/tests/test_batchprogress.py
@@ -36,6 +36,7 @@
 from chivespan.targetset import TargetSet
 from chivespan.targetsilence import SilenceDetector
 from tests.factories import target_entry
+from tests.fleet import HOST
 from tests.test_batchowner import status
 
 START = datetime(2026, 12, 4, tzinfo=UTC)
@@ -129,6 +130,7 @@
             partition=0,
             job_id="j",
             item_id=f"j-{order}",
+            host=HOST,
             service=SERVICE,
             due=START + due,
             order=order,
--- a/tests/test_batchschedule.py
+++ b/tests/test_batchschedule.py
@@ -30,6 +30,7 @@
         partition=0,
         job_id=job_id,
         item_id=f"{job_id}-{order}",
+        host="h",
         service="s",
         due=START + timedelta(seconds=due_s),
         order=order,
