The cap of waiting tokens holds for a renamed route

waiting_tokens counted a route's accepted items by its name, so that a route in a new name began at nothing and accepted its cap once more. It counts jobs of the same name or the same place.

--- a/chivespan/batchchanges.py
+++ b/chivespan/batchchanges.py
@@ -19,15 +19,30 @@
 from chivespan.ledgerstore import AlreadyStaged, Staged
 
 
-def waiting_tokens(ledger: Ledger, route: str, customer: str = "") -> int:
+def waiting_tokens(
+    ledger: Ledger,
+    route: str,
+    customer: str = "",
+    *,
+    host: str = "",
+    path_prefix: str = "",
+) -> int:
     """Return the total tokens of a route's items that have no result yet.
 
+    Those of jobs count that were accepted by a route of this name, or at this place
+    under another name.
+
     :param customer: whose items count; empty for those of jobs without a customer.
+    :param path_prefix: empty to count by the name only.
     """
     return sum(
         item.tokens
         for job in ledger.open_jobs()
-        if job.head.route == route and job.head.customer == customer
+        if job.head.customer == customer
+        and (
+            job.head.route == route
+            or (path_prefix == job.head.path_prefix != "" and host == job.head.host)
+        )
         for item in job.waiting_items()
     )
 
@@ -68,7 +83,13 @@
         claimant = (self.customer, self.route)
         claimed = staged.tokens.get(claimant, 0)
         if self.tokens_limit:
-            waiting = waiting_tokens(ledger, self.route, self.customer) + claimed
+            waiting = claimed + waiting_tokens(
+                ledger,
+                self.route,
+                self.customer,
+                host=self.host,
+                path_prefix=self.path_prefix,
+            )
             if waiting + tokens > self.tokens_limit:
                 reason = f"{waiting} of {self.tokens_limit} tokens are already waiting"
                 raise ChivespanError(ErrorKind.OWNER_LIMIT, reason)
--- a/tests/test_customercaps.py
+++ b/tests/test_customercaps.py
@@ -130,3 +130,23 @@
     for record in job_of("kaje80", "j").records(ledger, Staged()):
         ledger.apply(record)
     assert ledger.jobs["j"].head.customer == "kaje80"
+
+
+# Guards against: when a route gets another name, its accepted items no longer count, so
+# that twice its cap is accepted (issue 54, the cause of case 12).
+def test_cap_holds_for_a_renamed_route() -> None:
+    staged, ledger = Staged(), Ledger()
+    first, second, elsewhere = (
+        replace(job(job_id, limit=CAP), route=route, path_prefix=prefix)
+        for job_id, route, prefix in (
+            ("a", "r", "/b/"),
+            ("b", "new", "/b/"),
+            ("c", "new", "/c/"),
+        )
+    )
+    for record in first.records(ledger, staged):
+        ledger.apply(record)
+    with pytest.raises(ChivespanError) as refused:
+        second.records(ledger, Staged())
+    assert refused.value.kind is ErrorKind.OWNER_LIMIT
+    assert elsewhere.records(ledger, Staged())
