An accepted job that comes again isn't run as a request

A client sends a job again seconds after its 202. When its path had become an online route's meanwhile, the submission ran at a target as a request.

A POST below the prefix of a batch route whose body is a submission is looked up by its id at the owner first, and answered 202 if the job is there, 503 if that can't be found out. Other requests cost a look-up of prefixes at hosts with batch routes, and nothing elsewhere.

--- a/chivespan/batchfront.py
+++ b/chivespan/batchfront.py
@@ -54,6 +54,28 @@
         await responder.respond(HTTPStatus.ACCEPTED)
         self._record_answer("submit", request)
 
+    async def has_accepted(self, request: CallerRequest) -> bool:
+        """Return whether a request submits a job once more that has been accepted.
+
+        :raises ChivespanError: if that can't be found out.
+        """
+        if request.method != "POST" or not is_valid_job_id(request.request_id):
+            return False
+        if not bodies.is_submission(request.body):
+            return False
+        try:
+            await self._ask(request, BatchVerb.page, READ_TIMEOUT)
+        except ChivespanError as error:
+            if error.kind is ErrorKind.NOT_FOUND:
+                return False
+            raise
+        return True
+
+    async def confirm(self, request: CallerRequest, responder: Responder) -> None:
+        """Answer a request that submits an accepted job once more."""
+        await responder.respond(HTTPStatus.ACCEPTED)
+        self._record_answer("submit", request)
+
     async def serve_job(self, request: CallerRequest, responder: Responder) -> None:
         """Serve any other call on a job."""
         if request.path.startswith(wire.ITEM_PATH):
--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -267,10 +267,23 @@
             raise ChivespanError(ErrorKind.NOT_FOUND, reason)
         if route.kind is RouteKind.BATCH:
             await self._batch.submit(request, route, responder)
+        elif await self._repeats_submission(request, table):
+            await self._batch.confirm(request, responder)
         else:
             self._check_time_left(request, route)
             await self._serve_online(request, route, responder)
 
+    async def _repeats_submission(
+        self, request: CallerRequest, table: RoutingTable
+    ) -> bool:
+        """Return whether an online request is an accepted job that comes again.
+
+        An online route may have got the path at which the job was submitted.
+        """
+        if not table.is_under_batch_route(request.host, request.path):
+            return False
+        return await self._batch.has_accepted(request)
+
     async def _serve_online(
         self, request: CallerRequest, route: Route, responder: Responder
     ) -> None:
--- a/chivespan/platform/bodies.py
+++ b/chivespan/platform/bodies.py
@@ -6,7 +6,7 @@
 
 from chivespan.batchrecords import BatchHeader, BatchItem, BatchResult
 from chivespan.decoding import checked, decoding, error_of
-from chivespan.errors import ErrorKind
+from chivespan.errors import ChivespanError, ErrorKind
 
 # More than any engine's memory holds.
 MAX_TOKENS = 2**40
@@ -43,6 +43,20 @@
         return tuple(_batch_item(item) for item in submission.items)
 
 
+def is_submission(body: bytes) -> bool:
+    """Return whether a body is a valid submission with items.
+
+    >>> is_submission(b'{"items":[]}'), is_submission(b"x")
+    (False, False)
+    """
+    if not body.lstrip().startswith(b"{"):
+        return False
+    try:
+        return bool(decode_submission(body))
+    except ChivespanError:
+        return False
+
+
 def _batch_item(item: _Item) -> BatchItem:
     headers = item.headers.items()
     return BatchItem(
--- a/chivespan/routes.py
+++ b/chivespan/routes.py
@@ -149,10 +149,24 @@
         """Return the route with a given name."""
         return self._by_name.get(name)
 
+    def is_under_batch_route(self, host: str, path: str) -> bool:
+        """Return whether a path has the prefix of a batch route, longest or not."""
+        if host not in self._batch_hosts:
+            return False
+        prefixes = self._by_host[host]
+        found = (prefixes.get(each) for each in _prefixes(path))
+        return any(each is not None and each.kind is RouteKind.BATCH for each in found)
+
     def has_public_batch_route(self, host: str) -> bool:
         """Return whether jobs may be submitted to a host without a key."""
         return host in self._public_batch_hosts
 
+    @cached_property
+    def _batch_hosts(self) -> frozenset[str]:
+        return frozenset(
+            route.host for route in self.routes if route.kind is RouteKind.BATCH
+        )
+
     @cached_property
     def _public_batch_hosts(self) -> frozenset[str]:
         return frozenset(
