Headers that a node sets itself replace those of an item

Evidence: item_broken with "invalid request line or header" at each try.

Host, request id and Last-Event-Id are replaced, as deadline, length and expected target were. With a Last-Event-Id of its own an item's text would have lacked its first events, and with an id of its own its answer was taken for another item's, and counted against the target.

--- a/chivespan/platform/wire.py
+++ b/chivespan/platform/wire.py
@@ -13,6 +13,7 @@
 from chivespan.ratelimits import StatedLimit
 from chivespan.responseparser import Header
 
+HOST = b"host"
 REQUEST_ID = b"x-chivespan-request-id"
 DEADLINE_MS = b"x-chivespan-deadline-ms"
 LAST_EVENT_ID = b"last-event-id"
@@ -100,6 +101,8 @@
     {b"expect", b"content-length", DEADLINE_MS, EXPECT_TARGET}
 )
 _DROPPED_HEADERS = _HOP_BY_HOP_HEADERS | _REPLACED_HEADERS
+# Set for each item, whose own may be those of an online request that it was made from.
+_REPLACED_ITEM_HEADERS = frozenset({HOST, REQUEST_ID, LAST_EVENT_ID})
 _NOT_RUN_STATUSES = frozenset(
     {
         HTTPStatus.REQUEST_TIMEOUT,
@@ -233,9 +236,10 @@
     ]
     if customer or customers_known:
         encoded_headers = with_customer_name(encoded_headers, customer)
-    encoded_headers.append((b"host", host.encode()))
-    encoded_headers.append((REQUEST_ID, item_id.encode()))
-    return target_headers(encoded_headers, target_id, time_left, last_event)
+    kept = [each for each in encoded_headers if each[0] not in _REPLACED_ITEM_HEADERS]
+    kept.append((HOST, host.encode()))
+    kept.append((REQUEST_ID, item_id.encode()))
+    return target_headers(kept, target_id, time_left, last_event)
 
 
 def caller_headers(headers: Iterable[Header]) -> list[Header]:
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -3,7 +3,7 @@
 import json
 import socket
 import struct
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -23,7 +23,7 @@
 from chivespan.forwarding import Forwarder
 from chivespan.heldbodies import HeldBodies
 from chivespan.loadtable import LoadTable
-from chivespan.nodemessages import ItemStart, ItemState, ItemStatus
+from chivespan.nodemessages import ItemHeader, ItemStart, ItemState, ItemStatus
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.nodestatus import NodeStatus
 from chivespan.platform.documents import decode_config
@@ -219,6 +219,17 @@
         headers = {n.decode().lower(): v.decode() for n, v in parser.headers}
         return Answer(parser.status, body, parser.is_complete, headers)
 
+    async def exchange_bytes(self, request: bytes) -> bytes:
+        """Send bytes and return all that arrives until the connection ends."""
+        received = b""
+        with anyio.fail_after(8):
+            async with await anyio.connect_tcp(*self.front_address) as stream:
+                await stream.send(request)
+                with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                    while True:
+                        received += await stream.receive()
+        return received
+
     def request(
         self,
         *lines: str,
@@ -237,7 +248,10 @@
         return (self.front.host, self.front.port)
 
     async def run_item(
-        self, events_before: Sequence[str] = (), body: bytes = b"x"
+        self,
+        events_before: Sequence[str] = (),
+        body: bytes = b"x",
+        headers: Mapping[str, str] | None = None,
     ) -> ItemStatus:
         """Run a batch item at the first target; return the status of its end.
 
@@ -247,14 +261,20 @@
         with anyio.fail_after(8):
             while True:
                 received = len(self.targets[0].requests)
-                ended = await self._run_item_once(events_before, body)
+                ended = await self.run_item_once(events_before, body, headers)
                 is_reached = len(self.targets[0].requests) > received
                 if is_reached or ended.state is not ItemState.not_run:
                     return ended
 
-    async def _run_item_once(
-        self, events_before: Sequence[str], body: bytes
+    async def run_item_once(
+        self,
+        events_before: Sequence[str] = (),
+        body: bytes = b"x",
+        headers: Mapping[str, str] | None = None,
+        path: str = "/batch/1",
     ) -> ItemStatus:
+        """Run a batch item at the first target, which it may not reach."""
+        own = (headers or {}).items()
         self.executor.return_items()
         self.statuses.clear()
         self.executor.start(
@@ -264,8 +284,8 @@
                 item_id=REQUEST_ID,
                 target_id="i-1",
                 host=HOST,
-                path="/batch/1",
-                headers=[],
+                path=path,
+                headers=[ItemHeader(name=name, value=value) for name, value in own],
                 body=body,
                 events=list(events_before),
             )
