What can't be sent says nothing of the targets

Call._check refuses such a request inside the node, with an error of the same type as a target's failure; BatchExecutor booked it on the target, which was left out after three, and on the item, and tried it at the next target.

InvalidRequest is an outcome of its own: neither the target's health nor the evidence on crashes nor the item's attempts change (item_failed_locally). The same for online requests, which are answered 400; one with two hosts or two ids is refused at once, as node and target might read different ones.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -6,7 +6,7 @@
 owner is lost, this node reports all held items to the next owner.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from datetime import timedelta
 from http import HTTPStatus
 from random import Random
@@ -24,7 +24,7 @@
     parse_events,
 )
 from chivespan.eventtiming import EventTiming
-from chivespan.exchange import Call, NotSent, Reply, exchange
+from chivespan.exchange import InvalidRequest, NotSent, Reply, exchange
 from chivespan.helditem import HeldItem, retargeted, status_without_run
 from chivespan.itemoutput import (
     DEFAULT_MAX_EVENTS,
@@ -33,6 +33,7 @@
     OutputBudget,
 )
 from chivespan.itemquarantine import ItemQuarantine
+from chivespan.itemrequest import encoded_headers, header_pairs, item_call
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nodemessages import (
@@ -45,7 +46,6 @@
 from chivespan.nodemetrics import NodeMetrics
 from chivespan.platform import wire
 from chivespan.quarantine import Quarantine
-from chivespan.responseparser import Header
 from chivespan.suspicion import READS_OF_AN_ANSWER
 from chivespan.targetannouncements import record_announcements
 from chivespan.targetpick import TargetPicker
@@ -53,10 +53,7 @@
 from chivespan.targetsilence import RequestWatch, SilenceDetector
 from chivespan.yieldorder import ItemProgress
 
-RUN_TIME = timedelta(seconds=30)
-MAX_RUN_BYTES = 16 * 1024 * 1024
-# A sound target may fall silent for a second or so, also before it starts an item.
-HEAD_TIMEOUT = timedelta(seconds=2.5)
+# A sound target may fall silent for a second or so.
 EVENT_TIMEOUT = timedelta(seconds=2)
 REPEAT_INTERVAL = timedelta(seconds=1)
 
@@ -123,7 +120,7 @@
             self._send_status(status_without_run(message, ItemState.returned))
             return
         if held is None:
-            parts = wire.item_prompt_parts(_headers(message))
+            parts = wire.item_prompt_parts(header_pairs(message.headers))
             output = ItemOutput(self._budget, message.events)
             held = self._items[key] = HeldItem(message, output, parts)
         else:
@@ -214,6 +211,9 @@
             except OutputExceeded as error:
                 held.output.truncate(events_before)
                 return await self._broken(held, entry, error.message)
+            except InvalidRequest as error:
+                _log_local_failure(held, error.message)
+                return ItemState.not_run
             except NotSent:
                 self._picker.record_unreachable(entry.target_id)
                 return ItemState.not_run
@@ -247,9 +247,10 @@
 
     async def _exchange(self, held: HeldItem, entry: TargetEntry) -> ItemState:
         watching = self._silence.watch_request(entry.target_id)
-        async with exchange(
-            _request_for(held, entry, self._customers_known())
-        ) as reply:
+        customers_known = self._customers_known()
+        events = len(held.events)
+        call = item_call(held.start, entry.address, events, customers_known)
+        async with exchange(call) as reply:
             record_announcements(self._picker, entry, reply, held.start.item_id)
             if wire.reports_not_run(reply, held.start.item_id):
                 return ItemState.not_run
@@ -278,7 +279,7 @@
         :raises _Yielded: if the item yields its slot.
         :raises ChivespanError: ``stream_broken`` if the stream is incomplete.
         """
-        max_tokens = wire.max_output_tokens(_encoded_headers(held.start))
+        max_tokens = wire.max_output_tokens(encoded_headers(held.start))
         max_events = DEFAULT_MAX_EVENTS if max_tokens is None else max_tokens
         splitter = EventSplitter(EventOrder.CONSECUTIVE, len(held.events), max_events)
         timing = EventTiming()
@@ -351,40 +352,14 @@
     _log.info("item_broken", item=item_id, target=entry.target_id, reason=reason)
 
 
+def _log_local_failure(held: HeldItem, reason: str) -> None:
+    """Log that this node itself ended a run, which says nothing of the target."""
+    start = held.start
+    job, item = start.job_id, start.item_id
+    _log.warning("item_failed_locally", job=job, item=item, reason=reason)
+
+
 def _progress_of(held: HeldItem, max_events: int) -> ItemProgress:
     """Return how far an item is, expecting no more events than its caller allows."""
     expected = min(held.start.expected_events, max_events)
     return ItemProgress(len(held.events), expected, held.start.is_late)
-
-
-def _request_for(held: HeldItem, entry: TargetEntry, customers_known: bool) -> Call:
-    start = held.start
-    headers = wire.item_headers(
-        _headers(start),
-        start.item_id,
-        start.host,
-        entry.target_id,
-        RUN_TIME,
-        len(held.events),
-        customer=start.customer,
-        customers_known=customers_known,
-    )
-    return Call(
-        address=entry.address,
-        method="POST",
-        target=start.path.encode(),
-        headers=headers,
-        body=start.body,
-        head_timeout=HEAD_TIMEOUT,
-        body_timeout=RUN_TIME,
-        max_body_bytes=MAX_RUN_BYTES,
-    )
-
-
-def _encoded_headers(start: ItemStart) -> Iterator[Header]:
-    for header in start.headers:
-        yield header.name.lower().encode(), header.value.encode(errors="replace")
-
-
-def _headers(start: ItemStart) -> list[tuple[str, str]]:
-    return [(header.name, header.value) for header in start.headers]
--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -246,6 +246,7 @@
     async def _serve(self, request: CallerRequest, responder: Responder) -> None:
         if self._node_status.refuses_new:
             raise _leaving("node is shutting down")
+        _check_unambiguous(request)
         table = self._table()
         if request.path.startswith((wire.JOB_PATH, wire.ITEM_PATH)):
             is_public = table.has_public_batch_route(request.host)
@@ -338,6 +339,19 @@
         return table
 
 
+def _check_unambiguous(request: CallerRequest) -> None:
+    """Check that a request names its host and its id once at most.
+
+    This node and a target might otherwise read different ones.
+
+    :raises ChivespanError: ``bad_request`` if it doesn't.
+    """
+    for name in (wire.HOST, wire.REQUEST_ID):
+        if sum(known == name for known, _ in request.headers) > 1:
+            reason = f"the request has more than one {name.decode()} header"
+            raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
+
+
 def _leaving(reason: str) -> ChivespanError:
     return ChivespanError(ErrorKind.LEAVING, reason, retry_after=DRAINING_RETRY_AFTER)
 
--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -29,6 +29,8 @@
 MAX_HEAD_BYTES = 256 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
 READ_BYTES = 64 * 1024
+# Of an invalid header's name, in errors.
+MAX_SHOWN_BYTES = 40
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _VALUE = re.compile(rb"[^\x00\r\n]*")
 _TARGET = re.compile(rb"[\x21-\x7e]+")
@@ -42,6 +44,38 @@
         super().__init__(ErrorKind.TARGET_UNREACHABLE, message)
 
 
+class InvalidRequest(ChivespanError):
+    """A request that can't be sent as it is, to any server; nothing was sent."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(ErrorKind.BAD_REQUEST, reason)
+
+
+def check_request(method: str, target: bytes, headers: Sequence[Header]) -> None:
+    """Check that a request means to its server what it is to mean.
+
+    :param target: path with query.
+    :raises InvalidRequest: which names the part that is invalid.
+    """
+    if not _TOKEN.fullmatch(method.encode()):
+        raise InvalidRequest("invalid method")
+    if not _TARGET.fullmatch(target):
+        raise InvalidRequest("invalid character in the path, or no path")
+    hosts = 0
+    for name, value in headers:
+        if not _TOKEN.fullmatch(name):
+            raise InvalidRequest(f"invalid header name {_shown(name)}")
+        if not _VALUE.fullmatch(value):
+            raise InvalidRequest(f"invalid character in header {_shown(name)}")
+        hosts += name.lower() == b"host"
+    if hosts != 1:
+        raise InvalidRequest(f"{hosts} Host headers")
+
+
+def _shown(name: bytes) -> str:
+    return repr(name[:MAX_SHOWN_BYTES].decode("latin-1"))
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """One request.
@@ -69,28 +103,15 @@
     def encode(self) -> bytes:
         """Return the bytes of the request.
 
-        :raises ChivespanError: ``bad_request`` where a part of it is invalid and would
-            change the meaning of the request.
+        :raises InvalidRequest: where a part of it is invalid and would change the
+            meaning of the request.
         """
+        check_request(self.method, self.target, self.headers)
         lines = [b"%b %b HTTP/1.1" % (self.method.encode(), self.target)]
         lines += [b"%b: %b" % header for header in self.headers]
         lines.append(b"content-length: %d" % len(self.body))
-        self._check()
         return b"\r\n".join([*lines, b"", self.body])
 
-    def _check(self) -> None:
-        hosts = sum(name.lower() == b"host" for name, _ in self.headers)
-        is_valid = (
-            hosts == 1
-            and _TOKEN.fullmatch(self.method.encode())
-            and _TARGET.fullmatch(self.target)
-            and all(_TOKEN.fullmatch(name) for name, _ in self.headers)
-            and all(_VALUE.fullmatch(value) for _, value in self.headers)
-        )
-        if not is_valid:
-            reason = "invalid request line or header"
-            raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
-
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -157,6 +178,7 @@
 async def exchange(call: Call) -> AsyncIterator[Reply]:
     """Send a request, yield its response, and close the connection.
 
+    :raises InvalidRequest: when it can't be sent to any server.
     :raises NotSent: when no byte was sent.
     :raises ChivespanError: ``target_timeout`` or ``target_failed`` before the head of
         the response is complete; ``stream_broken`` after that.
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -20,7 +20,7 @@
 from chivespan.customers.quota import UNCOUNTED, Admission
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import OutputExceeded
-from chivespan.exchange import Call, NotSent, Reply, exchange
+from chivespan.exchange import Call, InvalidRequest, NotSent, Reply, exchange
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nextattempt import NextTarget
@@ -191,7 +191,10 @@
         progress: Progress,
         responder: Responder,
     ) -> SendOutcome:
-        """Send a request to one target and pass its response on to the caller."""
+        """Send a request to one target and pass its response on to the caller.
+
+        :raises InvalidRequest: if it can't be sent to any target.
+        """
         progress.in_flight = True
         progress.reads = 0
         progress.may_have_ended = False
@@ -202,6 +205,9 @@
                 outcome = await self._relay_response(
                     reply, request, route, progress, responder
                 )
+        except InvalidRequest:
+            progress.in_flight = False
+            raise
         except NotSent as error:
             outcome = SendOutcome.UNREACHED
             reason = error.message
--- a/tests/test_endlessdata.py
+++ b/tests/test_endlessdata.py
@@ -278,7 +278,7 @@
     case: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """An event that wasn't valid UTF-8 ended the task group of the node (issue 17)."""
-    monkeypatch.setattr("chivespan.batchexecutor.RUN_TIME", S / 2)
+    monkeypatch.setattr("chivespan.itemrequest.RUN_TIME", S / 2)
     endless = EndlessSender(
         INVALID_RESPONSES[case].initial_bytes,
         INVALID_RESPONSES[case].repeated_bytes,
