A job with an item that can never be sent is refused

They are refused with 400 now, naming the item and the part, by the code that builds and checks the request when it is sent. So are ids with spaces around them, which a target returns without, and paths without a leading slash. A job that was accepted before is confirmed as ever.

--- a/chivespan/batchchanges.py
+++ b/chivespan/batchchanges.py
@@ -15,6 +15,7 @@
 from chivespan.batchrecords import BatchEnd, BatchItem, BatchResult
 from chivespan.codec import encode
 from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.itemrequest import check_items
 from chivespan.keyedstore import KeyedRecord
 from chivespan.ledgerstore import AlreadyStaged, Staged
 
@@ -73,10 +74,12 @@
         """Return the job's records; empty if it was accepted before.
 
         :raises WaitsForStaged: if the same job is already staged.
-        :raises ChivespanError: ``owner_limit`` if its tokens exceed the limit.
+        :raises ChivespanError: ``owner_limit`` if its tokens exceed the limit,
+            ``bad_request`` if an item can never be sent.
         """
         if self.job_id in ledger.jobs:
             return ()
+        check_items(self.items, self.host)
         if self.job_id in staged.jobs:
             raise AlreadyStaged
         tokens = sum(item.tokens for item in self.items)
--- a/chivespan/batchledger.py
+++ b/chivespan/batchledger.py
@@ -82,6 +82,8 @@
     :ivar changed_ms: when its last result was written or its caller ended it, in Unix
         milliseconds; 0 for neither.
     :ivar prompt_parts: shared parts of the prompts of items, filled in when asked for.
+    :ivar send_errors: why items can never be sent, filled in when asked for; empty for
+        those that can.
     """
 
     job_id: str
@@ -94,6 +96,7 @@
     ended: bool = False
     changed_ms: int = 0
     prompt_parts: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    send_errors: dict[str, str] = field(default_factory=dict)
 
     @property
     def submitted(self) -> datetime:
@@ -132,6 +135,14 @@
             known = self.prompt_parts[item.item_id] = wire.item_prompt_parts(headers)
         return known
 
+    @property
+    def is_checked(self) -> bool:
+        """Whether all items were found to be sendable when the job was accepted.
+
+        An earlier release, which stored no prefix, checked none.
+        """
+        return bool(self.head.path_prefix)
+
     def keys(self) -> Iterator[str]:
         """Yield the keys of all records of the job, the head record's key last."""
         for part in range(self.head.chunks):
--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -15,6 +15,7 @@
 from chivespan.itemduration import ItemDurationEstimator
 from chivespan.itemmessages import start_message, stop_message
 from chivespan.itemquarantine import ItemQuarantine
+from chivespan.itemrequest import why_unsendable
 from chivespan.itemresult import record_listed
 from chivespan.itemroutes import ItemRoutes, end_of_retention
 from chivespan.itemrun import ItemOutcome, ItemRun
@@ -150,6 +151,8 @@
                 run = self._runs.get((job.job_id, item.item_id))
                 if run and not run.can_start(now):
                     continue
+                if not job.is_checked and self._is_unsendable(job, item):
+                    continue
                 if suspects and self._is_held_back(job, item, suspects):
                     continue
                 remaining = self._remaining(run)
@@ -293,6 +296,18 @@
                 if reason is not None:
                     self._finish((job.job_id, item.item_id), reason)
 
+    def _is_unsendable(self, job: LedgerJob, item: BatchItem) -> bool:
+        """Return whether no target can be sent an item, which waits to be abandoned."""
+        reason = job.send_errors.get(item.item_id)
+        if reason is None:
+            reason = why_unsendable(item, job.head.host)
+            job.send_errors[item.item_id] = reason
+            if reason:
+                self._metrics.incr("item_unsendable")
+                job_id, item_id = job.job_id, item.item_id
+                _log.error("item_unsendable", job=job_id, item=item_id, reason=reason)
+        return bool(reason)
+
     def _is_held_back(
         self, job: LedgerJob, item: BatchItem, suspects: frozenset[str]
     ) -> bool:
--- a/chivespan/itemrequest.py
+++ b/chivespan/itemrequest.py
@@ -1,9 +1,10 @@
 """The request that executes a batch item at a target."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from datetime import timedelta
 
-from chivespan.exchange import Call
+from chivespan.batchrecords import BatchHeader, BatchItem
+from chivespan.exchange import Call, InvalidRequest, check_request
 from chivespan.nodemessages import ItemHeader, ItemStart
 from chivespan.platform import wire
 from chivespan.responseparser import Header
@@ -13,6 +14,9 @@
 MAX_RUN_BYTES = 16 * 1024 * 1024
 # A sound target may fall silent for a second or so, also before it starts an item.
 HEAD_TIMEOUT = timedelta(seconds=2.5)
+# Stand for what only a run of an item knows.
+_ANY_TARGET_ID = "any"
+_ANY_EVENT = 1
 
 
 def item_call(
@@ -46,7 +50,45 @@
     )
 
 
-def header_pairs(headers: Sequence[ItemHeader]) -> list[tuple[str, str]]:
+def check_items(items: Iterable[BatchItem], host: str) -> None:
+    """Check that the requests of a job's items can be sent.
+
+    :param host: that of the job.
+    :raises InvalidRequest: which names the first item that can't.
+    """
+    for item in items:
+        if reason := why_unsendable(item, host):
+            raise InvalidRequest(f"item {item.item_id!r} can't be sent: {reason}")
+
+
+def why_unsendable(item: BatchItem, host: str) -> str:
+    """Return why an item's request can never be sent; empty if it can.
+
+    An item whose response couldn't be recognized can't be sent either.
+    """
+    if not item.path.startswith("/"):
+        return "its path doesn't begin with a slash"
+    # Spaces around a value aren't part of it, so a target would return another id.
+    if not item.item_id or item.item_id != item.item_id.strip(" \t"):
+        return "its id is empty, or begins or ends with a space"
+    headers = wire.item_headers(
+        header_pairs(item.headers),
+        item.item_id,
+        host,
+        _ANY_TARGET_ID,
+        RUN_TIME,
+        _ANY_EVENT,
+    )
+    try:
+        check_request(METHOD, item.path.encode(), headers)
+    except InvalidRequest as error:
+        return error.message
+    return ""
+
+
+def header_pairs(
+    headers: Sequence[BatchHeader] | Sequence[ItemHeader],
+) -> list[tuple[str, str]]:
     """Return the names and values of an item's own headers."""
     return [(header.name, header.value) for header in headers]
 
--- a/tests/batchcalls.py
+++ b/tests/batchcalls.py
@@ -1,7 +1,7 @@
 """Callers of batch jobs: the front end and the owner of a partition, over a store."""
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
@@ -105,8 +105,12 @@
         items: int = 1,
         item_headers: dict[str, str] | None = None,
         deadline_ms: int = 2000,
+        fields: Mapping[str, Any] | None = None,
     ) -> Answer:
-        """Submit a job with items named after it."""
+        """Submit a job with items named after it.
+
+        :param fields: replace those of the last item.
+        """
         rows = [
             {
                 "id": f"{job_id}-{number}",
@@ -117,6 +121,7 @@
             }
             for number in range(items)
         ]
+        rows[-1] |= fields or {}
         body = json.dumps({"items": rows}).encode()
         path = f"{BATCH_PREFIX}{job_id}"
         request = self._request(customer, "POST", path, job_id, body, deadline_ms)
--- a/tests/test_batchowner.py
+++ b/tests/test_batchowner.py
@@ -7,6 +7,7 @@
 import pytest
 
 from chivespan.batchchanges import AcceptJob
+from chivespan.batchledger import job_records
 from chivespan.batchowner import TAKEOVER_DELAY, BatchOwner
 from chivespan.batchschedule import Placement
 from chivespan.clock import NO_WAIT, ManualClock
@@ -76,6 +77,22 @@
         await self.owner.load()
         self.clock.advance(TAKEOVER_DELAY)
 
+    async def accept_unchecked(self, change: AcceptJob) -> None:
+        """Let the store have a job as an earlier release wrote it."""
+        records = job_records(
+            change.job_id,
+            change.route,
+            HOST,
+            list(change.items),
+            change.submitted,
+            change.config_version,
+            change.max_record_bytes,
+        )
+        await self.store.append(PARTITION, records)
+        self.owner.take_over()
+        await self.owner.load()
+        self.clock.advance(TAKEOVER_DELAY)
+
     def start(self, vm: str) -> None:
         for item in list(self.owner.waiting()):
             self.owner.start(Placement(item, TARGET, vm))
--- a/tests/test_odditems.py
+++ b/tests/test_odditems.py
@@ -1,8 +1,18 @@
 """Items and requests that can't be sent as they are, and targets that are sound."""
 
+from dataclasses import replace
+from datetime import timedelta
+from typing import Any
+
+import logbook
 import pytest
 
+from chivespan.batchowner import ABANDON_MARGIN
+from chivespan.batchrecords import BatchHeader
+from chivespan.ledgerstore import Staged
 from chivespan.nodemessages import ItemState
+from tests.batchcalls import BatchCalls, serving
+from tests.fakestore import FakeStore
 from tests.fleet import HOST, SERVICE
 from tests.rawtargets import (
     CHUNKED,
@@ -16,6 +26,9 @@
     target,
 )
 
+from tests.test_batchowner import OwnerHarness
+from tests.test_itemroutes import job
+
 pytestmark = pytest.mark.anyio
 
 ANSWER = head("200 OK", CHUNKED) + chunk(events(1, 2)) + LAST_CHUNK
@@ -118,3 +131,89 @@
             assert (await site.exchange_bytes(request)).startswith(b"HTTP/1.1 400")
         assert not site.targets[0].requests
         assert_sound(site)
+
+
+# By item: the fields that are odd, and what the reason names.
+REFUSED = [
+    *(({"headers": headers}, "header") for headers in UNSENDABLE_HEADERS.values()),
+    *(({"path": path}, "path") for path in UNSENDABLE_PATHS),
+    ({"path": ""}, "path"),
+    ({"path": "batch/1"}, "path"),
+    ({"path": "http://other.example/1"}, "path"),
+    ({"id": ""}, "id"),
+    ({"id": " a"}, "id"),
+    ({"id": "a\r\nb"}, "x-chivespan-request-id"),
+]
+SENT = [
+    {"headers": {"Host": HOST, "HOST": "other.example"}},
+    {"headers": {"Content-Length": "9", "Transfer-Encoding": "x", "Upgrade": "h2c"}},
+    {"headers": {"A": "\u00e4 b\tc", "B": "c" * 40_000, "C": ""}},
+    {"path": "/batch/1?a=b#c"},
+    {"id": "a/b c"},
+]
+
+
+# Guards against: a 202 for a job with an item that can never be sent, which nobody then
+# lists (review case 14, LOST).
+@pytest.mark.parametrize(("fields", "named"), REFUSED)
+async def test_job_with_an_unsendable_item_is_refused(
+    fields: dict[str, Any], named: str
+) -> None:
+    calls = BatchCalls(FakeStore())
+    async with serving(calls):
+        with logbook.TestHandler() as logs:
+            answer = await calls.submit(None, "j", 2, fields=fields)
+        assert answer.status == 400
+        reason = answer.page["error"]["message"]
+        assert repr(fields.get("id", "j-1")) in reason
+        assert named in reason
+        (refused,) = [each for each in logs.records if each.msg == "job_refused"]
+        assert refused.kwargs["reason"] == reason
+        assert not calls.ledger.ledger.jobs
+        assert (await calls.submit(None, "j", 2)).status == 202
+
+
+@pytest.mark.parametrize("fields", SENT)
+async def test_job_with_an_odd_item_that_can_be_sent_is_accepted(
+    fields: dict[str, Any],
+) -> None:
+    calls = BatchCalls(FakeStore())
+    async with serving(calls):
+        assert (await calls.submit(None, "j", 2, fields=fields)).status == 202
+
+
+async def owner_of_earlier_job() -> OwnerHarness:
+    """Return the owner of a job of an earlier release, whose first item is odd."""
+    change = job("/b/1", "/b/2", path_prefix="")
+    odd = replace(change.items[0], headers=[BatchHeader(name="A", value="b\r\nC: d")])
+    harness = OwnerHarness()
+    harness.clock.advance(change.submitted - harness.clock.now())
+    await harness.accept_unchecked(replace(change, items=(odd, change.items[1])))
+    return harness
+
+
+# Guards against: an item that an earlier release accepted is tried without end at all
+# targets, or given up before its route allows it.
+async def test_unsendable_item_of_an_earlier_job_waits_until_it_may_be_given_up() -> (
+    None
+):
+    with logbook.TestHandler() as logs:
+        harness = await owner_of_earlier_job()
+        for _ in range(ATTEMPTS):
+            assert harness.waiting() == ["j-1"]
+            harness.owner.fail_abandoned_items()
+        assert not harness.owner._finished
+    lines = [each for each in logs.records if each.msg == "item_unsendable"]
+    assert [each.kwargs["item"] for each in lines] == ["j-0"]
+    harness.clock.advance(timedelta(seconds=60) + 2 * ABANDON_MARGIN)
+    harness.owner.fail_abandoned_items()
+    assert {each.item_id for each in harness.owner._finished} == {"j-0", "j-1"}
+
+
+# Guards against: a job that an earlier release accepted is refused with 400 when it
+# comes again.
+async def test_repeat_of_an_earlier_job_with_an_odd_item_is_accepted() -> None:
+    harness = await owner_of_earlier_job()
+    (kept,) = harness.ledger.ledger.jobs.values()
+    again = replace(job("/b/1"), items=tuple(kept.items.values()))
+    assert again.records(harness.ledger.ledger, Staged()) == ()
