Lack of descriptors, memory or ports says nothing of the targets

A node that couldn't open a connection, since its process or VM had no descriptor, memory or port left, took each target it tried for unreachable and left it out at once, also for the second after. Such errors are NoLocalResource now: nothing is booked, the caller gets 503 after the usual tries.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -24,7 +24,13 @@
     parse_events,
 )
 from chivespan.eventtiming import EventTiming
-from chivespan.exchange import InvalidRequest, NotSent, Reply, exchange
+from chivespan.exchange import (
+    InvalidRequest,
+    NoLocalResource,
+    NotSent,
+    Reply,
+    exchange,
+)
 from chivespan.helditem import HeldItem, retargeted, status_without_run
 from chivespan.itemoutput import (
     DEFAULT_MAX_EVENTS,
@@ -211,7 +217,7 @@
             except OutputExceeded as error:
                 held.output.truncate(events_before)
                 return await self._broken(held, entry, error.message)
-            except InvalidRequest as error:
+            except (InvalidRequest, NoLocalResource) as error:
                 _log_local_failure(held, error.message)
                 return ItemState.not_run
             except NotSent:
--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -5,6 +5,7 @@
 and on their total time, since a faulty server may send invalid data without end.
 """
 
+import errno
 import re
 import socket
 from collections.abc import AsyncIterator, Iterator, Sequence
@@ -31,6 +32,16 @@
 READ_BYTES = 64 * 1024
 # Of an invalid header's name, in errors.
 MAX_SHOWN_BYTES = 40
+# No descriptor, memory or port is left in this process or on its VM; see connect(2).
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    }
+)
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _VALUE = re.compile(rb"[^\x00\r\n]*")
 _TARGET = re.compile(rb"[\x21-\x7e]+")
@@ -44,6 +55,10 @@
         super().__init__(ErrorKind.TARGET_UNREACHABLE, message)
 
 
+class NoLocalResource(NotSent):
+    """This node lacks what a connection needs, which says nothing of the server."""
+
+
 class InvalidRequest(ChivespanError):
     """A request that can't be sent as it is, to any server; nothing was sent."""
 
@@ -179,6 +194,7 @@
     """Send a request, yield its response, and close the connection.
 
     :raises InvalidRequest: when it can't be sent to any server.
+    :raises NoLocalResource: when this node can't open a connection.
     :raises NotSent: when no byte was sent.
     :raises ChivespanError: ``target_timeout`` or ``target_failed`` before the head of
         the response is complete; ``stream_broken`` after that.
@@ -205,6 +221,9 @@
         with anyio.fail_after(call.connect_timeout.total_seconds()):
             return await anyio.connect_tcp(address.host, address.port)
     except (OSError, TimeoutError, RuntimeError, ValueError) as error:
+        cause = error.__cause__ or error
+        if isinstance(cause, OSError) and cause.errno in LOCAL_ERRORS:
+            raise NoLocalResource(call.address, repr(cause)) from error
         raise NotSent(call.address, repr(error)) from error
 
 
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -20,7 +20,14 @@
 from chivespan.customers.quota import UNCOUNTED, Admission
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.eventstream import OutputExceeded
-from chivespan.exchange import Call, InvalidRequest, NotSent, Reply, exchange
+from chivespan.exchange import (
+    Call,
+    InvalidRequest,
+    NoLocalResource,
+    NotSent,
+    Reply,
+    exchange,
+)
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nextattempt import NextTarget
@@ -29,7 +36,12 @@
 from chivespan.platform import wire
 from chivespan.requestguard import RequestGuard
 from chivespan.requestoutcomes import RequestOutcomes
-from chivespan.requestprogress import MAY_HAVE_RUN, Progress, SendOutcome
+from chivespan.requestprogress import (
+    MAY_HAVE_RUN,
+    NO_BYTE_SENT,
+    Progress,
+    SendOutcome,
+)
 from chivespan.requeststart import initial_progress, request_deadline
 from chivespan.responserelay import (
     ResponseRelay,
@@ -208,6 +220,9 @@
         except InvalidRequest:
             progress.in_flight = False
             raise
+        except NoLocalResource as error:
+            outcome = SendOutcome.NOT_SENT
+            reason = error.message
         except NotSent as error:
             outcome = SendOutcome.UNREACHED
             reason = error.message
@@ -351,7 +366,7 @@
             if outcome and outcome is not SendOutcome.HANDED_OVER:
                 progress.handover_outcome = outcome
             return True
-        if outcome is SendOutcome.UNREACHED:
+        if outcome in NO_BYTE_SENT:
             progress.sends -= 1
             progress.unreached += 1
         progress.return_to(before)
--- a/chivespan/nextattempt.py
+++ b/chivespan/nextattempt.py
@@ -8,7 +8,7 @@
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
-from chivespan.requestprogress import Progress, SendOutcome
+from chivespan.requestprogress import NO_BYTE_SENT, Progress, SendOutcome
 from chivespan.routes import Route
 from chivespan.targetchoices import Candidate
 from chivespan.targetpick import TargetPicker
@@ -74,7 +74,7 @@
         :param started: whether a part of the response has been passed on already.
         :raises ChivespanError: the final error for the caller when no retry is allowed.
         """
-        if outcome is SendOutcome.UNREACHED:
+        if outcome in NO_BYTE_SENT:
             progress.unreached += 1
             if progress.unreached >= MAX_UNREACHED:
                 raise self._refusal(progress, "no target can be reached")
--- a/chivespan/requestprogress.py
+++ b/chivespan/requestprogress.py
@@ -16,7 +16,8 @@
     """Result of sending a request to one target.
 
     - ``DELIVERED``: the complete response was passed on to the caller.
-    - ``UNREACHED``: no byte of the request was sent.
+    - ``UNREACHED``: no connection to the target could be made.
+    - ``NOT_SENT``: this node could open no connection.
     - ``NOT_RUN``: the target stated that it didn't run the request.
     - ``BROKEN``: the target failed and may have run the request.
     - ``HANDED_OVER``: the target paused, and another one has taken over the stream.
@@ -24,11 +25,13 @@
 
     DELIVERED = "delivered"
     UNREACHED = "unreached"
+    NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     BROKEN = "broken"
     HANDED_OVER = "handed_over"
 
 
+NO_BYTE_SENT = frozenset({SendOutcome.UNREACHED, SendOutcome.NOT_SENT})
 MAY_HAVE_RUN = frozenset({SendOutcome.BROKEN, SendOutcome.HANDED_OVER})
 
 
--- a/tests/test_odditems.py
+++ b/tests/test_odditems.py
@@ -52,9 +52,10 @@
 
 
 def assert_sound(site: RawSite) -> None:
-    """Check that all slots of the first target may be used, and nothing is suspected."""
-    (candidate,) = site.picker.candidates(SERVICE)
-    assert candidate.slots == candidate.entry.slots
+    """Check that all slots of all targets may be used, and nothing is suspected."""
+    candidates = site.picker.candidates(SERVICE)
+    assert len(candidates) == len(site.targets)
+    assert all(each.slots == each.entry.slots for each in candidates)
     assert not site.silence.all_silent()
     assert not site.quarantine.suspects
 
