Errors of this node's own code and memory aren't failures of targets

In a run of an item, any unexpected exception was booked as a failure of its target, and a lack of memory for output as a run that its target broke off. Both end the run locally now. test_output_of_all_items_is_bounded expected "broken" for the second; it expects the local end, which is as strict.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -212,23 +212,22 @@
                 return ItemState.paused
             except NoMemoryForOutput:
                 held.output.truncate(events_before)
-                _log_broken(held, entry, "no memory for more output")
-                return ItemState.broken
+                return self._failed_locally(held, "no memory for more output")
             except OutputExceeded as error:
                 held.output.truncate(events_before)
                 return await self._broken(held, entry, error.message)
             except (InvalidRequest, NoLocalResource) as error:
-                _log_local_failure(held, error.message)
-                return ItemState.not_run
+                return self._failed_locally(held, error.message)
             except NotSent:
                 self._picker.record_unreachable(entry.target_id)
                 return ItemState.not_run
             except ChivespanError as error:
                 return await self._broken(held, entry, error.message)
             except Exception as error:
-                # Nothing that a target sends may stop this process.
+                # Nothing that a target sends may stop this process. Errors of targets
+                # are of the closed list; any other is one of this process.
                 _log.exception("item_run_failed", item=held.start.item_id)
-                return await self._broken(held, entry, repr(error))
+                return self._failed_locally(held, repr(error))
 
     def _is_held_back(self, held: HeldItem) -> bool:
         """Return whether an item may not be sent, though its owner didn't know yet."""
@@ -239,6 +238,17 @@
         _log.info("item_not_sent", job=start.job_id, item=start.item_id, suspect=part)
         return True
 
+    def _failed_locally(self, held: HeldItem, reason: str) -> ItemState:
+        """Record that this node itself ended a run, which says nothing of the target.
+
+        Neither the target's health nor the item's attempts change.
+        """
+        self._metrics.incr("item_failed_locally")
+        start = held.start
+        job, item = start.job_id, start.item_id
+        _log.warning("item_failed_locally", job=job, item=item, reason=reason)
+        return ItemState.not_run
+
     async def _broken(
         self, held: HeldItem, entry: TargetEntry, reason: str
     ) -> ItemState:
@@ -358,13 +368,6 @@
     _log.info("item_broken", item=item_id, target=entry.target_id, reason=reason)
 
 
-def _log_local_failure(held: HeldItem, reason: str) -> None:
-    """Log that this node itself ended a run, which says nothing of the target."""
-    start = held.start
-    job, item = start.job_id, start.item_id
-    _log.warning("item_failed_locally", job=job, item=item, reason=reason)
-
-
 def _progress_of(held: HeldItem, max_events: int) -> ItemProgress:
     """Return how far an item is, expecting no more events than its caller allows."""
     expected = min(held.start.expected_events, max_events)
