The time limit of a connection doesn't count pauses of the node

After a node had stood still for 160 ms its callers got 503 for a second, and tests that expect 200 or 502 failed now and then.

A target that accepts nothing is still given up after 150 ms. The look whether a target has ended uses the same limit. Ruled out: a longer limit, which needs a longer pause only and keeps callers waiting; one look at the socket at the end, which helps only where the connection had been begun and the network is near.

--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -21,6 +21,7 @@
 from chivespan.clock import MILLISECOND, NO_WAIT
 from chivespan.errors import ChivespanError, ErrorKind
 from chivespan.responseparser import Header, ResponseParser
+from chivespan.runningtime import fail_after_running
 from chivespan.sendqueue import is_all_taken
 
 # A few round trips; leaves time to try another target before the deadline.
@@ -218,7 +219,7 @@
 async def _connect(call: Call) -> SocketStream:
     try:
         address = parse_address(call.address)
-        with anyio.fail_after(call.connect_timeout.total_seconds()):
+        with fail_after_running(call.connect_timeout):
             return await anyio.connect_tcp(address.host, address.port)
     except (OSError, TimeoutError, RuntimeError, ValueError) as error:
         cause = error.__cause__ or error
--- a/chivespan/targetliveness.py
+++ b/chivespan/targetliveness.py
@@ -6,6 +6,7 @@
 
 from chivespan.addresses import parse_address
 from chivespan.exchange import CONNECT_TIMEOUT
+from chivespan.runningtime import fail_after_running
 
 # A target that ends may close its connections before it stops to accept new ones.
 RECHECK_DELAY = timedelta(milliseconds=50)
@@ -25,7 +26,7 @@
 async def _refuses_connections(address: str) -> bool:
     parsed = parse_address(address)
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT.total_seconds()):
+        with fail_after_running(CONNECT_TIMEOUT):
             stream = await anyio.connect_tcp(parsed.host, parsed.port)
     except (OSError, RuntimeError) as error:
         return isinstance(error.__cause__ or error, ConnectionRefusedError)
--- /dev/null
+++ b/tests/test_runningtime.py
@@ -0,0 +1,164 @@
+"""Time limits of a process that stands still for a moment."""
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+
+import anyio
+import anyio.lowlevel
+import pytest
+
+from chivespan.exchange import CONNECT_TIMEOUT, NotSent, exchange
+from chivespan.nodemessages import ItemState
+from chivespan.runningtime import fail_after_running
+from chivespan.targetliveness import has_ended
+from tests.rawtargets import raw_site, target
+from tests.test_odditems import ANSWER, assert_sound
+from tests.test_resets import call
+
+pytestmark = pytest.mark.anyio
+
+LIMIT = timedelta(milliseconds=150)
+# Longer than the time limit of a connection.
+PAUSES_S = [0.16, 0.3]
+# When the pause begins: in turns of the event loop after the start of the connection.
+TURNS = range(5)
+# In which a caller must hear of a dark target, on a busy machine too.
+MAX_CONNECT_S = 1
+RESPONSE = b"HTTP/1.1 204 No Content\r\n\r\n"
+
+
+@pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+def anyio_backend(request: pytest.FixtureRequest) -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": request.param}
+
+
+@contextmanager
+def answering_server() -> Iterator[str]:
+    """Answer requests in a thread, so that pauses of this one don't hold it up."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def answer_all() -> None:
+            while True:
+                try:
+                    connection, _ = server.accept()
+                except OSError:
+                    return
+                with connection:
+                    connection.recv(1000)
+                    connection.sendall(RESPONSE)
+
+        thread = threading.Thread(target=answer_all)
+        thread.start()
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+        server.shutdown(socket.SHUT_RDWR)
+        thread.join()
+
+
+@contextmanager
+def silent_address() -> Iterator[str]:
+    """Yield an address at which connections are neither accepted nor refused."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+        queued = [socket.socket() for _ in range(3)]
+        for each in queued:
+            each.setblocking(False)
+            each.connect_ex(listener.getsockname())
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+        for each in queued:
+            each.close()
+
+
+async def stand_still(pause_s: float, turns: int) -> None:
+    """Block this process after some turns of its event loop."""
+    for _ in range(turns):
+        await anyio.lowlevel.checkpoint()
+    time.sleep(pause_s)  # noqa: ASYNC251
+
+
+# Guards against: a node that stands still for 160 ms takes sound targets for
+# unreachable, leaves them out and refuses requests (review of issue 54).
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+@pytest.mark.parametrize("turns", TURNS)
+async def test_connection_outlasts_a_pause_of_its_own_process(
+    pause_s: float, turns: int
+) -> None:
+    statuses = []
+
+    async def send(address: str) -> None:
+        async with exchange(call(address)) as reply:
+            statuses.append(reply.status)
+
+    with answering_server() as address:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send, address)
+            tasks.start_soon(stand_still, pause_s, turns)
+    assert statuses == [204]
+
+
+# Guards against: the same, for whatever a node sends to its targets.
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+async def test_pause_while_connecting_says_nothing_of_targets(
+    pause_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with raw_site(target(ANSWER)) as site:
+        connect_tcp = anyio.connect_tcp
+
+        async def connect(host: str, port: int) -> object:
+            if site.targets[0].address == f"{host}:{port}":
+                time.sleep(pause_s)  # noqa: ASYNC251
+            return await connect_tcp(host, port)
+
+        monkeypatch.setattr(anyio, "connect_tcp", connect)
+        assert (await site.ask()).status == 200
+        assert (await site.run_item_once()).state is ItemState.done
+        assert_sound(site)
+
+
+async def test_ended_target_is_found_after_a_pause() -> None:
+    found = []
+
+    async def look(address: str) -> None:
+        found.append(await has_ended(address))
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(look, address)
+        tasks.start_soon(stand_still, PAUSES_S[-1], 2)
+    assert found == [True]
+
+
+async def test_target_that_accepts_nothing_is_given_up_in_time() -> None:
+    with silent_address() as address:
+        began = anyio.current_time()
+        with pytest.raises(NotSent):
+            async with exchange(call(address)):
+                raise AssertionError("unexpected response")
+        took_s = anyio.current_time() - began
+    assert CONNECT_TIMEOUT.total_seconds() - 0.01 <= took_s < MAX_CONNECT_S
+
+
+async def test_block_that_ends_in_time_is_not_cancelled() -> None:
+    with fail_after_running(LIMIT):
+        await anyio.sleep(LIMIT.total_seconds() / 3)
+    await anyio.sleep(2 * LIMIT.total_seconds())
+
+
+# Guards against: a process that stands still again and again waits without end.
+async def test_limit_ends_in_a_process_that_hardly_runs() -> None:
+    async def stand_still_often() -> None:
+        while True:
+            await stand_still(0.06, 1)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stand_still_often)
+        with (
+            anyio.fail_after(5),
+            pytest.raises(TimeoutError),
+            fail_after_running(LIMIT),
+        ):
+            await anyio.sleep_forever()
+        tasks.cancel_scope.cancel()
