Time limits of responses that end in a pause aren't failures of targets

A node that had stood still for longer than the limit of a response's head or of an item's events (2 to 2.5 s for items, 1.5 objectives online) took what had arrived meanwhile for missing, booked a failure on each target that had a run, and left it out for silence online. A limit that is noticed over 50 ms late is a LateTimeout: the attempt ends as before and may go on elsewhere, but neither health nor silence of the target change.

--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -26,6 +26,7 @@
 from chivespan.eventtiming import EventTiming
 from chivespan.exchange import (
     InvalidRequest,
+    LateTimeout,
     NoLocalResource,
     NotSent,
     Reply,
@@ -216,7 +217,7 @@
             except OutputExceeded as error:
                 held.output.truncate(events_before)
                 return await self._broken(held, entry, error.message)
-            except (InvalidRequest, NoLocalResource) as error:
+            except (InvalidRequest, LateTimeout, NoLocalResource) as error:
                 return self._failed_locally(held, error.message)
             except NotSent:
                 self._picker.record_unreachable(entry.target_id)
--- a/chivespan/exchange.py
+++ b/chivespan/exchange.py
@@ -33,6 +33,8 @@
 READ_BYTES = 64 * 1024
 # Of an invalid header's name, in errors.
 MAX_SHOWN_BYTES = 40
+# Timers that fire later than this tell that the process stood still.
+MAX_TIMER_DELAY = timedelta(milliseconds=50)
 # No descriptor, memory or port is left in this process or on its VM; see connect(2).
 LOCAL_ERRORS = frozenset(
     {
@@ -60,6 +62,13 @@
     """This node lacks what a connection needs, which says nothing of the server."""
 
 
+class LateTimeout(ChivespanError):
+    """A time limit that ended while this process stood still, and was noticed later.
+
+    The response may have arrived in time.
+    """
+
+
 class InvalidRequest(ChivespanError):
     """A request that can't be sent as it is, to any server; nothing was sent."""
 
@@ -197,6 +206,7 @@
     :raises InvalidRequest: when it can't be sent to any server.
     :raises NoLocalResource: when this node can't open a connection.
     :raises NotSent: when no byte was sent.
+    :raises LateTimeout: of the kinds below, when this process stood still meanwhile.
     :raises ChivespanError: ``target_timeout`` or ``target_failed`` before the head of
         the response is complete; ``stream_broken`` after that.
     """
@@ -276,6 +286,7 @@
         self._scope = scope
         self._bytes_left = MAX_HEAD_BYTES
         self._deadline = inf
+        self._limit = inf
         self.pause: anyio.CancelScope | None = None
         self.response = ResponseParser(call.method)
 
@@ -285,7 +296,7 @@
         :raises ChivespanError: ``target_failed`` when it is invalid or incomplete.
         """
         try:
-            self._scope.deadline = _time_after(self._write_timeout)
+            self._set_limit(self._scope, _time_after(self._write_timeout))
             await self._stream.send(request)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # The target may have responded without reading the whole request.
@@ -313,7 +324,7 @@
         """
         if not self.response.end():
             raise self._error("connection closed in the middle of the response")
-        self._scope.deadline = self._deadline
+        self._set_limit(self._scope, self._deadline)
         try:
             connection = self._stream.extra(SocketAttribute.raw_socket, None)
             is_whole = await is_all_taken(connection)
@@ -332,11 +343,15 @@
 
     def timeout_error(self) -> ChivespanError:
         """Return the error for a response that exceeded a time limit."""
+        kind = ErrorKind.TARGET_TIMEOUT
+        reason = f"no response from {self._call.address} in time"
         if self.response.head_complete:
+            kind = ErrorKind.STREAM_BROKEN
             reason = f"response body from {self._call.address} timed out"
-            return ChivespanError(ErrorKind.STREAM_BROKEN, reason)
-        reason = f"no response from {self._call.address} in time"
-        return ChivespanError(ErrorKind.TARGET_TIMEOUT, reason)
+        delay_s = anyio.current_time() - self._limit
+        if delay_s <= MAX_TIMER_DELAY.total_seconds():
+            return ChivespanError(kind, reason)
+        return LateTimeout(kind, f"{reason}, noticed {delay_s:.3f} s later")
 
     async def _read(self, timeout: timedelta | None) -> bool:
         """Read and parse bytes; return False when the connection has been closed.
@@ -348,7 +363,7 @@
         scope, deadline = self._scope, self._deadline
         if timeout is not None and (limit := _time_after(timeout)) < deadline:
             scope, deadline = self.pause or scope, limit
-        scope.deadline = deadline
+        self._set_limit(scope, deadline)
         try:
             received = await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
@@ -364,6 +379,10 @@
         self.response.feed(received)
         return True
 
+    def _set_limit(self, scope: anyio.CancelScope, deadline: float) -> None:
+        """Let a scope be cancelled at a time of the event loop."""
+        scope.deadline = self._limit = deadline
+
     @property
     def _write_timeout(self) -> timedelta:
         stalls_are_limited = self._call.stall_timeout is not None
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -19,15 +19,7 @@
 from chivespan.customerrequests import CustomerRequests
 from chivespan.customers.quota import UNCOUNTED, Admission
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.eventstream import OutputExceeded
-from chivespan.exchange import (
-    Call,
-    InvalidRequest,
-    NoLocalResource,
-    NotSent,
-    Reply,
-    exchange,
-)
+from chivespan.exchange import Call, InvalidRequest, LateTimeout, Reply, exchange
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nextattempt import NextTarget
@@ -210,6 +202,7 @@
         progress.in_flight = True
         progress.reads = 0
         progress.may_have_ended = False
+        is_local = False
         try:
             call = self._call(request, route, entry, progress)
             async with exchange(call) as reply:
@@ -220,25 +213,18 @@
         except InvalidRequest:
             progress.in_flight = False
             raise
-        except NoLocalResource as error:
-            outcome = SendOutcome.NOT_SENT
-            reason = error.message
-        except NotSent as error:
-            outcome = SendOutcome.UNREACHED
-            reason = error.message
         except ChivespanError as error:
-            outcome = SendOutcome.BROKEN
+            outcome = progress.record_error(error)
             reason = error.message
-            progress.may_have_ended = error.kind is not ErrorKind.TARGET_TIMEOUT
-            if isinstance(error, OutputExceeded):
-                # No other target can continue what isn't the request's output.
-                progress.can_continue = False
+            is_local = isinstance(error, LateTimeout)
         else:
             reason = str(reply.status)
         progress.in_flight = False
         progress.may_have_run |= outcome in MAY_HAVE_RUN
         if outcome is not SendOutcome.HANDED_OVER:
-            self._outcomes.record_attempt(request, entry, progress, outcome, reason)
+            self._outcomes.record_attempt(
+                request, entry, progress, outcome, reason, is_local=is_local
+            )
         return outcome
 
     def _call(
--- a/chivespan/requestoutcomes.py
+++ b/chivespan/requestoutcomes.py
@@ -43,8 +43,13 @@
         progress: Progress,
         outcome: SendOutcome,
         reason: str,
+        *,
+        is_local: bool = False,
     ) -> None:
-        """Update the target's health, and log and count a failed attempt."""
+        """Update the target's health, and log and count a failed attempt.
+
+        :param is_local: whether this node was the cause.
+        """
         if outcome is SendOutcome.DELIVERED:
             self._picker.record_success(entry.target_id)
             self._picker.record_service_time(
@@ -56,7 +61,7 @@
         if outcome is SendOutcome.UNREACHED:
             left_out = True
             self._picker.record_unreachable(entry.target_id)
-        elif outcome in MAY_HAVE_RUN:
+        elif outcome in MAY_HAVE_RUN and not is_local:
             left_out = self._picker.record_failure(entry.target_id)
         _log.info(
             "send_failed",
@@ -66,6 +71,7 @@
             reason=reason,
             entry_sequence=entry.sequence,
             left_out=left_out,
+            is_local=is_local,
         )
 
     def record_end(
--- a/chivespan/requestprogress.py
+++ b/chivespan/requestprogress.py
@@ -6,7 +6,9 @@
 from enum import StrEnum
 
 from chivespan.customers.fairshare import USUAL_WAIT, WaitShare
-from chivespan.eventstream import EventSplitter
+from chivespan.errors import ChivespanError, ErrorKind
+from chivespan.eventstream import EventSplitter, OutputExceeded
+from chivespan.exchange import LateTimeout, NoLocalResource, NotSent
 from chivespan.nodemessages import TargetEntry
 from chivespan.streamhandover import Handover
 from chivespan.targetsilence import RequestWatch
@@ -96,6 +98,21 @@
         if self.watch is not None:
             self.watch.record_answer()
 
+    def record_error(self, error: ChivespanError) -> SendOutcome:
+        """Record that the current attempt ended in an error; return its outcome."""
+        if isinstance(error, NoLocalResource):
+            return SendOutcome.NOT_SENT
+        if isinstance(error, NotSent):
+            return SendOutcome.UNREACHED
+        if isinstance(error, LateTimeout):
+            self._end_watch()
+        else:
+            self.may_have_ended = error.kind is not ErrorKind.TARGET_TIMEOUT
+        if isinstance(error, OutputExceeded):
+            # No other target can continue what isn't the request's output.
+            self.can_continue = False
+        return SendOutcome.BROKEN
+
     def return_to(self, before: "Progress") -> None:
         """Return to the attempt of a paused target after another one was tried."""
         self.entry = before.entry
@@ -111,3 +128,8 @@
     def ran_or_may_run(self) -> bool:
         """Whether the request may have run, so that an error can't claim "not run"."""
         return self.may_have_run or self.in_flight
+
+    def _end_watch(self) -> None:
+        """Expect nothing more of the current target, and conclude nothing from that."""
+        if self.watch is not None:
+            self.watch.end()
--- a/chivespan/targetsilence.py
+++ b/chivespan/targetsilence.py
@@ -67,6 +67,10 @@
 
     def record_answer(self) -> None:
         """Record an answer that isn't a stream, such as a refusal."""
+        self.end()
+
+    def end(self) -> None:
+        """Wait for no answer any more, without a conclusion on the target."""
         self._silence.end_wait(self._target_id, self)
 
     def record_data(self) -> None:
--- a/tests/test_runningtime.py
+++ b/tests/test_runningtime.py
@@ -14,8 +14,17 @@
 from chivespan.exchange import CONNECT_TIMEOUT, NotSent, exchange
 from chivespan.nodemessages import ItemState
 from chivespan.runningtime import fail_after_running
+from chivespan.targethealth import EJECT_AFTER_FAILURES
 from chivespan.targetliveness import has_ended
-from tests.rawtargets import raw_site, target
+from tests.rawtargets import (
+    CHUNKED,
+    LAST_CHUNK,
+    chunk,
+    events,
+    head,
+    raw_site,
+    target,
+)
 from tests.test_odditems import ANSWER, assert_sound
 from tests.test_resets import call
 
@@ -162,3 +171,58 @@
         ):
             await anyio.sleep_forever()
         tasks.cancel_scope.cancel()
+
+
+# Guards against: a node that stands still for longer than the time limits of its runs
+# takes what arrived meanwhile for missing, and leaves all targets out.
+@pytest.mark.parametrize("part", ["head", "events"])
+async def test_response_during_a_pause_says_nothing_of_its_target(
+    part: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    limit = timedelta(milliseconds=200)
+    monkeypatch.setattr("chivespan.itemrequest.HEAD_TIMEOUT", limit)
+    monkeypatch.setattr("chivespan.batchexecutor.EVENT_TIMEOUT", limit)
+    begun = head("200 OK", CHUNKED), chunk(events(1))
+    rest = chunk(events(2)), LAST_CHUNK
+    responses: dict[str, list[bytes | float]] = {
+        "head": [0.1, *begun, *rest],
+        "events": [*begun, 0.1, *rest],
+    }
+    async with raw_site(target(*responses[part])) as site:
+        for _ in range(EJECT_AFTER_FAILURES):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(site.run_item_once)
+                while not site.targets[0].requests:
+                    await anyio.sleep(0.005)
+                await anyio.sleep(0.05)
+                time.sleep(0.4)  # noqa: ASYNC251
+            site.targets[0].requests.clear()
+        assert_sound(site)
+        assert (await site.run_item()).state is ItemState.done
+
+
+async def test_target_that_misses_a_time_limit_is_left_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    limit = timedelta(milliseconds=50)
+    monkeypatch.setattr("chivespan.itemrequest.HEAD_TIMEOUT", limit)
+    async with raw_site(target(5.0)) as site:
+        for _ in range(EJECT_AFTER_FAILURES):
+            assert (await site.run_item()).state is ItemState.broken
+        assert not site.picker.candidates("svc")
+
+
+# Guards against: the same for online requests, whose targets are also left out for
+# being silent.
+async def test_pause_during_an_online_request_says_nothing_of_its_target() -> None:
+    targets = target(0.3, ANSWER), target(0.3, ANSWER)
+    async with raw_site(*targets, goalMs=100) as site:
+        for _ in range(EJECT_AFTER_FAILURES):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(site.ask)
+                while not any(each.requests for each in targets):
+                    await anyio.sleep(0.005)
+                time.sleep(0.4)  # noqa: ASYNC251
+            for each in targets:
+                each.requests.clear()
+        assert_sound(site)
