--- a/chivespan/batchowner.py
+++ b/chivespan/batchowner.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import replace
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 import anyio
 
@@ -13,9 +13,9 @@
 from chivespan.clock import MILLISECOND, NO_WAIT, Clock
 from chivespan.errors import ChivespanError
 from chivespan.itemduration import ItemDurationEstimator
+from chivespan.itemeligibility import ItemEligibility
 from chivespan.itemmessages import start_message, stop_message
 from chivespan.itemquarantine import ItemQuarantine
-from chivespan.itemrequest import why_unsendable
 from chivespan.itemresult import record_listed
 from chivespan.itemroutes import ItemRoutes, end_of_retention
 from chivespan.itemrun import ItemOutcome, ItemRun
@@ -40,8 +40,6 @@
 # A repeated status that arrives this soon after a start may have been sent before the
 # node received the start.
 IN_FLIGHT_TIME = timedelta(milliseconds=700)
-# An item's age is told by two clocks: of the node that accepted its job, and the owner.
-ABANDON_MARGIN = timedelta(seconds=10)
 RETENTION_MARGIN = timedelta(seconds=20)
 
 _log = logger("batch")
@@ -82,7 +80,9 @@
         self._start_not_before = NO_WAIT
         self._owner_since = clock.now()
         self._caught_up = False
-        self._quarantine = ItemQuarantine(quarantine, clock)
+        self._eligibility = ItemEligibility(
+            self._routes, ItemQuarantine(quarantine, clock), clock, metrics
+        )
         self._age_limit = age_limit
         self._requested_ends = RequestedEnds(store, clock)
         self._durations = ItemDurationEstimator()
@@ -140,7 +140,7 @@
         jobs = list(self._store.ledger.open_jobs())
         if not jobs or not self._age_limit.allows_start():
             return
-        suspects = self._quarantine.suspects
+        suspects = self._eligibility.suspects
         for job in jobs:
             if self._requested_ends.may_have_ended(job.job_id):
                 continue
@@ -151,7 +151,7 @@
                 run = self._runs.get((job.job_id, item.item_id))
                 if run and not run.can_start(now):
                     continue
-                if not job.is_checked and self._is_unsendable(job, item):
+                if self._eligibility.is_unsendable(job, item):
                     continue
                 if suspects and self._is_held_back(job, item, suspects):
                     continue
@@ -289,52 +289,20 @@
 
     def fail_abandoned_items(self) -> None:
         """Fail items that are too old or whose route no longer exists."""
-        now = self._clock.now()
         for job in self._store.ledger.open_jobs():
             for item in job.waiting_items():
-                reason = self._reason_to_abandon(job, item, now)
+                reason = self._eligibility.reason_to_abandon(job, item)
                 if reason is not None:
                     self._finish((job.job_id, item.item_id), reason)
 
-    def _is_unsendable(self, job: LedgerJob, item: BatchItem) -> bool:
-        """Return whether no target can be sent an item, which waits to be abandoned."""
-        reason = job.send_errors.get(item.item_id)
-        if reason is None:
-            reason = why_unsendable(item, job.head.host)
-            job.send_errors[item.item_id] = reason
-            if reason:
-                self._metrics.incr("item_unsendable")
-                job_id, item_id = job.job_id, item.item_id
-                _log.error("item_unsendable", job=job_id, item=item_id, reason=reason)
-        return bool(reason)
-
     def _is_held_back(
         self, job: LedgerJob, item: BatchItem, suspects: frozenset[str]
     ) -> bool:
         """Return whether an item may not be sent, as it may crash its target."""
-        parts = job.prompt_parts_of(item)
-        if suspects.isdisjoint(parts):
+        if suspects.isdisjoint(job.prompt_parts_of(item)):
             return False
         run = self._run_of((job.job_id, item.item_id))
-        part = self._quarantine.blocking_part(parts, item.item_id, run.breaks)
-        if part is None:
-            return False
-        if run.held_back != part:
-            run.held_back = part
-            _log.info("item_held_back", job=job.job_id, item=item.item_id, suspect=part)
-        return True
-
-    def _reason_to_abandon(
-        self, job: LedgerJob, item: BatchItem, now: datetime
-    ) -> ItemOutcome | None:
-        """Return why an item is to be failed without another run; None if it isn't."""
-        route = self._routes.route(job, item)
-        if route is None:
-            has_ended = self._routes.has_ended(job, item)
-            return ItemOutcome.no_route if has_ended else None
-        end = end_of_retention(job, route)
-        is_too_old = end is not None and now > end + ABANDON_MARGIN
-        return ItemOutcome.too_old if is_too_old else None
+        return self._eligibility.is_held_back(job, item, run)
 
     def _apply_status(
         self, key: tuple[str, str], run: ItemRun, vm: str, status: ItemStatus
--- a/tests/test_itemoutcomes.py
+++ b/tests/test_itemoutcomes.py
@@ -7,8 +7,8 @@
 import logbook
 import pytest
 
-from chivespan.batchowner import ABANDON_MARGIN
 from chivespan.batchrecords import BatchResult
+from chivespan.itemeligibility import ABANDON_MARGIN
 from chivespan.itemroutes import ROUTE_END_DELAY
 from chivespan.itemrun import ItemOutcome
 from chivespan.nodemessages import ItemState
--- a/tests/test_itemroutes.py
+++ b/tests/test_itemroutes.py
@@ -10,7 +10,7 @@
 from chivespan.batchledger import Ledger
 from chivespan.batchrecords import BatchItem
 from chivespan.clock import ManualClock
-from chivespan.batchowner import ABANDON_MARGIN
+from chivespan.itemeligibility import ABANDON_MARGIN
 from chivespan.itemroutes import MAX_CACHED, ROUTE_END_DELAY, ItemRoutes
 from chivespan.ledgerstore import Staged
 from chivespan.nodemessages import ItemStart, ItemState
--- a/tests/test_odditems.py
+++ b/tests/test_odditems.py
@@ -7,8 +7,8 @@
 import logbook
 import pytest
 
-from chivespan.batchowner import ABANDON_MARGIN
 from chivespan.batchrecords import BatchHeader
+from chivespan.itemeligibility import ABANDON_MARGIN
 from chivespan.ledgerstore import Staged
 from chivespan.nodemessages import ItemState
 from tests.batchcalls import BatchCalls, serving
@@ -25,7 +25,6 @@
     raw_site,
     target,
 )
-
 from tests.test_batchowner import OwnerHarness
 from tests.test_itemroutes import job
 
--- a/tests/test_quarantineditems.py
+++ b/tests/test_quarantineditems.py
@@ -13,10 +13,11 @@
 
 from chivespan.batchchanges import AcceptJob
 from chivespan.batchexecutor import BatchExecutor
-from chivespan.batchowner import ABANDON_MARGIN, FAILED_RETRY_DELAY
+from chivespan.batchowner import FAILED_RETRY_DELAY
 from chivespan.batchrecords import BatchHeader, BatchItem
 from chivespan.batchschedule import Placement
 from chivespan.evidencemessages import NOT_ANSWERED
+from chivespan.itemeligibility import ABANDON_MARGIN
 from chivespan.itemquarantine import SUSPECT_DELAY, ItemBreaks
 from chivespan.loadtable import LoadTable
 from chivespan.nodemessages import (
