--- a/chivespan/batchexecutor.py
+++ b/chivespan/batchexecutor.py
@@ -24,15 +24,9 @@
     parse_events,
 )
 from chivespan.eventtiming import EventTiming
-from chivespan.exchange import (
-    InvalidRequest,
-    LateTimeout,
-    NoLocalResource,
-    NotSent,
-    Reply,
-    exchange,
-)
+from chivespan.exchange import LateTimeout, NoLocalResource, NotSent, Reply, exchange
 from chivespan.helditem import HeldItem, retargeted, status_without_run
+from chivespan.httpcall import InvalidRequest
 from chivespan.itemoutput import (
     DEFAULT_MAX_EVENTS,
     ItemOutput,
--- a/chivespan/batchfront.py
+++ b/chivespan/batchfront.py
@@ -22,7 +22,8 @@
 READ_TIMEOUT = timedelta(seconds=2.5)
 SUBMIT_TIMEOUT = timedelta(seconds=3.5)
 END_TIMEOUT = timedelta(seconds=3.5)
-
+# A position that no job has.
+AFTER_ALL_RESULTS = 1_000_000
 
 _log = logger("batch")
 
@@ -64,7 +65,8 @@
         if not bodies.is_submission(request.body):
             return False
         try:
-            await self._ask(request, BatchVerb.page, READ_TIMEOUT)
+            verb, start = BatchVerb.page, AFTER_ALL_RESULTS
+            await self._ask(request, verb, READ_TIMEOUT, start=start)
         except ChivespanError as error:
             if error.kind is ErrorKind.NOT_FOUND:
                 return False
--- a/chivespan/forwarding.py
+++ b/chivespan/forwarding.py
@@ -19,7 +19,8 @@
 from chivespan.customerrequests import CustomerRequests
 from chivespan.customers.quota import UNCOUNTED, Admission
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.exchange import Call, InvalidRequest, LateTimeout, Reply, exchange
+from chivespan.exchange import LateTimeout, Reply, exchange
+from chivespan.httpcall import Call, InvalidRequest
 from chivespan.loadtable import LoadTable
 from chivespan.logs import logger
 from chivespan.nextattempt import NextTarget
--- a/chivespan/itemrequest.py
+++ b/chivespan/itemrequest.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from chivespan.batchrecords import BatchHeader, BatchItem
-from chivespan.exchange import Call, InvalidRequest, check_request
+from chivespan.httpcall import Call, InvalidRequest, check_request
 from chivespan.nodemessages import ItemHeader, ItemStart
 from chivespan.platform import wire
 from chivespan.responseparser import Header
--- a/chivespan/platform/store.py
+++ b/chivespan/platform/store.py
@@ -12,7 +12,8 @@
 from chivespan.clock import MILLISECOND
 from chivespan.decoding import decoding
 from chivespan.errors import ChivespanError
-from chivespan.exchange import Call, NotSent, exchange
+from chivespan.exchange import NotSent, exchange
+from chivespan.httpcall import Call
 from chivespan.keyedstore import (
     KeyedPage,
     KeyedRecord,
--- a/chivespan/targetliveness.py
+++ b/chivespan/targetliveness.py
@@ -5,7 +5,7 @@
 import anyio
 
 from chivespan.addresses import parse_address
-from chivespan.exchange import CONNECT_TIMEOUT
+from chivespan.httpcall import CONNECT_TIMEOUT
 from chivespan.runningtime import fail_after_running
 
 # A target that ends may close its connections before it stops to accept new ones.
--- a/tests/test_earlyanswers.py
+++ b/tests/test_earlyanswers.py
@@ -16,7 +16,8 @@
 from chivespan.clock import MILLISECOND
 from chivespan.entryclient import EntryClient
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.exchange import Call, exchange
+from chivespan.exchange import exchange
+from chivespan.httpcall import Call
 from chivespan.httplog import HttpLog
 from chivespan.keyedstore import (
     KeyedRecord,
--- a/tests/test_endlessdata.py
+++ b/tests/test_endlessdata.py
@@ -30,8 +30,9 @@
 from chivespan.engineclient import EngineClient, StreamLimits
 from chivespan.errors import ChivespanError
 from chivespan.eventstream import MAX_EVENT_BYTES, EventSplitter, parse_events
-from chivespan.exchange import Call, exchange
+from chivespan.exchange import exchange
 from chivespan.forwarding import Forwarder
+from chivespan.httpcall import Call
 from chivespan.httplog import HttpLog
 from chivespan.httpvmlist import HttpVmList
 from chivespan.keyedstore import (
--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -15,7 +15,8 @@
 import pytest
 
 from chivespan.errors import ChivespanError, ErrorKind
-from chivespan.exchange import Call, NotSent, exchange
+from chivespan.exchange import NotSent, exchange
+from chivespan.httpcall import Call
 from chivespan.httpvmlist import HttpVmList
 
 CONCURRENT_REQUESTS = 50
--- a/tests/test_runningtime.py
+++ b/tests/test_runningtime.py
@@ -11,7 +11,8 @@
 import anyio.lowlevel
 import pytest
 
-from chivespan.exchange import CONNECT_TIMEOUT, NotSent, exchange
+from chivespan.exchange import NotSent, exchange
+from chivespan.httpcall import CONNECT_TIMEOUT
 from chivespan.nodemessages import ItemState
 from chivespan.runningtime import fail_after_running
 from chivespan.targethealth import EJECT_AFTER_FAILURES
--- a/tests/test_streamhandover.py
+++ b/tests/test_streamhandover.py
@@ -12,7 +12,8 @@
 from chivespan.callerrequest import Responder
 from chivespan.clock import SystemClock
 from chivespan.eventstream import EventOrder, EventSplitter
-from chivespan.exchange import Call, Reply, _Reader
+from chivespan.exchange import Reply, _Reader
+from chivespan.httpcall import Call
 from chivespan.responserelay import ResponseRelay
 from chivespan.streamhandover import Handover
 
