--- a/tests/test_odditems.py
+++ b/tests/test_odditems.py
@@ -26,6 +26,7 @@
     target,
 )
 from tests.test_batchowner import OwnerHarness
+from tests.test_customeritems import values
 from tests.test_itemroutes import job
 
 pytestmark = pytest.mark.anyio
@@ -44,12 +45,6 @@
 UNSENDABLE_PATHS = ["/a b", "/a\0", "/\u00e4", "/a\r\nB: c"]
 
 
-def values(request: bytes, name: str) -> list[str]:
-    """Return the values of a header in a request as it arrived."""
-    lines = (line.partition(":") for line in request.decode().split("\r\n"))
-    return [value.strip() for found, _, value in lines if found.lower() == name]
-
-
 def assert_sound(site: RawSite) -> None:
     """Check that all slots of all targets may be used, and nothing is suspected."""
     candidates = site.picker.candidates(SERVICE)
--- a/tests/test_runningtime.py
+++ b/tests/test_runningtime.py
@@ -28,6 +28,7 @@
 )
 from tests.test_odditems import ANSWER, assert_sound
 from tests.test_resets import call
+from tests.test_targetliveness import silent_address
 
 pytestmark = pytest.mark.anyio
 
@@ -68,19 +69,6 @@
         thread.join()
 
 
-@contextmanager
-def silent_address() -> Iterator[str]:
-    """Yield an address at which connections are neither accepted nor refused."""
-    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
-        queued = [socket.socket() for _ in range(3)]
-        for each in queued:
-            each.setblocking(False)
-            each.connect_ex(listener.getsockname())
-        yield f"127.0.0.1:{listener.getsockname()[1]}"
-        for each in queued:
-            each.close()
-
-
 async def stand_still(pause_s: float, turns: int) -> None:
     """Block this process after some turns of its event loop."""
     for _ in range(turns):
