A request id beyond ASCII says nothing of the targets

A target returns such an id unchanged, but the node reads it in one encoding and compares it in another, so that each answer was taken for another request's and booked as a failure of its target.

--- a/chivespan/callerapp.py
+++ b/chivespan/callerapp.py
@@ -340,7 +340,7 @@
 
 
 def _check_unambiguous(request: CallerRequest) -> None:
-    """Check that a request names its host and its id once at most.
+    """Check that a request names its host and its id once at most, the id in ASCII.
 
     This node and a target might otherwise read different ones.
 
@@ -350,6 +350,9 @@
         if sum(known == name for known, _ in request.headers) > 1:
             reason = f"the request has more than one {name.decode()} header"
             raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
+    if not request.request_id.isascii():
+        reason = "the request id has a character beyond ASCII"
+        raise ChivespanError(ErrorKind.BAD_REQUEST, reason)
 
 
 def _leaving(reason: str) -> ChivespanError:
--- a/tests/test_odditems.py
+++ b/tests/test_odditems.py
@@ -32,6 +32,8 @@
 pytestmark = pytest.mark.anyio
 
 ANSWER = head("200 OK", CHUNKED) + chunk(events(1, 2)) + LAST_CHUNK
+REQUEST_ID_LINE = f"X-Chivespan-Request-Id: {REQUEST_ID}\r\n".encode()
+ODD_ID_LINE = b"X-Chivespan-Request-Id: \xe4\r\n"
 # More than the failures after which a target is left out.
 ATTEMPTS = 5
 # Each alone makes the bytes of a request mean something else.
@@ -117,6 +119,20 @@
         assert_sound(site)
 
 
+# Guards against: an id that a target returns unchanged, but which this node reads as
+# another one, so that each answer to the request counts as a failure of its target.
+async def test_online_request_with_an_id_beyond_ascii_is_refused() -> None:
+    answer = ANSWER.replace(REQUEST_ID_LINE, ODD_ID_LINE)
+    assert answer != ANSWER
+    async with raw_site(target(answer)) as site:
+        for _ in range(ATTEMPTS):
+            request = site.request("Connection: close")
+            odd = request.replace(REQUEST_ID_LINE, ODD_ID_LINE)
+            assert (await site.exchange_bytes(odd)).startswith(b"HTTP/1.1 400")
+        assert not site.targets[0].requests
+        assert_sound(site)
+
+
 # Guards against: the same, for a path that the HTTP server lets pass.
 @pytest.mark.parametrize("path", [b"/s/\xc3\xa4", b"/s/\x7f"])
 async def test_online_request_with_an_unsendable_path_is_refused(path: bytes) -> None:
